--- /dev/null
+++ b/src/limedeck/__init__.py
@@ -0,0 +1,1 @@
+"""limedeck: a router for servers that own keys exclusively."""
--- /dev/null
+++ b/src/limedeck/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/src/limedeck/cli/config_file.py
@@ -0,0 +1,107 @@
+"""The file that ``limedeck config apply`` takes: the whole wanted configuration in TOML."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Literal
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+from limedeck.api.peer_pb2 import (
+    OWNERSHIP_KEYED,
+    OWNERSHIP_SHARED,
+    Backend,
+    Service,
+    ServiceLimits,
+    SharingRule,
+)
+from limedeck.errors import InvalidSetting
+
+OWNERSHIPS = {"keyed": OWNERSHIP_KEYED, "shared": OWNERSHIP_SHARED}
+
+
+class Section(BaseModel):
+    """A table of the file; keys it does not know are refused."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class ServiceEntry(Section):
+    """A service."""
+
+    name: str
+    ownership: Literal["keyed", "shared"]
+    key_source: str = ""
+    slices_per_backend: int = 0
+    control_groups: int = 0
+    backend_slots: int = 0
+    backend_connections: int = 0
+    default_deadline_ms: int = 0
+    maximum_body_bytes: int = 0
+    repeatable_methods: list[str] = []
+
+    def to_message(self) -> Service:
+        """The service as the operators' calls take it."""
+        return Service(
+            name=self.name,
+            sharing=SharingRule(
+                ownership=OWNERSHIPS[self.ownership],
+                key_source=self.key_source,
+                slices_per_backend=self.slices_per_backend,
+                control_groups=self.control_groups,
+            ),
+            limits=ServiceLimits(
+                backend_slots=self.backend_slots,
+                backend_connections=self.backend_connections,
+                default_deadline_ms=self.default_deadline_ms,
+                maximum_body_bytes=self.maximum_body_bytes,
+            ),
+            repeatable_methods=self.repeatable_methods,
+        )
+
+
+class BackendEntry(Section):
+    """A back end."""
+
+    id: str
+    service: str
+    address: str
+    zone: str = ""
+    draining: bool = False
+
+    def to_message(self) -> Backend:
+        """The back end as the operators' calls take it."""
+        return Backend(
+            backend_id=self.id,
+            service=self.service,
+            address=self.address,
+            zone=self.zone,
+            draining=self.draining,
+        )
+
+
+class ConfigFile(Section):
+    """The whole file."""
+
+    services: list[ServiceEntry] = []
+    backends: list[BackendEntry] = []
+
+
+def load_config_file(file: str) -> ConfigFile:
+    """Read and check a configuration file.
+
+    Raises
+    ------
+    InvalidSetting
+        It cannot be used.
+    """
+    try:
+        content = tomllib.loads(Path(file).read_text(encoding="utf-8"))
+        return ConfigFile.model_validate(content)
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise InvalidSetting(file, "(file)", str(error), "a readable TOML file") from None
+    except ValidationError as error:
+        first = error.errors()[0]
+        key = ".".join(str(part) for part in first["loc"])
+        raise InvalidSetting(file, key, repr(first["input"]), first["msg"]) from None
--- /dev/null
+++ b/src/limedeck/config/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' objects: validation, the replica every node holds, and the settings file."""
--- /dev/null
+++ b/src/limedeck/config/settings.py
@@ -0,0 +1,202 @@
+"""The daemon's settings: a TOML file, checked whole before anything starts."""
+
+from __future__ import annotations
+
+import dataclasses
+import tomllib
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError, model_validator
+from pydantic_settings import BaseSettings, PydanticBaseSettingsSource, SettingsConfigDict
+
+from limedeck.config.objects import require_address
+from limedeck.control.timing import ControlLimits, ControlTiming
+from limedeck.errors import InvalidObject, InvalidSetting, SettingsError
+from limedeck.routing.request import RoutingLimits
+
+NAME = r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$"
+
+
+def _address(value: str) -> str:
+    try:
+        require_address("address", value)
+    except InvalidObject as error:
+        raise ValueError(f"{error.problem}, such as 127.0.0.1:7100") from error
+    return value
+
+
+Address = Annotated[str, AfterValidator(_address)]
+Url = Annotated[str, Field(pattern=r"^https?://[^/]+$")]
+
+
+def _check_overrides(
+    table: str, overrides: dict[str, float] | dict[str, int], defaults: object
+) -> None:
+    known = {field.name for field in dataclasses.fields(defaults)}  # type: ignore[arg-type]
+    for name, value in overrides.items():
+        if name not in known:
+            raise ValueError(f"{table}.{name} is not known; one of {', '.join(sorted(known))}")
+        if value <= 0:
+            raise ValueError(f"{table}.{name} must be above zero")
+
+
+class Section(BaseModel):
+    """A table of the settings file; keys it does not know are refused."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class NodeSettings(Section):
+    """Who this node is and where it listens."""
+
+    id: str = Field(pattern=NAME)
+    zone: str = Field(pattern=NAME)
+    peer_address: Address
+    caller_address: Address
+    operator_address: Address
+    admin_address: Address
+    seeds: list[Address] = []
+
+
+class PlatformSettings(Section):
+    """Where the platform's services answer."""
+
+    table_url: Url
+    object_store_url: Url
+    machine_list_url: Url
+    timeout_seconds: float = Field(default=1.0, gt=0, le=60)
+
+
+class LogSettings(Section):
+    """How events are logged."""
+
+    format: Literal["json", "console"] = "json"
+    level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+class StopSettings(Section):
+    """How a planned stop goes."""
+
+    notice_seconds: float = Field(default=1.0, ge=0, le=60)
+    drain_seconds: float = Field(default=30.0, gt=0, le=600)
+
+
+class ControlSettings(Section):
+    """Overrides of `ControlTiming` and `ControlLimits`, by the names of their fields."""
+
+    timing: dict[str, float] = {}
+    limits: dict[str, int] = {}
+
+    @model_validator(mode="after")
+    def _known_names(self) -> ControlSettings:
+        _check_overrides("timing", self.timing, ControlTiming())
+        _check_overrides("limits", self.limits, ControlLimits())
+        lease = self.to_timing()
+        if lease.backend_lease <= 2 * lease.lease_renewal_interval:
+            raise ValueError("timing.backend_lease must be above two lease_renewal_intervals")
+        if lease.election_timeout <= 2 * lease.heartbeat_interval:
+            raise ValueError("timing.election_timeout must be above two heartbeat_intervals")
+        return self
+
+    def to_timing(self) -> ControlTiming:
+        """Timing with the overrides."""
+        return dataclasses.replace(ControlTiming(), **self.timing)
+
+    def to_limits(self) -> ControlLimits:
+        """Limits with the overrides."""
+        return dataclasses.replace(ControlLimits(), **self.limits)
+
+
+class RoutingSettings(Section):
+    """Bounds of this node's router."""
+
+    longest_wait_seconds: float = Field(default=4.0, gt=0, le=600)
+    waiting_requests: int = Field(default=1_000, ge=1, le=1_000_000)
+
+    def to_limits(self) -> RoutingLimits:
+        """The bounds as the router takes them."""
+        return RoutingLimits(self.longest_wait_seconds, self.waiting_requests)
+
+
+class DaemonSettings(BaseSettings):
+    """Everything a daemon is told before it starts."""
+
+    model_config = SettingsConfigDict(extra="forbid", frozen=True)
+
+    node: NodeSettings
+    platform: PlatformSettings
+    log: LogSettings = LogSettings()
+    stop: StopSettings = StopSettings()
+    control: ControlSettings = ControlSettings()
+    routing: RoutingSettings = RoutingSettings()
+
+    @classmethod
+    def settings_customise_sources(
+        cls,
+        settings_cls: type[BaseSettings],
+        init_settings: PydanticBaseSettingsSource,
+        env_settings: PydanticBaseSettingsSource,
+        dotenv_settings: PydanticBaseSettingsSource,
+        file_secret_settings: PydanticBaseSettingsSource,
+    ) -> tuple[PydanticBaseSettingsSource, ...]:
+        """Take settings from the file and the flags only, never from the environment."""
+        return (init_settings,)
+
+
+def load_settings(file: str, overrides: dict[str, str]) -> DaemonSettings:
+    """Read and check a settings file.
+
+    Parameters
+    ----------
+    file
+        Path of a TOML file.
+    overrides
+        Values of the ``[node]`` table that flags give.
+
+    Raises
+    ------
+    SettingsError
+        Or an exception group of them, one for each wrong key.
+    """
+    content = _read_toml(file)
+    node = content.setdefault("node", {})
+    if isinstance(node, dict):
+        node.update(overrides)
+    try:
+        return DaemonSettings(**content)
+    except ValidationError as error:
+        problems = [_invalid(file, dict(item)) for item in error.errors()]
+        if len(problems) == 1:
+            raise problems[0] from None
+        raise ExceptionGroup("settings cannot be used", problems) from None
+
+
+def _read_toml(file: str) -> dict[str, Any]:
+    try:
+        return tomllib.loads(Path(file).read_text(encoding="utf-8"))
+    except OSError as error:
+        reason = error.strerror or type(error).__name__
+        raise InvalidSetting(file, "(file)", reason, "a readable file") from None
+    except UnicodeDecodeError:
+        raise InvalidSetting(file, "(file)", "is not UTF-8", "a TOML file in UTF-8") from None
+    except tomllib.TOMLDecodeError as error:
+        raise InvalidSetting(file, "(file)", str(error), "a TOML file") from None
+
+
+def _invalid(file: str, item: dict[str, Any]) -> SettingsError:
+    key = ".".join(str(part) for part in item["loc"]) or "(file)"
+    kind = item["type"]
+    if kind == "missing":
+        return InvalidSetting(file, key, "is missing", "a value")
+    if kind == "extra_forbidden":
+        return InvalidSetting(file, key, "is not a known key", "a key of the documentation")
+    problem = f"{item['input']!r} cannot be used"
+    return InvalidSetting(file, key, problem, _expected(item))
+
+
+def _expected(item: dict[str, Any]) -> str:
+    message = str(item["msg"])
+    for prefix in ("Input should be ", "Value error, ", "String should "):
+        message = message.removeprefix(prefix)
+    return message
--- /dev/null
+++ b/src/limedeck/control/consensus.py
@@ -0,0 +1,631 @@
+"""Election, leadership lease and replication of one control group by a majority of its voters.
+
+The algorithm is Raft with pre-votes and leases, with everything in memory. A restarted process
+is another voter identity, so a voter that has lost its memory never breaks a promise it made.
+
+A voter that acknowledged an append at time *t* of its clock votes for no other before
+``t + election_timeout``. A leader may therefore act until ``s + leadership_lease``, where *s* is
+the latest time at which it sent an append that a majority has acknowledged.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from limedeck.api.peer_pb2 import (
+    AppendReply,
+    AppendRequest,
+    AssignmentChange,
+    GroupMessage,
+    GroupSnapshot,
+    LogEntry,
+    TimeoutNow,
+    VoteReply,
+    VoteRequest,
+    VoterSet,
+)
+from limedeck.control.replicated_log import ReplicatedLog
+from limedeck.control.timing import ControlLimits, ControlTiming
+from limedeck.errors import InvariantViolation
+from limedeck.identity import GroupId, NodeId, Seconds, Voter
+from limedeck.keyspace.hashing import rendezvous_weight
+from limedeck.keyspace.slices import SliceMap, slice_map_from
+
+NEVER: Seconds = float("-inf")
+TERMS_PER_EPOCH = 1 << 32
+"""Terms and log indexes of a later epoch are above all of an earlier one."""
+ENTRIES_PER_APPEND = 64
+"""Entries that one append carries at most."""
+SPREAD_RESOLUTION = 1 << 16
+
+
+class Role(enum.Enum):
+    """What a voter is doing in its term."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre-candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclass(frozen=True)
+class OutgoingMessage:
+    """A message for one member of the group."""
+
+    target: Voter
+    message: GroupMessage
+
+
+@dataclass
+class Progress:
+    """What a leader knows of one follower.
+
+    Parameters
+    ----------
+    next_index
+        First entry to send next.
+    match_index
+        Last entry known to be held.
+    acknowledged_sent_at
+        Leader's clock when it sent the latest append that was acknowledged.
+    last_reply_at
+        Leader's clock when the follower's last reply came.
+    last_sent_at
+        Leader's clock at its last append to the follower.
+    """
+
+    next_index: int
+    match_index: int = 0
+    acknowledged_sent_at: Seconds = NEVER
+    last_reply_at: Seconds = NEVER
+    last_sent_at: Seconds = NEVER
+
+
+@dataclass
+class LeaderState:
+    """State that only a leader has.
+
+    Parameters
+    ----------
+    elected_at
+        Leader's clock when it won the election.
+    first_index
+        Index of the entry it appended on election; it acts once that is committed.
+    """
+
+    elected_at: Seconds
+    first_index: int
+    progress: dict[Voter, Progress] = field(default_factory=dict)
+    learners: list[Voter] = field(default_factory=list)
+
+
+class ConsensusCore:
+    """One node's part in one control group.
+
+    A new core is passive: it knows no voters and stands in no election, until a leader sends it
+    the group's state or `start_epoch` makes it the first voter of a new epoch.
+    """
+
+    def __init__(
+        self,
+        group: GroupId,
+        identity: Voter,
+        timing: ControlTiming,
+        limits: ControlLimits,
+        now: Seconds,
+    ) -> None:
+        self.group = group
+        self.identity = identity
+        self.timing = timing
+        self.limits = limits
+        self.term = 0
+        self.role = Role.FOLLOWER
+        self.leader: Voter | None = None
+        self.commit_index = 0
+        self.slices = SliceMap()
+        """The committed assignment."""
+        self.committed_voters: tuple[Voter, ...] = ()
+        self.leader_state: LeaderState | None = None
+        self._log = ReplicatedLog()
+        self._base_slices = SliceMap()
+        self._base_voters: tuple[Voter, ...] = ()
+        self._voted_for: Voter | None = None
+        self._votes: set[Voter] = set()
+        self._promised_until: Seconds = NEVER
+        self._election_due: Seconds = now + timing.election_timeout
+        self._transfer_election = False
+        self._outbox: list[OutgoingMessage] = []
+        self._applied: list[LogEntry] = []
+
+    # ------------------------------------------------------------------ reading
+
+    @property
+    def voters(self) -> tuple[Voter, ...]:
+        """The voter set in force: the latest in the log, committed or not."""
+        for entry in reversed(self._log.entries_after_base()):
+            if entry.WhichOneof("body") == "voters":
+                return tuple(Voter.from_message(voter) for voter in entry.voters.voters)
+        return self._base_voters
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry in the log."""
+        return self._log.last_index
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this node leads its term, with a lease or without."""
+        return self.role is Role.LEADER
+
+    @property
+    def has_applied_own_entry(self) -> bool:
+        """Whether the leader's committed state is complete for its term."""
+        state = self.leader_state
+        return state is not None and self.commit_index >= state.first_index
+
+    def leadership_lease_end(self) -> Seconds:
+        """Until when, on this node's clock, no other node can be elected."""
+        state = self.leader_state
+        if state is None:
+            return NEVER
+        voters = self.voters
+        sent_times = sorted(
+            (self._acknowledged_sent_at(state, voter) for voter in voters), reverse=True
+        )
+        if not sent_times:
+            return NEVER
+        return sent_times[majority(len(voters)) - 1] + self.timing.leadership_lease
+
+    def holds_leadership(self, now: Seconds) -> bool:
+        """Whether this node is the leader and its leadership lease holds at `now`."""
+        return self.is_leader and now < self.leadership_lease_end()
+
+    def snapshot(self) -> GroupSnapshot:
+        """Write the committed state."""
+        return GroupSnapshot(
+            last_index=self.commit_index,
+            last_term=self._log.term_at(self.commit_index) or 0,
+            voters=voter_set(self.committed_voters),
+            assignment=self.slices.to_change(),
+        )
+
+    # ------------------------------------------------------------------ events
+
+    def start_epoch(self, epoch: int, snapshot: GroupSnapshot, now: Seconds) -> None:
+        """Become the first and only voter of a new epoch, with the state of `snapshot`.
+
+        The caller has written the epoch to the table by compare-and-set.
+        """
+        base = epoch * TERMS_PER_EPOCH
+        if base <= self.term:
+            raise InvariantViolation("epochs-grow", f"epoch {epoch} is not above term {self.term}")
+        self.term = base
+        self._become_follower(None)
+        self._voted_for = None
+        self._install(
+            GroupSnapshot(
+                last_index=base,
+                last_term=base,
+                voters=voter_set((self.identity,)),
+                assignment=snapshot.assignment,
+            )
+        )
+        self._promised_until = NEVER
+        self._election_due = now
+        self.validate_state("start_epoch")
+
+    def handle_tick(self, now: Seconds) -> list[OutgoingMessage]:
+        """Send due appends, or stand for election when no leader was heard for too long."""
+        if self.is_leader:
+            self._send_due_appends(now)
+        elif now >= self._election_due and self.identity in self.voters:
+            self._start_pre_vote(now)
+        return self._finish("tick")
+
+    def handle_message(
+        self, sender: Voter, message: GroupMessage, now: Seconds
+    ) -> list[OutgoingMessage]:
+        """Handle a message from another member of the group."""
+        kind = message.WhichOneof("body")
+        if kind == "vote_request":
+            self._on_vote_request(sender, message.vote_request, now)
+        elif kind == "vote_reply":
+            self._on_vote_reply(sender, message.vote_reply, now)
+        elif kind == "append_request":
+            self._on_append_request(sender, message.append_request, now)
+        elif kind == "append_reply":
+            self._on_append_reply(sender, message.append_reply, now)
+        elif kind == "timeout_now":
+            self._on_timeout_now(message.timeout_now, now)
+        return self._finish(f"{kind} from {sender.node_id}")
+
+    def propose_assignment(self, change: AssignmentChange, now: Seconds) -> int:
+        """Append an assignment change as the leader and return its index."""
+        return self._append_own(LogEntry(assignment=change), now)
+
+    def propose_voters(self, voters: Sequence[Voter], now: Seconds) -> int:
+        """Append a voter set that differs from the one in force by one voter.
+
+        Raises
+        ------
+        InvariantViolation
+            The set differs by more, or an earlier change is not committed yet.
+        """
+        difference = set(voters) ^ set(self.voters)
+        if len(difference) > 1 or set(self.voters) != set(self.committed_voters):
+            raise InvariantViolation(
+                "voters-change-one-at-a-time", f"{self.voters} to {tuple(voters)}"
+            )
+        return self._append_own(LogEntry(voters=voter_set(voters)), now)
+
+    def take_applied(self) -> list[LogEntry]:
+        """Return the entries committed since the last call, in order."""
+        applied = self._applied
+        self._applied = []
+        return applied
+
+    def set_learners(self, learners: Sequence[Voter]) -> None:
+        """Replicate to these nodes too, without counting them (leader only)."""
+        state = self.leader_state
+        if state is None:
+            return
+        state.learners = [voter for voter in learners if voter not in self.voters]
+
+    def has_caught_up(self, learner: Voter, now: Seconds) -> bool:
+        """Whether a learner holds everything that is committed and still answers."""
+        state = self.leader_state
+        progress = state.progress.get(learner) if state else None
+        if progress is None:
+            return False
+        answers = now - progress.last_reply_at <= self.timing.election_timeout
+        return answers and progress.match_index >= self.commit_index
+
+    def last_reply_at(self, voter: Voter) -> Seconds:
+        """When the leader last heard from a follower; its election counts as hearing."""
+        state = self.leader_state
+        if state is None:
+            return NEVER
+        progress = state.progress.get(voter)
+        return max(state.elected_at, progress.last_reply_at if progress else NEVER)
+
+    def transfer_leadership(self, now: Seconds) -> list[OutgoingMessage]:
+        """Give up leadership for good in this term and have the best follower elected at once."""
+        state = self.leader_state
+        if state is None:
+            return []
+        candidates = [voter for voter in self.voters if voter != self.identity]
+        self._become_follower(None)
+        self._promised_until = NEVER
+        self._election_due = now + 2 * self._election_delay()
+        if candidates:
+            best = max(candidates, key=lambda voter: _transfer_rank(state, voter))
+            self._send(best, GroupMessage(timeout_now=TimeoutNow(term=self.term)))
+        return self._finish("transfer")
+
+    # ------------------------------------------------------------------ elections
+
+    def _start_pre_vote(self, now: Seconds) -> None:
+        self.role = Role.PRE_CANDIDATE
+        self.leader = None
+        self._votes = {self.identity}
+        self._election_due = now + self._election_delay()
+        self._request_votes(pre_vote=True)
+        self._count_votes(now)
+
+    def _start_vote(self, now: Seconds) -> None:
+        self.role = Role.CANDIDATE
+        self.term += 1
+        self._voted_for = self.identity
+        self._votes = {self.identity}
+        self._election_due = now + self._election_delay()
+        self._request_votes(pre_vote=False)
+        self._count_votes(now)
+
+    def _request_votes(self, pre_vote: bool) -> None:
+        request = VoteRequest(
+            term=self.term + 1 if pre_vote else self.term,
+            last_index=self._log.last_index,
+            last_term=self._log.last_term,
+            pre_vote=pre_vote,
+            leadership_transfer=self._transfer_election,
+        )
+        for voter in self.voters:
+            if voter != self.identity:
+                self._send(voter, GroupMessage(vote_request=request))
+
+    def _on_vote_request(self, sender: Voter, request: VoteRequest, now: Seconds) -> None:
+        bound_by_promise = now < self._promised_until and not request.leadership_transfer
+        leading = self.holds_leadership(now)
+        if bound_by_promise or leading or request.term < self.term:
+            self._reply_to_vote(sender, request, granted=False)
+            return
+        up_to_date = self._log.is_up_to_date(request.last_index, request.last_term)
+        if request.pre_vote:
+            self._reply_to_vote(sender, request, granted=up_to_date)
+            return
+        if request.term > self.term:
+            self._adopt_term(request.term)
+        free = self._voted_for is None or self._voted_for == sender
+        granted = free and up_to_date
+        if granted:
+            self._voted_for = sender
+            self._election_due = now + self._election_delay()
+        self._reply_to_vote(sender, request, granted)
+
+    def _reply_to_vote(self, sender: Voter, request: VoteRequest, granted: bool) -> None:
+        term = request.term if granted else self.term
+        reply = VoteReply(term=term, granted=granted, pre_vote=request.pre_vote)
+        self._send(sender, GroupMessage(vote_reply=reply))
+
+    def _on_vote_reply(self, sender: Voter, reply: VoteReply, now: Seconds) -> None:
+        if not reply.granted:
+            if reply.term > self.term:
+                self._adopt_term(reply.term)
+            return
+        wanted_role = Role.PRE_CANDIDATE if reply.pre_vote else Role.CANDIDATE
+        wanted_term = self.term + 1 if reply.pre_vote else self.term
+        if self.role is not wanted_role or reply.term != wanted_term:
+            return
+        self._votes.add(sender)
+        self._count_votes(now)
+
+    def _count_votes(self, now: Seconds) -> None:
+        voters = self.voters
+        if len(self._votes & set(voters)) < majority(len(voters)):
+            return
+        if self.role is Role.PRE_CANDIDATE:
+            self._start_vote(now)
+        elif self.role is Role.CANDIDATE:
+            self._become_leader(now)
+
+    def _become_leader(self, now: Seconds) -> None:
+        self.role = Role.LEADER
+        self.leader = self.identity
+        self._transfer_election = False
+        self.leader_state = LeaderState(elected_at=now, first_index=self._log.last_index + 1)
+        self._append_own(LogEntry(assignment=AssignmentChange()), now)
+
+    def _become_follower(self, leader: Voter | None) -> None:
+        self.role = Role.FOLLOWER
+        self.leader = leader
+        self.leader_state = None
+        self._votes = set()
+        self._transfer_election = False
+
+    def _adopt_term(self, term: int) -> None:
+        self.term = term
+        self._voted_for = None
+        self._become_follower(None)
+
+    def _on_timeout_now(self, message: TimeoutNow, now: Seconds) -> None:
+        if message.term != self.term or self.identity not in self.voters or self.is_leader:
+            return
+        self._transfer_election = True
+        self._start_vote(now)
+
+    def _election_delay(self) -> Seconds:
+        draw = rendezvous_weight(f"{self.identity.node_id}/{self.term}", self.group)
+        fraction = draw % SPREAD_RESOLUTION / SPREAD_RESOLUTION
+        return self.timing.election_timeout + fraction * self.timing.election_spread
+
+    # ------------------------------------------------------------------ replication
+
+    def _append_own(self, entry: LogEntry, now: Seconds) -> int:
+        state = self.leader_state
+        if state is None:
+            raise InvariantViolation(
+                "only-leaders-append", f"{self.identity.node_id} does not lead"
+            )
+        entry.index = self._log.last_index + 1
+        entry.term = self.term
+        self._log.append(entry)
+        self._send_appends(now, only_due=False)
+        self._advance_commit()
+        return entry.index
+
+    def _send_due_appends(self, now: Seconds) -> None:
+        self._send_appends(now, only_due=True)
+
+    def _send_appends(self, now: Seconds, only_due: bool) -> None:
+        state = self.leader_state
+        assert state is not None
+        for voter in (*self.voters, *state.learners):
+            if voter == self.identity:
+                continue
+            progress = state.progress.setdefault(voter, Progress(self._log.last_index + 1))
+            due = now - progress.last_sent_at >= self.timing.heartbeat_interval
+            if due or not only_due:
+                self._send_append(voter, progress, now)
+
+    def _send_append(self, voter: Voter, progress: Progress, now: Seconds) -> None:
+        progress.last_sent_at = now
+        previous_index = progress.next_index - 1
+        previous_term = self._log.term_at(previous_index)
+        request = AppendRequest(term=self.term, commit_index=self.commit_index, sent_at=now)
+        if previous_term is None:
+            request.snapshot.CopyFrom(self.snapshot())
+            previous_index = self.commit_index
+            previous_term = self._log.term_at(previous_index) or 0
+            progress.next_index = previous_index + 1
+        request.previous_index = previous_index
+        request.previous_term = previous_term
+        entries = self._log.entries_from(progress.next_index)[:ENTRIES_PER_APPEND]
+        request.entries.extend(entries)
+        self._send(voter, GroupMessage(append_request=request))
+
+    def _on_append_request(self, sender: Voter, request: AppendRequest, now: Seconds) -> None:
+        if request.term < self.term:
+            self._reply_to_append(sender, request, accepted=False)
+            return
+        if request.term == self.term and self.is_leader:
+            raise InvariantViolation(
+                "one-leader-per-term", f"{sender.node_id} also leads term {self.term}"
+            )
+        if request.term > self.term:
+            self._adopt_term(request.term)
+        self._become_follower(sender)
+        self._promised_until = now + self.timing.election_timeout
+        self._election_due = now + self._election_delay()
+        if request.HasField("snapshot"):
+            self._catch_up_with(request.snapshot)
+        accepted = self._store_entries(request)
+        if accepted:
+            known = request.previous_index + len(request.entries)
+            self._commit_up_to(min(request.commit_index, known))
+        self._reply_to_append(sender, request, accepted)
+
+    def _catch_up_with(self, snapshot: GroupSnapshot) -> None:
+        if snapshot.last_index <= self.commit_index:
+            return
+        if self._log.term_at(snapshot.last_index) == snapshot.last_term:
+            # The log holds all of it, and later entries that were already acknowledged.
+            self._commit_up_to(snapshot.last_index)
+            return
+        self._install(snapshot)
+
+    def _store_entries(self, request: AppendRequest) -> bool:
+        previous_index = request.previous_index
+        is_uncommitted = previous_index > self.commit_index
+        if is_uncommitted and self._log.term_at(previous_index) != request.previous_term:
+            return False
+        for entry in request.entries:
+            if entry.index <= self._log.base_index:
+                continue
+            held_term = self._log.term_at(entry.index)
+            if held_term == entry.term:
+                continue
+            if held_term is not None:
+                self._truncate_from(entry.index)
+            self._log.append(entry)
+        return True
+
+    def _truncate_from(self, index: int) -> None:
+        if index <= self.commit_index:
+            raise InvariantViolation(
+                "committed-entries-survive", f"entry {index} conflicts below {self.commit_index}"
+            )
+        self._log.truncate_from(index)
+
+    def _reply_to_append(self, sender: Voter, request: AppendRequest, accepted: bool) -> None:
+        match = request.previous_index + len(request.entries) if accepted else self.commit_index
+        reply = AppendReply(
+            term=self.term, accepted=accepted, match_index=match, sent_at=request.sent_at
+        )
+        self._send(sender, GroupMessage(append_reply=reply))
+
+    def _on_append_reply(self, sender: Voter, reply: AppendReply, now: Seconds) -> None:
+        state = self.leader_state
+        if reply.term > self.term:
+            self._adopt_term(reply.term)
+            return
+        if state is None or reply.term != self.term or sender not in state.progress:
+            return
+        progress = state.progress[sender]
+        progress.last_reply_at = now
+        progress.acknowledged_sent_at = max(progress.acknowledged_sent_at, reply.sent_at)
+        if not reply.accepted:
+            progress.next_index = max(progress.match_index, reply.match_index) + 1
+            self._send_append(sender, progress, now)
+            return
+        progress.match_index = max(progress.match_index, reply.match_index)
+        progress.next_index = max(progress.next_index, progress.match_index + 1)
+        self._advance_commit()
+        if progress.next_index <= self._log.last_index:
+            self._send_append(sender, progress, now)
+
+    def _advance_commit(self) -> None:
+        state = self.leader_state
+        assert state is not None
+        voters = self.voters
+        matches = sorted((self._match_index(state, voter) for voter in voters), reverse=True)
+        agreed = matches[majority(len(voters)) - 1]
+        if agreed > self.commit_index and self._log.term_at(agreed) == self.term:
+            self._commit_up_to(agreed)
+
+    def _match_index(self, state: LeaderState, voter: Voter) -> int:
+        if voter == self.identity:
+            return self._log.last_index
+        progress = state.progress.get(voter)
+        return progress.match_index if progress else 0
+
+    def _acknowledged_sent_at(self, state: LeaderState, voter: Voter) -> Seconds:
+        if voter == self.identity:
+            return float("inf")
+        progress = state.progress.get(voter)
+        return progress.acknowledged_sent_at if progress else NEVER
+
+    def _commit_up_to(self, index: int) -> None:
+        while self.commit_index < index:
+            entry = self._log.entry(self.commit_index + 1)
+            if entry.WhichOneof("body") == "voters":
+                self.committed_voters = _voters_of(entry.voters)
+            else:
+                self.slices.apply(entry.assignment)
+            self.commit_index = entry.index
+            self._applied.append(entry)
+        self._compact()
+
+    def _compact(self) -> None:
+        if self.commit_index - self._log.base_index < 2 * self.limits.log_entries_kept:
+            return
+        target = self.commit_index - self.limits.log_entries_kept
+        for index in range(self._log.base_index + 1, target + 1):
+            entry = self._log.entry(index)
+            if entry.WhichOneof("body") == "voters":
+                self._base_voters = _voters_of(entry.voters)
+            else:
+                self._base_slices.apply(entry.assignment)
+        self._log.compact(target)
+
+    def _install(self, snapshot: GroupSnapshot) -> None:
+        self._log = ReplicatedLog(snapshot.last_index, snapshot.last_term)
+        self._base_slices = slice_map_from(snapshot.assignment)
+        self._base_voters = _voters_of(snapshot.voters)
+        self.slices = self._base_slices.copy()
+        self.committed_voters = self._base_voters
+        self.commit_index = snapshot.last_index
+
+    # ------------------------------------------------------------------ helpers
+
+    def _send(self, target: Voter, message: GroupMessage) -> None:
+        message.group = self.group
+        self._outbox.append(OutgoingMessage(target, message))
+
+    def _finish(self, cause: str) -> list[OutgoingMessage]:
+        self.validate_state(cause)
+        outgoing = self._outbox
+        self._outbox = []
+        return outgoing
+
+    def validate_state(self, cause: str) -> None:
+        """Assert every invariant that one node can see alone."""
+        checks = {
+            "commit-within-log": self._log.base_index <= self.commit_index <= self.last_index,
+            "leader-state-with-leader": self.is_leader == (self.leader_state is not None),
+            "terms-never-fall": self._log.last_term <= self.term,
+            "leader-knows-itself": not self.is_leader or self.leader == self.identity,
+        }
+        for invariant, holds in checks.items():
+            if not holds:
+                raise InvariantViolation(invariant, f"group {self.group}, term {self.term}", cause)
+
+
+def majority(count: int) -> int:
+    """Smallest number of voters that is more than half of `count`."""
+    return count // 2 + 1
+
+
+def voter_set(voters: Sequence[Voter]) -> VoterSet:
+    """Write voters in their message form."""
+    return VoterSet(voters=[voter.to_message() for voter in voters])
+
+
+def _voters_of(message: VoterSet) -> tuple[Voter, ...]:
+    return tuple(Voter.from_message(voter) for voter in message.voters)
+
+
+def _transfer_rank(state: LeaderState, voter: Voter) -> tuple[int, Seconds, NodeId]:
+    progress = state.progress.get(voter, Progress(0))
+    return progress.match_index, progress.last_reply_at, voter.node_id
--- /dev/null
+++ b/src/limedeck/control/group_record.py
@@ -0,0 +1,133 @@
+"""A control group's record in the platform's table: write-through, voter changes, recovery.
+
+The record names the voters. Before a voter change is proposed, the record names the next set too,
+so that whoever reads it knows every set that may be in force. A new epoch may be written only on
+proof that no majority of any such set can still live.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from limedeck.api.peer_pb2 import GroupRecord, GroupSnapshot, VoterSet
+from limedeck.control.consensus import majority, voter_set
+from limedeck.identity import GroupId, NodeId, Voter
+
+FIRST_EPOCH = 1
+
+
+@dataclass(frozen=True)
+class ReadRecord:
+    """Command: read a group's record from the table."""
+
+    group: GroupId
+
+
+@dataclass(frozen=True)
+class WriteRecord:
+    """Command: write a group's record if its row is still at a revision.
+
+    Parameters
+    ----------
+    expected_revision
+        Revision of the row; zero when it must not exist.
+    """
+
+    group: GroupId
+    record: GroupRecord
+    expected_revision: int
+
+
+@dataclass(frozen=True)
+class RecordRead:
+    """Event: the record as the table holds it; None when there is no row."""
+
+    record: GroupRecord | None
+    revision: int
+
+
+@dataclass(frozen=True)
+class RecordWritten:
+    """Event: a write took effect."""
+
+    revision: int
+
+
+@dataclass(frozen=True)
+class RecordConflict:
+    """Event: the row was at another revision; nothing was written."""
+
+
+@dataclass(frozen=True)
+class RecordUnavailable:
+    """Event: the table did not answer; a write may have taken effect."""
+
+
+RecordEvent = RecordRead | RecordWritten | RecordConflict | RecordUnavailable
+RecordCommand = ReadRecord | WriteRecord
+
+
+@dataclass(frozen=True)
+class LossEvidence:
+    """What proves that a run of a node is over.
+
+    Parameters
+    ----------
+    machines
+        Nodes on the platform's machine list, which lags but never drops a machine early;
+        None when it was never read.
+    runs
+        The latest known run of each node, from the node itself.
+    """
+
+    machines: frozenset[NodeId] | None
+    runs: dict[NodeId, Voter]
+
+    def proves_loss(self, voter: Voter) -> bool:
+        """Whether this run of a node is over for certain."""
+        if self.machines is not None and voter.node_id not in self.machines:
+            return True
+        run = self.runs.get(voter.node_id)
+        if run is None or run.peer_address != voter.peer_address:
+            return False
+        return run.incarnation > voter.incarnation
+
+    def proves_lost_majority(self, voters: Sequence[Voter], founder: Voter) -> bool:
+        """Whether no majority of these voters can act, once `founder` has left them."""
+        possible = [voter for voter in voters if voter != founder and not self.proves_loss(voter)]
+        return len(possible) < majority(len(voters))
+
+
+def record_voters(message: VoterSet) -> tuple[Voter, ...]:
+    """Read a voter set from its message form."""
+    return tuple(Voter.from_message(voter) for voter in message.voters)
+
+
+def may_start_next_epoch(record: GroupRecord, evidence: LossEvidence, founder: Voter) -> bool:
+    """Whether the record's group is lost for certain and `founder` may start it anew.
+
+    A founder that is a voter itself gives up its part in the old epoch by starting the next, but
+    it may do so only if others are lost too: a healthy group is never started anew.
+    """
+    voters = record_voters(record.voters)
+    others = [voter for voter in voters if voter != founder]
+    others += [voter for voter in record_voters(record.next_voters) if voter != founder]
+    if not others or not any(evidence.proves_loss(voter) for voter in others):
+        return False
+    if not evidence.proves_lost_majority(voters, founder):
+        return False
+    next_voters = record_voters(record.next_voters)
+    return not next_voters or evidence.proves_lost_majority(next_voters, founder)
+
+
+def next_epoch_record(
+    record: GroupRecord | None, own_snapshot: GroupSnapshot, founder: Voter
+) -> GroupRecord:
+    """Write the record of the next epoch, with the newest assignment that is known."""
+    if record is None:
+        return GroupRecord(
+            epoch=FIRST_EPOCH, voters=voter_set((founder,)), snapshot=GroupSnapshot()
+        )
+    newest = max(record.snapshot, own_snapshot, key=lambda snapshot: snapshot.last_index)
+    return GroupRecord(epoch=record.epoch + 1, voters=voter_set((founder,)), snapshot=newest)
--- /dev/null
+++ b/src/limedeck/control/leases.py
@@ -0,0 +1,265 @@
+"""Leases of a group's back ends, as its leader grants and counts them.
+
+One lease covers all slices of a back end. A grant holds until the back end's *own* clock reads a
+value that the leader computes from the clock reading in the back end's last reply, so a grant
+that was held up anywhere never holds longer than it was meant to. The leader, which got that
+reply at *r* of its own clock, counts the lease as possibly alive until
+``r + longest_backend_lease``.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from limedeck.api.backend_pb2 import Fence as FenceMessage
+from limedeck.api.backend_pb2 import KeyRange, LeaseReply, LeaseRequest, RangeSet
+from limedeck.control.timing import ControlTiming
+from limedeck.errors import InvariantViolation
+from limedeck.identity import BackendId, Fence, GroupId, Incarnation, Seconds
+from limedeck.keyspace.hashing import KEY_LINE_END
+from limedeck.keyspace.slices import Slice
+
+NEVER: Seconds = float("-inf")
+NO_FENCE = Fence(0, 0)
+UNKNOWN_INCARNATION = Incarnation(0)
+
+
+@dataclass(frozen=True, order=True)
+class OwnedRange:
+    """A half-open range of the key line."""
+
+    start: int
+    end: int
+
+
+@dataclass
+class BackendLease:
+    """What a leader knows of one back end.
+
+    Parameters
+    ----------
+    incarnation
+        The run of the back end that last replied.
+    clock, clock_received_at
+        The clock reading in its last reply, and when that came by the leader's clock.
+    possibly_alive_until
+        Leader's clock until which an earlier grant, of any run or leader, may still hold.
+    owned
+        The ranges in the latest grant.
+    owned_fence
+        Fence of the first grant with these slices; the version of the range set.
+    held_fence, settled_fence
+        The version that the back end reported to serve, and to have ended all older work for.
+    exchange
+        Fence of the exchange that waits for its reply.
+    exchange_sent_at, next_exchange_at
+        Leader's clock.
+    """
+
+    backend_id: BackendId
+    address: str
+    possibly_alive_until: Seconds
+    incarnation: Incarnation = UNKNOWN_INCARNATION
+    clock: Seconds = NEVER
+    clock_received_at: Seconds = NEVER
+    owned: tuple[OwnedRange, ...] = ()
+    owned_fence: Fence = NO_FENCE
+    held_fence: Fence = NO_FENCE
+    settled_fence: Fence = NO_FENCE
+    exchange: Fence | None = None
+    exchange_sent_at: Seconds = NEVER
+    next_exchange_at: Seconds = NEVER
+    draining: bool = False
+    in_flight: int = 0
+    loads: dict[int, float] = field(default_factory=dict)
+
+    def has_released(self, start: int) -> bool:
+        """Whether the back end has ended all work on a slice and serves it no more."""
+        if any(owned.start <= start < owned.end for owned in self.owned):
+            return False
+        return self.owned_fence != NO_FENCE and self.settled_fence >= self.owned_fence
+
+    def may_hold_grant(self, now: Seconds) -> bool:
+        """Whether some grant may still hold at `now`."""
+        return now <= self.possibly_alive_until
+
+    def is_responsive(self, now: Seconds, timing: ControlTiming) -> bool:
+        """Whether the back end replied recently enough to receive slices."""
+        return now - self.clock_received_at <= timing.exchange_timeout + (
+            2 * timing.lease_renewal_interval
+        )
+
+
+@dataclass(frozen=True)
+class LeaseExchange:
+    """A request for one back end, and the fence its reply is matched by."""
+
+    backend_id: BackendId
+    address: str
+    fence: Fence
+    request: LeaseRequest
+
+
+class LeaseTable:
+    """Leases of all back ends of a group, for one term of its leader.
+
+    Parameters
+    ----------
+    elected_at
+        Leader's clock when its term began. Every grant of an earlier leader rests on a clock
+        reading from before, so it is over by ``elected_at + longest_backend_lease``.
+    """
+
+    def __init__(
+        self, group: GroupId, term: int, timing: ControlTiming, elected_at: Seconds
+    ) -> None:
+        self.group = group
+        self.term = term
+        self.timing = timing
+        self.backends: dict[BackendId, BackendLease] = {}
+        self._sequence = 0
+        self._earlier_grants_until = elected_at + timing.longest_backend_lease
+
+    def track(self, addresses: dict[BackendId, str]) -> None:
+        """Follow these back ends; one that may still hold a grant is never forgotten."""
+        for backend_id, address in addresses.items():
+            lease = self.backends.get(backend_id)
+            if lease is None:
+                self.backends[backend_id] = BackendLease(
+                    backend_id, address, self._earlier_grants_until
+                )
+            else:
+                lease.address = address
+
+    def lease(self, backend_id: BackendId) -> BackendLease | None:
+        """Return a back end's lease, or None for one that is not followed."""
+        return self.backends.get(backend_id)
+
+    def has_lapsed(self, backend_id: BackendId, now: Seconds) -> bool:
+        """Whether no grant to this back end can still hold."""
+        lease = self.backends.get(backend_id)
+        if lease is None:
+            return now > self._earlier_grants_until
+        return not lease.may_hold_grant(now)
+
+    def due(self, now: Seconds) -> list[BackendLease]:
+        """Back ends that an exchange should be sent to."""
+        for lease in self.backends.values():
+            if lease.exchange and now - lease.exchange_sent_at > self.timing.exchange_timeout:
+                lease.exchange = None
+        return [
+            lease
+            for lease in self.backends.values()
+            if lease.exchange is None and now >= lease.next_exchange_at
+        ]
+
+    def start_exchange(
+        self, lease: BackendLease, owned: list[Slice], warm: list[Slice], now: Seconds
+    ) -> LeaseExchange:
+        """Write the next request to a back end: a grant if its clock is known, else a probe."""
+        self._sequence += 1
+        fence = Fence(self.term, self._sequence)
+        request = LeaseRequest(
+            group=self.group, backend_id=lease.backend_id, fence=fence_message(fence)
+        )
+        if lease.incarnation != UNKNOWN_INCARNATION:
+            self._add_grant(request, lease, owned, fence, now)
+            request.warm.extend(key_range(item) for item in warm)
+        lease.exchange = fence
+        lease.exchange_sent_at = now
+        lease.next_exchange_at = now + self.timing.lease_renewal_interval
+        return LeaseExchange(lease.backend_id, lease.address, fence, request)
+
+    def _add_grant(
+        self,
+        request: LeaseRequest,
+        lease: BackendLease,
+        owned: list[Slice],
+        fence: Fence,
+        now: Seconds,
+    ) -> None:
+        ranges = tuple(OwnedRange(item.start, item.end) for item in owned)
+        if ranges != lease.owned or lease.owned_fence == NO_FENCE:
+            lease.owned = ranges
+            lease.owned_fence = fence
+            self._validate_grants(lease, now)
+        request.incarnation = lease.incarnation
+        request.until = lease.clock + self.timing.backend_lease
+        request.owned_version.CopyFrom(fence_message(lease.owned_fence))
+        if lease.held_fence != lease.owned_fence:
+            request.owned.CopyFrom(range_set(lease.owned_fence, owned))
+        if owned:
+            until = lease.clock_received_at + self.timing.longest_backend_lease
+            lease.possibly_alive_until = max(lease.possibly_alive_until, until)
+
+    def handle_reply(
+        self, backend_id: BackendId, fence: Fence, reply: LeaseReply, now: Seconds
+    ) -> bool:
+        """Take in a reply; return whether it answers the exchange that is waited for."""
+        lease = self.backends.get(backend_id)
+        if lease is None or lease.exchange != fence:
+            return False
+        lease.exchange = None
+        if reply.incarnation != lease.incarnation:
+            self._replace_run(lease, Incarnation(reply.incarnation), now)
+        lease.clock = reply.clock
+        lease.clock_received_at = now
+        lease.held_fence = fence_of(reply.owned_version)
+        lease.settled_fence = fence_of(reply.settled_version)
+        lease.draining = reply.draining
+        lease.in_flight = reply.in_flight
+        lease.loads = {load.start: load.requests_per_second for load in reply.loads}
+        return True
+
+    def handle_failure(self, backend_id: BackendId, fence: Fence) -> None:
+        """Take note that an exchange failed; whether the back end got it is not known."""
+        lease = self.backends.get(backend_id)
+        if lease is not None and lease.exchange == fence:
+            lease.exchange = None
+
+    def _replace_run(self, lease: BackendLease, incarnation: Incarnation, now: Seconds) -> None:
+        if incarnation < lease.incarnation:
+            raise InvariantViolation(
+                "incarnations-grow", f"{lease.backend_id}: {incarnation} after {lease.incarnation}"
+            )
+        if lease.incarnation != UNKNOWN_INCARNATION:
+            # Another run answers at this address, so the earlier one serves no more.
+            lease.possibly_alive_until = now
+        lease.incarnation = incarnation
+        lease.owned = ()
+        lease.owned_fence = NO_FENCE
+        lease.next_exchange_at = now
+
+    def _validate_grants(self, changed: BackendLease, now: Seconds) -> None:
+        """Assert that a new grant overlaps no grant that may still hold elsewhere."""
+        wanted = set(changed.owned)
+        for lease in self.backends.values():
+            if lease is changed or not lease.may_hold_grant(now):
+                continue
+            shared = wanted.intersection(lease.owned)
+            if shared:
+                raise InvariantViolation(
+                    "one-grant-per-range",
+                    f"{min(shared)} granted to {changed.backend_id} and {lease.backend_id}",
+                    str(changed.owned_fence),
+                )
+
+
+def fence_message(fence: Fence) -> FenceMessage:
+    """Write a fence in its message form."""
+    return FenceMessage(term=fence.term, sequence=fence.sequence)
+
+
+def fence_of(message: FenceMessage) -> Fence:
+    """Read a fence from its message form."""
+    return Fence(message.term, message.sequence)
+
+
+def key_range(item: Slice) -> KeyRange:
+    """Write a slice's range; an end of zero stands for the end of the line."""
+    return KeyRange(start=item.start, end=item.end % KEY_LINE_END)
+
+
+def range_set(version: Fence, owned: list[Slice]) -> RangeSet:
+    """Write the ranges of these slices as one set."""
+    return RangeSet(version=fence_message(version), ranges=[key_range(item) for item in owned])
--- /dev/null
+++ b/src/limedeck/control/membership.py
@@ -0,0 +1,286 @@
+"""Which nodes there are: failure detection by pings with piggybacked records (as in SWIM).
+
+Each node pings one other at a time, so the cost does not grow with their number; records of
+changes ride on pings until they were sent often enough to have reached everyone. A status here
+is a guess that guides routing of updates and choice of voters; no lease and no grant rests on it.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from limedeck.api.peer_pb2 import (
+    MEMBER_STATUS_ALIVE,
+    MEMBER_STATUS_DEAD,
+    MEMBER_STATUS_LEAVING,
+    MEMBER_STATUS_SUSPECT,
+    MemberRecord,
+    MemberStatus,
+    Ping,
+    PingAck,
+)
+from limedeck.control.timing import ControlLimits, ControlTiming
+from limedeck.identity import Incarnation, NodeId, Seconds, Voter
+from limedeck.keyspace.hashing import rendezvous_weight
+
+NEVER: Seconds = float("-inf")
+DEAD_PROBE_EVERY = 4
+"""Every so many pings go to a dead member, so that a healed partition is noticed."""
+RETRANSMISSION_FACTOR = 3
+"""A change rides on this many times log2(members) messages."""
+DEAD_MEMBER_RETENTION: Seconds = 300.0
+STATUS_ORDER: dict[MemberStatus.ValueType, int] = {
+    MEMBER_STATUS_ALIVE: 0,
+    MEMBER_STATUS_SUSPECT: 1,
+    MEMBER_STATUS_LEAVING: 2,
+    MEMBER_STATUS_DEAD: 3,
+}
+
+
+@dataclass
+class Member:
+    """One node as this node sees it."""
+
+    identity: Voter
+    status: MemberStatus.ValueType
+    refutation: int
+    status_since: Seconds
+
+    @property
+    def rank(self) -> tuple[Incarnation, int, int]:
+        """Of two records of a node, the one with the higher rank holds."""
+        return self.identity.incarnation, self.refutation, STATUS_ORDER[self.status]
+
+    def to_message(self) -> MemberRecord:
+        """Write the member in its message form."""
+        return MemberRecord(
+            identity=self.identity.to_message(), status=self.status, refutation=self.refutation
+        )
+
+
+@dataclass(frozen=True)
+class SendPing:
+    """Command: send a ping to an address."""
+
+    address: str
+    ping: Ping
+
+
+@dataclass(frozen=True)
+class SendPingAck:
+    """Command: answer a ping."""
+
+    address: str
+    ack: PingAck
+
+
+MembershipCommand = SendPing | SendPingAck
+
+
+@dataclass(frozen=True)
+class PendingPing:
+    """A ping that waits for its answer."""
+
+    target: Voter
+    sent_at: Seconds
+
+
+class MembershipCore:
+    """All members, and who is pinged next."""
+
+    def __init__(
+        self,
+        identity: Voter,
+        seeds: Sequence[str],
+        timing: ControlTiming,
+        limits: ControlLimits,
+        now: Seconds,
+    ) -> None:
+        self.identity = identity
+        self.timing = timing
+        self.limits = limits
+        self.seeds = [address for address in seeds if address != identity.peer_address]
+        self.members = {
+            identity.node_id: Member(identity, MEMBER_STATUS_ALIVE, 0, now),
+        }
+        self.version = 0
+        """Raised with every change."""
+        self._sequence = 0
+        self._pending: dict[int, PendingPing] = {}
+        self._retransmissions: dict[NodeId, int] = {}
+        self._round: list[NodeId] = []
+        self._next_ping_at: Seconds = now
+        self._own_status: MemberStatus.ValueType = MEMBER_STATUS_ALIVE
+
+    # ------------------------------------------------------------------ reading
+
+    def live_nodes(self) -> tuple[Voter, ...]:
+        """Members that are thought to run and to stay, this node included if it stays."""
+        usable = (MEMBER_STATUS_ALIVE, MEMBER_STATUS_SUSPECT)
+        return tuple(
+            member.identity for _, member in sorted(self.members.items()) if member.status in usable
+        )
+
+    def runs(self) -> dict[NodeId, Voter]:
+        """Latest known run of every member, dead or alive."""
+        return {node_id: member.identity for node_id, member in self.members.items()}
+
+    def is_settled(self) -> bool:
+        """Whether some other node answered, or there is none to ask."""
+        return len(self.members) > 1 or not self.seeds
+
+    # ------------------------------------------------------------------ events
+
+    def handle_tick(self, now: Seconds) -> list[MembershipCommand]:
+        """Send the ping that is due and judge those that were not answered."""
+        self._judge_pings(now)
+        self._judge_suspects(now)
+        if now < self._next_ping_at:
+            return []
+        self._next_ping_at = now + self.timing.ping_interval
+        if len(self.members) == 1:
+            return [self._ping(address, now, None) for address in self.seeds]
+        target = self._next_target()
+        if target is None:
+            return []
+        return [self._ping(target.peer_address, now, target)]
+
+    def handle_ping(self, sender: Voter, ping: Ping, now: Seconds) -> list[MembershipCommand]:
+        """Take in a ping and answer it."""
+        newcomer = sender.node_id not in self.members
+        self._hear_of(_alive_record(sender), now)
+        self._take_in(ping.members, now)
+        whole = ping.join or newcomer
+        ack = PingAck(sequence=ping.sequence, members=self._records(whole))
+        return [SendPingAck(sender.peer_address, ack)]
+
+    def handle_ack(self, sender: Voter, ack: PingAck, now: Seconds) -> None:
+        """Take in the answer to a ping."""
+        self._pending.pop(ack.sequence, None)
+        self._hear_of(_alive_record(sender), now)
+        self._take_in(ack.members, now)
+
+    def leave(self, now: Seconds) -> list[MembershipCommand]:
+        """Tell the others that this node is about to stop."""
+        self._own_status = MEMBER_STATUS_LEAVING
+        own = self.members[self.identity.node_id]
+        self._set_status(own, MEMBER_STATUS_LEAVING, now)
+        others = [member for member in self.live_nodes() if member != self.identity]
+        chosen = others[: self.limits.piggybacked_members]
+        return [self._ping(member.peer_address, now, member) for member in chosen]
+
+    # ------------------------------------------------------------------ pings
+
+    def _ping(self, address: str, now: Seconds, target: Voter | None) -> SendPing:
+        self._sequence += 1
+        if target is not None:
+            self._pending[self._sequence] = PendingPing(target, now)
+        joining = target is None
+        ping = Ping(sequence=self._sequence, members=self._records(False), join=joining)
+        return SendPing(address, ping)
+
+    def _next_target(self) -> Voter | None:
+        if self._sequence % DEAD_PROBE_EVERY == DEAD_PROBE_EVERY - 1:
+            dead = [item for item in self.members.values() if item.status == MEMBER_STATUS_DEAD]
+            if dead:
+                chosen = dead[self._sequence // DEAD_PROBE_EVERY % len(dead)]
+                self._sequence += 1
+                return chosen.identity
+        while True:
+            if not self._round and not self._start_round():
+                return None
+            member = self.members.get(self._round.pop())
+            if member is not None and member.status != MEMBER_STATUS_DEAD:
+                return member.identity
+
+    def _start_round(self) -> bool:
+        others = [
+            member.identity.node_id
+            for member in self.members.values()
+            if member.status != MEMBER_STATUS_DEAD and member.identity != self.identity
+        ]
+        seed = f"{self.identity.node_id}/{self._sequence}"
+        self._round = sorted(others, key=lambda node_id: rendezvous_weight(node_id, seed))
+        return bool(self._round)
+
+    def _judge_pings(self, now: Seconds) -> None:
+        overdue = [
+            sequence
+            for sequence, pending in self._pending.items()
+            if now - pending.sent_at > self.timing.ping_timeout
+        ]
+        for sequence in overdue:
+            target = self._pending.pop(sequence).target
+            member = self.members.get(target.node_id)
+            if member and member.identity == target and member.status == MEMBER_STATUS_ALIVE:
+                self._set_status(member, MEMBER_STATUS_SUSPECT, now)
+
+    def _judge_suspects(self, now: Seconds) -> None:
+        for node_id, member in list(self.members.items()):
+            age = now - member.status_since
+            if member.status == MEMBER_STATUS_DEAD and age > DEAD_MEMBER_RETENTION:
+                del self.members[node_id]
+            elif self._awaits_death(member) and age > self.timing.suspicion_timeout:
+                self._set_status(member, MEMBER_STATUS_DEAD, now)
+
+    def _awaits_death(self, member: Member) -> bool:
+        if member.identity == self.identity:
+            return False
+        return member.status in (MEMBER_STATUS_SUSPECT, MEMBER_STATUS_LEAVING)
+
+    # ------------------------------------------------------------------ records
+
+    def _set_status(self, member: Member, status: MemberStatus.ValueType, now: Seconds) -> None:
+        member.status = status
+        member.status_since = now
+        self._announce(member.identity.node_id)
+
+    def _announce(self, node_id: NodeId) -> None:
+        self.version += 1
+        count = RETRANSMISSION_FACTOR * math.ceil(math.log2(len(self.members) + 1))
+        self._retransmissions[node_id] = count
+
+    def _records(self, whole: bool) -> list[MemberRecord]:
+        if whole:
+            return [member.to_message() for member in self.members.values()]
+        freshest = sorted(
+            self._retransmissions, key=lambda node_id: -self._retransmissions[node_id]
+        )
+        chosen = freshest[: self.limits.piggybacked_members]
+        for node_id in chosen:
+            self._retransmissions[node_id] -= 1
+            if self._retransmissions[node_id] <= 0:
+                del self._retransmissions[node_id]
+        return [self.members[item].to_message() for item in chosen if item in self.members]
+
+    def _take_in(self, records: Sequence[MemberRecord], now: Seconds) -> None:
+        for record in records:
+            self._hear_of(record, now)
+
+    def _hear_of(self, record: MemberRecord, now: Seconds) -> None:
+        identity = Voter.from_message(record.identity)
+        if identity.node_id == self.identity.node_id:
+            self._refute(identity, record, now)
+            return
+        heard = Member(identity, record.status, record.refutation, now)
+        held = self.members.get(identity.node_id)
+        if held is None and record.status == MEMBER_STATUS_DEAD:
+            return
+        if held is None or heard.rank > held.rank:
+            self.members[identity.node_id] = heard
+            self._announce(identity.node_id)
+
+    def _refute(self, identity: Voter, record: MemberRecord, now: Seconds) -> None:
+        own = self.members[self.identity.node_id]
+        is_older_run = identity.incarnation < self.identity.incarnation
+        if is_older_run or record.status == self._own_status:
+            return
+        if record.refutation >= own.refutation:
+            own.refutation = record.refutation + 1
+            self._set_status(own, self._own_status, now)
+
+
+def _alive_record(identity: Voter) -> MemberRecord:
+    return MemberRecord(identity=identity.to_message(), status=MEMBER_STATUS_ALIVE)
--- /dev/null
+++ b/src/limedeck/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: everything that does I/O around the decision cores."""
--- /dev/null
+++ b/src/limedeck/daemon/callers.py
@@ -0,0 +1,426 @@
+"""The HTTP side towards callers: reads requests, drives their cores, passes answers on."""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+
+from limedeck.daemon.backend_client import (
+    NOT_OWNER,
+    AttemptFailed,
+    AttemptRefused,
+    BackendAnswer,
+    BackendClient,
+    BackendRequest,
+)
+from limedeck.daemon.clock import boot_clock
+from limedeck.daemon.control_host import ControlHost
+from limedeck.daemon.in_flight import InFlightRequests
+from limedeck.daemon.logs import get_logger
+from limedeck.daemon.problems import (
+    OUTCOME_HEADER,
+    REQUEST_ID_HEADER,
+    WholeAnswer,
+    problem,
+    refusal,
+)
+from limedeck.daemon.telemetry import Telemetry
+from limedeck.errors import LimedeckError, MissingKey, UnknownService
+from limedeck.identity import Seconds
+from limedeck.routing.backends import BackendStates
+from limedeck.routing.outcomes import FailurePhase, Outcome
+from limedeck.routing.request import (
+    Attempt,
+    RefusalReason,
+    Refuse,
+    RequestCommand,
+    RequestCore,
+    RetryBudget,
+    RouterView,
+    RoutingLimits,
+    Wait,
+)
+from limedeck.routing.rules import MILLISECONDS, RequestTarget, deadline_of, match_request
+
+Scope = dict[str, Any]
+Message = dict[str, Any]
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
+
+BUFFERED_ANSWER = 256 * 1024
+"""An answer up to so many bytes is passed on only once it is whole."""
+LONGEST_REQUEST_ID = 128
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"host",
+        b"content-length",
+    }
+)
+OWN_PREFIX = b"limedeck-"
+RESERVED_ANSWER_HEADERS = frozenset({b"connection", b"keep-alive", b"transfer-encoding"})
+
+
+class CallerDisconnected(LimedeckError):
+    """The caller went away before its request was read."""
+
+
+@dataclass
+class RequestRefused(LimedeckError):
+    """A request is refused before it is routed; nothing was run."""
+
+    answer: WholeAnswer
+    reason: str
+
+
+@dataclass(frozen=True)
+class CallerRequest:
+    """A caller's request, read whole."""
+
+    request_id: str
+    names_own_id: bool
+    method: str
+    target: RequestTarget
+    headers: list[tuple[str, str]]
+    body: bytes
+    deadline: Seconds
+
+
+@dataclass(frozen=True)
+class StreamedAnswer:
+    """An answer too large to hold: what has come, and where the rest comes from."""
+
+    answer: BackendAnswer
+    head: bytes
+    iterator: Any
+
+
+Result = WholeAnswer | StreamedAnswer
+
+
+class CallerGateway:
+    """ASGI application for callers' requests."""
+
+    def __init__(
+        self,
+        host: ControlHost,
+        client: BackendClient,
+        limits: RoutingLimits,
+        telemetry: Telemetry,
+    ) -> None:
+        self._host = host
+        self._client = client
+        self._telemetry = telemetry
+        self._backends = BackendStates()
+        self._view = RouterView(host.core.config, host.core.routes, self._backends, limits)
+        self._budgets: dict[str, RetryBudget] = {}
+        self._waiting: dict[str, int] = {}
+        self._in_flight = InFlightRequests()
+        self._config_seen = 0
+        self.stopping = False
+        self._log = get_logger("callers")
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Handle one request."""
+        if scope["type"] != "http":
+            return
+        started = boot_clock()
+        try:
+            request = await self._read_request(scope, receive, started)
+        except RequestRefused as error:
+            self._telemetry.requests.labels("", Outcome.NOT_RUN.value, error.reason).inc()
+            await self._send_whole(send, error.answer, None)
+            return
+        except CallerDisconnected:
+            return
+        result = await self._run_watched(request, receive)
+        if result is not None:
+            await self._send_result(send, result, request)
+        service = request.target.service.name
+        self._telemetry.request_seconds.labels(service).observe(boot_clock() - started)
+
+    # ------------------------------------------------------------------ reading
+
+    async def _read_request(self, scope: Scope, receive: Receive, now: Seconds) -> CallerRequest:
+        self._follow_config()
+        headers = {
+            name.decode("latin-1"): value.decode("latin-1") for name, value in scope["headers"]
+        }
+        raw_path = scope.get("raw_path") or scope["path"].encode()
+        query = scope["query_string"].decode("latin-1")
+        method = scope["method"]
+        try:
+            target = match_request(
+                self._host.core.config, method, raw_path.decode("latin-1"), query, headers
+            )
+        except UnknownService as error:
+            raise _refused(404, "unknown-service", str(error)) from error
+        except MissingKey as error:
+            raise _refused(400, "missing-key", str(error)) from error
+        try:
+            deadline = deadline_of(target.service, headers.get("limedeck-deadline-ms"), now)
+        except ValueError as error:
+            detail = "limedeck-deadline-ms must be a positive number of milliseconds"
+            raise _refused(400, "invalid-deadline", detail) from error
+        own_id = headers.get("limedeck-request-id", "")
+        if len(own_id) > LONGEST_REQUEST_ID:
+            raise _refused(400, "invalid-request-id", f"above {LONGEST_REQUEST_ID} characters")
+        body = await _read_body(receive, headers, target.service.limits.maximum_body_bytes)
+        return CallerRequest(
+            request_id=own_id or uuid.uuid4().hex,
+            names_own_id=bool(own_id),
+            method=method,
+            target=target,
+            headers=_forwarded_headers(scope["headers"]),
+            body=body,
+            deadline=deadline,
+        )
+
+    def _follow_config(self) -> None:
+        config = self._host.core.config
+        self._backends.router_count = len(self._host.core.membership.live_nodes())
+        if config.revision == self._config_seen:
+            return
+        self._config_seen = config.revision
+        known = [backend for item in config.services() for backend in config.backends_of(item.name)]
+        self._backends.forget_except({backend.backend_id for backend in known})
+
+    # ------------------------------------------------------------------ running
+
+    async def _run_watched(self, request: CallerRequest, receive: Receive) -> Result | None:
+        """Run a request; stop when the caller goes away, and then return None."""
+        result: Result | None = None
+        async with anyio.create_task_group() as tasks:
+
+            async def watch() -> None:
+                while (await receive())["type"] != "http.disconnect":
+                    pass
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(watch)
+            result = await self._run_once(request)
+            tasks.cancel_scope.cancel()
+        return result
+
+    async def _run_once(self, request: CallerRequest) -> Result:
+        """Run a request; one that the caller sent twice at the same time runs once."""
+        if not request.names_own_id:
+            return await self._run(request)
+        key = (request.target.service.name, request.request_id)
+        earlier = self._in_flight.find(key)
+        if earlier is not None:
+            shared = await earlier.wait(request.deadline - boot_clock())
+            return shared or _in_flight_elsewhere()
+        with self._in_flight.track(key) as entry:
+            result = await self._run(request)
+            if isinstance(result, WholeAnswer):
+                entry.finish(result)
+            return result
+
+    async def _run(self, request: CallerRequest) -> Result:
+        service = request.target.service.name
+        budget = self._budgets.setdefault(service, RetryBudget())
+        budget.note_request()
+        now = boot_clock()
+        core = RequestCore(
+            request.request_id, request.target, request.deadline, self._view, budget, now
+        )
+        command: RequestCommand | Result = core.next_command(now)
+        while True:
+            if isinstance(command, Attempt):
+                command = await self._attempt(core, command, request)
+            elif isinstance(command, Wait):
+                command = await self._wait(core, command, service)
+            elif isinstance(command, Refuse):
+                return self._refuse(command, request)
+            else:
+                self._telemetry.requests.labels(service, Outcome.WHOLE.value, "").inc()
+                return command
+
+    async def _wait(self, core: RequestCore, wait: Wait, service: str) -> RequestCommand:
+        waiting = self._waiting.get(service, 0)
+        if waiting >= self._view.limits.waiting_requests:
+            outcome = Outcome.NOT_RUN
+            return Refuse(outcome, RefusalReason.QUEUE_FULL, self._view.limits.longest_wait)
+        self._waiting[service] = waiting + 1
+        self._telemetry.waiting.labels(service).set(waiting + 1)
+        try:
+            await self._host.wait_for_change(wait.until - boot_clock())
+        finally:
+            self._waiting[service] -= 1
+            self._telemetry.waiting.labels(service).set(self._waiting[service])
+        return core.next_command(boot_clock())
+
+    async def _attempt(
+        self, core: RequestCore, attempt: Attempt, request: CallerRequest
+    ) -> RequestCommand | Result:
+        service = request.target.service.name
+        state = self._backends.state(attempt.backend.backend_id)
+        state.outstanding += 1
+        started = boot_clock()
+        result = "answered"
+        try:
+            answer = await self._client.send(
+                _backend_request(request, attempt, started), attempt.deadline - started
+            )
+            gathered = await self._gather(answer)
+            state.note_answer(boot_clock() - started)
+            return gathered
+        except AttemptRefused as error:
+            result = error.refusal
+            not_owner = error.refusal == NOT_OWNER
+            if not not_owner:
+                state.note_failure(boot_clock())
+            return core.handle_failure(FailurePhase.REFUSED, boot_clock(), not_owner)
+        except AttemptFailed as error:
+            result = error.phase.value
+            state.note_failure(boot_clock())
+            self._log.info(
+                "attempt_failed",
+                request_id=request.request_id,
+                backend=attempt.backend.backend_id,
+                phase=error.phase.value,
+                reason=error.reason,
+            )
+            return core.handle_failure(error.phase, boot_clock())
+        finally:
+            state.outstanding -= 1
+            self._telemetry.attempts.labels(service, result).inc()
+
+    async def _gather(self, answer: BackendAnswer) -> Result:
+        """Read an answer whole, or its first part when it is too large to hold."""
+        gathered = bytearray()
+        iterator = answer.parts()
+        streamed = False
+        try:
+            async for part in iterator:
+                gathered += part
+                if len(gathered) > BUFFERED_ANSWER:
+                    streamed = True
+                    return StreamedAnswer(answer, bytes(gathered), iterator)
+        finally:
+            if not streamed:
+                await answer.aclose()
+        return WholeAnswer(answer.status, _answer_headers(answer.headers), bytes(gathered))
+
+    def _refuse(self, refuse: Refuse, request: CallerRequest) -> WholeAnswer:
+        service = request.target.service.name
+        self._telemetry.requests.labels(service, refuse.outcome.value, refuse.reason.value).inc()
+        self._log.info(
+            "request_refused",
+            request_id=request.request_id,
+            service=service,
+            outcome=refuse.outcome.value,
+            reason=refuse.reason.value,
+        )
+        return refusal(refuse)
+
+    # ------------------------------------------------------------------ answering
+
+    async def _send_result(self, send: Send, result: Result, request: CallerRequest) -> None:
+        if isinstance(result, WholeAnswer):
+            await self._send_whole(send, result, request.request_id)
+        else:
+            await self._send_streamed(send, result, request.request_id)
+
+    async def _send_whole(self, send: Send, answer: WholeAnswer, request_id: str | None) -> None:
+        headers = [*answer.headers, *self._own_headers(answer.headers, request_id)]
+        await send({"type": "http.response.start", "status": answer.status, "headers": headers})
+        await send({"type": "http.response.body", "body": answer.body})
+
+    async def _send_streamed(self, send: Send, result: StreamedAnswer, request_id: str) -> None:
+        answer = result.answer
+        headers = _answer_headers(answer.headers)
+        headers += self._own_headers(headers, request_id)
+        try:
+            await send({"type": "http.response.start", "status": answer.status, "headers": headers})
+            await send({"type": "http.response.body", "body": result.head, "more_body": True})
+            async for part in result.iterator:
+                await send({"type": "http.response.body", "body": part, "more_body": True})
+            await send({"type": "http.response.body", "body": b""})
+        finally:
+            # A failure is raised on, so that the server cuts the connection and the caller sees
+            # that the answer is not whole.
+            await answer.aclose()
+
+    def _own_headers(
+        self, present: Iterable[tuple[bytes, bytes]], request_id: str | None
+    ) -> list[tuple[bytes, bytes]]:
+        names = {name for name, _ in present}
+        headers = []
+        if OUTCOME_HEADER not in names:
+            headers.append((OUTCOME_HEADER, Outcome.WHOLE.value.encode()))
+        if request_id is not None:
+            headers.append((REQUEST_ID_HEADER, request_id.encode("latin-1")))
+        if self.stopping:
+            headers.append((b"connection", b"close"))
+        return headers
+
+
+async def _read_body(receive: Receive, headers: dict[str, str], limit: int) -> bytes:
+    announced = headers.get("content-length", "0")
+    if announced.isdigit() and int(announced) > limit:
+        raise _refused(413, "body-too-large", f"the body may have {limit} bytes")
+    body = bytearray()
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise CallerDisconnected
+        body += message.get("body", b"")
+        if len(body) > limit:
+            raise _refused(413, "body-too-large", f"the body may have {limit} bytes")
+        if not message.get("more_body", False):
+            return bytes(body)
+
+
+def _forwarded_headers(headers: Iterable[tuple[bytes, bytes]]) -> list[tuple[str, str]]:
+    return [
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in headers
+        if name not in HOP_BY_HOP and not name.startswith((OWN_PREFIX, b":"))
+    ]
+
+
+def _answer_headers(headers: Iterable[tuple[bytes, bytes]]) -> list[tuple[bytes, bytes]]:
+    lowered = [(name.lower(), value) for name, value in headers]
+    return [
+        (name, value)
+        for name, value in lowered
+        if name not in RESERVED_ANSWER_HEADERS and not name.startswith(OWN_PREFIX)
+    ]
+
+
+def _backend_request(request: CallerRequest, attempt: Attempt, now: Seconds) -> BackendRequest:
+    time_left = max(int((attempt.deadline - now) * MILLISECONDS), 1)
+    headers = [
+        *request.headers,
+        ("limedeck-request-id", request.request_id),
+        ("limedeck-deadline-ms", str(time_left)),
+    ]
+    place = request.target.place
+    if place is not None:
+        headers.append(("limedeck-group", place.group))
+        headers.append(("limedeck-key-position", str(place.position)))
+    return BackendRequest(
+        attempt.backend.address, request.method, request.target.path, headers, request.body
+    )
+
+
+def _refused(status: int, reason: str, detail: str) -> RequestRefused:
+    return RequestRefused(problem(status, reason, detail, Outcome.NOT_RUN), reason)
+
+
+def _in_flight_elsewhere() -> WholeAnswer:
+    detail = "another request with this id is in flight"
+    return problem(409, "request-in-flight", detail, Outcome.UNKNOWN, retry_after=1.0)
--- /dev/null
+++ b/src/limedeck/daemon/control_host.py
@@ -0,0 +1,222 @@
+"""Drives a node's control core: feeds it events, carries out its commands."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+import httpx
+from anyio.abc import TaskGroup
+from google.protobuf.message import DecodeError
+
+from limedeck.api.backend_pb2 import LeaseReply
+from limedeck.api.peer_pb2 import GroupRecord, PeerMessage
+from limedeck.config.store import ConfigStore
+from limedeck.control.events import (
+    ConfigReceived,
+    ControlEvent,
+    LeaseExchangeFailed,
+    LeaseReplied,
+    LeaveRequested,
+    MachinesReceived,
+    PeerMessageReceived,
+    RecordAnswered,
+    Tick,
+)
+from limedeck.control.group_record import (
+    ReadRecord,
+    RecordConflict,
+    RecordEvent,
+    RecordRead,
+    RecordUnavailable,
+    RecordWritten,
+    WriteRecord,
+)
+from limedeck.control.leases import LeaseExchange
+from limedeck.control.node import ControlCommand, ControlNode, PollConfig, ReadMachines, SendPeer
+from limedeck.daemon.clock import boot_clock
+from limedeck.daemon.logs import get_logger
+from limedeck.daemon.telemetry import Telemetry
+from limedeck.errors import PlatformError, TransactionConflict
+from limedeck.identity import GroupId, NodeId
+from limedeck.platform.base import ABSENT, Condition, MachineList, TransactionalTable, Write
+
+LEASE_PATH = "/limedeck/v1/lease"
+PROTOBUF_TYPE = "application/x-protobuf"
+GROUP_PREFIX = "control/group/"
+
+SendToPeer = Callable[[str, PeerMessage], None]
+
+
+class ControlHost:
+    """The control core of this process and everything it asks for.
+
+    Parameters
+    ----------
+    core
+        The control core.
+    tasks
+        Where exchanges and platform calls run.
+    """
+
+    def __init__(
+        self,
+        core: ControlNode,
+        table: TransactionalTable,
+        machine_list: MachineList,
+        telemetry: Telemetry,
+        tasks: TaskGroup,
+    ) -> None:
+        self.core = core
+        self.store_reachable = False
+        self._table = table
+        self._config_store = ConfigStore(table)
+        self._machine_list = machine_list
+        self._telemetry = telemetry
+        self._tasks = tasks
+        self._send_to_peer: SendToPeer | None = None
+        self._changed = anyio.Event()
+        self._versions_seen: tuple[int, int] = (0, 0)
+        self._log = get_logger("control")
+        self._lease_client = httpx.AsyncClient(
+            timeout=core.timing.exchange_timeout,
+            limits=httpx.Limits(max_connections=None, max_keepalive_connections=None),
+        )
+
+    def set_transport(self, send: SendToPeer) -> None:
+        """Set how messages reach other nodes."""
+        self._send_to_peer = send
+
+    def dispatch(self, event: ControlEvent) -> None:
+        """Hand the core an event and carry out what it wants done."""
+        for command in self.core.handle(event, boot_clock()):
+            self._carry_out(command)
+        self._note_changes()
+
+    def receive(self, message: PeerMessage) -> None:
+        """Take in another node's message."""
+        self.dispatch(PeerMessageReceived(message))
+
+    def leave(self) -> None:
+        """Begin a planned stop."""
+        self.dispatch(LeaveRequested())
+
+    async def run(self) -> None:
+        """Deliver ticks until cancelled."""
+        while True:
+            self.dispatch(Tick())
+            await anyio.sleep(self.core.timing.tick_interval)
+
+    async def wait_for_change(self, timeout: float) -> None:
+        """Wait until routes or configuration have changed, at most so many seconds."""
+        changed = self._changed
+        with anyio.move_on_after(timeout):
+            await changed.wait()
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._lease_client.aclose()
+
+    def _note_changes(self) -> None:
+        seen = (self.core.config.revision, self.core.routes.checksum())
+        if seen == self._versions_seen:
+            return
+        self._versions_seen = seen
+        self._changed.set()
+        self._changed = anyio.Event()
+        self._telemetry.config_revision.set(self.core.config.revision)
+        for group, held in self.core.routes.groups.items():
+            self._telemetry.route_version.labels(group).set(held.version)
+
+    def _carry_out(self, command: ControlCommand) -> None:
+        if isinstance(command, SendPeer):
+            if self._send_to_peer is not None:
+                self._send_to_peer(command.address, command.message)
+        elif isinstance(command, LeaseExchange):
+            self._tasks.start_soon(self._exchange_lease, command)
+        elif isinstance(command, ReadRecord):
+            self._tasks.start_soon(self._access_record, command.group, self._read_record, command)
+        elif isinstance(command, WriteRecord):
+            self._tasks.start_soon(self._access_record, command.group, self._write_record, command)
+        elif isinstance(command, PollConfig):
+            self._tasks.start_soon(self._poll_config, command)
+        elif isinstance(command, ReadMachines):
+            self._tasks.start_soon(self._read_machines)
+
+    async def _exchange_lease(self, exchange: LeaseExchange) -> None:
+        group = GroupId(exchange.request.group)
+        try:
+            response = await self._lease_client.post(
+                f"http://{exchange.address}{LEASE_PATH}",
+                content=exchange.request.SerializeToString(),
+                headers={"content-type": PROTOBUF_TYPE},
+            )
+            response.raise_for_status()
+            reply = LeaseReply.FromString(response.content)
+        except (httpx.HTTPError, DecodeError) as error:
+            self._telemetry.lease_exchanges.labels("failed").inc()
+            self._log.debug(
+                "lease_exchange_failed", backend=exchange.backend_id, reason=type(error).__name__
+            )
+            self.dispatch(LeaseExchangeFailed(group, exchange.backend_id, exchange.fence))
+            return
+        self._telemetry.lease_exchanges.labels("accepted" if reply.accepted else "refused").inc()
+        self.dispatch(LeaseReplied(group, exchange.backend_id, exchange.fence, reply))
+
+    async def _access_record(
+        self,
+        group: GroupId,
+        access: Callable[[ReadRecord | WriteRecord], Awaitable[RecordEvent]],
+        command: ReadRecord | WriteRecord,
+    ) -> None:
+        answer: RecordEvent
+        try:
+            answer = await access(command)
+            self.store_reachable = True
+        except TransactionConflict:
+            answer = RecordConflict()
+        except PlatformError as error:
+            self._note_store_failure(error)
+            answer = RecordUnavailable()
+        self.dispatch(RecordAnswered(group, answer))
+
+    async def _read_record(self, command: ReadRecord | WriteRecord) -> RecordEvent:
+        key = GROUP_PREFIX + command.group
+        row = (await self._table.read([key])).get(key)
+        if row is None:
+            return RecordRead(None, ABSENT)
+        return RecordRead(GroupRecord.FromString(row.value), row.revision)
+
+    async def _write_record(self, command: ReadRecord | WriteRecord) -> RecordEvent:
+        assert isinstance(command, WriteRecord)
+        key = GROUP_PREFIX + command.group
+        revision = await self._table.transact(
+            [Condition(key, command.expected_revision)],
+            [Write(key, command.record.SerializeToString())],
+        )
+        return RecordWritten(revision)
+
+    async def _poll_config(self, command: PollConfig) -> None:
+        try:
+            update = await self._config_store.poll(command.known_revision)
+            self.store_reachable = True
+        except PlatformError as error:
+            self._note_store_failure(error)
+            return
+        if update is not None:
+            self.dispatch(ConfigReceived(update))
+
+    async def _read_machines(self) -> None:
+        try:
+            machines = await self._machine_list.machines()
+        except PlatformError as error:
+            self._log.warning("machine_list_failed", reason=str(error))
+            return
+        nodes = frozenset(NodeId(machine.machine_id) for machine in machines)
+        addresses = tuple(machine.address for machine in machines)
+        self.dispatch(MachinesReceived(nodes, addresses))
+
+    def _note_store_failure(self, error: PlatformError) -> None:
+        if self.store_reachable:
+            self._log.warning("store_unreachable", reason=str(error))
+        self.store_reachable = False
--- /dev/null
+++ b/src/limedeck/daemon/server.py
@@ -0,0 +1,127 @@
+"""Wires one daemon together, starts it and stops it as planned."""
+
+from __future__ import annotations
+
+import signal
+
+import anyio
+from anyio.abc import TaskStatus
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+
+from limedeck.config.settings import DaemonSettings
+from limedeck.config.store import ConfigStore
+from limedeck.control.node import ControlNode
+from limedeck.daemon.admin import AdminApplication
+from limedeck.daemon.backend_client import HttpxBackendClient
+from limedeck.daemon.callers import CallerGateway
+from limedeck.daemon.clock import boot_clock, new_incarnation
+from limedeck.daemon.control_host import ControlHost
+from limedeck.daemon.logs import get_logger
+from limedeck.daemon.operators import OperatorServer, OperatorService
+from limedeck.daemon.peers import PeerTransport
+from limedeck.daemon.telemetry import Telemetry
+from limedeck.identity import NodeId, Voter
+from limedeck.platform.http import HttpMachineList, HttpTransactionalTable
+
+LARGEST_HEADERS = 32 * 1024
+KEEP_ALIVE_SECONDS = 75.0
+OPERATOR_GRACE = 2.0
+ADMIN_GRACE = 1.0
+
+
+def http_config(address: str, graceful_timeout: float) -> Config:
+    """Configure an HTTP server inside this process."""
+    config = Config()
+    config.bind = [address]
+    config.graceful_timeout = graceful_timeout
+    config.keep_alive_timeout = KEEP_ALIVE_SECONDS
+    config.h11_max_incomplete_size = LARGEST_HEADERS
+    config.accesslog = None
+    config.errorlog = None
+    config.include_server_header = False
+    return config
+
+
+class Daemon:
+    """One node: its control core, its router and its servers."""
+
+    def __init__(self, settings: DaemonSettings) -> None:
+        self._settings = settings
+        self._telemetry = Telemetry()
+        self._log = get_logger("daemon")
+        node = settings.node
+        self._identity = Voter(
+            NodeId(node.id),
+            new_incarnation(),
+            node.peer_address,
+            node.zone,
+            node.operator_address,
+        )
+
+    async def run(self) -> None:
+        """Run until a planned stop is over."""
+        platform = self._settings.platform
+        table = HttpTransactionalTable(platform.table_url, platform.timeout_seconds)
+        machine_list = HttpMachineList(platform.machine_list_url, platform.timeout_seconds)
+        core = ControlNode(
+            self._identity,
+            self._settings.node.seeds,
+            self._settings.control.to_timing(),
+            self._settings.control.to_limits(),
+            boot_clock(),
+        )
+        async with anyio.create_task_group() as tasks:
+            host = ControlHost(core, table, machine_list, self._telemetry, tasks)
+            transport = PeerTransport(
+                self._identity.peer_address, host.receive, self._telemetry, tasks
+            )
+            host.set_transport(transport.send)
+            await tasks.start(transport.serve)
+            tasks.start_soon(host.run)
+            await self._serve_until_stopped(host, ConfigStore(table))
+            tasks.cancel_scope.cancel()
+        self._log.info("stopped", node=self._identity.node_id)
+
+    async def _serve_until_stopped(self, host: ControlHost, store: ConfigStore) -> None:
+        client = HttpxBackendClient()
+        limits = self._settings.routing.to_limits()
+        gateway = CallerGateway(host, client, limits, self._telemetry)
+        operators = OperatorServer(
+            self._settings.node.operator_address, OperatorService(host, store)
+        )
+        await operators.start()
+        callers_stop = anyio.Event()
+        admin_stop = anyio.Event()
+        async with anyio.create_task_group() as servers:
+            await servers.start(self._serve_callers, gateway, callers_stop)
+            servers.start_soon(self._serve_admin, host, admin_stop)
+            self._log.info("started", node=self._identity.node_id, zone=self._identity.zone)
+            await self._wait_for_stop_signal()
+            self._log.info("stopping", node=self._identity.node_id)
+            gateway.stopping = True
+            host.leave()
+            await anyio.sleep(self._settings.stop.notice_seconds)
+            callers_stop.set()
+            await operators.stop(OPERATOR_GRACE)
+            admin_stop.set()
+        await client.aclose()
+        await host.aclose()
+
+    async def _serve_callers(
+        self, gateway: CallerGateway, stop: anyio.Event, *, task_status: TaskStatus[None]
+    ) -> None:
+        address = self._settings.node.caller_address
+        config = http_config(address, self._settings.stop.drain_seconds)
+        task_status.started()
+        await serve(gateway, config, shutdown_trigger=stop.wait, mode="asgi")  # type: ignore[arg-type]
+
+    async def _serve_admin(self, host: ControlHost, stop: anyio.Event) -> None:
+        application = AdminApplication(host, self._telemetry)
+        config = http_config(self._settings.node.admin_address, ADMIN_GRACE)
+        await serve(application, config, shutdown_trigger=stop.wait, mode="asgi")  # type: ignore[arg-type]
+
+    async def _wait_for_stop_signal(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                return
--- /dev/null
+++ b/src/limedeck/errors.py
@@ -0,0 +1,194 @@
+"""The exception hierarchy: every failure of limedeck has a type below `LimedeckError`."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+class LimedeckError(Exception):
+    """Base of every error that limedeck raises on purpose."""
+
+
+@dataclass
+class InvariantViolation(LimedeckError):
+    """A state machine found its own state to be impossible.
+
+    Parameters
+    ----------
+    invariant
+        Name of the invariant, e.g. ``"one-owner-per-key"``.
+    detail
+        What was found.
+    cause
+        Identifier of the event that was being handled.
+    """
+
+    invariant: str
+    detail: str
+    cause: str = ""
+
+    def __str__(self) -> str:
+        return (
+            f"invariant {self.invariant} violated by {self.cause or 'unknown cause'}: {self.detail}"
+        )
+
+
+class SettingsError(LimedeckError):
+    """A settings file cannot be used."""
+
+
+@dataclass
+class InvalidSetting(SettingsError):
+    """One key of a settings file is wrong."""
+
+    file: str
+    key: str
+    problem: str
+    expected: str
+
+    def __str__(self) -> str:
+        return f"{self.file}: {self.key}: {self.problem}; expected {self.expected}"
+
+
+class PlatformError(LimedeckError):
+    """A call to one of the platform's services failed."""
+
+
+@dataclass
+class PlatformUnavailable(PlatformError):
+    """The platform did not answer; a write may or may not have taken effect."""
+
+    service: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"{self.service} is unavailable: {self.reason}"
+
+
+@dataclass
+class PlatformRateLimited(PlatformError):
+    """The platform refused the call because of its rate limit; nothing was done."""
+
+    service: str
+    retry_after: float
+
+    def __str__(self) -> str:
+        return f"{self.service} is rate-limited; retry after {self.retry_after:.2f} s"
+
+
+@dataclass
+class PlatformProtocolError(PlatformError):
+    """The platform's answer could not be understood."""
+
+    service: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"{self.service} answered outside its protocol: {self.reason}"
+
+
+@dataclass
+class TransactionConflict(PlatformError):
+    """A condition of a transaction did not hold; nothing was written."""
+
+    key: str
+    expected_revision: int
+    actual_revision: int
+
+    def __str__(self) -> str:
+        return f"row {self.key} is at revision {self.actual_revision}, not {self.expected_revision}"
+
+
+class ConfigError(LimedeckError):
+    """A change of the configuration was refused; nothing was changed."""
+
+
+@dataclass
+class InvalidObject(ConfigError):
+    """A field of an operators' object is wrong."""
+
+    field: str
+    problem: str
+
+    def __str__(self) -> str:
+        return f"{self.field}: {self.problem}"
+
+
+@dataclass
+class ObjectNotFound(ConfigError):
+    """The object to change does not exist."""
+
+    kind: str
+    name: str
+
+    def __str__(self) -> str:
+        return f"{self.kind} {self.name} does not exist"
+
+
+@dataclass
+class RevisionConflict(ConfigError):
+    """The object has changed since the revision that the change was made from."""
+
+    name: str
+    base_revision: int
+    current_revision: int
+
+    def __str__(self) -> str:
+        return (
+            f"{self.name} is at revision {self.current_revision}, "
+            f"the change was made from {self.base_revision}"
+        )
+
+
+@dataclass
+class ChangeNotAccepted(ConfigError):
+    """The change was not accepted, because the store cannot be reached."""
+
+    reason: str
+    retry_after: float
+
+    def __str__(self) -> str:
+        return f"not accepted: {self.reason}; try again in {self.retry_after:.1f} s"
+
+
+@dataclass
+class ChangeOutcomeUnknown(ConfigError):
+    """The store took the change but did not answer, and could not be asked again."""
+
+    request_id: str
+
+    def __str__(self) -> str:
+        return f"outcome of change {self.request_id} is unknown; repeat it with the same request id"
+
+
+class RoutingError(LimedeckError):
+    """A request cannot be routed."""
+
+
+@dataclass
+class UnknownService(RoutingError):
+    """No service has this name."""
+
+    name: str
+
+    def __str__(self) -> str:
+        return f"no service is named {self.name!r}"
+
+
+@dataclass
+class MissingKey(RoutingError):
+    """The request holds no key where the service's sharing rule looks for it."""
+
+    service: str
+    key_source: str
+
+    def __str__(self) -> str:
+        return f"service {self.service} takes its key from {self.key_source}, which is missing"
+
+
+class BackendError(LimedeckError):
+    """An attempt to have a back end run a request failed."""
+
+
+class PeerProtocolError(LimedeckError):
+    """Bytes from another node do not form a message."""
--- /dev/null
+++ b/src/limedeck/identity.py
@@ -0,0 +1,71 @@
+"""Identifiers shared by all packages."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import NewType
+
+from limedeck.api.peer_pb2 import NodeIdentity
+
+NodeId = NewType("NodeId", str)
+BackendId = NewType("BackendId", str)
+GroupId = NewType("GroupId", str)
+ServiceName = NewType("ServiceName", str)
+Incarnation = NewType("Incarnation", int)
+"""One run of a process: larger for every later run of the same node or back end."""
+
+Seconds = float
+"""A reading of, or a span on, one process's own monotonic clock."""
+
+
+@dataclass(frozen=True, order=True)
+class Fence:
+    """Orders the grants of a control group: a back end refuses what is not above its highest.
+
+    Parameters
+    ----------
+    term
+        Term of the leader that wrote the grant.
+    sequence
+        Counts that leader's exchanges.
+    """
+
+    term: int
+    sequence: int
+
+
+@dataclass(frozen=True)
+class Voter:
+    """A voter of a control group: one run of one node."""
+
+    node_id: NodeId
+    incarnation: Incarnation
+    peer_address: str
+    zone: str
+    operator_address: str = ""
+
+    @classmethod
+    def from_message(cls, message: NodeIdentity) -> Voter:
+        """Read the voter from its message form."""
+        return cls(
+            NodeId(message.node_id),
+            Incarnation(message.incarnation),
+            message.peer_address,
+            message.zone,
+            message.operator_address,
+        )
+
+    def to_message(self) -> NodeIdentity:
+        """Write the voter in its message form."""
+        return NodeIdentity(
+            node_id=self.node_id,
+            incarnation=self.incarnation,
+            peer_address=self.peer_address,
+            zone=self.zone,
+            operator_address=self.operator_address,
+        )
+
+
+def keyed_group(service: str, index: int, count: int) -> GroupId:
+    """Name one of the control groups that share a keyed service's keys."""
+    return GroupId(service if count <= 1 else f"{service}/{index}")
--- /dev/null
+++ b/src/limedeck/routing/request.py
@@ -0,0 +1,260 @@
+"""One request's way through a router: which back end to try, when to wait, when to give up."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+from limedeck.api.peer_pb2 import Backend
+from limedeck.config.replica import ConfigReplica
+from limedeck.errors import InvariantViolation
+from limedeck.identity import Seconds
+from limedeck.keyspace.slices import NO_OWNER
+from limedeck.routing.backends import BackendStates
+from limedeck.routing.outcomes import (
+    SURELY_NOT_RUN,
+    AttemptHistory,
+    Decision,
+    FailurePhase,
+    Outcome,
+    decide,
+)
+from limedeck.routing.route_table import RouteTable
+from limedeck.routing.rules import RequestTarget
+
+SHORTEST_ATTEMPT: Seconds = 0.002
+"""An attempt is not begun with less time than this before the deadline."""
+RETRY_PAUSE: Seconds = 0.02
+"""Before the same owner is asked again."""
+RETRY_AFTER: Seconds = 1.0
+RETRY_TOKENS_PER_REQUEST = 0.1
+"""Retries are at most this part of requests, beyond a small reserve."""
+RETRY_RESERVE = 10.0
+
+
+class RefusalReason(enum.Enum):
+    """Why a request was given up, as the last part of the problem's type."""
+
+    NO_OWNER = "no-owner"
+    NO_CAPACITY = "no-capacity"
+    QUEUE_FULL = "queue-full"
+    BACKEND_UNREACHABLE = "backend-unreachable"
+    BACKEND_REFUSED = "backend-refused"
+    DEADLINE_EXCEEDED = "deadline-exceeded"
+    ANSWER_LOST = "answer-lost"
+
+
+@dataclass(frozen=True)
+class Attempt:
+    """Command: send the request to a back end.
+
+    Parameters
+    ----------
+    route_version
+        Version of the assignment that named it; zero for a service that needs no owner.
+    deadline
+        On this node's clock.
+    """
+
+    backend: Backend
+    route_version: int
+    deadline: Seconds
+
+
+@dataclass(frozen=True)
+class Wait:
+    """Command: ask again when routes or capacity have changed, at the latest at `until`."""
+
+    until: Seconds
+
+
+@dataclass(frozen=True)
+class Refuse:
+    """Command: answer that the request is given up.
+
+    Parameters
+    ----------
+    retry_after
+        In seconds, when the caller should come back.
+    """
+
+    outcome: Outcome
+    reason: RefusalReason
+    retry_after: Seconds
+
+
+RequestCommand = Attempt | Wait | Refuse
+
+
+class RetryBudget:
+    """Token bucket that keeps retries to a part of the requests."""
+
+    def __init__(self) -> None:
+        self._tokens = RETRY_RESERVE
+
+    def note_request(self) -> None:
+        """A request came in."""
+        self._tokens = min(RETRY_RESERVE, self._tokens + RETRY_TOKENS_PER_REQUEST)
+
+    @property
+    def has_tokens(self) -> bool:
+        """Whether a retry is allowed."""
+        return self._tokens >= 1.0
+
+    def take(self) -> None:
+        """Use up one retry."""
+        self._tokens -= 1.0
+
+
+@dataclass(frozen=True)
+class RoutingLimits:
+    """Bounds of one router.
+
+    Parameters
+    ----------
+    longest_wait
+        A request waits at most so long for an owner or for capacity, in seconds.
+    waiting_requests
+        Requests of a service that may wait at the same time.
+    """
+
+    longest_wait: Seconds = 4.0
+    waiting_requests: int = 1_000
+
+
+@dataclass(frozen=True)
+class RouterView:
+    """What a request's decisions look at."""
+
+    config: ConfigReplica
+    routes: RouteTable
+    backends: BackendStates
+    limits: RoutingLimits
+
+
+class RequestCore:
+    """Decisions for one request.
+
+    Parameters
+    ----------
+    deadline
+        On this node's clock.
+    budget
+        The service's retry budget at this router.
+    """
+
+    def __init__(
+        self,
+        request_id: str,
+        target: RequestTarget,
+        deadline: Seconds,
+        view: RouterView,
+        budget: RetryBudget,
+        now: Seconds,
+    ) -> None:
+        self.request_id = request_id
+        self.target = target
+        self.deadline = deadline
+        self.attempts = 0
+        self._view = view
+        self._budget = budget
+        self._wait_end = min(deadline, now + view.limits.longest_wait)
+        self._excluded: set[str] = set()
+        self._stale_version = 0
+        self._not_before: Seconds = now
+        self._maybe_run = False
+        self._in_flight: Attempt | None = None
+
+    def next_command(self, now: Seconds) -> RequestCommand:
+        """Decide what to do next: at the start, and after a `Wait`."""
+        if now + SHORTEST_ATTEMPT >= self.deadline:
+            return self._give_up(RefusalReason.DEADLINE_EXCEEDED)
+        if self.target.place is None:
+            return self._try_any(now)
+        return self._try_owner(now)
+
+    def handle_failure(
+        self, phase: FailurePhase, now: Seconds, not_owner: bool = False
+    ) -> RequestCommand:
+        """Decide what follows a failed attempt.
+
+        Parameters
+        ----------
+        not_owner
+            The back end refused because it does not own the key.
+        """
+        attempt = self._in_flight
+        if attempt is None:
+            raise InvariantViolation("failure-follows-attempt", self.request_id)
+        self._in_flight = None
+        history = AttemptHistory(
+            repeatable=self.target.repeatable,
+            maybe_run=self._maybe_run,
+            time_left=now + SHORTEST_ATTEMPT < self.deadline,
+            budget_left=not_owner or self._budget.has_tokens,
+        )
+        decision = decide(phase, history)
+        self._maybe_run = self._maybe_run or phase not in SURELY_NOT_RUN
+        if decision is not Decision.RETRY:
+            return self._give_up(_reason_for(phase, history.time_left))
+        if not not_owner:
+            self._budget.take()
+        self._exclude(attempt, now)
+        return self.next_command(now)
+
+    def _exclude(self, attempt: Attempt, now: Seconds) -> None:
+        self._excluded.add(attempt.backend.backend_id)
+        self._stale_version = attempt.route_version
+        self._not_before = now + RETRY_PAUSE
+
+    def _try_owner(self, now: Seconds) -> RequestCommand:
+        place = self.target.place
+        assert place is not None
+        route = self._view.routes.locate(place.group, place.position)
+        if route is None or route.slice.owner == NO_OWNER:
+            return self._wait(now, RefusalReason.NO_OWNER)
+        owner = self._view.config.backend(route.slice.owner)
+        if owner is None:
+            return self._wait(now, RefusalReason.NO_OWNER)
+        if route.version <= self._stale_version and now < self._not_before:
+            return self._wait(now, RefusalReason.NO_OWNER)
+        if not self._view.backends.has_room(self.target.service, owner.backend_id):
+            return self._wait(now, RefusalReason.NO_CAPACITY)
+        return self._attempt(owner, route.version)
+
+    def _try_any(self, now: Seconds) -> RequestCommand:
+        service = self.target.service
+        backends = self._view.config.backends_of(service.name)
+        chosen = self._view.backends.choose(service, backends, self._excluded, self.request_id, now)
+        if chosen is not None:
+            return self._attempt(chosen, 0)
+        if self._excluded:
+            self._excluded.clear()
+        return self._wait(now, RefusalReason.NO_CAPACITY)
+
+    def _attempt(self, backend: Backend, version: int) -> Attempt:
+        if self._maybe_run and not self.target.repeatable:
+            raise InvariantViolation("unrepeatable-runs-once", self.request_id)
+        self.attempts += 1
+        self._in_flight = Attempt(backend, version, self.deadline)
+        return self._in_flight
+
+    def _wait(self, now: Seconds, reason: RefusalReason) -> RequestCommand:
+        if now >= self._wait_end:
+            return self._give_up(reason)
+        pause = max(self._not_before - now, RETRY_PAUSE)
+        return Wait(min(now + pause, self._wait_end))
+
+    def _give_up(self, reason: RefusalReason) -> Refuse:
+        outcome = Outcome.UNKNOWN if self._maybe_run else Outcome.NOT_RUN
+        return Refuse(outcome, reason, RETRY_AFTER)
+
+
+def _reason_for(phase: FailurePhase, time_left: bool) -> RefusalReason:
+    if not time_left:
+        return RefusalReason.DEADLINE_EXCEEDED
+    if phase is FailurePhase.REFUSED:
+        return RefusalReason.BACKEND_REFUSED
+    if phase in SURELY_NOT_RUN:
+        return RefusalReason.BACKEND_UNREACHABLE
+    return RefusalReason.ANSWER_LOST
--- /dev/null
+++ b/src/limedeck_lab/application.py
@@ -0,0 +1,27 @@
+"""The lab's command: ``limedeck-lab``."""
+
+from __future__ import annotations
+
+import sys
+
+from cleo.application import Application
+
+from limedeck_lab.commands.load import DemoCommand, LoadCommand
+from limedeck_lab.commands.standins import BackendCommand, PlatformCommand
+
+
+def build_application() -> Application:
+    """Build the lab's command line."""
+    application = Application("limedeck-lab", "0.1.0")
+    for command in (PlatformCommand, BackendCommand, LoadCommand, DemoCommand):
+        application.add(command())
+    return application
+
+
+def main() -> None:
+    """Entry point."""
+    sys.exit(build_application().run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/limedeck_lab/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of ``limedeck-lab``."""
--- /dev/null
+++ b/src/limedeck_lab/processes.py
@@ -0,0 +1,143 @@
+"""Starting, watching and ending the processes of a run, by their ids."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import httpx
+
+from limedeck.errors import LimedeckError
+
+END_PATIENCE = 20.0
+POLL_PAUSE = 0.05
+
+
+class ConditionNotMet(LimedeckError):
+    """A condition did not come about in the time allowed."""
+
+
+def free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
+    """Find ports that are free now."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for item in sockets:
+            item.bind((host, 0))
+        return [int(item.getsockname()[1]) for item in sockets]
+    finally:
+        for item in sockets:
+            item.close()
+
+
+def free_port_range(count: int, host: str = "127.0.0.1", first: int = 20_000) -> int:
+    """Find the first of so many consecutive free ports, below those given out at random."""
+    start = first + os.getpid() % 50 * 200
+    while not all(_is_free(host, start + offset) for offset in range(count)):
+        start += count
+    return start
+
+
+def _is_free(host: str, port: int) -> bool:
+    with socket.socket() as item:
+        item.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            item.bind((host, port))
+        except OSError:
+            return False
+        return True
+
+
+def wait_until(condition: Callable[[], bool], what: str, timeout: float = 30.0) -> None:
+    """Wait until a condition holds.
+
+    Raises
+    ------
+    ConditionNotMet
+        It did not in time.
+    """
+    give_up_at = time.monotonic() + timeout
+    while not condition():
+        if time.monotonic() > give_up_at:
+            raise ConditionNotMet(what)
+        time.sleep(POLL_PAUSE)
+
+
+def answers(url: str, status: int = 200) -> bool:
+    """Whether a GET is answered with a status."""
+    try:
+        return httpx.get(url, timeout=1.0, trust_env=False).status_code == status
+    except httpx.HTTPError:
+        return False
+
+
+@dataclass
+class ManagedProcess:
+    """A process that this run has started.
+
+    Parameters
+    ----------
+    log
+        File that its output goes to.
+    """
+
+    name: str
+    process: subprocess.Popen[bytes]
+    log: Path
+
+    @property
+    def is_running(self) -> bool:
+        """Whether it has not ended."""
+        return self.process.poll() is None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send it a signal."""
+        self.process.send_signal(number)
+
+    def wait(self, timeout: float = END_PATIENCE) -> int:
+        """Wait for its end; return its exit code."""
+        return self.process.wait(timeout)
+
+    def end(self) -> int:
+        """End it, by force if it does not end by itself in time."""
+        if self.is_running:
+            self.signal(signal.SIGCONT)
+            self.signal(signal.SIGTERM)
+        try:
+            return self.wait()
+        except subprocess.TimeoutExpired:
+            self.signal(signal.SIGKILL)
+            return self.wait()
+
+
+@dataclass
+class ProcessGroup:
+    """All processes of a run; ended together, last started first."""
+
+    directory: Path
+    processes: list[ManagedProcess] = field(default_factory=list)
+
+    def start(self, name: str, module: str, arguments: Sequence[str]) -> ManagedProcess:
+        """Start a Python module as a process."""
+        log = self.directory / f"{name}.log"
+        with log.open("ab") as output:
+            process = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+            )
+        managed = ManagedProcess(name, process, log)
+        self.processes.append(managed)
+        return managed
+
+    def end_all(self) -> None:
+        """End every process that still runs."""
+        for item in reversed(self.processes):
+            item.end()
--- /dev/null
+++ b/src/limedeck_lab/standins/backend.py
@@ -0,0 +1,210 @@
+"""A back end without I/O: takes fenced grants, runs work within slots, and counts what it ran.
+
+The HTTP stand-in and the simulation drive the same object with the time of its own clock.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections import Counter
+from dataclasses import dataclass, field
+
+from limedeck.api.backend_pb2 import Fence, LeaseReply, LeaseRequest, RangeSet, SliceLoad
+from limedeck.identity import Incarnation, Seconds
+from limedeck.keyspace.hashing import KEY_LINE_END
+from limedeck.keyspace.slices import RangeLookup
+
+NEVER: Seconds = float("-inf")
+LOAD_WINDOW: Seconds = 5.0
+"""Requests are counted over a window of about this length for the reported load."""
+
+
+class Refusal(enum.Enum):
+    """Why a back end does not run a request, as its ``limedeck-refusal`` header says."""
+
+    NOT_OWNER = "not-owner"
+    SHED = "shed"
+    DRAINING = "draining"
+
+
+@dataclass(frozen=True)
+class BackendRules:
+    """What a back end checks; the lab breaks one at a time to see it caught.
+
+    Parameters
+    ----------
+    checks_fences
+        Refuses grants that are not above the highest fence it has seen.
+    holds_until_clock
+        Takes a grant to hold until its clock reads the given time; otherwise for `duration`
+        from when the grant came.
+    duration
+        Seconds, for the broken rule only.
+    """
+
+    checks_fences: bool = True
+    holds_until_clock: bool = True
+    duration: Seconds = 1.8
+
+
+@dataclass
+class Work:
+    """A request that a back end has taken on.
+
+    Parameters
+    ----------
+    position
+        On the key line; None for a service that needs no owner.
+    """
+
+    request_id: str
+    position: int | None
+    unrepeatable: bool
+
+
+@dataclass
+class HollowBackend:
+    """One run of one back end.
+
+    Parameters
+    ----------
+    slots
+        Requests it runs at the same time.
+    queue_limit
+        Requests that wait for a slot; more are shed.
+    keyed
+        Whether keys have owners.
+    """
+
+    backend_id: str
+    incarnation: Incarnation
+    slots: int
+    queue_limit: int
+    keyed: bool
+    rules: BackendRules = field(default_factory=BackendRules)
+    draining: bool = False
+    highest_fence: tuple[int, int] = (0, 0)
+    held_until: Seconds = NEVER
+    in_flight: dict[int, Work] = field(default_factory=dict)
+    executions: Counter[str] = field(default_factory=Counter)
+    _owned: RangeLookup = field(default_factory=lambda: RangeLookup([]))
+    _owned_version: tuple[int, int] = (0, 0)
+    _settled_version: tuple[int, int] = (0, 0)
+    _work_count: int = 0
+    _rates: dict[int, float] = field(default_factory=dict)
+    _rates_at: Seconds = NEVER
+
+    # ------------------------------------------------------------------ leases
+
+    def handle_lease(self, request: LeaseRequest, now: Seconds) -> LeaseReply:
+        """Take in a probe or a grant."""
+        accepted = self._accept(request, now)
+        self._settle()
+        return LeaseReply(
+            incarnation=self.incarnation,
+            clock=now,
+            accepted=accepted,
+            highest_fence=_fence(self.highest_fence),
+            owned_version=_fence(self._owned_version),
+            settled_version=_fence(self._settled_version),
+            in_flight=len(self.in_flight),
+            draining=self.draining,
+            loads=self._reported_loads(now),
+        )
+
+    def _accept(self, request: LeaseRequest, now: Seconds) -> bool:
+        fence = (request.fence.term, request.fence.sequence)
+        if self.rules.checks_fences and fence <= self.highest_fence:
+            return False
+        self.highest_fence = max(fence, self.highest_fence)
+        if request.incarnation == 0:
+            return True
+        if request.incarnation != self.incarnation:
+            return False
+        version = (request.owned_version.term, request.owned_version.sequence)
+        if request.HasField("owned"):
+            self._take_ranges(request.owned, version)
+        elif version != self._owned_version:
+            return False
+        self.held_until = request.until
+        if not self.rules.holds_until_clock:
+            self.held_until = now + self.rules.duration
+        return True
+
+    def _take_ranges(self, owned: RangeSet, version: tuple[int, int]) -> None:
+        self._owned = RangeLookup((item.start, item.end or KEY_LINE_END) for item in owned.ranges)
+        self._owned_version = version
+
+    def _settle(self) -> None:
+        working = [work.position for work in self.in_flight.values() if work.position is not None]
+        if all(position in self._owned for position in working):
+            self._settled_version = self._owned_version
+
+    def owns(self, position: int, now: Seconds) -> bool:
+        """Whether it may serve a key now."""
+        return now < self.held_until and position in self._owned
+
+    def owned_ranges(self, now: Seconds) -> list[tuple[int, int]]:
+        """Ranges that it may serve now."""
+        return self._owned.ranges() if now < self.held_until else []
+
+    # ------------------------------------------------------------------ work
+
+    def admit(self, work: Work, now: Seconds) -> int | Refusal:
+        """Take a request on and return its number, or refuse it."""
+        if self.draining and not self.keyed:
+            return Refusal.DRAINING
+        if work.position is not None and not self.owns(work.position, now):
+            return Refusal.NOT_OWNER
+        if len(self.in_flight) >= self.slots + self.queue_limit:
+            return Refusal.SHED
+        self._work_count += 1
+        self.in_flight[self._work_count] = work
+        if work.position is not None:
+            self._note_load(work.position, now)
+        return self._work_count
+
+    def execute(self, number: int, now: Seconds) -> Refusal | None:
+        """Do a request's effect, if it may still be done; return why not otherwise."""
+        work = self.in_flight[number]
+        if work.position is not None and not self.owns(work.position, now):
+            return Refusal.NOT_OWNER
+        if work.unrepeatable:
+            self.executions[work.request_id] += 1
+        return None
+
+    def finish(self, number: int) -> None:
+        """Give a request's slot back."""
+        self.in_flight.pop(number, None)
+
+    # ------------------------------------------------------------------ load
+
+    def _note_load(self, position: int, now: Seconds) -> None:
+        self._decay(now)
+        start = self._range_start(position)
+        self._rates[start] = self._rates.get(start, 0.0) + 1.0 / LOAD_WINDOW
+
+    def _range_start(self, position: int) -> int:
+        return self._owned.start_of(position)
+
+    def _decay(self, now: Seconds) -> None:
+        if self._rates_at == NEVER:
+            self._rates_at = now
+        elapsed = now - self._rates_at
+        if elapsed < LOAD_WINDOW / 10:
+            return
+        kept = max(0.0, 1.0 - elapsed / LOAD_WINDOW)
+        self._rates = {
+            start: rate * kept for start, rate in self._rates.items() if rate * kept > 0.01
+        }
+        self._rates_at = now
+
+    def _reported_loads(self, now: Seconds) -> list[SliceLoad]:
+        self._decay(now)
+        return [
+            SliceLoad(start=start, requests_per_second=rate) for start, rate in self._rates.items()
+        ]
+
+
+def _fence(value: tuple[int, int]) -> Fence:
+    return Fence(term=value[0], sequence=value[1])
--- /dev/null
+++ b/src/limedeck_lab/standins/backend_server.py
@@ -0,0 +1,292 @@
+"""Several hollow back ends behind one HTTP server, one port each, with faults."""
+
+from __future__ import annotations
+
+import json
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+import anyio
+from google.protobuf.message import DecodeError
+from hypercorn.asyncio import serve
+from pydantic import BaseModel, ValidationError
+
+from limedeck.api.backend_pb2 import LeaseRequest
+from limedeck.daemon.backend_client import REFUSAL_HEADER
+from limedeck.daemon.callers import Message, Receive, Scope, Send
+from limedeck.daemon.clock import boot_clock, new_incarnation
+from limedeck.daemon.control_host import LEASE_PATH, PROTOBUF_TYPE
+from limedeck.daemon.server import http_config
+from limedeck_lab.standins.backend import HollowBackend, Refusal, Work
+
+SERVER_GRACE = 2.0
+SAFE_METHODS = ("GET", "HEAD")
+
+
+class BackendFaults(BaseModel):
+    """Faults of one back end, switched by ``PUT /lab/v1/faults`` on its port.
+
+    Parameters
+    ----------
+    frozen
+        Every call waits until this is taken back, then goes on as if nothing had happened.
+    shed_all
+        Refuses all work.
+    health
+        What the health page claims, whatever is true.
+    cut_before, cut_after
+        The connection is cut before, or after, the work is done; no answer.
+    half_answer
+        Half of the answer is sent, then the connection is cut.
+    answer_delay_seconds
+        Added between the work and its answer.
+    """
+
+    frozen: bool = False
+    shed_all: bool = False
+    health: str = "ok"
+    cut_before: bool = False
+    cut_after: bool = False
+    half_answer: bool = False
+    answer_delay_seconds: float = 0.0
+
+
+@dataclass(frozen=True)
+class BackendSpecification:
+    """A back end to stand in for.
+
+    Parameters
+    ----------
+    address
+        IP number and port.
+    service_seconds
+        Mean time that a request occupies a slot.
+    """
+
+    backend_id: str
+    address: str
+    keyed: bool
+    slots: int
+    service_seconds: float
+    queue_limit: int = 64
+
+
+class ConnectionCut(Exception):
+    """Raised to have the server cut a connection without an answer."""
+
+
+@dataclass
+class ServedBackend:
+    """A hollow back end and what its HTTP side needs."""
+
+    specification: BackendSpecification
+    backend: HollowBackend
+    faults: BackendFaults = field(default_factory=BackendFaults)
+    thawed: anyio.Event = field(default_factory=anyio.Event)
+
+    def __post_init__(self) -> None:
+        self.slots = anyio.Semaphore(self.specification.slots)
+        self.thawed.set()
+
+    async def pass_freeze(self) -> None:
+        """Wait while the back end is frozen."""
+        while self.faults.frozen:
+            await self.thawed.wait()
+
+    def set_faults(self, faults: BackendFaults) -> None:
+        """Switch faults."""
+        self.faults = faults
+        if faults.frozen:
+            self.thawed = anyio.Event()
+        else:
+            self.thawed.set()
+
+
+class BackendServer:
+    """ASGI application for all back ends of a process.
+
+    Parameters
+    ----------
+    seed
+        Of the service times.
+    """
+
+    def __init__(self, specifications: Sequence[BackendSpecification], seed: int = 1) -> None:
+        self._random = random.Random(seed)
+        self._by_port = {
+            int(item.address.rpartition(":")[2]): ServedBackend(item, _hollow(item))
+            for item in specifications
+        }
+
+    async def serve(self, stop: anyio.Event) -> None:
+        """Answer on all ports until told to stop."""
+        config = http_config("", SERVER_GRACE)
+        config.bind = [item.specification.address for item in self._by_port.values()]
+        config.backlog = 512
+        await serve(self, config, shutdown_trigger=stop.wait, mode="asgi")  # type: ignore[arg-type]
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Handle one request."""
+        if scope["type"] != "http":
+            return
+        served = self._by_port[scope["server"][1]]
+        path = scope["path"]
+        if path.startswith("/lab/v1/"):
+            await self._lab(served, path, receive, send)
+            return
+        await served.pass_freeze()
+        if path == LEASE_PATH:
+            await self._lease(served, receive, send)
+        elif path == "/limedeck/v1/health":
+            await _answer(send, 200, served.faults.health.encode())
+        elif path == "/limedeck/v1/load":
+            load = {"in_flight": len(served.backend.in_flight)}
+            await _answer(send, 200, json.dumps(load).encode())
+        else:
+            await self._work(served, scope, receive, send)
+
+    async def _lab(self, served: ServedBackend, path: str, receive: Receive, send: Send) -> None:
+        body = await _read_body(receive)
+        if path == "/lab/v1/executions":
+            content = json.dumps(served.backend.executions).encode()
+            await _answer(send, 200, content)
+        elif path == "/lab/v1/faults":
+            try:
+                served.set_faults(BackendFaults.model_validate_json(body))
+            except ValidationError as error:
+                await _answer(send, 400, str(error).encode())
+                return
+            await _answer(send, 200, b"{}")
+        elif path == "/lab/v1/drain":
+            served.backend.draining = True
+            await _answer(send, 200, b"{}")
+        else:
+            await _answer(send, 404, b"{}")
+
+    async def _lease(self, served: ServedBackend, receive: Receive, send: Send) -> None:
+        try:
+            request = LeaseRequest.FromString(await _read_body(receive))
+        except DecodeError:
+            await _answer(send, 400, b"not a lease request")
+            return
+        reply = served.backend.handle_lease(request, boot_clock())
+        await _answer(send, 200, reply.SerializeToString(), PROTOBUF_TYPE)
+
+    async def _work(
+        self, served: ServedBackend, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        headers = {name.decode(): value.decode() for name, value in scope["headers"]}
+        body = await _read_body(receive)
+        position = headers.get("limedeck-key-position")
+        work = Work(
+            headers.get("limedeck-request-id", ""),
+            int(position) if position else None,
+            scope["method"] not in SAFE_METHODS,
+        )
+        if served.faults.shed_all:
+            await _refuse(send, Refusal.SHED)
+            return
+        if served.faults.cut_before:
+            raise ConnectionCut
+        number = served.backend.admit(work, boot_clock())
+        if isinstance(number, Refusal):
+            await _refuse(send, number)
+            return
+        try:
+            refusal = await self._run(served, number)
+        finally:
+            served.backend.finish(number)
+        if refusal is not None:
+            await _refuse(send, refusal)
+            return
+        await self._answer_work(served, work, scope, body, send)
+
+    async def _run(self, served: ServedBackend, number: int) -> Refusal | None:
+        async with served.slots:
+            mean = served.specification.service_seconds
+            await anyio.sleep(self._random.uniform(0.5, 1.5) * mean)
+            await served.pass_freeze()
+            return served.backend.execute(number, boot_clock())
+
+    async def _answer_work(
+        self, served: ServedBackend, work: Work, scope: Scope, body: bytes, send: Send
+    ) -> None:
+        if served.faults.cut_after:
+            raise ConnectionCut
+        if served.faults.answer_delay_seconds > 0:
+            await anyio.sleep(served.faults.answer_delay_seconds)
+        content = json.dumps(
+            {
+                "backend": served.specification.backend_id,
+                "request_id": work.request_id,
+                "method": scope["method"],
+                "path": scope["path"],
+                "body_bytes": len(body),
+            }
+        ).encode()
+        content += b" " * _padding(scope)
+        if served.faults.half_answer:
+            await _start(send, 200, len(content), "application/json")
+            half = content[: len(content) // 2]
+            await send({"type": "http.response.body", "body": half, "more_body": True})
+            raise ConnectionCut
+        await _answer(send, 200, content)
+
+
+def _hollow(specification: BackendSpecification) -> HollowBackend:
+    return HollowBackend(
+        specification.backend_id,
+        new_incarnation(),
+        specification.slots,
+        specification.queue_limit,
+        specification.keyed,
+    )
+
+
+def _padding(scope: Scope) -> int:
+    """Bytes to add to an answer, as ``?bytes=N`` asks for."""
+    query: str = scope["query_string"].decode()
+    name, _, value = query.partition("=")
+    return int(value) if name == "bytes" and value.isdigit() else 0
+
+
+async def _read_body(receive: Receive) -> bytes:
+    body = bytearray()
+    while True:
+        message: Message = await receive()
+        if message["type"] == "http.disconnect":
+            raise ConnectionCut
+        body += message.get("body", b"")
+        if not message.get("more_body", False):
+            return bytes(body)
+
+
+async def _start(
+    send: Send,
+    status: int,
+    length: int,
+    content_type: str,
+    extra: tuple[bytes, bytes] | None = None,
+) -> None:
+    headers = [
+        (b"content-type", content_type.encode()),
+        (b"content-length", str(length).encode()),
+    ]
+    if extra is not None:
+        headers.append(extra)
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+
+
+async def _answer(
+    send: Send, status: int, content: bytes, content_type: str = "application/json"
+) -> None:
+    await _start(send, status, len(content), content_type)
+    await send({"type": "http.response.body", "body": content})
+
+
+async def _refuse(send: Send, refusal: Refusal) -> None:
+    status = 421 if refusal is Refusal.NOT_OWNER else 503
+    header = (REFUSAL_HEADER.encode(), refusal.value.encode())
+    await _start(send, status, 0, "application/json", header)
+    await send({"type": "http.response.body", "body": b""})
