--- a/src/limedeck/daemon/server.py
+++ b/src/limedeck/daemon/server.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import signal
+import socket
 
 import anyio
+import anyio.lowlevel
 from anyio.abc import TaskStatus
 from hypercorn.asyncio import serve
-from hypercorn.config import Config
+from hypercorn.config import Config, Sockets
 
 from limedeck.config.settings import DaemonSettings
 from limedeck.config.store import ConfigStore
@@ -19,7 +21,7 @@
 from limedeck.daemon.control_host import ControlHost
 from limedeck.daemon.logs import get_logger
 from limedeck.daemon.operators import OperatorServer, OperatorService
-from limedeck.daemon.peers import PeerTransport
+from limedeck.daemon.peers import PeerTransport, split_address
 from limedeck.daemon.telemetry import Telemetry
 from limedeck.identity import NodeId, Voter
 from limedeck.platform.http import HttpMachineList, HttpTransactionalTable
@@ -28,19 +30,55 @@
 KEEP_ALIVE_SECONDS = 75.0
 OPERATOR_GRACE = 2.0
 ADMIN_GRACE = 1.0
+LISTEN_BACKLOG = 512
+QUIET_SECONDS = 0.25
+"""After the listener is shut, so long for requests on connections taken just before."""
 
 
 def http_config(address: str, graceful_timeout: float) -> Config:
-    """Configure an HTTP server inside this process."""
+    """Configure an HTTP server inside this process that listens on an address."""
     config = Config()
     config.bind = [address]
+    configure_http(config, graceful_timeout)
+    return config
+
+
+def configure_http(config: Config, graceful_timeout: float) -> None:
+    """Set what all HTTP servers of this process have in common.
+
+    Parameters
+    ----------
+    graceful_timeout
+        Seconds that a stop waits for running requests.
+    """
     config.graceful_timeout = graceful_timeout
     config.keep_alive_timeout = KEEP_ALIVE_SECONDS
     config.h11_max_incomplete_size = LARGEST_HEADERS
     config.accesslog = None
     config.errorlog = None
     config.include_server_header = False
-    return config
+
+
+class OwnSocketConfig(Config):
+    """HTTP server configuration that listens on a socket which this process keeps at hand."""
+
+    listener: socket.socket
+
+    def create_sockets(self) -> Sockets:
+        """Hand the server the socket."""
+        return Sockets([], [self.listener], [])
+
+
+def open_listener(address: str) -> socket.socket:
+    """Listen on an address."""
+    host, port = split_address(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host, port))
+    listener.setblocking(False)
+    listener.listen(LISTEN_BACKLOG)
+    return listener
 
 
 class Daemon:
@@ -92,9 +130,10 @@
         )
         await operators.start()
         callers_stop = anyio.Event()
+        listener = open_listener(self._settings.node.caller_address)
         admin_stop = anyio.Event()
         async with anyio.create_task_group() as servers:
-            await servers.start(self._serve_callers, gateway, callers_stop)
+            await servers.start(self._serve_callers, gateway, listener, callers_stop)
             servers.start_soon(self._serve_admin, host, admin_stop)
             self._log.info("started", node=self._identity.node_id, zone=self._identity.zone)
             await self._wait_for_stop_signal()
@@ -102,17 +141,34 @@
             gateway.stopping = True
             host.leave()
             await anyio.sleep(self._settings.stop.notice_seconds)
+            await self._shut_listener(listener)
             callers_stop.set()
             await operators.stop(OPERATOR_GRACE)
             admin_stop.set()
         await client.aclose()
         await host.aclose()
 
+    async def _shut_listener(self, listener: socket.socket) -> None:
+        """Take no more connections, and let requests come in on those taken just before.
+
+        The server's own stop closes every connection that has no request yet, among them those
+        whose request is on its way.
+        """
+        await anyio.lowlevel.checkpoint()
+        listener.shutdown(socket.SHUT_RDWR)
+        await anyio.sleep(QUIET_SECONDS)
+
     async def _serve_callers(
-        self, gateway: CallerGateway, stop: anyio.Event, *, task_status: TaskStatus[None]
+        self,
+        gateway: CallerGateway,
+        listener: socket.socket,
+        stop: anyio.Event,
+        *,
+        task_status: TaskStatus[None],
     ) -> None:
-        address = self._settings.node.caller_address
-        config = http_config(address, self._settings.stop.drain_seconds)
+        config = OwnSocketConfig()
+        configure_http(config, self._settings.stop.drain_seconds)
+        config.listener = listener
         task_status.started()
         await serve(gateway, config, shutdown_trigger=stop.wait, mode="asgi")  # type: ignore[arg-type]
 
--- a/src/limedeck/routing/request.py
+++ b/src/limedeck/routing/request.py
@@ -165,6 +165,11 @@
         self._maybe_run = False
         self._in_flight: Attempt | None = None
 
+    @property
+    def in_flight(self) -> Attempt | None:
+        """The attempt that has not ended."""
+        return self._in_flight
+
     def next_command(self, now: Seconds) -> RequestCommand:
         """Decide what to do next: at the start, and after a `Wait`."""
         if now + SHORTEST_ATTEMPT >= self.deadline:
--- a/src/limedeck_lab/application.py
+++ b/src/limedeck_lab/application.py
@@ -7,13 +7,16 @@
 from cleo.application import Application
 
 from limedeck_lab.commands.load import DemoCommand, LoadCommand
+from limedeck_lab.commands.simulate import SimulateCommand
 from limedeck_lab.commands.standins import BackendCommand, PlatformCommand
 
+COMMANDS = (PlatformCommand, BackendCommand, LoadCommand, DemoCommand, SimulateCommand)
+
 
 def build_application() -> Application:
     """Build the lab's command line."""
     application = Application("limedeck-lab", "0.1.0")
-    for command in (PlatformCommand, BackendCommand, LoadCommand, DemoCommand):
+    for command in COMMANDS:
         application.add(command())
     return application
 
--- a/src/limedeck_lab/demo.py
+++ b/src/limedeck_lab/demo.py
@@ -31,21 +31,16 @@
 async def _disturb(
     cluster: Cluster, generator: LoadGenerator, count: int, say: Callable[[str], object]
 ) -> None:
-    await _wait_for_sent(generator, count // 4)
+    await generator.wait_for_sent(count // 4)
     drained = cluster.backends[0].backend_id
     await anyio.to_thread.run_sync(_drain, cluster, drained)
     say(f"drained {drained} after {generator.result.sent} requests")
-    await _wait_for_sent(generator, count // 2)
+    await generator.wait_for_sent(count // 2)
     stopped = cluster.addresses[0].node_id
     code = await anyio.to_thread.run_sync(cluster.stop_node, stopped)
     say(f"stopped {stopped} (exit code {code}) after {generator.result.sent} requests")
 
 
-async def _wait_for_sent(generator: LoadGenerator, count: int) -> None:
-    while generator.result.sent < count:
-        await anyio.sleep(0.02)
-
-
 def _drain(cluster: Cluster, backend_id: str) -> None:
     client = cluster.client(1)
     held = next(
--- a/src/limedeck_lab/load.py
+++ b/src/limedeck_lab/load.py
@@ -112,6 +112,12 @@
         self._addresses = list(addresses)
         self._concurrency = concurrency
         self.result = LoadResult()
+        self._progress = anyio.Event()
+
+    async def wait_for_sent(self, count: int) -> None:
+        """Wait until so many requests were sent."""
+        while self.result.sent < count:
+            await self._progress.wait()
 
     async def run(self, requests: Sequence[PlannedRequest], rate: float = 0.0) -> LoadResult:
         """Send all requests; at most `rate` a second unless that is zero."""
@@ -137,6 +143,8 @@
     ) -> None:
         try:
             self.result.sent += 1
+            self._progress.set()
+            self._progress = anyio.Event()
             started = anyio.current_time()
             response = await self._send(client, request, number)
             self._count(request, response, anyio.current_time() - started)
--- /dev/null
+++ b/src/limedeck_lab/simulation/network.py
@@ -0,0 +1,128 @@
+"""The simulated network: delays between zones, cuts, loss, duplication and reordering."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from limedeck.identity import Seconds
+from limedeck_lab.simulation.kernel import Kernel
+
+LOCAL_DELAY: Seconds = 0.0002
+JITTER: Seconds = 0.0003
+
+
+@dataclass(frozen=True)
+class Place:
+    """Where a process runs: cuts are between machines."""
+
+    machine: str
+    zone: str
+
+
+@dataclass(eq=False)
+class Cut:
+    """Messages between two sets of machines do not get through.
+
+    Parameters
+    ----------
+    sources, destinations
+        Machines; messages from the first to the second are cut.
+    holds
+        Messages are delivered when the cut ends, as if sent again; otherwise they are lost.
+    """
+
+    sources: frozenset[str]
+    destinations: frozenset[str]
+    holds: bool
+    held: list[Callable[[], None]] = field(default_factory=list)
+
+    def applies(self, source: str, destination: str) -> bool:
+        """Whether a message is cut."""
+        return source in self.sources and destination in self.destinations
+
+
+@dataclass
+class NetworkFaults:
+    """Faults that apply to all messages.
+
+    Parameters
+    ----------
+    loss, duplication
+        Part of messages.
+    extra_delay
+        Each message is delayed by up to this much more, so that messages overtake each other.
+    """
+
+    loss: float = 0.0
+    duplication: float = 0.0
+    extra_delay: Seconds = 0.0
+
+
+class Network:
+    """Delivers messages by calling back after their delay.
+
+    Parameters
+    ----------
+    zone_delay
+        One way between two zones, in seconds.
+    """
+
+    def __init__(self, kernel: Kernel, zone_delay: Seconds, generator: random.Random) -> None:
+        self._kernel = kernel
+        self._zone_delay = zone_delay
+        self._random = generator
+        self.cuts: list[Cut] = []
+        self.faults = NetworkFaults()
+        self.messages = 0
+
+    def delay(self, source: Place, destination: Place) -> Seconds:
+        """Draw the time that a message takes."""
+        base = LOCAL_DELAY if source.zone == destination.zone else self._zone_delay
+        extra = self._random.random() * self.faults.extra_delay if self.faults.extra_delay else 0.0
+        return base + self._random.random() * JITTER + extra
+
+    def send(
+        self,
+        source: Place,
+        destination: Place,
+        deliver: Callable[[], None],
+        reliable: bool = False,
+    ) -> bool:
+        """Send a message; return whether it was sent on.
+
+        Parameters
+        ----------
+        reliable
+            Part of a connection, so neither lost nor duplicated by itself; cuts apply.
+        """
+        self.messages += 1
+        if source.machine == destination.machine:
+            self._kernel.after(0.0, deliver)
+            return True
+        for cut in self.cuts:
+            if cut.applies(source.machine, destination.machine):
+                if cut.holds:
+                    cut.held.append(deliver)
+                return False
+        if not reliable and self.faults.loss and self._random.random() < self.faults.loss:
+            return False
+        self._kernel.after(self.delay(source, destination), deliver)
+        duplication = 0.0 if reliable else self.faults.duplication
+        if duplication and self._random.random() < duplication:
+            self._kernel.after(self.delay(source, destination) * 3, deliver)
+        return True
+
+    def is_cut(self, source: str, destination: str) -> bool:
+        """Whether messages from one machine to another are cut now."""
+        return any(cut.applies(source, destination) for cut in self.cuts)
+
+    def heal(self, cut: Cut) -> None:
+        """End a cut and deliver what it holds."""
+        if cut not in self.cuts:
+            return
+        self.cuts.remove(cut)
+        for deliver in cut.held:
+            self._kernel.after(self._random.random() * 0.01, deliver)
+        cut.held.clear()
--- /dev/null
+++ b/src/limedeck_lab/simulation/world.py
@@ -0,0 +1,343 @@
+"""A whole simulated deployment and one run of it."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from limedeck.api.peer_pb2 import ConfigObject, ConfigUpdate
+from limedeck.config.changes import apply_config
+from limedeck.config.objects import ObjectKey, object_key
+from limedeck.config.replica import ConfigReplica
+from limedeck.config.store import ConfigState
+from limedeck.control.events import ConfigReceived, ControlEvent
+from limedeck.control.timing import ControlLimits, ControlTiming
+from limedeck.errors import InvariantViolation
+from limedeck.identity import GroupId, NodeId, Seconds
+from limedeck.measures import highest_over_mean
+from limedeck.routing.outcomes import Outcome
+from limedeck_lab.simulation.backends import BackendSize, SimulatedBackend
+from limedeck_lab.simulation.callers import SimulatedCallers
+from limedeck_lab.simulation.faults import QUIET_START, FaultSchedule
+from limedeck_lab.simulation.kernel import DriftingClock, Kernel
+from limedeck_lab.simulation.monitor import HistoryLine, Monitor, RunViolated
+from limedeck_lab.simulation.network import Network, Place
+from limedeck_lab.simulation.nodes import NodeSurroundings, SimulatedNode
+from limedeck_lab.simulation.platform import SimulatedPlatform
+from limedeck_lab.simulation.processes import SimulatedProcess
+from limedeck_lab.simulation.sabotage import applied, rules_under
+from limedeck_lab.site import Site
+
+QUEUE_LIMIT = 64
+FIRST_PORT = 20_000
+CALLERS_STOP_BEFORE_END: Seconds = 20.0
+"""Callers stop so long before the end, so that each request has its outcome."""
+SERVED_BEFORE_END: Seconds = 5.0
+
+
+@dataclass(frozen=True)
+class RunPlan:
+    """What to simulate.
+
+    Parameters
+    ----------
+    seconds
+        Simulated time.
+    faults
+        Names of the faults to draw from.
+    fault_interval
+        Mean seconds between two faults.
+    request_rate
+        Callers' requests a second.
+    sabotage
+        Rule of the product to break; empty for none.
+    """
+
+    site: Site
+    seed: int
+    seconds: Seconds
+    faults: Sequence[str] = ()
+    fault_interval: Seconds = 8.0
+    request_rate: float = 20.0
+    sabotage: str = ""
+    timing: ControlTiming = field(default_factory=ControlTiming)
+    limits: ControlLimits = field(default_factory=ControlLimits)
+
+
+@dataclass
+class RunReport:
+    """What a run showed."""
+
+    plan: RunPlan
+    violations: list[str]
+    history: list[HistoryLine]
+    requests: dict[str, int]
+    reasons: dict[str, int]
+    imbalance: dict[str, float]
+    churn: dict[str, float]
+    unavailable: dict[str, object]
+    events: int
+    wall_seconds: float
+    messages: int
+
+    def to_dict(self) -> dict[str, object]:
+        """The report as one JSON record."""
+        return {
+            "site": self.plan.site.name,
+            "seed": self.plan.seed,
+            "simulated_seconds": self.plan.seconds,
+            "faults": list(self.plan.faults),
+            "sabotage": self.plan.sabotage,
+            "violations": self.violations,
+            "requests": self.requests,
+            "reasons": self.reasons,
+            "imbalance": self.imbalance,
+            "churn": self.churn,
+            "unavailable_seconds": self.unavailable,
+            "events_per_second": round(self.events / max(self.wall_seconds, 1e-9)),
+            "simulated_per_second": round(self.plan.seconds / max(self.wall_seconds, 1e-9), 1),
+        }
+
+
+class World:
+    """All processes of a deployment on simulated time."""
+
+    def __init__(self, plan: RunPlan) -> None:
+        self.plan = plan
+        self.site = plan.site
+        self.kernel = Kernel()
+        self._random = random.Random(f"{plan.site.name}/{plan.seed}")
+        self.network = Network(
+            self.kernel, plan.site.zone_delay_ms / 1000, self._generator("network")
+        )
+        self.platform = SimulatedPlatform(self.kernel, self._generator("platform"), 10.0)
+        self.surroundings = NodeSurroundings(
+            self.kernel, self.network, self.platform, plan.timing, plan.limits
+        )
+        groups = {
+            GroupId(service.name): service.name
+            for service in plan.site.services
+            if service.ownership == "keyed"
+        }
+        self.monitor = Monitor(self.kernel, groups)
+        self.surroundings.observer = self.monitor
+        self.surroundings.config_source = self._config_above
+        self.surroundings.remembers_promises = plan.sabotage == "forgotten-promise"
+        self._config = ConfigReplica()
+        self.nodes = self._build_nodes()
+        self.backends = self._build_backends()
+        self.monitor.nodes = self.nodes
+        self.monitor.backends = self.backends
+        self.callers = SimulatedCallers(
+            self.kernel,
+            self.network,
+            plan.site,
+            self.nodes,
+            {item.place.machine: item for item in self.backends},
+            plan.request_rate,
+            self._generator("callers"),
+        )
+
+    # ------------------------------------------------------------------ building
+
+    def _generator(self, name: str) -> random.Random:
+        return random.Random(f"{self.plan.site.name}/{self.plan.seed}/{name}")
+
+    def _clock(self) -> DriftingClock:
+        drift = self.plan.timing.clock_drift
+        rate = 1.0 + self._random.uniform(-drift, drift)
+        return DriftingClock(self.kernel, self._random.uniform(0.0, 1e6), rate)
+
+    def _build_nodes(self) -> list[SimulatedNode]:
+        nodes = []
+        for zone in self.site.zones:
+            for number in range(1, self.site.nodes_per_zone + 1):
+                name = f"{zone}-{number}"
+                place = Place(name, zone)
+                nodes.append(SimulatedNode(self.surroundings, NodeId(name), place, self._clock()))
+        return nodes
+
+    def _build_backends(self) -> list[SimulatedBackend]:
+        services = {item.name: item for item in self.site.services}
+        rules = rules_under(self.plan.sabotage)
+        backends = []
+        for configured in self.site.backend_objects("127.0.0.1", FIRST_PORT):
+            service = services[configured.service]
+            backend = SimulatedBackend(
+                self.kernel,
+                configured,
+                service.ownership == "keyed",
+                BackendSize(service.slots, QUEUE_LIMIT, service.service_ms / 1000),
+                self._clock(),
+                self._generator(configured.backend_id),
+                self.monitor,
+                rules,
+            )
+            backends.append(backend)
+            self.surroundings.backends_by_address[configured.address] = backend
+        return backends
+
+    # ------------------------------------------------------------------ configuration
+
+    def _apply_site_config(self) -> None:
+        configured = [item.configured for item in self.backends]
+        planner = apply_config(self.site.service_objects(), configured, 0)
+        self._commit(list(planner(ConfigState(0, {}))))
+
+    def _commit(self, objects: list[ConfigObject]) -> None:
+        revision = self._config.revision + 1
+        for item in objects:
+            item.revision = revision
+        update = ConfigUpdate(
+            revision=revision, previous_revision=self._config.revision, objects=objects
+        )
+        self._config.apply(update)
+        for node in self.nodes:
+            if node.is_running:
+                node.receive_config(ConfigReceived(update))
+                break
+
+    def _config_above(self, revision: int) -> ControlEvent | None:
+        if self._config.revision <= revision:
+            return None
+        return ConfigReceived(self._config.whole())
+
+    def set_draining(self, backend_id: str, draining: bool) -> None:
+        """Change a back end's configuration, as operators do."""
+        held = self._config.objects.get(ObjectKey("backend", backend_id))
+        if held is None or self.platform.faults.down:
+            return
+        changed = ConfigObject()
+        changed.CopyFrom(held)
+        changed.backend.draining = draining
+        assert object_key(changed).name == backend_id
+        self._commit([changed])
+
+    # ------------------------------------------------------------------ processes
+
+    def processes(self) -> Iterable[SimulatedProcess]:
+        """Every process."""
+        return (*self.nodes, *self.backends)
+
+    def leader(self) -> SimulatedNode | None:
+        """A node that leads a group now."""
+        for node in self.nodes:
+            if not node.is_running:
+                continue
+            now = node.clock.read()
+            if any(core.may_grant(now) for core in node.core.groups.values()):
+                return node
+        return None
+
+    def start_process(self, process: SimulatedProcess) -> None:
+        """Start a process and put a node's machine on the platform's list."""
+        if isinstance(process, SimulatedNode):
+            self.platform.list_machine(process.node_id, process.address)
+        process.start()
+
+    def unlist_when_gone(self, process: SimulatedProcess) -> None:
+        """Have the platform's list drop a lost node's machine after its lag."""
+        if isinstance(process, SimulatedNode):
+            self.platform.unlist_later(process.node_id, lambda: not process.is_up)
+
+    # ------------------------------------------------------------------ running
+
+    def run(self) -> RunReport:
+        """Run as planned; stop at the first violation."""
+        started = time.perf_counter()
+        with applied(self.plan.sabotage):
+            try:
+                self._run()
+            except RunViolated:
+                pass
+            except InvariantViolation as error:
+                self._take_violation(error)
+        return self._report(time.perf_counter() - started)
+
+    def _take_violation(self, error: InvariantViolation) -> None:
+        try:
+            self.monitor.take_product_violation(error, "product")
+        except RunViolated:
+            return
+
+    def _run(self) -> None:
+        end = self.plan.seconds
+        for process in self.processes():
+            delay = self._random.uniform(0.0, 1.0)
+            self.kernel.after(delay, lambda process=process: self.start_process(process))  # type: ignore[misc]
+        self.kernel.after(2.0, self._apply_site_config)
+        self.kernel.after(2.0, self.monitor.observe)
+        self.kernel.after(QUIET_START / 2, self.callers.begin)
+        FaultSchedule(
+            self, self.plan.faults, self.plan.fault_interval, end, self._generator("faults")
+        ).begin()
+        self.kernel.after(end - CALLERS_STOP_BEFORE_END, self._stop_callers)
+        self.kernel.run_until(end)
+        self._check_end()
+
+    def _stop_callers(self) -> None:
+        self.callers.stopped = True
+
+    def _check_end(self) -> None:
+        """After the faults are over: all keys served, and no false promise to any caller."""
+        for group, watch in self.monitor.groups.items():
+            for part, since in watch.unavailable.open_since.items():
+                if self.kernel.now - since > SERVED_BEFORE_END:
+                    detail = f"{group} {part[0]:#x} since {since:.1f} s"
+                    self.monitor.violate("served-again", detail, "end of run")
+            if not watch.was_assigned:
+                self.monitor.violate("served-again", f"{group} was never served", "end of run")
+        ran: dict[str, int] = {}
+        for backend in self.backends:
+            for request_id, count in backend.executions.items():
+                ran[request_id] = ran.get(request_id, 0) + count
+        for record in self.callers.records.values():
+            self._check_record(record.request_id, record.outcome, ran)
+
+    def _check_record(self, request_id: str, outcome: Outcome | None, ran: dict[str, int]) -> None:
+        count = ran.get(request_id, 0)
+        record = self.callers.records[request_id]
+        unrepeatable = self.callers.is_unrepeatable(record)
+        if outcome is None:
+            self.monitor.violate("every-request-ends", request_id, "end of run")
+        if outcome is Outcome.NOT_RUN and count > 0:
+            self.monitor.violate("not-run-means-not-run", request_id, record.reason)
+        if outcome is Outcome.WHOLE and unrepeatable and count != 1:
+            self.monitor.violate("whole-means-run-once", f"{request_id}: {count}", "end of run")
+        if unrepeatable and count > 1:
+            self.monitor.violate("unrepeatable-runs-once", request_id, "end of run")
+
+    def _report(self, wall_seconds: float) -> RunReport:
+        watches = self.monitor.groups
+        totals = {group: watch.unavailable.total for group, watch in watches.items()}
+        worst = {group: watch.unavailable.worst() for group, watch in watches.items()}
+        counts = self.callers.counts
+        return RunReport(
+            plan=self.plan,
+            violations=self.monitor.violations,
+            history=list(self.monitor.history),
+            requests={
+                "sent": counts.sent,
+                "whole": counts.whole,
+                "not_run": counts.not_run,
+                "unknown": counts.unknown,
+                "wrong": 0,
+                "duplicated": sum("runs-once" in item for item in self.monitor.violations),
+            },
+            reasons=dict(counts.reasons),
+            imbalance={
+                "load": highest_over_mean(self.monitor.load_by_backend.values()),
+                "share": max((self.monitor.share_imbalance(group) for group in watches), default=1),
+            },
+            churn={group: watch.churn for group, watch in watches.items()},
+            unavailable={
+                "worst": max(worst.values(), default=0.0),
+                "total": sum(totals.values()),
+                "by_fault": dict(sorted(self.monitor.worst_by_fault.items())),
+            },
+            events=self.kernel.events,
+            wall_seconds=wall_seconds,
+            messages=self.network.messages,
+        )
--- a/src/limedeck_lab/standins/backend.py
+++ b/src/limedeck_lab/standins/backend.py
@@ -88,7 +88,7 @@
     in_flight: dict[int, Work] = field(default_factory=dict)
     executions: Counter[str] = field(default_factory=Counter)
     _owned: RangeLookup = field(default_factory=lambda: RangeLookup([]))
-    _owned_version: tuple[int, int] = (0, 0)
+    owned_version: tuple[int, int] = (0, 0)
     _settled_version: tuple[int, int] = (0, 0)
     _work_count: int = 0
     _rates: dict[int, float] = field(default_factory=dict)
@@ -105,7 +105,7 @@
             clock=now,
             accepted=accepted,
             highest_fence=_fence(self.highest_fence),
-            owned_version=_fence(self._owned_version),
+            owned_version=_fence(self.owned_version),
             settled_version=_fence(self._settled_version),
             in_flight=len(self.in_flight),
             draining=self.draining,
@@ -124,7 +124,7 @@
         version = (request.owned_version.term, request.owned_version.sequence)
         if request.HasField("owned"):
             self._take_ranges(request.owned, version)
-        elif version != self._owned_version:
+        elif version != self.owned_version:
             return False
         self.held_until = request.until
         if not self.rules.holds_until_clock:
@@ -133,12 +133,12 @@
 
     def _take_ranges(self, owned: RangeSet, version: tuple[int, int]) -> None:
         self._owned = RangeLookup((item.start, item.end or KEY_LINE_END) for item in owned.ranges)
-        self._owned_version = version
+        self.owned_version = version
 
     def _settle(self) -> None:
         working = [work.position for work in self.in_flight.values() if work.position is not None]
         if all(position in self._owned for position in working):
-            self._settled_version = self._owned_version
+            self._settled_version = self.owned_version
 
     def owns(self, position: int, now: Seconds) -> bool:
         """Whether it may serve a key now."""
