--- a/src/limedeck/control/balancing.py
+++ b/src/limedeck/control/balancing.py
@@ -16,6 +16,7 @@
     plan_merges,
     plan_rebalance,
     plan_splits,
+    slice_weights,
 )
 from limedeck.keyspace.slices import NO_OWNER, SliceMap
 
@@ -84,20 +85,19 @@
     """Plan moves away from lost and leaving back ends first, then towards balance."""
     if not view.receivers:
         return NextMoves()
-    loads = _measured_loads(view)
-    urgent = _plan_lost(view, loads, now)
+    urgent = _plan_lost(view, now)
     if urgent:
         return NextMoves(urgent)
     room = limits.concurrent_moves - len(view.moves)
     if room <= 0:
         return NextMoves()
     if view.leaving:
-        return NextMoves(_plan_leaving(view, loads, room, now))
+        return NextMoves(_plan_leaving(view, room, now))
     if now < budget.next_look_at:
         return NextMoves()
     budget.next_look_at = now + timing.rebalance_interval
     budget.refill(limits, now)
-    return _plan_balance(view, loads, budget, room, now)
+    return _plan_balance(view, budget, room, now)
 
 
 def _measured_loads(view: BalanceView) -> dict[int, float]:
@@ -109,10 +109,11 @@
     return loads
 
 
-def _plan_lost(view: BalanceView, loads: dict[int, float], now: Seconds) -> list[MoveProgress]:
+def _plan_lost(view: BalanceView, now: Seconds) -> list[MoveProgress]:
     has_unowned = view.slices.slice_count(NO_OWNER) > 0
     if not view.lost and not has_unowned:
         return []
+    loads = _measured_loads(view)
     planned = plan_evacuation(view.slices, loads, view.lost, view.receivers)
     begun = []
     for move in planned:
@@ -122,30 +123,29 @@
     return begun
 
 
-def _plan_leaving(
-    view: BalanceView, loads: dict[int, float], room: int, now: Seconds
-) -> list[MoveProgress]:
+def _plan_leaving(view: BalanceView, room: int, now: Seconds) -> list[MoveProgress]:
+    loads = _measured_loads(view)
     planned = plan_evacuation(view.slices, loads, view.leaving, view.receivers)
     fresh = [move for move in planned if move.start not in view.moves]
     return [_progress(move, MovePhase.WARMING, now) for move in fresh[:room]]
 
 
-def _plan_balance(
-    view: BalanceView, loads: dict[int, float], budget: MoveBudget, room: int, now: Seconds
-) -> NextMoves:
+def _plan_balance(view: BalanceView, budget: MoveBudget, room: int, now: Seconds) -> NextMoves:
     if len(view.moves) > 0:
         return NextMoves()
+    loads = _measured_loads(view)
     count = len(view.receivers)
-    splits = plan_splits(view.slices, loads, count, SPLITS_AT_ONCE)
+    weights = slice_weights(view.slices, loads, count)
+    splits = plan_splits(view.slices, loads, weights, count, SPLITS_AT_ONCE)
     if splits.upserts:
         return NextMoves(reshape=splits)
     allowed = min(room, int(budget.tokens))
-    planned = plan_rebalance(view.slices, loads, view.receivers, allowed)
+    planned = plan_rebalance(view.slices, weights, view.receivers, allowed)
     if planned:
         budget.tokens -= len(planned)
         return NextMoves([_progress(move, MovePhase.WARMING, now) for move in planned])
     return NextMoves(
-        reshape=plan_merges(view.slices, loads, count, view.minimum_slices, MERGES_AT_ONCE)
+        reshape=plan_merges(view.slices, weights, count, view.minimum_slices, MERGES_AT_ONCE)
     )
 
 
--- a/src/limedeck/control/consensus.py
+++ b/src/limedeck/control/consensus.py
@@ -131,6 +131,8 @@
         self._log = ReplicatedLog()
         self._base_slices = SliceMap()
         self._base_voters: tuple[Voter, ...] = ()
+        self._voters: tuple[Voter, ...] = ()
+        self._snapshot = GroupSnapshot()
         self._voted_for: Voter | None = None
         self._votes: set[Voter] = set()
         self._promised_until: Seconds = NEVER
@@ -144,10 +146,14 @@
     @property
     def voters(self) -> tuple[Voter, ...]:
         """The voter set in force: the latest in the log, committed or not."""
+        return self._voters
+
+    def _refresh_voters(self) -> None:
         for entry in reversed(self._log.entries_after_base()):
             if entry.WhichOneof("body") == "voters":
-                return tuple(Voter.from_message(voter) for voter in entry.voters.voters)
-        return self._base_voters
+                self._voters = _voters_of(entry.voters)
+                return
+        self._voters = self._base_voters
 
     @property
     def last_index(self) -> int:
@@ -183,13 +189,15 @@
         return self.is_leader and now < self.leadership_lease_end()
 
     def snapshot(self) -> GroupSnapshot:
-        """Write the committed state."""
-        return GroupSnapshot(
-            last_index=self.commit_index,
-            last_term=self._log.term_at(self.commit_index) or 0,
-            voters=voter_set(self.committed_voters),
-            assignment=self.slices.to_change(),
-        )
+        """Return the committed state, written once for each commit."""
+        if self._snapshot.last_index != self.commit_index:
+            self._snapshot = GroupSnapshot(
+                last_index=self.commit_index,
+                last_term=self._log.term_at(self.commit_index) or 0,
+                voters=voter_set(self.committed_voters),
+                assignment=self.slices.to_change(),
+            )
+        return self._snapshot
 
     # ------------------------------------------------------------------ events
 
@@ -421,6 +429,7 @@
         entry.index = self._log.last_index + 1
         entry.term = self.term
         self._log.append(entry)
+        self._refresh_voters()
         self._send_appends(now, only_due=False)
         self._advance_commit()
         return entry.index
@@ -499,6 +508,8 @@
             if held_term is not None:
                 self._truncate_from(entry.index)
             self._log.append(entry)
+        if request.entries:
+            self._refresh_voters()
         return True
 
     def _truncate_from(self, index: int) -> None:
@@ -581,8 +592,10 @@
 
     def _install(self, snapshot: GroupSnapshot) -> None:
         self._log = ReplicatedLog(snapshot.last_index, snapshot.last_term)
+        self._snapshot = GroupSnapshot()
         self._base_slices = slice_map_from(snapshot.assignment)
         self._base_voters = _voters_of(snapshot.voters)
+        self._refresh_voters()
         self.slices = self._base_slices.copy()
         self.committed_voters = self._base_voters
         self.commit_index = snapshot.last_index
--- a/src/limedeck/control/group.py
+++ b/src/limedeck/control/group.py
@@ -153,12 +153,13 @@
         self.record: GroupRecord | None = None
         self.record_revision = 0
         self.record_known = False
+        self._record_contents: tuple[int, int, tuple[Voter, ...]] | None = None
         self._record_busy = False
         self._pending_record: GroupRecord | None = None
         self._next_record_access: Seconds = NEVER
         self._grants_held_until: Seconds = NEVER
         self._commands: list[GroupCommand] = []
-        self._slices_by_owner: dict[BackendId, list[Slice]] = {}
+        self._slices_by_owner: dict[BackendId, tuple[Slice, ...]] = {}
         self._slices_by_owner_index = 0
 
     # ------------------------------------------------------------------ reading
@@ -387,22 +388,23 @@
         withheld = duties.moves.withheld_starts()
         granting = self.may_grant(now)
         for lease in due:
-            owned = self._grantable(lease.backend_id, withheld) if granting else []
+            owned = self._grantable(lease.backend_id, withheld) if granting else ()
             warm = self._warm_slices(duties, lease.backend_id)
             self._commands.append(duties.leases.start_exchange(lease, owned, warm, now))
 
-    def _grantable(self, backend_id: BackendId, withheld: set[int]) -> list[Slice]:
+    def _grantable(self, backend_id: BackendId, withheld: set[int]) -> tuple[Slice, ...]:
         if self._slices_by_owner_index != self.consensus.commit_index:
             self._index_slices_by_owner()
-        slices = self._slices_by_owner.get(backend_id, [])
+        slices = self._slices_by_owner.get(backend_id, ())
         if not withheld:
             return slices
-        return [item for item in slices if item.start not in withheld]
+        return tuple(item for item in slices if item.start not in withheld)
 
     def _index_slices_by_owner(self) -> None:
-        self._slices_by_owner = {}
+        lists: dict[BackendId, list[Slice]] = {}
         for item in self.consensus.slices:
-            self._slices_by_owner.setdefault(item.owner, []).append(item)
+            lists.setdefault(item.owner, []).append(item)
+        self._slices_by_owner = {owner: tuple(items) for owner, items in lists.items()}
         self._slices_by_owner_index = self.consensus.commit_index
 
     def _warm_slices(self, duties: LeaderDuties, backend_id: BackendId) -> list[Slice]:
@@ -471,9 +473,11 @@
             return
         if self.record is not None and self.record.epoch > self.epoch:
             return
-        record = self._wanted_record(duties)
-        if record != self.record:
-            self._write_record(record, now)
+        change = duties.voter_change
+        announced = change.voters if change is not None else ()
+        wanted = (self.epoch, self.consensus.commit_index, announced)
+        if wanted != self._record_contents:
+            self._write_record(self._wanted_record(duties), now)
 
     def _wanted_record(self, duties: LeaderDuties) -> GroupRecord:
         record = GroupRecord(
@@ -511,13 +515,16 @@
         """Take note of what the table holds; an answer lost earlier is settled here."""
         self.record = record
         self.record_revision = revision
+        self._record_contents = None
         if record is None:
             return
+        next_voters = record_voters(record.next_voters)
+        self._record_contents = (record.epoch, record.snapshot.last_index, next_voters)
         if record.epoch > self.epoch:
             self._enter_epoch(record, now)
             return
         change = self.duties.voter_change if self.duties else None
-        if change is not None and record_voters(record.next_voters) == change.voters:
+        if change is not None and next_voters == change.voters:
             change.announced = True
             self._next_record_access = now
 
@@ -540,20 +547,35 @@
     def _consider_founding(self, now: Seconds) -> None:
         if self._record_busy or now < self._next_record_access or self.view.leaving:
             return
-        if not self._is_responsible() or not self.view.backends:
+        if not self.view.backends or self._hears_leader():
             return
         if not self.record_known:
-            self._read_record(now)
-        elif self.record is None or may_start_next_epoch(
-            self.record, self.view.evidence, self.identity
-        ):
+            if self._may_be_founder():
+                self._read_record(now)
+        elif self._is_founder() and self._may_found():
             own = self.consensus.snapshot()
             self._write_record(next_epoch_record(self.record, own, self.identity), now)
 
-    def _is_responsible(self) -> bool:
+    def _hears_leader(self) -> bool:
+        consensus = self.consensus
+        return consensus.leader is not None and not consensus.is_leader
+
+    def _may_found(self) -> bool:
+        if self.record is None:
+            return True
+        return may_start_next_epoch(self.record, self.view.evidence, self.identity)
+
+    def _may_be_founder(self) -> bool:
+        """Whether to look at the record: as a voter, or as the first in line of all nodes."""
+        return self.identity in self.consensus.voters or self._is_first_of(self.view.nodes)
+
+    def _is_founder(self) -> bool:
         """Whether this node is the one to start the group: a voter that is left, if there is."""
         voters = record_voters(self.record.voters) if self.record else ()
-        nodes = [node for node in self.view.nodes if node in voters] or self.view.nodes
+        left = [node for node in self.view.nodes if node in voters]
+        return self._is_first_of(left or self.view.nodes)
+
+    def _is_first_of(self, nodes: Sequence[Voter]) -> bool:
         if not nodes:
             return False
         best = max(nodes, key=lambda node: rendezvous_weight(node.node_id, self.group))
--- a/src/limedeck/control/leases.py
+++ b/src/limedeck/control/leases.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from limedeck.api.backend_pb2 import Fence as FenceMessage
@@ -24,14 +25,6 @@
 UNKNOWN_INCARNATION = Incarnation(0)
 
 
-@dataclass(frozen=True, order=True)
-class OwnedRange:
-    """A half-open range of the key line."""
-
-    start: int
-    end: int
-
-
 @dataclass
 class BackendLease:
     """What a leader knows of one back end.
@@ -45,7 +38,7 @@
     possibly_alive_until
         Leader's clock until which an earlier grant, of any run or leader, may still hold.
     owned
-        The ranges in the latest grant.
+        The slices in the latest grant.
     owned_fence
         Fence of the first grant with these slices; the version of the range set.
     held_fence, settled_fence
@@ -62,7 +55,7 @@
     incarnation: Incarnation = UNKNOWN_INCARNATION
     clock: Seconds = NEVER
     clock_received_at: Seconds = NEVER
-    owned: tuple[OwnedRange, ...] = ()
+    owned: tuple[Slice, ...] = ()
     owned_fence: Fence = NO_FENCE
     held_fence: Fence = NO_FENCE
     settled_fence: Fence = NO_FENCE
@@ -154,7 +147,7 @@
         ]
 
     def start_exchange(
-        self, lease: BackendLease, owned: list[Slice], warm: list[Slice], now: Seconds
+        self, lease: BackendLease, owned: Sequence[Slice], warm: Sequence[Slice], now: Seconds
     ) -> LeaseExchange:
         """Write the next request to a back end: a grant if its clock is known, else a probe."""
         self._sequence += 1
@@ -174,13 +167,13 @@
         self,
         request: LeaseRequest,
         lease: BackendLease,
-        owned: list[Slice],
+        owned: Sequence[Slice],
         fence: Fence,
         now: Seconds,
     ) -> None:
-        ranges = tuple(OwnedRange(item.start, item.end) for item in owned)
-        if ranges != lease.owned or lease.owned_fence == NO_FENCE:
-            lease.owned = ranges
+        slices = tuple(owned)
+        if slices != lease.owned or lease.owned_fence == NO_FENCE:
+            lease.owned = slices
             lease.owned_fence = fence
             self._validate_grants(lease, now)
         request.incarnation = lease.incarnation
@@ -232,15 +225,15 @@
 
     def _validate_grants(self, changed: BackendLease, now: Seconds) -> None:
         """Assert that a new grant overlaps no grant that may still hold elsewhere."""
-        wanted = set(changed.owned)
+        wanted = {item.start for item in changed.owned}
         for lease in self.backends.values():
             if lease is changed or not lease.may_hold_grant(now):
                 continue
-            shared = wanted.intersection(lease.owned)
+            shared = wanted.intersection(item.start for item in lease.owned)
             if shared:
                 raise InvariantViolation(
                     "one-grant-per-range",
-                    f"{min(shared)} granted to {changed.backend_id} and {lease.backend_id}",
+                    f"{min(shared):#x} granted to {changed.backend_id} and {lease.backend_id}",
                     str(changed.owned_fence),
                 )
 
@@ -260,6 +253,6 @@
     return KeyRange(start=item.start, end=item.end % KEY_LINE_END)
 
 
-def range_set(version: Fence, owned: list[Slice]) -> RangeSet:
+def range_set(version: Fence, owned: Sequence[Slice]) -> RangeSet:
     """Write the ranges of these slices as one set."""
     return RangeSet(version=fence_message(version), ranges=[key_range(item) for item in owned])
--- a/src/limedeck/identity.py
+++ b/src/limedeck/identity.py
@@ -34,9 +34,12 @@
     sequence: int
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, eq=False)
 class Voter:
-    """A voter of a control group: one run of one node."""
+    """A voter of a control group: one run of one node.
+
+    Two are the same voter if they are the same run of the same node, wherever that is reached.
+    """
 
     node_id: NodeId
     incarnation: Incarnation
@@ -44,6 +47,14 @@
     zone: str
     operator_address: str = ""
 
+    def __eq__(self, other: object) -> bool:
+        if not isinstance(other, Voter):
+            return NotImplemented
+        return self.incarnation == other.incarnation and self.node_id == other.node_id
+
+    def __hash__(self) -> int:
+        return hash((self.node_id, self.incarnation))
+
     @classmethod
     def from_message(cls, message: NodeIdentity) -> Voter:
         """Read the voter from its message form."""
--- a/src/limedeck/keyspace/planning.py
+++ b/src/limedeck/keyspace/planning.py
@@ -13,10 +13,15 @@
 
 UNIFORM_LOAD_WEIGHT = 0.05
 """Part of a slice's weight that comes from its width, so that idle slices still count."""
+EVEN_RATE_PER_BACKEND = 10.0
+"""Requests a second for each back end that weights assume to be spread evenly: below this, what
+is measured is mostly chance."""
 BALANCE_TOLERANCE = 1.1
 """Highest over mean weight that the rebalancer leaves alone."""
 SPLIT_SHARE_OF_MEAN = 0.25
 """A slice heavier than this part of the mean back end's weight is split."""
+SPLIT_RATE = 10.0
+"""A slice with fewer requests a second is not split: the measurement would be noise."""
 MERGE_SHARE_OF_MEAN = 0.002
 """Two neighbours of one owner lighter than this together are merged."""
 MINIMUM_SPLIT_WIDTH = 2
@@ -46,8 +51,10 @@
     return change_of((start, backends[index % len(backends)]) for index, start in enumerate(starts))
 
 
-def slice_weights(slices: SliceMap, loads: Mapping[int, float]) -> dict[int, float]:
-    """Weight of each slice, by its start: measured load plus a little for its width.
+def slice_weights(
+    slices: SliceMap, loads: Mapping[int, float], backend_count: int
+) -> dict[int, float]:
+    """Weight of each slice, by its start: measured load plus a part for its width.
 
     Parameters
     ----------
@@ -56,8 +63,8 @@
     loads
         Requests per second by slice start; a missing slice counts as idle.
     """
-    total_load = sum(loads.values())
-    width_weight = UNIFORM_LOAD_WEIGHT * total_load if total_load > 0 else 1.0
+    even_rate = EVEN_RATE_PER_BACKEND * backend_count
+    width_weight = max(UNIFORM_LOAD_WEIGHT * sum(loads.values()), even_rate)
     return {item.start: loads.get(item.start, 0.0) + item.share * width_weight for item in slices}
 
 
@@ -81,7 +88,7 @@
     """Give every slice of `leaving` owners, and every unowned one, to the lightest receiver."""
     if not receivers:
         return []
-    weights = slice_weights(slices, loads)
+    weights = slice_weights(slices, loads, len(receivers))
     totals = backend_weights(slices, weights, receivers)
     queue = [(weight, backend) for backend, weight in totals.items()]
     heapq.heapify(queue)
@@ -97,7 +104,7 @@
 
 def plan_rebalance(
     slices: SliceMap,
-    loads: Mapping[int, float],
+    weights: Mapping[int, float],
     backends: Sequence[BackendId],
     budget: int,
 ) -> list[Move]:
@@ -105,19 +112,20 @@
 
     Parameters
     ----------
-    slices, loads
-        The slice map and requests per second by slice start.
+    slices, weights
+        The slice map and the weight of each slice by its start.
     backends
         Back ends that may own slices.
     budget
         Greatest number of moves to plan.
     """
-    weights = slice_weights(slices, loads)
     totals = backend_weights(slices, weights, backends)
     if len(totals) < 2:
         return []
-    owned = {backend: slices.slices_of(backend) for backend in backends}
     mean = sum(totals.values()) / len(totals)
+    if max(totals.values()) <= mean * BALANCE_TOLERANCE:
+        return []
+    owned = {backend: slices.slices_of(backend) for backend in backends}
     moves: list[Move] = []
     while len(moves) < budget:
         move = _best_move(totals, owned, weights, mean)
@@ -152,15 +160,19 @@
 
 
 def plan_splits(
-    slices: SliceMap, loads: Mapping[int, float], backend_count: int, budget: int
+    slices: SliceMap,
+    loads: Mapping[int, float],
+    weights: Mapping[int, float],
+    backend_count: int,
+    budget: int,
 ) -> AssignmentChange:
     """Halve the slices that are too heavy to be balanced whole; owners stay as they are."""
-    weights = slice_weights(slices, loads)
     mean = sum(weights.values()) / max(backend_count, 1)
     heavy = [
         item
         for item in slices
         if weights[item.start] > mean * SPLIT_SHARE_OF_MEAN
+        and loads.get(item.start, 0.0) >= SPLIT_RATE
         and item.end - item.start >= MINIMUM_SPLIT_WIDTH
     ]
     heavy.sort(key=lambda item: (-weights[item.start], item.start))
@@ -169,15 +181,16 @@
 
 def plan_merges(
     slices: SliceMap,
-    loads: Mapping[int, float],
+    weights: Mapping[int, float],
     backend_count: int,
     minimum_slices: int,
     budget: int,
 ) -> AssignmentChange:
     """Merge light neighbours of one owner, keeping at least `minimum_slices` slices."""
-    weights = slice_weights(slices, loads)
-    mean = sum(weights.values()) / max(backend_count, 1)
     room = min(budget, len(slices) - minimum_slices)
+    if room <= 0:
+        return AssignmentChange()
+    mean = sum(weights.values()) / max(backend_count, 1)
     removed: list[int] = []
     previous: Slice | None = None
     for item in slices:
--- a/src/limedeck/keyspace/slices.py
+++ b/src/limedeck/keyspace/slices.py
@@ -52,9 +52,9 @@
         return len(self._owners)
 
     def __iter__(self) -> Iterator[Slice]:
-        keys = self._owners.keys()
-        for index, (start, owner) in enumerate(self._owners.items()):
-            end = keys[index + 1] if index + 1 < len(keys) else KEY_LINE_END
+        starts = list(self._owners.keys())
+        ends = [*starts[1:], KEY_LINE_END]
+        for start, end, owner in zip(starts, ends, self._owners.values(), strict=bool(starts)):
             yield Slice(start, end, owner)
 
     def __eq__(self, other: object) -> bool:
@@ -172,6 +172,7 @@
 
     def __init__(self, ranges: Iterable[tuple[int, int]]) -> None:
         ordered = sorted(ranges)
+        self._ranges = ordered
         self._starts = [start for start, _ in ordered]
         self._ends = [end for _, end in ordered]
 
@@ -185,4 +186,4 @@
 
     def ranges(self) -> list[tuple[int, int]]:
         """The ranges, in the order of the line."""
-        return list(zip(self._starts, self._ends, strict=True))
+        return self._ranges
--- a/src/limedeck_lab/simulation/backends.py
+++ b/src/limedeck_lab/simulation/backends.py
@@ -118,6 +118,17 @@
         """Ranges that this run may serve by its own clock, frozen or not."""
         return self.core.owned_ranges(self.clock.read()) if self.is_up else []
 
+    def is_serving(self) -> bool:
+        """Whether it runs and its lease holds."""
+        return self.is_running and self.clock.read() < self.core.held_until
+
+    def serving_key(self) -> tuple[tuple[int, int], int, bool]:
+        """Equal for as long as it serves the same ranges."""
+        run = self.run_number
+        return (
+            (self.core.owned_version, run, self.is_serving()) if self.is_up else ((0, 0), 0, False)
+        )
+
     # ------------------------------------------------------------------ work
 
     def handle_work(self, work: Work, answer: Callable[[Answer], None]) -> None:
--- a/src/limedeck_lab/simulation/world.py
+++ b/src/limedeck_lab/simulation/world.py
@@ -129,7 +129,7 @@
         self.nodes = self._build_nodes()
         self.backends = self._build_backends()
         self.monitor.nodes = self.nodes
-        self.monitor.backends = self.backends
+        self.monitor.watch_backends(self.backends)
         self.callers = SimulatedCallers(
             self.kernel,
             self.network,
@@ -221,6 +221,10 @@
         """Every process."""
         return (*self.nodes, *self.backends)
 
+    def seconds_left(self) -> Seconds:
+        """Simulated time until the end of the run."""
+        return self.plan.seconds - self.kernel.now
+
     def leader(self) -> SimulatedNode | None:
         """A node that leads a group now."""
         for node in self.nodes:
