--- a/src/limedeck/control/consensus.py
+++ b/src/limedeck/control/consensus.py
@@ -188,6 +188,10 @@
         """Whether this node is the leader and its leadership lease holds at `now`."""
         return self.is_leader and now < self.leadership_lease_end()
 
+    def has_heard_leader(self, now: Seconds) -> bool:
+        """Whether another node's append came so lately that this one votes for no other."""
+        return now < self._promised_until
+
     def snapshot(self) -> GroupSnapshot:
         """Return the committed state, written once for each commit."""
         if self._snapshot.last_index != self.commit_index:
--- a/src/limedeck/control/dissemination.py
+++ b/src/limedeck/control/dissemination.py
@@ -17,6 +17,7 @@
 from limedeck.keyspace.hashing import rendezvous_weight
 from limedeck.routing.route_table import RouteTable
 
+NEVER: Seconds = float("-inf")
 RELAY_SEED = "zone-relay"
 
 
@@ -63,13 +64,25 @@
         """Whether this node passes updates on within its zone."""
         return self.identity in self._relays.get(self.identity.zone, ())
 
-    def set_nodes(self, nodes: tuple[Voter, ...]) -> None:
-        """Take up a changed membership."""
-        self._nodes = nodes
-        zones = {node.zone for node in nodes}
-        self._relays = {
-            zone: zone_relays(nodes, zone, self.limits.relays_per_zone) for zone in zones
-        }
+    def set_nodes(self, staying: Sequence[Voter], reachable: Sequence[Voter]) -> None:
+        """Take up a changed membership.
+
+        Parameters
+        ----------
+        staying
+            Nodes that may pass updates on.
+        reachable
+            Nodes that need updates: those, and the ones that still serve before they stop.
+        """
+        if len(reachable) > len(self._nodes):
+            # What a new neighbour has may be newer: a started node asks at once.
+            self._next_sync_at = NEVER
+        self._nodes = tuple(reachable)
+        count = self.limits.relays_per_zone
+        self._relays = {}
+        for zone in {node.zone for node in reachable}:
+            relays = zone_relays(staying, zone, count)
+            self._relays[zone] = relays or [node for node in reachable if node.zone == zone]
 
     # ------------------------------------------------------------------ events
 
@@ -140,7 +153,7 @@
 
     def _sync_partner(self) -> Voter | None:
         partners = self._own_relays()
-        if self.is_relay and self._sync_round % 2 == 0:
+        if not partners or (self.is_relay and self._sync_round % 2 == 0):
             partners = self._other_relays() or partners
         if not partners:
             return None
--- a/src/limedeck/control/group.py
+++ b/src/limedeck/control/group.py
@@ -547,7 +547,7 @@
     def _consider_founding(self, now: Seconds) -> None:
         if self._record_busy or now < self._next_record_access or self.view.leaving:
             return
-        if not self.view.backends or self._hears_leader():
+        if not self.view.backends or self._hears_leader(now):
             return
         if not self.record_known:
             if self._may_be_founder():
@@ -556,9 +556,8 @@
             own = self.consensus.snapshot()
             self._write_record(next_epoch_record(self.record, own, self.identity), now)
 
-    def _hears_leader(self) -> bool:
-        consensus = self.consensus
-        return consensus.leader is not None and not consensus.is_leader
+    def _hears_leader(self, now: Seconds) -> bool:
+        return not self.consensus.is_leader and self.consensus.has_heard_leader(now)
 
     def _may_found(self) -> bool:
         if self.record is None:
--- a/src/limedeck/control/membership.py
+++ b/src/limedeck/control/membership.py
@@ -123,6 +123,14 @@
             member.identity for _, member in sorted(self.members.items()) if member.status in usable
         )
 
+    def reachable_nodes(self) -> tuple[Voter, ...]:
+        """Members that are thought to run, those that are about to stop included."""
+        return tuple(
+            member.identity
+            for _, member in sorted(self.members.items())
+            if member.status != MEMBER_STATUS_DEAD
+        )
+
     def runs(self) -> dict[NodeId, Voter]:
         """Latest known run of every member, dead or alive."""
         return {node_id: member.identity for node_id, member in self.members.items()}
@@ -153,7 +161,7 @@
         self._hear_of(_alive_record(sender), now)
         self._take_in(ping.members, now)
         whole = ping.join or newcomer
-        ack = PingAck(sequence=ping.sequence, members=self._records(whole))
+        ack = PingAck(sequence=ping.sequence, members=self._records_for(sender, whole))
         return [SendPingAck(sender.peer_address, ack)]
 
     def handle_ack(self, sender: Voter, ack: PingAck, now: Seconds) -> None:
@@ -178,7 +186,8 @@
         if target is not None:
             self._pending[self._sequence] = PendingPing(target, now)
         joining = target is None
-        ping = Ping(sequence=self._sequence, members=self._records(False), join=joining)
+        records = self._records_for(target, False)
+        ping = Ping(sequence=self._sequence, members=records, join=joining)
         return SendPing(address, ping)
 
     def _next_target(self) -> Voter | None:
@@ -242,6 +251,14 @@
         count = RETRANSMISSION_FACTOR * math.ceil(math.log2(len(self.members) + 1))
         self._retransmissions[node_id] = count
 
+    def _records_for(self, target: Voter | None, whole: bool) -> list[MemberRecord]:
+        """Records to send to a node; it is always told when it is thought not to run."""
+        records = self._records(whole)
+        held = self.members.get(target.node_id) if target is not None else None
+        if held is not None and held.status != MEMBER_STATUS_ALIVE and not whole:
+            records.append(held.to_message())
+        return records
+
     def _records(self, whole: bool) -> list[MemberRecord]:
         if whole:
             return [member.to_message() for member in self.members.values()]
--- a/src/limedeck/control/node.py
+++ b/src/limedeck/control/node.py
@@ -100,6 +100,12 @@
         self._next_machine_read: Seconds = now
         self._commands: list[ControlCommand] = []
 
+    def can_route(self) -> bool:
+        """Whether this node knows where requests go: a configuration, and owners of its keys."""
+        if self.config.revision == 0:
+            return False
+        return all(self.routes.version(group) > 0 for group in self._views if group in self.groups)
+
     def handle(self, event: ControlEvent, now: Seconds) -> list[ControlCommand]:
         """Handle one event; `now` is read from the clock just before the call."""
         if isinstance(event, PeerMessageReceived):
@@ -193,7 +199,9 @@
         if self.membership.version == self._seen_membership:
             return
         self._seen_membership = self.membership.version
-        self.dissemination.set_nodes(self.membership.live_nodes())
+        self.dissemination.set_nodes(
+            self.membership.live_nodes(), self.membership.reachable_nodes()
+        )
 
     def _read_platform(self, now: Seconds) -> None:
         if not self.dissemination.is_relay and self.config.revision > 0 and self.machines:
--- a/src/limedeck/daemon/backend_client.py
+++ b/src/limedeck/daemon/backend_client.py
@@ -180,7 +180,7 @@
             max_keepalive_connections=None,
             keepalive_expiry=KEEPALIVE_SECONDS,
         )
-        pool = httpx.AsyncClient(limits=limits, trust_env=False)
+        pool = httpx.AsyncClient(limits=limits, trust_env=False, verify=False)
         pool.headers.clear()
         self._pools[address] = pool
         return pool
--- a/src/limedeck/daemon/callers.py
+++ b/src/limedeck/daemon/callers.py
@@ -231,8 +231,8 @@
     async def _run(self, request: CallerRequest) -> Result:
         service = request.target.service.name
         budget = self._budgets.setdefault(service, RetryBudget())
-        budget.note_request()
         now = boot_clock()
+        budget.note_request(now)
         core = RequestCore(
             request.request_id, request.target, request.deadline, self._view, budget, now
         )
--- a/src/limedeck/daemon/control_host.py
+++ b/src/limedeck/daemon/control_host.py
@@ -44,6 +44,8 @@
 LEASE_PATH = "/limedeck/v1/lease"
 PROTOBUF_TYPE = "application/x-protobuf"
 GROUP_PREFIX = "control/group/"
+HEADER_OVERHEAD = 4
+"""Bytes of a header line beyond its name and value."""
 
 SendToPeer = Callable[[str, PeerMessage], None]
 
@@ -81,6 +83,8 @@
         self._lease_client = httpx.AsyncClient(
             timeout=core.timing.exchange_timeout,
             limits=httpx.Limits(max_connections=None, max_keepalive_connections=None),
+            trust_env=False,
+            verify=False,
         )
 
     def set_transport(self, send: SendToPeer) -> None:
@@ -153,6 +157,7 @@
             )
             response.raise_for_status()
             reply = LeaseReply.FromString(response.content)
+            self._count_lease_bytes(response)
         except (httpx.HTTPError, DecodeError) as error:
             self._telemetry.lease_exchanges.labels("failed").inc()
             self._log.debug(
@@ -163,6 +168,13 @@
         self._telemetry.lease_exchanges.labels("accepted" if reply.accepted else "refused").inc()
         self.dispatch(LeaseReplied(group, exchange.backend_id, exchange.fence, reply))
 
+    def _count_lease_bytes(self, response: httpx.Response) -> None:
+        request = response.request
+        sent = _header_bytes(request.headers) + len(request.content)
+        received = _header_bytes(response.headers) + len(response.content)
+        self._telemetry.lease_bytes.labels("sent").inc(sent)
+        self._telemetry.lease_bytes.labels("received").inc(received)
+
     async def _access_record(
         self,
         group: GroupId,
@@ -220,3 +232,7 @@
         if self.store_reachable:
             self._log.warning("store_unreachable", reason=str(error))
         self.store_reachable = False
+
+
+def _header_bytes(headers: httpx.Headers) -> int:
+    return sum(len(name) + len(value) + HEADER_OVERHEAD for name, value in headers.raw)
--- a/src/limedeck/daemon/operators.py
+++ b/src/limedeck/daemon/operators.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any, NoReturn
 
 import anyio
 import grpc
+from google.protobuf.message import DecodeError
 from grpc_health.v1 import health, health_pb2, health_pb2_grpc
 from grpc_reflection.v1alpha import reflection
 
@@ -221,7 +222,7 @@
     def _group_status(self, group: GroupId) -> api.GroupStatus:
         core = self._host.core
         status = api.GroupStatus(group=group, route_version=core.routes.version(group))
-        voters = core.groups[group].consensus.voters
+        voters = core.groups[group].consensus.committed_voters
         status.voter_nodes.extend(sorted(voter.node_id for voter in voters))
         held = core.routes.groups.get(group)
         if held is not None:
@@ -270,12 +271,63 @@
     return grpc.StatusCode.INTERNAL, api.ErrorDetail()
 
 
+class DecodingInterceptor(grpc.aio.ServerInterceptor):
+    """Answers a request that cannot be decoded with INVALID_ARGUMENT and a typed detail."""
+
+    async def intercept_service(
+        self,
+        continuation: Callable[[grpc.HandlerCallDetails], Awaitable[Any]],
+        handler_call_details: grpc.HandlerCallDetails,
+    ) -> Any:
+        """Move the decoding of requests into the handler."""
+        handler = await continuation(handler_call_details)
+        if handler is None or handler.request_deserializer is None:
+            return handler
+        if handler.unary_unary is not None:
+            return grpc.unary_unary_rpc_method_handler(
+                _decoding_unary(handler.unary_unary, handler.request_deserializer),
+                response_serializer=handler.response_serializer,
+            )
+        if handler.unary_stream is not None:
+            return grpc.unary_stream_rpc_method_handler(
+                _decoding_stream(handler.unary_stream, handler.request_deserializer),
+                response_serializer=handler.response_serializer,
+            )
+        return handler
+
+
+def _decoding_unary(behaviour: Callable[..., Any], decode: Callable[[bytes], Any]) -> Any:
+    async def handle(content: bytes, context: Context) -> Any:
+        return await behaviour(await _decode(content, context, decode), context)
+
+    return handle
+
+
+def _decoding_stream(behaviour: Callable[..., Any], decode: Callable[[bytes], Any]) -> Any:
+    async def handle(content: bytes, context: Context) -> AsyncIterator[Any]:
+        async for reply in behaviour(await _decode(content, context, decode), context):
+            yield reply
+
+    return handle
+
+
+async def _decode(content: bytes, context: Context, decode: Callable[[bytes], Any]) -> Any:
+    try:
+        return decode(content)
+    except DecodeError:
+        text = "the request is not a message of this call"
+        detail = api.ErrorDetail(kind=api.ErrorDetail.KIND_INVALID_FIELD, message=text)
+        metadata = ((ERROR_DETAIL_KEY, detail.SerializeToString()),)
+        await context.abort(grpc.StatusCode.INVALID_ARGUMENT, text, metadata)
+
+
 class OperatorServer:
     """The gRPC server with the operators' calls, health and reflection."""
 
     def __init__(self, address: str, service: OperatorService) -> None:
         self._server = grpc.aio.server(
-            options=[("grpc.max_receive_message_length", LARGEST_MESSAGE)]
+            interceptors=[DecodingInterceptor()],
+            options=[("grpc.max_receive_message_length", LARGEST_MESSAGE)],
         )
         operators_pb2_grpc.add_OperatorsServicer_to_server(service, self._server)
         self._health = health.aio.HealthServicer()
--- a/src/limedeck/daemon/server.py
+++ b/src/limedeck/daemon/server.py
@@ -31,6 +31,8 @@
 OPERATOR_GRACE = 2.0
 ADMIN_GRACE = 1.0
 LISTEN_BACKLOG = 512
+ROUTABLE_PATIENCE = 5.0
+"""A started node opens to callers after so long even without a configuration."""
 QUIET_SECONDS = 0.25
 """After the listener is shut, so long for requests on connections taken just before."""
 
@@ -130,11 +132,12 @@
         )
         await operators.start()
         callers_stop = anyio.Event()
-        listener = open_listener(self._settings.node.caller_address)
         admin_stop = anyio.Event()
         async with anyio.create_task_group() as servers:
-            await servers.start(self._serve_callers, gateway, listener, callers_stop)
             servers.start_soon(self._serve_admin, host, admin_stop)
+            await self._wait_until_routable(host)
+            listener = open_listener(self._settings.node.caller_address)
+            await servers.start(self._serve_callers, gateway, listener, callers_stop)
             self._log.info("started", node=self._identity.node_id, zone=self._identity.zone)
             await self._wait_for_stop_signal()
             self._log.info("stopping", node=self._identity.node_id)
@@ -148,6 +151,12 @@
         await client.aclose()
         await host.aclose()
 
+    async def _wait_until_routable(self, host: ControlHost) -> None:
+        """Take no callers before it is known where their requests go, unless that takes long."""
+        with anyio.move_on_after(ROUTABLE_PATIENCE):
+            while not host.core.can_route():
+                await host.wait_for_change(ROUTABLE_PATIENCE)
+
     async def _shut_listener(self, listener: socket.socket) -> None:
         """Take no more connections, and let requests come in on those taken just before.
 
--- a/src/limedeck/daemon/telemetry.py
+++ b/src/limedeck/daemon/telemetry.py
@@ -55,6 +55,12 @@
             ["result"],
             registry=self.registry,
         )
+        self.lease_bytes = Counter(
+            "limedeck_lease_bytes",
+            "Bytes of lease exchanges, HTTP headers included, by direction",
+            ["direction"],
+            registry=self.registry,
+        )
         self.config_revision = Gauge(
             "limedeck_config_revision", "Configuration in force", registry=self.registry
         )
--- a/src/limedeck/measures.py
+++ b/src/limedeck/measures.py
@@ -10,8 +10,8 @@
 
 from __future__ import annotations
 
-import itertools
-from collections.abc import Iterable, Mapping
+from bisect import bisect_right
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from limedeck.identity import Seconds
@@ -82,9 +82,15 @@
     return None
 
 
-@dataclass
+@dataclass(frozen=True)
 class UnservedInterval:
-    """A range of the line that had no owner able to serve it."""
+    """A range of the line that had no owner able to serve it.
+
+    Parameters
+    ----------
+    until
+        When it was served again; not earlier than `since`.
+    """
 
     part: KeyRange
     since: Seconds
@@ -103,54 +109,78 @@
     Parameters
     ----------
     open_since
-        Ranges unserved now, and since when.
+        Ranges unserved now, in the order of the line, and since when.
     total
         Sum of all ended intervals, each weighted by its share of the line, in seconds.
+    worst
+        Longest ended interval, in seconds.
     """
 
     open_since: dict[KeyRange, Seconds] = field(default_factory=dict)
-    ended: list[UnservedInterval] = field(default_factory=list)
     total: Seconds = 0.0
-
-    def observe(self, gaps: Iterable[KeyRange], now: Seconds) -> list[UnservedInterval]:
-        """Take in which ranges are unserved from now on; return the intervals that ended."""
-        wanted = set(gaps)
-        refined: dict[KeyRange, Seconds] = {}
-        for gap in wanted:
-            for part in self._split_by_open(gap):
-                refined[part] = self._since(part, now)
-        finished = [
-            UnservedInterval(part, since, now)
-            for part, since in self.open_since.items()
-            if since < now and not _is_inside(part, wanted)
-        ]
-        for interval in finished:
-            share = (interval.part[1] - interval.part[0]) / KEY_LINE_END
-            self.total += interval.length * share
-        self.ended += finished
-        self.open_since = refined
-        return finished
-
-    def worst(self) -> Seconds:
-        """Longest ended interval."""
-        return max((interval.length for interval in self.ended), default=0.0)
-
-    def _split_by_open(self, gap: KeyRange) -> list[KeyRange]:
-        cuts = {gap[0], gap[1]}
-        for start, end in self.open_since:
-            cuts.update(cut for cut in (start, end) if gap[0] < cut < gap[1])
-        ordered = sorted(cuts)
-        return list(itertools.pairwise(ordered))
-
-    def _since(self, part: KeyRange, now: Seconds) -> Seconds:
-        for (start, end), since in self.open_since.items():
-            if start <= part[0] and part[1] <= end:
-                return since
-        return now
-
-
-def _is_inside(part: KeyRange, gaps: set[KeyRange]) -> bool:
-    return any(start <= part[0] and part[1] <= end for start, end in gaps)
+    worst: Seconds = 0.0
+    _starts: list[int] = field(default_factory=list)
+    _times: list[Seconds] = field(default_factory=list)
+
+    def observe(self, gaps: Sequence[KeyRange], now: Seconds) -> list[UnservedInterval]:
+        """Take in which ranges are unserved from now on; return the intervals that ended.
+
+        Parameters
+        ----------
+        gaps
+            Disjoint ranges in the order of the line, as `uncovered` returns them.
+        """
+        was_open = list(self.open_since)
+        finished = []
+        for part in subtract(was_open, gaps):
+            interval = UnservedInterval(part, self._since(part), now)
+            finished.append(interval)
+            self.total += interval.length * (part[1] - part[0]) / KEY_LINE_END
+            self.worst = max(self.worst, interval.length)
+        still_open = {part: self._since(part) for part in intersect(was_open, gaps)}
+        newly_open = dict.fromkeys(subtract(gaps, was_open), now)
+        self.open_since = dict(sorted({**still_open, **newly_open}.items()))
+        self._starts = [start for start, _ in self.open_since]
+        self._times = list(self.open_since.values())
+        return [interval for interval in finished if interval.length > 0]
+
+    def _since(self, part: KeyRange) -> Seconds:
+        return self._times[bisect_right(self._starts, part[0]) - 1]
+
+
+def intersect(left: Sequence[KeyRange], right: Sequence[KeyRange]) -> list[KeyRange]:
+    """Parts that lie in both of two sequences of disjoint ranges in order."""
+    found = []
+    left_index = right_index = 0
+    while left_index < len(left) and right_index < len(right):
+        start = max(left[left_index][0], right[right_index][0])
+        end = min(left[left_index][1], right[right_index][1])
+        if start < end:
+            found.append((start, end))
+        if left[left_index][1] < right[right_index][1]:
+            left_index += 1
+        else:
+            right_index += 1
+    return found
+
+
+def subtract(left: Sequence[KeyRange], right: Sequence[KeyRange]) -> list[KeyRange]:
+    """Parts of the left that do not lie in the right, both disjoint ranges in order."""
+    found = []
+    right_index = 0
+    for start, end in left:
+        reached = start
+        while right_index < len(right) and right[right_index][1] <= start:
+            right_index += 1
+        index = right_index
+        while index < len(right) and right[index][0] < end:
+            if reached < right[index][0]:
+                found.append((reached, right[index][0]))
+            reached = max(reached, right[index][1])
+            index += 1
+        if reached < end:
+            found.append((reached, end))
+    return found
 
 
 def load_imbalance(loads: Mapping[str, float]) -> float:
--- a/src/limedeck/routing/request.py
+++ b/src/limedeck/routing/request.py
@@ -29,6 +29,8 @@
 RETRY_AFTER: Seconds = 1.0
 RETRY_TOKENS_PER_REQUEST = 0.1
 """Retries are at most this part of requests, beyond a small reserve."""
+RETRY_TOKENS_PER_SECOND = 1.0
+"""So that a service with few requests may retry at all after a burst of failures."""
 RETRY_RESERVE = 10.0
 
 
@@ -87,14 +89,18 @@
 
 
 class RetryBudget:
-    """Token bucket that keeps retries to a part of the requests."""
+    """Token bucket that keeps retries to a part of the requests, and a trickle beside them."""
 
     def __init__(self) -> None:
         self._tokens = RETRY_RESERVE
+        self._refilled_at: Seconds | None = None
 
-    def note_request(self) -> None:
+    def note_request(self, now: Seconds) -> None:
         """A request came in."""
-        self._tokens = min(RETRY_RESERVE, self._tokens + RETRY_TOKENS_PER_REQUEST)
+        elapsed = now - self._refilled_at if self._refilled_at is not None else 0.0
+        self._refilled_at = now
+        earned = RETRY_TOKENS_PER_REQUEST + elapsed * RETRY_TOKENS_PER_SECOND
+        self._tokens = min(RETRY_RESERVE, self._tokens + earned)
 
     @property
     def has_tokens(self) -> bool:
--- a/src/limedeck_lab/cluster.py
+++ b/src/limedeck_lab/cluster.py
@@ -104,12 +104,14 @@
             if item.node_id in node_ids
         ]
         url = f"{self.platform_url}/lab/v1/machines"
-        httpx.put(url, json={"machines": machines}, trust_env=False).raise_for_status()
+        httpx.put(
+            url, json={"machines": machines}, trust_env=False, verify=False
+        ).raise_for_status()
 
     def set_platform_faults(self, **faults: object) -> None:
         """Switch the platform's faults."""
         url = f"{self.platform_url}/lab/v1/faults"
-        httpx.put(url, json=faults, trust_env=False).raise_for_status()
+        _put(url, faults)
 
     def start_backends(self, name: str = "backends") -> ManagedProcess:
         """Start all back ends in one process."""
@@ -212,7 +214,7 @@
         totals: dict[str, int] = {}
         for backend in self.backends:
             url = f"http://{backend.address}/lab/v1/executions"
-            for request_id, count in httpx.get(url, trust_env=False).json().items():
+            for request_id, count in httpx.get(url, trust_env=False, verify=False).json().items():
                 totals[request_id] = totals.get(request_id, 0) + count
         return totals
 
@@ -220,13 +222,17 @@
         """Switch a back end's faults."""
         address = next(item.address for item in self.backends if item.backend_id == backend_id)
         url = f"http://{address}/lab/v1/faults"
-        httpx.put(url, json=faults, trust_env=False).raise_for_status()
+        _put(url, faults)
 
     def end(self) -> None:
         """End all processes."""
         self.processes.end_all()
 
 
+def _put(url: str, content: dict[str, object] | dict[str, list[dict[str, str]]]) -> None:
+    httpx.put(url, json=content, trust_env=False, verify=False).raise_for_status()
+
+
 @contextmanager
 def running_cluster(site: Site, overrides: str = "") -> Iterator[Cluster]:
     """Run a whole system for as long as the context lasts."""
--- a/src/limedeck_lab/load.py
+++ b/src/limedeck_lab/load.py
@@ -5,7 +5,7 @@
 import json
 import random
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
 import anyio
@@ -119,12 +119,14 @@
         while self.result.sent < count:
             await self._progress.wait()
 
-    async def run(self, requests: Sequence[PlannedRequest], rate: float = 0.0) -> LoadResult:
+    async def run(self, requests: Iterable[PlannedRequest], rate: float = 0.0) -> LoadResult:
         """Send all requests; at most `rate` a second unless that is zero."""
         limits = httpx.Limits(max_connections=self._concurrency, keepalive_expiry=CALLER_KEEPALIVE)
         limiter = anyio.CapacityLimiter(self._concurrency)
         async with (
-            httpx.AsyncClient(limits=limits, timeout=CALLER_TIMEOUT, trust_env=False) as client,
+            httpx.AsyncClient(
+                limits=limits, timeout=CALLER_TIMEOUT, trust_env=False, verify=False
+            ) as client,
             anyio.create_task_group() as tasks,
         ):
             for number, request in enumerate(requests):
--- a/src/limedeck_lab/processes.py
+++ b/src/limedeck_lab/processes.py
@@ -72,7 +72,7 @@
 def answers(url: str, status: int = 200) -> bool:
     """Whether a GET is answered with a status."""
     try:
-        return httpx.get(url, timeout=1.0, trust_env=False).status_code == status
+        return httpx.get(url, timeout=1.0, trust_env=False, verify=False).status_code == status
     except httpx.HTTPError:
         return False
 
--- a/src/limedeck_lab/simulation/backends.py
+++ b/src/limedeck_lab/simulation/backends.py
@@ -10,7 +10,7 @@
 
 from limedeck.api.backend_pb2 import LeaseReply, LeaseRequest
 from limedeck.api.peer_pb2 import Backend
-from limedeck.identity import Incarnation, Seconds
+from limedeck.identity import GroupId, Incarnation, Seconds
 from limedeck_lab.simulation.kernel import DriftingClock, Kernel
 from limedeck_lab.simulation.network import Place
 from limedeck_lab.simulation.processes import SimulatedProcess
@@ -68,6 +68,7 @@
         self.executions: Counter[str] = Counter()
         """Of all runs."""
         self.core: HollowBackend
+        self.group = GroupId("")
         self._random = generator
         self._observer = observer
         self._waiting: deque[tuple[int, Callable[[Answer], None]]] = deque()
--- a/src/limedeck_lab/simulation/callers.py
+++ b/src/limedeck_lab/simulation/callers.py
@@ -188,7 +188,7 @@
             return
         self._target = match_request(node.core.config, kind.method, path, "", {})
         budget = node.retry_budgets.setdefault(kind.service, RetryBudget())
-        budget.note_request()
+        budget.note_request(now)
         deadline = deadline_of(self._target.service, None, now)
         self._core = RequestCore(
             self._record.request_id, self._target, deadline, node.router, budget, now
--- a/src/limedeck_lab/simulation/faults.py
+++ b/src/limedeck_lab/simulation/faults.py
@@ -125,6 +125,19 @@
     return str(world.network.faults)
 
 
+def late_messages(world: World, generator: random.Random) -> str:
+    """Some messages are late by up to most of a lease and arrive after newer ones."""
+    world.network.faults = NetworkFaults(
+        extra_delay=generator.uniform(0.8, 1.8), late_share=generator.uniform(0.1, 0.3)
+    )
+
+    def end() -> None:
+        world.network.faults = NetworkFaults()
+
+    world.kernel.after(generator.uniform(4.0, 10.0), end)
+    return str(world.network.faults)
+
+
 def store_down(world: World, generator: random.Random) -> str:
     """The table does not answer, for long."""
     world.platform.faults.down = True
@@ -231,6 +244,7 @@
     "stop-node": stop_node,
     "partition": partition,
     "bad-network": bad_network,
+    "late-messages": late_messages,
     "store-down": store_down,
     "store-trouble": store_trouble,
     "lose-zone": lose_zone,
--- a/src/limedeck_lab/simulation/monitor.py
+++ b/src/limedeck_lab/simulation/monitor.py
@@ -130,10 +130,9 @@
 
     def after_event(self, node: SimulatedNode, commands: list[ControlCommand]) -> None:
         """A node has handled an event."""
-        for group, watch in self.groups.items():
-            core = node.core.groups.get(group)
-            if core is not None:
-                self._check_committed(node, group, watch)
+        for group, core in node.core.groups.items():
+            if core.consensus.commit_index > 0 and group in self.groups:
+                self._check_committed(node, group, self.groups[group])
 
     def _check_committed(self, node: SimulatedNode, group: GroupId, watch: GroupWatch) -> None:
         """Two nodes that have committed the same index hold the same state."""
@@ -175,7 +174,7 @@
         """What a back end may serve has changed."""
         if not backend.keyed:
             return
-        group = GroupId(backend.configured.service)
+        group = backend.group
         self.note(
             f"{backend.place.machine}: serves version {backend.core.owned_version}, "
             f"running {backend.is_running}"
@@ -183,15 +182,12 @@
         self._check_ownership(group, backend)
         self._measure(group)
 
-    def watch_backends(self, backends: Sequence[SimulatedBackend]) -> None:
-        """Set the back ends to watch."""
-        self._by_group = {
-            group: [item for item in backends if item.configured.service == group]
-            for group in self.groups
-        }
+    def watch_backends(self, by_group: dict[GroupId, list[SimulatedBackend]]) -> None:
+        """Set the back ends to watch, by their control group."""
+        self._by_group = by_group
 
     def _backends_of(self, group: GroupId) -> Sequence[SimulatedBackend]:
-        return self._by_group[group]
+        return self._by_group.get(group, [])
 
     def _check_ownership(self, group: GroupId, cause: SimulatedBackend) -> None:
         """No two runs may serve the same key at the same time, frozen ones included."""
--- a/src/limedeck_lab/simulation/network.py
+++ b/src/limedeck_lab/simulation/network.py
@@ -51,13 +51,14 @@
     ----------
     loss, duplication
         Part of messages.
-    extra_delay
-        Each message is delayed by up to this much more, so that messages overtake each other.
+    extra_delay, late_share
+        This part of messages is delayed by up to so many seconds more, and overtaken by others.
     """
 
     loss: float = 0.0
     duplication: float = 0.0
     extra_delay: Seconds = 0.0
+    late_share: float = 1.0
 
 
 class Network:
@@ -80,8 +81,13 @@
     def delay(self, source: Place, destination: Place) -> Seconds:
         """Draw the time that a message takes."""
         base = LOCAL_DELAY if source.zone == destination.zone else self._zone_delay
-        extra = self._random.random() * self.faults.extra_delay if self.faults.extra_delay else 0.0
-        return base + self._random.random() * JITTER + extra
+        return base + self._random.random() * JITTER + self._extra_delay()
+
+    def _extra_delay(self) -> Seconds:
+        faults = self.faults
+        if faults.extra_delay == 0.0 or self._random.random() >= faults.late_share:
+            return 0.0
+        return self._random.random() * faults.extra_delay
 
     def send(
         self,
--- a/src/limedeck_lab/simulation/nodes.py
+++ b/src/limedeck_lab/simulation/nodes.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import time
+from collections import Counter
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from limedeck.api.backend_pb2 import LeaseReply
@@ -32,6 +35,9 @@
 from limedeck_lab.simulation.processes import SimulatedProcess
 
 LEAVE_NOTICE: Seconds = 1.25
+FRAME_BYTES = 4
+HTTP_HEADER_BYTES = 180
+"""Of one side of a lease exchange; `limedeck-lab bench control` measures the real ones."""
 
 
 class NodeObserver(Protocol):
@@ -44,6 +50,41 @@
         """An event was handled with these commands."""
 
 
+@dataclass
+class Traffic:
+    """What nodes send and compute, counted when `is_counted` is set.
+
+    Parameters
+    ----------
+    messages, sent_bytes
+        Between nodes, by kind of message.
+    node_bytes
+        Sent and received, by node, lease exchanges included.
+    node_seconds
+        Processor time in the control core, by node.
+    """
+
+    is_counted: bool = False
+    messages: Counter[str] = field(default_factory=Counter)
+    sent_bytes: Counter[str] = field(default_factory=Counter)
+    node_bytes: Counter[str] = field(default_factory=Counter)
+    node_seconds: Counter[str] = field(default_factory=Counter)
+
+    def count(self, kind: str, size: int, *nodes: str) -> None:
+        """Count a message at both of its ends."""
+        if not self.is_counted:
+            return
+        self.messages[kind] += 1
+        self.sent_bytes[kind] += size
+        for node in nodes:
+            self.node_bytes[node] += size
+
+    def clear(self) -> None:
+        """Start to count anew."""
+        for counter in (self.messages, self.sent_bytes, self.node_bytes, self.node_seconds):
+            counter.clear()
+
+
 class NodeSurroundings:
     """What all simulated nodes share."""
 
@@ -64,6 +105,7 @@
         self.backends_by_address: dict[str, SimulatedBackend] = {}
         self.config_source: Callable[[int], ControlEvent | None] = lambda revision: None
         self.observer: NodeObserver | None = None
+        self.traffic = Traffic()
         self.remembers_promises = False
         """Sabotage: a restarted node takes itself for the voter it was."""
 
@@ -136,7 +178,12 @@
         observer = self._surroundings.observer
         if observer is not None:
             observer.before_event(self, event)
+        started = time.perf_counter()
         commands = self.core.handle(event, self.clock.read())
+        traffic = self._surroundings.traffic
+        if traffic.is_counted:
+            spent = time.perf_counter() - started
+            traffic.node_seconds[self.node_id] += spent  # type: ignore[assignment]
         if observer is not None:
             observer.after_event(self, commands)
         for command in commands:
@@ -163,6 +210,10 @@
         target = self._surroundings.nodes_by_address.get(address)
         if target is None:
             return
+        traffic = self._surroundings.traffic
+        if traffic.is_counted:
+            kind = _kind(message)
+            traffic.count(kind, message.ByteSize() + FRAME_BYTES, self.node_id, target.node_id)
         event = PeerMessageReceived(message)
         self._surroundings.network.send(
             self.place, target.place, lambda: target.deliver(lambda: target.dispatch(event))
@@ -177,10 +228,19 @@
             self.kernel.after(2 * network.delay(self.place, self.place), failed)
             return
 
+        traffic = self._surroundings.traffic
+
         def reply(message: LeaseReply) -> None:
+            if traffic.is_counted:
+                size = message.ByteSize() + HTTP_HEADER_BYTES
+                traffic.count("lease_reply", size, self.node_id)
             event = LeaseReplied(group, exchange.backend_id, exchange.fence, message)
             network.send(backend.place, self.place, self._later(event))
 
+        if traffic.is_counted:
+            size = exchange.request.ByteSize() + HTTP_HEADER_BYTES
+            traffic.count("lease_request", size, self.node_id)
+
         def receive() -> None:
             backend.deliver(lambda: reply(backend.handle_lease(exchange.request)))
 
@@ -210,3 +270,10 @@
     def receive_config(self, event: ConfigReceived) -> None:
         """Take in a configuration change that operators made through this node."""
         self.deliver(lambda: self.dispatch(event))
+
+
+def _kind(message: PeerMessage) -> str:
+    kind = message.WhichOneof("body") or "empty"
+    if kind == "group":
+        return message.group.WhichOneof("body") or "empty"
+    return kind
--- a/src/limedeck_lab/simulation/world.py
+++ b/src/limedeck_lab/simulation/world.py
@@ -15,7 +15,7 @@
 from limedeck.control.events import ConfigReceived, ControlEvent
 from limedeck.control.timing import ControlLimits, ControlTiming
 from limedeck.errors import InvariantViolation
-from limedeck.identity import GroupId, NodeId, Seconds
+from limedeck.identity import GroupId, NodeId, Seconds, keyed_group
 from limedeck.measures import highest_over_mean
 from limedeck.routing.outcomes import Outcome
 from limedeck_lab.simulation.backends import BackendSize, SimulatedBackend
@@ -117,9 +117,10 @@
             self.kernel, self.network, self.platform, plan.timing, plan.limits
         )
         groups = {
-            GroupId(service.name): service.name
+            keyed_group(service.name, index, service.control_groups): service.name
             for service in plan.site.services
             if service.ownership == "keyed"
+            for index in range(service.control_groups)
         }
         self.monitor = Monitor(self.kernel, groups)
         self.surroundings.observer = self.monitor
@@ -129,7 +130,7 @@
         self.nodes = self._build_nodes()
         self.backends = self._build_backends()
         self.monitor.nodes = self.nodes
-        self.monitor.watch_backends(self.backends)
+        self.monitor.watch_backends(self._backends_by_group())
         self.callers = SimulatedCallers(
             self.kernel,
             self.network,
@@ -179,12 +180,28 @@
             self.surroundings.backends_by_address[configured.address] = backend
         return backends
 
+    def _backends_by_group(self) -> dict[GroupId, list[SimulatedBackend]]:
+        """Keyed back ends by their control group, as the configuration will place them."""
+        counts = {item.name: item.control_groups for item in self.site.services}
+        by_id = {item.place.machine: item for item in self.backends}
+        found: dict[GroupId, list[SimulatedBackend]] = {}
+        for item in self._site_objects():
+            if item.HasField("backend") and by_id[item.backend.backend_id].keyed:
+                service = item.backend.service
+                group = keyed_group(service, item.backend.control_group, counts[service])
+                found.setdefault(group, []).append(by_id[item.backend.backend_id])
+                by_id[item.backend.backend_id].group = group
+        return found
+
     # ------------------------------------------------------------------ configuration
 
-    def _apply_site_config(self) -> None:
+    def _site_objects(self) -> list[ConfigObject]:
         configured = [item.configured for item in self.backends]
         planner = apply_config(self.site.service_objects(), configured, 0)
-        self._commit(list(planner(ConfigState(0, {}))))
+        return list(planner(ConfigState(0, {})))
+
+    def _apply_site_config(self) -> None:
+        self._commit(self._site_objects())
 
     def _commit(self, objects: list[ConfigObject]) -> None:
         revision = self._config.revision + 1
@@ -313,10 +330,19 @@
         if unrepeatable and count > 1:
             self.monitor.violate("unrepeatable-runs-once", request_id, "end of run")
 
+    def _load_imbalance(self) -> float:
+        """Highest over mean load among the back ends of a keyed service, for the worst of them."""
+        loads: dict[str, list[float]] = {}
+        for item in self.backends:
+            if item.keyed:
+                load = self.monitor.load_by_backend.get(item.place.machine, 0)
+                loads.setdefault(item.configured.service, []).append(load)
+        return max((highest_over_mean(values) for values in loads.values()), default=1.0)
+
     def _report(self, wall_seconds: float) -> RunReport:
         watches = self.monitor.groups
         totals = {group: watch.unavailable.total for group, watch in watches.items()}
-        worst = {group: watch.unavailable.worst() for group, watch in watches.items()}
+        worst = {group: watch.unavailable.worst for group, watch in watches.items()}
         counts = self.callers.counts
         return RunReport(
             plan=self.plan,
@@ -332,7 +358,7 @@
             },
             reasons=dict(counts.reasons),
             imbalance={
-                "load": highest_over_mean(self.monitor.load_by_backend.values()),
+                "load": self._load_imbalance(),
                 "share": max((self.monitor.share_imbalance(group) for group in watches), default=1),
             },
             churn={group: watch.churn for group, watch in watches.items()},
--- a/src/limedeck_lab/site.py
+++ b/src/limedeck_lab/site.py
@@ -60,6 +60,7 @@
     connections: int = Field(gt=0)
     service_ms: float = Field(gt=0)
     slices_per_backend: int = Field(default=50, gt=0)
+    control_groups: int = Field(default=1, gt=0)
     repeatable_methods: list[str] = ["GET", "HEAD"]
 
 
@@ -84,6 +85,25 @@
     services: list[SiteService] = Field(min_length=1)
     requests: list[RequestKind] = Field(min_length=1)
 
+    def scaled(self, factor: float) -> Site:
+        """The same deployment with this fraction of nodes, back ends and control groups."""
+
+        def part(count: int) -> int:
+            return max(round(count * factor), 1)
+
+        services = [
+            item.model_copy(
+                update={
+                    "backends": part(item.backends),
+                    "control_groups": part(item.control_groups),
+                }
+            )
+            for item in self.services
+        ]
+        return self.model_copy(
+            update={"nodes_per_zone": part(self.nodes_per_zone), "services": services}
+        )
+
     def service_objects(self) -> list[Service]:
         """The services as operators create them."""
         return [_service(item) for item in self.services]
@@ -128,6 +148,7 @@
             ownership=OWNERSHIP_KEYED,
             key_source=item.key_source,
             slices_per_backend=item.slices_per_backend,
+            control_groups=item.control_groups,
         )
     limits = ServiceLimits(backend_slots=item.slots, backend_connections=item.connections)
     return Service(
--- a/src/limedeck_lab/standins/backend_server.py
+++ b/src/limedeck_lab/standins/backend_server.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from typing import NoReturn
 
 import anyio
 from google.protobuf.message import DecodeError
@@ -188,7 +189,7 @@
             await _refuse(send, Refusal.SHED)
             return
         if served.faults.cut_before:
-            raise ConnectionCut
+            await _cut(send)
         number = served.backend.admit(work, boot_clock())
         if isinstance(number, Refusal):
             await _refuse(send, number)
@@ -213,7 +214,7 @@
         self, served: ServedBackend, work: Work, scope: Scope, body: bytes, send: Send
     ) -> None:
         if served.faults.cut_after:
-            raise ConnectionCut
+            await _cut(send)
         if served.faults.answer_delay_seconds > 0:
             await anyio.sleep(served.faults.answer_delay_seconds)
         content = json.dumps(
@@ -278,6 +279,16 @@
     await send({"type": "http.response.start", "status": status, "headers": headers})
 
 
+async def _cut(send: Send) -> NoReturn:
+    """Have the server close the connection without an answer.
+
+    An error before the head of an answer would be answered with status 500; the head itself is
+    sent only with the first part of the body.
+    """
+    await _start(send, 200, 1, "application/json")
+    raise ConnectionCut
+
+
 async def _answer(
     send: Send, status: int, content: bytes, content_type: str = "application/json"
 ) -> None:
--- /dev/null
+++ b/tests/unit/test_group_record.py
@@ -0,0 +1,111 @@
+"""Recovery of a lost majority: only on proof, as a table of cases."""
+
+from dataclasses import dataclass
+
+import pytest
+
+from limedeck.api.peer_pb2 import GroupRecord, GroupSnapshot
+from limedeck.control.consensus import voter_set
+from limedeck.control.group_record import (
+    LossEvidence,
+    may_start_next_epoch,
+    next_epoch_record,
+)
+from limedeck.control.voters import plan_voter_change
+from limedeck.identity import GroupId, NodeId, Voter
+from limedeck.keyspace.slices import change_of
+from tests.unit.consensus_cluster import voter
+
+A, B, C, D = (voter(name) for name in "abcd")
+ALL = frozenset(NodeId(name) for name in "abcd")
+
+
+@dataclass(frozen=True)
+class Case:
+    name: str
+    voters: tuple[Voter, ...]
+    next_voters: tuple[Voter, ...]
+    machines: frozenset[NodeId] | None
+    runs: tuple[Voter, ...]
+    founder: Voter
+    allowed: bool
+
+
+CASES = [
+    Case("all live", (A, B, C), (), ALL, (A, B, C), D, False),
+    Case("one gone from the list", (A, B, C), (), ALL - {NodeId("a")}, (B, C), D, False),
+    Case("two gone from the list", (A, B, C), (), ALL - {NodeId("a"), NodeId("b")}, (C,), D, True),
+    Case("silent, but no proof", (A, B, C), (), ALL, (), D, False),
+    Case("two run again", (A, B, C), (), ALL, (voter("a", 2), voter("b", 2), C), D, True),
+    Case("one gone, one runs again", (A, B, C), (), ALL - {NodeId("a")}, (voter("b", 2),), D, True),
+    Case("list never read", (A, B, C), (), None, (voter("a", 2), B, C), D, False),
+    Case("list never read, two run again", (A, B), (), None, (voter("a", 2), B), D, True),
+    Case("the announced set may live", (A, B), (A, B, C), ALL, (voter("a", 2), B, C), D, False),
+    Case("both sets lost", (A, B), (A, B, C), ALL, (voter("a", 2), voter("b", 2), C), D, True),
+    Case("a lone voter does not found again", (A,), (), ALL, (A,), A, False),
+    Case("a lone voter whose addition died", (A,), (A, B), ALL, (A, voter("b", 2)), A, True),
+    Case("a restarted lone voter", (A,), (), ALL, (voter("a", 2),), voter("a", 2), True),
+    Case(
+        "another address proves nothing",
+        (A, B, C),
+        (),
+        ALL,
+        tuple(Voter(NodeId(name), voter(name, 2).incarnation, "elsewhere:1", "z") for name in "ab"),
+        D,
+        False,
+    ),
+]
+
+
+@pytest.mark.parametrize("case", CASES, ids=lambda case: case.name)
+def test_a_group_is_started_anew_only_on_proof(case: Case) -> None:
+    record = GroupRecord(
+        epoch=1, voters=voter_set(case.voters), next_voters=voter_set(case.next_voters)
+    )
+    evidence = LossEvidence(case.machines, {item.node_id: item for item in case.runs})
+    assert may_start_next_epoch(record, evidence, case.founder) is case.allowed
+
+
+def test_the_next_epoch_takes_the_newest_assignment_known() -> None:
+    stored = GroupSnapshot(last_index=5, assignment=change_of([(0, "stored")]).__class__())
+    held = GroupSnapshot(last_index=9)
+    record = GroupRecord(epoch=3, voters=voter_set((A,)), snapshot=stored)
+    following = next_epoch_record(record, held, D)
+    assert following.epoch == 4
+    assert following.snapshot.last_index == 9
+    assert next_epoch_record(record, GroupSnapshot(), D).snapshot.last_index == 5
+
+
+GROUP = GroupId("group")
+VOTER_CASES = [
+    ("alone stays alone", (A,), (), (A,), None),
+    ("two nodes keep one voter", (A,), (), (A, B), None),
+    ("three nodes: the second is added", (A,), (), (A, B, C), 2),
+    ("the third is added", (A, B), (), (A, B, C), 3),
+    ("complete", (A, B, C), (), (A, B, C), None),
+    ("lost without a spare stays", (A, B, C), (C,), (A, B), None),
+    ("lost with a spare goes", (A, B, C), (C,), (A, B, D), 2),
+    ("restarted node takes its own place", (A, B, C), (C,), (A, B, voter("c", 2)), 2),
+    ("two lost: removal would lose the quorum", (A, B, C), (B, C), (A, D), None),
+]
+
+
+@pytest.mark.parametrize(
+    ("voters", "lost", "nodes", "size"),
+    [case[1:] for case in VOTER_CASES],
+    ids=[case[0] for case in VOTER_CASES],
+)
+def test_the_next_voter_set(
+    voters: tuple[Voter, ...], lost: tuple[Voter, ...], nodes: tuple[Voter, ...], size: int | None
+) -> None:
+    planned = plan_voter_change(GROUP, A, voters, lost, nodes, 3)
+    assert (len(planned) if planned else None) == size
+    if planned is not None:
+        assert len(set(planned) ^ set(voters)) == 1
+        assert A in planned
+
+
+def test_voters_are_spread_over_zones() -> None:
+    same_zone = Voter(NodeId("e"), A.incarnation, "e:1", A.zone)
+    planned = plan_voter_change(GROUP, A, (A, B), (), (A, B, same_zone, C), 3)
+    assert planned is not None and C in planned
