Slices in arrays, fewer and smaller lease exchanges, wake-ups for releases; control bench

Cause: simulated at 2.5% of the target size a node sent and received 32 KB/s for control, 26 of it lease exchanges (57 a second for 14 back ends, mostly HTTP headers), and a route table of sorted dicts would take over 200 bytes a slice (344,000 slices at the full size). Ruled out: heartbeats (6 KB/s) as the larger part. Now: renewal every 0.4 s, no default headers on exchanges, slice maps in arrays (12 bytes a slice), a wake-up command while a source ends its work.

--- a/src/limedeck/control/group.py
+++ b/src/limedeck/control/group.py
@@ -96,7 +96,14 @@
     update: RouteUpdate
 
 
-GroupCommand = OutgoingMessage | LeaseExchange | RecordCommand | PublishRoutes
+@dataclass(frozen=True)
+class Wake:
+    """Command: deliver a tick after a delay, earlier than the next regular one."""
+
+    delay: Seconds
+
+
+GroupCommand = OutgoingMessage | LeaseExchange | RecordCommand | PublishRoutes | Wake
 
 
 @dataclass
@@ -198,6 +205,8 @@
         """Handle a back end's reply to a lease exchange."""
         if self.duties is not None:
             self.duties.leases.handle_reply(backend_id, fence, reply, now)
+            if backend_id in self.duties.moves.releasing_sources():
+                self._commands.append(Wake(self.timing.release_poll_interval))
         return self._run(now)
 
     def handle_lease_failure(
--- a/src/limedeck/control/node.py
+++ b/src/limedeck/control/node.py
@@ -30,6 +30,7 @@
     GroupCore,
     GroupView,
     PublishRoutes,
+    Wake,
 )
 from limedeck.control.group_record import LossEvidence, ReadRecord, WriteRecord
 from limedeck.control.leases import LeaseExchange
@@ -66,7 +67,9 @@
     """Command: read the platform's machine list."""
 
 
-ControlCommand = SendPeer | LeaseExchange | ReadRecord | WriteRecord | PollConfig | ReadMachines
+ControlCommand = (
+    SendPeer | LeaseExchange | ReadRecord | WriteRecord | PollConfig | ReadMachines | Wake
+)
 
 
 class ControlNode:
--- a/src/limedeck/control/timing.py
+++ b/src/limedeck/control/timing.py
@@ -55,7 +55,7 @@
     election_spread: Seconds = 0.2
     clock_drift: float = 0.005
     backend_lease: Seconds = 1.8
-    lease_renewal_interval: Seconds = 0.25
+    lease_renewal_interval: Seconds = 0.4
     exchange_timeout: Seconds = 0.5
     release_poll_interval: Seconds = 0.01
     warm_period: Seconds = 0.3
--- a/src/limedeck/daemon/control_host.py
+++ b/src/limedeck/daemon/control_host.py
@@ -23,6 +23,7 @@
     RecordAnswered,
     Tick,
 )
+from limedeck.control.group import Wake
 from limedeck.control.group_record import (
     ReadRecord,
     RecordConflict,
@@ -86,6 +87,8 @@
             trust_env=False,
             verify=False,
         )
+        # The library's default headers would be most of what control sends.
+        self._lease_client.headers.clear()
 
     def set_transport(self, send: SendToPeer) -> None:
         """Set how messages reach other nodes."""
@@ -146,6 +149,12 @@
             self._tasks.start_soon(self._poll_config, command)
         elif isinstance(command, ReadMachines):
             self._tasks.start_soon(self._read_machines)
+        else:
+            self._tasks.start_soon(self._wake, command)
+
+    async def _wake(self, wake: Wake) -> None:
+        await anyio.sleep(wake.delay)
+        self.dispatch(Tick())
 
     async def _exchange_lease(self, exchange: LeaseExchange) -> None:
         group = GroupId(exchange.request.group)
--- a/src/limedeck/keyspace/slices.py
+++ b/src/limedeck/keyspace/slices.py
@@ -2,18 +2,21 @@
 
 from __future__ import annotations
 
-from bisect import bisect_right
+from array import array
+from bisect import bisect_left, bisect_right
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
-from sortedcontainers import SortedDict
-
 from limedeck.api.peer_pb2 import AssignmentChange, SliceBoundary
 from limedeck.errors import InvariantViolation
 from limedeck.identity import BackendId
 from limedeck.keyspace.hashing import KEY_LINE_END
 
 NO_OWNER = BackendId("")
+START_TYPE = "Q"
+"""Array type of a position: 64 bits, unsigned."""
+OWNER_TYPE = "I"
+"""Array type of an owner's number: 32 bits, unsigned."""
 
 
 @dataclass(frozen=True)
@@ -41,24 +44,28 @@
 class SliceMap:
     """A complete cut of the key line into slices, changed by deltas.
 
-    The map is either empty (nothing was assigned yet) or covers the whole line.
+    The map is either empty (nothing was assigned yet) or covers the whole line. Starts and owners
+    are kept in arrays, so that a node can hold the maps of all groups: 12 bytes a slice.
     """
 
     def __init__(self) -> None:
-        self._owners: SortedDict[int, BackendId] = SortedDict()
-        self._starts_by_owner: dict[BackendId, set[int]] = {}
+        self._starts = array(START_TYPE)
+        self._owner_numbers = array(OWNER_TYPE)
+        self._owners: list[BackendId] = []
+        self._numbers: dict[BackendId, int] = {}
 
     def __len__(self) -> int:
-        return len(self._owners)
+        return len(self._starts)
 
     def __iter__(self) -> Iterator[Slice]:
-        starts = list(self._owners.keys())
-        ends = [*starts[1:], KEY_LINE_END]
-        for start, end, owner in zip(starts, ends, self._owners.values(), strict=bool(starts)):
-            yield Slice(start, end, owner)
+        starts = self._starts
+        last = len(starts) - 1
+        for index, number in enumerate(self._owner_numbers):
+            end = starts[index + 1] if index < last else KEY_LINE_END
+            yield Slice(starts[index], end, self._owners[number])
 
     def __eq__(self, other: object) -> bool:
-        return isinstance(other, SliceMap) and self._owners == other._owners
+        return isinstance(other, SliceMap) and list(self) == list(other)
 
     __hash__ = None  # type: ignore[assignment]
 
@@ -70,10 +77,9 @@
         LookupError
             The map is empty.
         """
-        index = self._owners.bisect_right(position) - 1
-        if index < 0:
+        if not self._starts:
             raise LookupError("the slice map is empty")
-        return self._slice_at(index)
+        return self._slice_at(bisect_right(self._starts, position) - 1)
 
     def slice_starting_at(self, start: int) -> Slice:
         """Return the slice with this start.
@@ -83,26 +89,34 @@
         KeyError
             No slice starts there.
         """
-        if start not in self._owners:
+        index = self._index_of(start)
+        if index is None:
             raise KeyError(start)
-        return self._slice_at(self._owners.index(start))
+        return self._slice_at(index)
 
     def owner_of_start(self, start: int) -> BackendId | None:
         """Owner of the slice that starts here, or None when none does."""
-        return self._owners.get(start)
+        index = self._index_of(start)
+        return None if index is None else self._owners[self._owner_numbers[index]]
 
     def slices_of(self, owner: BackendId) -> list[Slice]:
         """All slices of one owner, in the order of the line."""
-        starts = sorted(self._starts_by_owner.get(owner, ()))
-        return [self.slice_starting_at(start) for start in starts]
+        number = self._numbers.get(owner)
+        return [
+            self._slice_at(index)
+            for index, found in enumerate(self._owner_numbers)
+            if found == number
+        ]
 
     def owners(self) -> set[BackendId]:
         """Every back end that owns a slice."""
-        return {owner for owner in self._starts_by_owner if owner != NO_OWNER}
+        present = set(self._owner_numbers)
+        return {self._owners[number] for number in present} - {NO_OWNER}
 
     def slice_count(self, owner: BackendId) -> int:
         """How many slices one back end owns."""
-        return len(self._starts_by_owner.get(owner, ()))
+        number = self._numbers.get(owner)
+        return 0 if number is None else self._owner_numbers.count(number)
 
     def apply(self, change: AssignmentChange) -> None:
         """Apply a delta.
@@ -116,41 +130,57 @@
             self._remove(start)
         for boundary in change.upserts:
             self._put(boundary.start, BackendId(boundary.owner))
-        if self._owners and self._owners.keys()[0] != 0:
+        if self._starts and self._starts[0] != 0:
             raise InvariantViolation("slices-cover-the-line", "no slice starts at position 0")
 
     def to_change(self) -> AssignmentChange:
         """Write the whole map as a delta to an empty one."""
-        return change_of((start, owner) for start, owner in self._owners.items())
+        names = [self._owners[number] for number in self._owner_numbers]
+        return change_of(zip(self._starts, names, strict=True))
 
     def copy(self) -> SliceMap:
         """Return an independent copy."""
         duplicate = SliceMap()
-        duplicate._owners = SortedDict(self._owners)
-        duplicate._starts_by_owner = {
-            owner: set(starts) for owner, starts in self._starts_by_owner.items()
-        }
+        duplicate._starts = self._starts[:]
+        duplicate._owner_numbers = self._owner_numbers[:]
+        duplicate._owners = self._owners[:]
+        duplicate._numbers = self._numbers.copy()
         return duplicate
 
+    def _index_of(self, start: int) -> int | None:
+        index = bisect_left(self._starts, start)
+        if index < len(self._starts) and self._starts[index] == start:
+            return index
+        return None
+
     def _slice_at(self, index: int) -> Slice:
-        items = self._owners.items()
-        start, owner = items[index]
-        end = self._owners.keys()[index + 1] if index + 1 < len(self._owners) else KEY_LINE_END
-        return Slice(start, end, owner)
+        last = len(self._starts) - 1
+        end = self._starts[index + 1] if index < last else KEY_LINE_END
+        return Slice(self._starts[index], end, self._owners[self._owner_numbers[index]])
 
     def _put(self, start: int, owner: BackendId) -> None:
-        self._remove(start)
-        self._owners[start] = owner
-        self._starts_by_owner.setdefault(owner, set()).add(start)
+        number = self._number_of(owner)
+        index = bisect_left(self._starts, start)
+        if index < len(self._starts) and self._starts[index] == start:
+            self._owner_numbers[index] = number
+            return
+        self._starts.insert(index, start)
+        self._owner_numbers.insert(index, number)
 
     def _remove(self, start: int) -> None:
-        owner = self._owners.pop(start, None)
-        if owner is None:
-            return
-        starts = self._starts_by_owner[owner]
-        starts.discard(start)
-        if not starts:
-            del self._starts_by_owner[owner]
+        index = self._index_of(start)
+        if index is not None:
+            del self._starts[index]
+            del self._owner_numbers[index]
+
+    def _number_of(self, owner: BackendId) -> int:
+        """Number that stands for an owner; owners that own nothing any more keep theirs."""
+        number = self._numbers.get(owner)
+        if number is None:
+            number = len(self._owners)
+            self._owners.append(owner)
+            self._numbers[owner] = number
+        return number
 
 
 def slice_map_from(change: AssignmentChange) -> SliceMap:
--- a/src/limedeck_lab/application.py
+++ b/src/limedeck_lab/application.py
@@ -6,11 +6,19 @@
 
 from cleo.application import Application
 
+from limedeck_lab.commands.bench import BenchControlCommand
 from limedeck_lab.commands.load import DemoCommand, LoadCommand
 from limedeck_lab.commands.simulate import SimulateCommand
 from limedeck_lab.commands.standins import BackendCommand, PlatformCommand
 
-COMMANDS = (PlatformCommand, BackendCommand, LoadCommand, DemoCommand, SimulateCommand)
+COMMANDS = (
+    PlatformCommand,
+    BackendCommand,
+    LoadCommand,
+    DemoCommand,
+    SimulateCommand,
+    BenchControlCommand,
+)
 
 
 def build_application() -> Application:
--- a/src/limedeck_lab/cluster.py
+++ b/src/limedeck_lab/cluster.py
@@ -181,6 +181,23 @@
         client.close()
         return revision
 
+    def apply_whole(self) -> int:
+        """Create all objects in one change; return its revision."""
+        client = self.client()
+        reply = client.apply_config(self.site.service_objects(), self.backends, 0)
+        client.close()
+        return reply.revision
+
+    def serves_everywhere(self, revision: int) -> bool:
+        """Whether every node has the revision and knows an owner for every key."""
+        for index in range(len(self.addresses)):
+            client = self.client(index)
+            serves = self._serves(client, revision)
+            client.close()
+            if not serves:
+                return False
+        return True
+
     def wait_until_serving(self, revision: int) -> None:
         """Wait until every node has the revision and knows an owner for every key."""
         for index in range(len(self.addresses)):
@@ -197,7 +214,9 @@
             status = client.get_status()
         except OperatorCallFailed:
             return False
-        keyed = sum(service.ownership == "keyed" for service in self.site.services)
+        keyed = sum(
+            service.control_groups for service in self.site.services if service.ownership == "keyed"
+        )
         owned = [
             group for group in status.groups if group.slices and not group.slices_without_owner
         ]
--- /dev/null
+++ b/src/limedeck_lab/commands/bench.py
@@ -0,0 +1,35 @@
+"""``limedeck-lab bench ...``"""
+
+from __future__ import annotations
+
+import json
+
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from limedeck_lab.bench_control import SERIES, measure_size, series_values, slopes
+
+
+class BenchControlCommand(Command):
+    """Measures what control costs real daemons."""
+
+    name = "bench control"
+    description = "Measure what control costs real daemons on loopback, and the slopes"
+    options = [  # noqa: RUF012
+        option("series", None, f"Any of {', '.join(SERIES)}", flag=False, multiple=True),
+    ]
+
+    def handle(self) -> int:
+        """Print one JSON line for each size and one with the slopes for each series."""
+        names = self.option("series") or list(SERIES)
+        for name in names:
+            if name not in SERIES:
+                self.line_error(f"limedeck-lab bench control: no series {name}")
+                return 2
+            costs = []
+            for size in SERIES[name]:
+                costs.append(measure_size(size))
+                self.line(json.dumps({"series": name, **costs[-1].to_dict()}))
+            values = series_values(name, SERIES[name])
+            self.line(json.dumps({"series": name, "slopes": slopes(costs, values)}))
+        return 0
--- a/src/limedeck_lab/commands/simulate.py
+++ b/src/limedeck_lab/commands/simulate.py
@@ -38,6 +38,8 @@
         option("faults", None, "Names with commas, all, or none", flag=False, default="all"),
         option("interval", None, "Mean seconds between faults", flag=False, default="8"),
         option("rate", None, "Callers' requests a second", flag=False, default="20"),
+        option("scale", None, "Fraction of the site's size", flag=False, default="1"),
+        option("cost", None, "Count messages, bytes and processor time of control"),
         option("sabotage", None, f"Break a rule: {', '.join(PATCHES)}", flag=False, default=""),
         option("json", None, "Print one JSON line for each run and one for all"),
     ]
@@ -52,6 +54,8 @@
             return EXIT_BAD_INPUT
         name = self.option("site")
         site = load_site(name if name.endswith(".toml") else f"examples/{name}.toml")
+        if float(self.option("scale")) != 1:
+            site = site.scaled(float(self.option("scale")))
         first = int(self.option("seed"))
         plans = [
             RunPlan(
@@ -62,6 +66,7 @@
                 fault_interval=float(self.option("interval")),
                 request_rate=float(self.option("rate")),
                 sabotage=sabotage,
+                measures_cost=bool(self.option("cost")),
             )
             for seed in range(first, first + int(self.option("runs")))
         ]
--- a/src/limedeck_lab/simulation/callers.py
+++ b/src/limedeck_lab/simulation/callers.py
@@ -123,7 +123,7 @@
         if attempts_left == 0:
             self.finish(record, Outcome.NOT_RUN, "no node reachable")
             return
-        if not node.is_up or node.is_leaving:
+        if not node.takes_callers():
 
             def retry() -> None:
                 self._send_to_node(record, key, index + 1, attempts_left - 1)
--- a/src/limedeck_lab/simulation/nodes.py
+++ b/src/limedeck_lab/simulation/nodes.py
@@ -151,6 +151,10 @@
         )
         self._schedule_tick(self.run_number)
 
+    def takes_callers(self) -> bool:
+        """Whether it listens to callers: like the daemon, once it can route, until it leaves."""
+        return self.is_up and not self.is_leaving and self.core.can_route()
+
     def stop_as_planned(self) -> None:
         """Leave, then end."""
         if not self.is_running:
@@ -205,6 +209,8 @@
             self._poll_config(command)
         elif isinstance(command, ReadMachines):
             self._read_machines()
+        else:
+            self.kernel.after(self.clock.real_span(command.delay), self._later(Tick()))
 
     def _send_peer(self, address: str, message: PeerMessage) -> None:
         target = self._surroundings.nodes_by_address.get(address)
--- a/src/limedeck_lab/simulation/world.py
+++ b/src/limedeck_lab/simulation/world.py
@@ -20,6 +20,7 @@
 from limedeck.routing.outcomes import Outcome
 from limedeck_lab.simulation.backends import BackendSize, SimulatedBackend
 from limedeck_lab.simulation.callers import SimulatedCallers
+from limedeck_lab.simulation.cost import ControlCost, control_cost
 from limedeck_lab.simulation.faults import QUIET_START, FaultSchedule
 from limedeck_lab.simulation.kernel import DriftingClock, Kernel
 from limedeck_lab.simulation.monitor import HistoryLine, Monitor, RunViolated
@@ -35,6 +36,8 @@
 CALLERS_STOP_BEFORE_END: Seconds = 20.0
 """Callers stop so long before the end, so that each request has its outcome."""
 SERVED_BEFORE_END: Seconds = 5.0
+COST_SETTLING: Seconds = 5.0
+"""After the first assignment, before cost is counted."""
 
 
 @dataclass(frozen=True)
@@ -53,6 +56,8 @@
         Callers' requests a second.
     sabotage
         Rule of the product to break; empty for none.
+    measures_cost
+        Counts messages, bytes and processor time of control once the site has come up.
     """
 
     site: Site
@@ -62,6 +67,7 @@
     fault_interval: Seconds = 8.0
     request_rate: float = 20.0
     sabotage: str = ""
+    measures_cost: bool = False
     timing: ControlTiming = field(default_factory=ControlTiming)
     limits: ControlLimits = field(default_factory=ControlLimits)
 
@@ -80,11 +86,11 @@
     unavailable: dict[str, object]
     events: int
     wall_seconds: float
-    messages: int
+    cost: ControlCost | None = None
 
     def to_dict(self) -> dict[str, object]:
         """The report as one JSON record."""
-        return {
+        record: dict[str, object] = {
             "site": self.plan.site.name,
             "seed": self.plan.seed,
             "simulated_seconds": self.plan.seconds,
@@ -99,6 +105,9 @@
             "events_per_second": round(self.events / max(self.wall_seconds, 1e-9)),
             "simulated_per_second": round(self.plan.seconds / max(self.wall_seconds, 1e-9), 1),
         }
+        if self.cost is not None:
+            record["control_cost"] = self.cost.to_dict()
+        return record
 
 
 class World:
@@ -277,6 +286,17 @@
                 self._take_violation(error)
         return self._report(time.perf_counter() - started)
 
+    def _begin_to_count(self) -> None:
+        traffic = self.surroundings.traffic
+        traffic.is_counted = True
+        self.kernel.after(COST_SETTLING, traffic.clear)
+
+    def _cost(self) -> ControlCost | None:
+        if not self.plan.measures_cost:
+            return None
+        seconds = self.plan.seconds - QUIET_START - COST_SETTLING
+        return control_cost(self.surroundings.traffic, self.nodes, seconds)
+
     def _take_violation(self, error: InvariantViolation) -> None:
         try:
             self.monitor.take_product_violation(error, "product")
@@ -291,6 +311,8 @@
         self.kernel.after(2.0, self._apply_site_config)
         self.kernel.after(2.0, self.monitor.observe)
         self.kernel.after(QUIET_START / 2, self.callers.begin)
+        if self.plan.measures_cost:
+            self.kernel.after(QUIET_START, self._begin_to_count)
         FaultSchedule(
             self, self.plan.faults, self.plan.fault_interval, end, self._generator("faults")
         ).begin()
@@ -369,5 +391,5 @@
             },
             events=self.kernel.events,
             wall_seconds=wall_seconds,
-            messages=self.network.messages,
+            cost=self._cost(),
         )
