--- a/src/limedeck/control/group.py
+++ b/src/limedeck/control/group.py
@@ -44,7 +44,7 @@
 from limedeck.control.leases import LeaseExchange, LeaseTable
 from limedeck.control.moves import MovePhase, MoveProgress, MoveTable
 from limedeck.control.timing import ControlLimits, ControlTiming
-from limedeck.control.voters import plan_voter_change
+from limedeck.control.voters import VoterSituation, plan_voter_change
 from limedeck.identity import BackendId, Fence, GroupId, Seconds, Voter
 from limedeck.keyspace.hashing import rendezvous_weight
 from limedeck.keyspace.planning import initial_assignment
@@ -78,6 +78,8 @@
         Live nodes that may vote, this one included.
     evidence
         What proves that a run of a node is over.
+    departing
+        Nodes that are about to stop.
     leaving
         This node is about to stop.
     """
@@ -86,6 +88,7 @@
     slices_per_backend: int = 50
     nodes: tuple[Voter, ...] = ()
     evidence: LossEvidence = field(default_factory=lambda: LossEvidence(None, {}))
+    departing: frozenset[Voter] = frozenset()
     leaving: bool = False
 
 
@@ -228,11 +231,6 @@
             self._on_record_failure(event, now)
         return self._run(now)
 
-    def leave(self, now: Seconds) -> list[GroupCommand]:
-        """Hand leadership over before a planned stop."""
-        self._commands.extend(self.consensus.transfer_leadership(now))
-        return self._run(now)
-
     # ------------------------------------------------------------------ the loop
 
     def _run(self, now: Seconds, planning: bool = False) -> list[GroupCommand]:
@@ -276,6 +274,13 @@
             self._plan_moves(duties, now)
         self._maintain_voters(duties, now)
         self._maintain_record(duties, now)
+        if self.view.leaving:
+            self._hand_over(duties, now)
+
+    def _hand_over(self, duties: LeaderDuties, now: Seconds) -> None:
+        """Give leadership to another voter, once there is one."""
+        if len(self.consensus.committed_voters) > 1 and duties.voter_change is None:
+            self._commands.extend(self.consensus.transfer_leadership(now))
 
     # ------------------------------------------------------------------ assignment
 
@@ -433,14 +438,16 @@
         if change is not None:
             self._advance_voter_change(duties, change, now)
             return
-        wanted = plan_voter_change(
-            self.group,
-            self.identity,
-            self.consensus.voters,
-            self._lost_voters(now),
-            self.view.nodes,
-            self.limits.voters,
+        situation = VoterSituation(
+            group=self.group,
+            leader=self.identity,
+            voters=self.consensus.voters,
+            lost=self._lost_voters(now),
+            candidates=self.view.nodes,
+            departing=self.view.departing,
+            leader_leaves=self.view.leaving,
         )
+        wanted = plan_voter_change(situation, self.limits.voters)
         if wanted is None:
             self.consensus.set_learners(())
             return
@@ -475,14 +482,15 @@
     # ------------------------------------------------------------------ the record
 
     def _maintain_record(self, duties: LeaderDuties, now: Seconds) -> None:
-        if self._record_busy or now < self._next_record_access:
+        change = duties.voter_change
+        is_urgent = change is not None and not change.announced
+        if self._record_busy or (now < self._next_record_access and not is_urgent):
             return
         if not self.record_known:
             self._read_record(now)
             return
         if self.record is not None and self.record.epoch > self.epoch:
             return
-        change = duties.voter_change
         announced = change.voters if change is not None else ()
         wanted = (self.epoch, self.consensus.commit_index, announced)
         if wanted != self._record_contents:
--- a/src/limedeck/control/membership.py
+++ b/src/limedeck/control/membership.py
@@ -131,6 +131,14 @@
             if member.status != MEMBER_STATUS_DEAD
         )
 
+    def departing_nodes(self) -> frozenset[Voter]:
+        """Members that are about to stop."""
+        return frozenset(
+            member.identity
+            for member in self.members.values()
+            if member.status == MEMBER_STATUS_LEAVING
+        )
+
     def runs(self) -> dict[NodeId, Voter]:
         """Latest known run of every member, dead or alive."""
         return {node_id: member.identity for node_id, member in self.members.items()}
--- a/src/limedeck/control/node.py
+++ b/src/limedeck/control/node.py
@@ -109,6 +109,12 @@
             return False
         return all(self.routes.version(group) > 0 for group in self._views if group in self.groups)
 
+    def leads_any(self) -> bool:
+        """Whether this node leads a group that others could lead."""
+        return any(
+            core.consensus.is_leader and len(core.view.nodes) > 0 for core in self.groups.values()
+        )
+
     def handle(self, event: ControlEvent, now: Seconds) -> list[ControlCommand]:
         """Handle one event; `now` is read from the clock just before the call."""
         if isinstance(event, PeerMessageReceived):
@@ -193,8 +199,6 @@
     def _on_leave(self, now: Seconds) -> None:
         self.leaving = True
         self._add_membership(self.membership.leave(now))
-        for core in self.groups.values():
-            self._add_group(core.leave(now))
 
     # ------------------------------------------------------------------ upkeep
 
@@ -242,6 +246,7 @@
                 slices_per_backend=service.sharing.slices_per_backend,
                 nodes=nodes,
                 evidence=evidence,
+                departing=self.membership.departing_nodes(),
                 leaving=self.leaving,
             )
             for index in range(count)
--- a/src/limedeck/daemon/server.py
+++ b/src/limedeck/daemon/server.py
@@ -31,6 +31,8 @@
 OPERATOR_GRACE = 2.0
 ADMIN_GRACE = 1.0
 LISTEN_BACKLOG = 512
+HAND_OVER_PATIENCE = 5.0
+HAND_OVER_POLL = 0.05
 ROUTABLE_PATIENCE = 5.0
 """A started node opens to callers after so long even without a configuration."""
 QUIET_SECONDS = 0.25
@@ -144,6 +146,7 @@
             gateway.stopping = True
             host.leave()
             await anyio.sleep(self._settings.stop.notice_seconds)
+            await self._wait_until_handed_over(host)
             await self._shut_listener(listener)
             callers_stop.set()
             await operators.stop(OPERATOR_GRACE)
@@ -157,6 +160,12 @@
             while not host.core.can_route():
                 await host.wait_for_change(ROUTABLE_PATIENCE)
 
+    async def _wait_until_handed_over(self, host: ControlHost) -> None:
+        """Go on while this node leads a group that another could lead, but not for long."""
+        with anyio.move_on_after(HAND_OVER_PATIENCE):
+            while host.core.leads_any():
+                await host.wait_for_change(HAND_OVER_POLL)
+
     async def _shut_listener(self, listener: socket.socket) -> None:
         """Take no more connections, and let requests come in on those taken just before.
 
--- a/src/limedeck_lab/simulation/nodes.py
+++ b/src/limedeck_lab/simulation/nodes.py
@@ -35,6 +35,7 @@
 from limedeck_lab.simulation.processes import SimulatedProcess
 
 LEAVE_NOTICE: Seconds = 1.25
+HAND_OVER_PATIENCE: Seconds = 5.0
 FRAME_BYTES = 4
 HTTP_HEADER_BYTES = 180
 """Of one side of a lease exchange; `limedeck-lab bench control` measures the real ones."""
@@ -161,8 +162,18 @@
             return
         self.is_leaving = True
         self.dispatch(LeaveRequested())
-        run = self.run_number
-        self.kernel.after(LEAVE_NOTICE, lambda: self.kill() if run == self.run_number else None)
+        self._end_when_handed_over(self.run_number, self.kernel.now + HAND_OVER_PATIENCE)
+
+    def _end_when_handed_over(self, run: int, give_up_at: Seconds) -> None:
+        def look() -> None:
+            if run != self.run_number:
+                return
+            if self.core.leads_any() and self.kernel.now < give_up_at:
+                self._end_when_handed_over(run, give_up_at)
+            else:
+                self.kill()
+
+        self.kernel.after(LEAVE_NOTICE, look)
 
     def _schedule_tick(self, run: int) -> None:
         def tick() -> None:
--- a/tests/unit/test_group_record.py
+++ b/tests/unit/test_group_record.py
@@ -11,7 +11,7 @@
     may_start_next_epoch,
     next_epoch_record,
 )
-from limedeck.control.voters import plan_voter_change
+from limedeck.control.voters import VoterSituation, plan_voter_change
 from limedeck.identity import GroupId, NodeId, Voter
 from limedeck.keyspace.slices import change_of
 from tests.unit.consensus_cluster import voter
@@ -86,6 +86,7 @@
     ("lost without a spare stays", (A, B, C), (C,), (A, B), None),
     ("lost with a spare goes", (A, B, C), (C,), (A, B, D), 2),
     ("restarted node takes its own place", (A, B, C), (C,), (A, B, voter("c", 2)), 2),
+    ("one of two lost: the other stays alone", (A, B), (B,), (A,), 1),
     ("two lost: removal would lose the quorum", (A, B, C), (B, C), (A, D), None),
 ]
 
@@ -98,7 +99,7 @@
 def test_the_next_voter_set(
     voters: tuple[Voter, ...], lost: tuple[Voter, ...], nodes: tuple[Voter, ...], size: int | None
 ) -> None:
-    planned = plan_voter_change(GROUP, A, voters, lost, nodes, 3)
+    planned = plan_voter_change(VoterSituation(GROUP, A, voters, lost, nodes), 3)
     assert (len(planned) if planned else None) == size
     if planned is not None:
         assert len(set(planned) ^ set(voters)) == 1
@@ -107,5 +108,35 @@
 
 def test_voters_are_spread_over_zones() -> None:
     same_zone = Voter(NodeId("e"), A.incarnation, "e:1", A.zone)
-    planned = plan_voter_change(GROUP, A, (A, B), (), (A, B, same_zone, C), 3)
+    planned = plan_voter_change(VoterSituation(GROUP, A, (A, B), (), (A, B, same_zone, C)), 3)
     assert planned is not None and C in planned
+
+
+def test_a_lone_leader_that_leaves_gets_a_successor_first() -> None:
+    situation = VoterSituation(GROUP, A, (A,), (), (B,), leader_leaves=True)
+    assert plan_voter_change(situation, 3) == (A, B)
+
+
+DEPARTURES = [
+    ("one of three departs: two are left", (A, B, C), (), (C,), (A, B), None),
+    ("one of three departs, a spare is there", (A, B, C), (), (C,), (A, B, D), {A, B}),
+    ("one is lost, one departs: the lost one first", (A, B, C), (B,), (C,), (A,), {A, C}),
+    ("one of two departs", (A, C), (), (C,), (A,), {A}),
+]
+
+
+@pytest.mark.parametrize(
+    ("voters", "lost", "departing", "nodes", "wanted"),
+    [case[1:] for case in DEPARTURES],
+    ids=[case[0] for case in DEPARTURES],
+)
+def test_departing_voters(
+    voters: tuple[Voter, ...],
+    lost: tuple[Voter, ...],
+    departing: tuple[Voter, ...],
+    nodes: tuple[Voter, ...],
+    wanted: set[Voter] | None,
+) -> None:
+    situation = VoterSituation(GROUP, A, voters, lost, nodes, departing)
+    planned = plan_voter_change(situation, 3)
+    assert (set(planned) if planned else None) == wanted
