A leader that hears no answers steps down; real nodes are cut off from each other

Cause: reading for the test by a cut: a leader whose appends arrive but which gets no answers kept its voters bound to it for as long as a one-way cut lasts, and could commit nothing itself. The test fails without the change (two nodes hear a deaf leader for 3 s and elect nobody). Ruled out: the lease itself (it lapsed as it should; nobody could take over). Now a leader without a majority's answer for an election timeout after its lease steps down.

--- a/src/limedeck/config/settings.py
+++ b/src/limedeck/config/settings.py
@@ -53,6 +53,7 @@
     id: str = Field(pattern=NAME)
     zone: str = Field(pattern=NAME)
     peer_address: Address
+    peer_listen_address: Address | None = None
     caller_address: Address
     operator_address: Address
     admin_address: Address
--- a/src/limedeck/control/consensus.py
+++ b/src/limedeck/control/consensus.py
@@ -230,7 +230,9 @@
 
     def handle_tick(self, now: Seconds) -> list[OutgoingMessage]:
         """Send due appends, or stand for election when no leader was heard for too long."""
-        if self.is_leader:
+        if self._lost_majority(now):
+            self._step_down(now)
+        elif self.is_leader:
             self._send_due_appends(now)
         elif now >= self._election_due and self.identity in self.voters:
             self._start_pre_vote(now)
@@ -318,6 +320,22 @@
 
     # ------------------------------------------------------------------ elections
 
+    def _lost_majority(self, now: Seconds) -> bool:
+        """Whether a leader has had no majority's answer for so long that others should lead.
+
+        Its appends may still arrive where its answers do not come from, and would keep those
+        voters bound to it.
+        """
+        state = self.leader_state
+        if state is None:
+            return False
+        heard_at = max(self.leadership_lease_end(), state.elected_at)
+        return now > heard_at + self.timing.election_timeout
+
+    def _step_down(self, now: Seconds) -> None:
+        self._become_follower(None)
+        self._election_due = now + 2 * self._election_delay()
+
     def _start_pre_vote(self, now: Seconds) -> None:
         self.role = Role.PRE_CANDIDATE
         self.leader = None
--- a/src/limedeck/daemon/peers.py
+++ b/src/limedeck/daemon/peers.py
@@ -37,7 +37,7 @@
     Parameters
     ----------
     address
-        Where to listen.
+        Where to listen; connections to other nodes come from its IP number too.
     handler
         Called with every message that comes in.
     """
@@ -45,7 +45,7 @@
     def __init__(
         self, address: str, handler: MessageHandler, telemetry: Telemetry, tasks: TaskGroup
     ) -> None:
-        self._address = address
+        self._host, self._port = split_address(address)
         self._handler = handler
         self._telemetry = telemetry
         self._tasks = tasks
@@ -66,8 +66,7 @@
 
     async def serve(self, *, task_status: TaskStatus[None]) -> None:
         """Listen until cancelled."""
-        host, port = split_address(self._address)
-        listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+        listener = await anyio.create_tcp_listener(local_host=self._host, local_port=self._port)
         async with listener:
             task_status.started()
             await listener.serve(self._receive_from)
@@ -84,7 +83,7 @@
             frame = await queue.receive()
             try:
                 with anyio.fail_after(CONNECT_TIMEOUT):
-                    stream = await anyio.connect_tcp(host, port)
+                    stream = await anyio.connect_tcp(host, port, local_host=self._host)
             except (OSError, TimeoutError):
                 # What was queued meanwhile is old by now; the cores send again what matters.
                 _discard_queued(queue)
--- a/src/limedeck/daemon/server.py
+++ b/src/limedeck/daemon/server.py
@@ -122,9 +122,9 @@
         )
         async with anyio.create_task_group() as tasks:
             host = ControlHost(core, table, machine_list, self._telemetry, tasks)
-            transport = PeerTransport(
-                self._identity.peer_address, host.receive, self._telemetry, tasks
-            )
+            node = self._settings.node
+            listen_address = node.peer_listen_address or node.peer_address
+            transport = PeerTransport(listen_address, host.receive, self._telemetry, tasks)
             host.set_transport(transport.send)
             await tasks.start(transport.serve)
             tasks.start_soon(host.run)
--- a/src/limedeck_lab/cluster.py
+++ b/src/limedeck_lab/cluster.py
@@ -14,6 +14,7 @@
 
 from limedeck.api.peer_pb2 import Backend
 from limedeck.cli.client import OperatorCallFailed, OperatorClient
+from limedeck_lab.cuttable_network import CuttableNetwork
 from limedeck_lab.processes import (
     ManagedProcess,
     ProcessGroup,
@@ -25,6 +26,7 @@
 from limedeck_lab.site import Site
 
 HOST = "127.0.0.1"
+NODE_NETWORK = "127.0.1"
 READY_TIMEOUT = 60.0
 
 
@@ -35,6 +37,7 @@
     node_id: str
     zone: str
     peer: str
+    peer_listen: str
     caller: str
     operator: str
     admin: str
@@ -56,24 +59,31 @@
         self.directory = directory
         self.processes = ProcessGroup(directory)
         self.nodes: dict[str, ManagedProcess] = {}
+        self.network = CuttableNetwork()
         self.addresses = self._plan_addresses()
         self.backends = self._plan_backends()
         self.platform_url = ""
         self._overrides = overrides
 
     def _plan_addresses(self) -> list[NodeAddresses]:
-        ports = iter(free_ports(4 * len(self.site.zones) * self.site.nodes_per_zone))
+        names = [
+            (zone, f"{zone}-{number}")
+            for zone in self.site.zones
+            for number in range(1, self.site.nodes_per_zone + 1)
+        ]
+        ports = iter(free_ports(5 * len(names)))
+        # Each node has an IP number of its own, so that a cut knows who connects.
         return [
             NodeAddresses(
-                node_id=f"{zone}-{number}",
+                node_id=node_id,
                 zone=zone,
                 peer=f"{HOST}:{next(ports)}",
+                peer_listen=f"{NODE_NETWORK}.{index + 1}:{next(ports)}",
                 caller=f"{HOST}:{next(ports)}",
                 operator=f"{HOST}:{next(ports)}",
                 admin=f"{HOST}:{next(ports)}",
             )
-            for zone in self.site.zones
-            for number in range(1, self.site.nodes_per_zone + 1)
+            for index, (zone, node_id) in enumerate(names)
         ]
 
     def _plan_backends(self) -> list[Backend]:
@@ -139,6 +149,7 @@
         """Start everything and wait until each node answers."""
         self.start_platform()
         self.start_backends()
+        self.network.start({item.peer: item.peer_listen for item in self.addresses})
         for addresses in self.addresses:
             self.start_node(addresses)
         for addresses in self.addresses:
@@ -152,6 +163,7 @@
 id = "{addresses.node_id}"
 zone = "{addresses.zone}"
 peer_address = "{addresses.peer}"
+peer_listen_address = "{addresses.peer_listen}"
 caller_address = "{addresses.caller}"
 operator_address = "{addresses.operator}"
 admin_address = "{addresses.admin}"
@@ -246,6 +258,12 @@
     def end(self) -> None:
         """End all processes."""
         self.processes.end_all()
+        self.network.stop()
+
+    def cut_off(self, node_id: str) -> None:
+        """Cut all connections between a node and the others."""
+        (addresses,) = [item for item in self.addresses if item.node_id == node_id]
+        self.network.cut(addresses.peer, addresses.peer_listen.rpartition(":")[0])
 
 
 def _put(url: str, content: dict[str, object] | dict[str, list[dict[str, str]]]) -> None:
--- a/tests/system/test_failures.py
+++ b/tests/system/test_failures.py
@@ -78,7 +78,24 @@
     assert result.whole > 0
 
 
-@pytest.mark.parametrize("how", ["kill", "freeze"])
+def strike(cluster: Cluster, node_id: str, how: str) -> None:
+    """Take a node away from the others."""
+    if how == "cut":
+        cluster.cut_off(node_id)
+    else:
+        number = signal.SIGKILL if how == "kill" else signal.SIGSTOP
+        cluster.nodes[node_id].signal(number)
+
+
+def bring_back(cluster: Cluster, node_id: str, how: str) -> None:
+    """Have a frozen or cut-off node go on as if nothing had happened."""
+    if how == "cut":
+        cluster.network.heal()
+    else:
+        cluster.nodes[node_id].signal(signal.SIGCONT)
+
+
+@pytest.mark.parametrize("how", ["kill", "freeze", "cut"])
 def test_the_group_goes_on_without_its_leader(own_cluster: Cluster, how: str) -> None:
     wait_for_three_voters(own_cluster)
     old = leader_of(own_cluster.client())
@@ -86,17 +103,15 @@
     observer = own_cluster.client(index_of(own_cluster, others[0].node_id))
     version = observer.get_assignment(GROUP).version
     with steady_load(own_cluster, [item.caller for item in others]) as result:
-        process = own_cluster.nodes[old]
-        process.signal(signal.SIGKILL if how == "kill" else signal.SIGSTOP)
+        strike(own_cluster, old, how)
         wait_until(lambda: leader_of(observer) not in ("", old), "another node leads")
         sent = result.sent
         wait_until(lambda: result.sent >= sent + 120, "requests go on")
-        if how == "freeze":
-            process.signal(signal.SIGCONT)
-            wait_until(
-                lambda: leader_of(own_cluster.client(index_of(own_cluster, old))) != old,
-                "the thawed node follows the new leader",
-            )
+        if how != "kill":
+            bring_back(own_cluster, old, how)
+            back = own_cluster.client(index_of(own_cluster, old))
+            wait_until(lambda: leader_of(back) not in ("", old), "it follows the new leader")
+            back.close()
             sent = result.sent
             wait_until(lambda: result.sent >= sent + 60, "requests go on")
     assert_faultless(result)
--- a/tests/unit/consensus_cluster.py
+++ b/tests/unit/consensus_cluster.py
@@ -34,6 +34,8 @@
     in_transit: list[Envelope] = field(default_factory=list)
     cut: set[str] = field(default_factory=set)
     frozen: set[str] = field(default_factory=set)
+    deaf: set[str] = field(default_factory=set)
+    """Nodes that can send but receive nothing."""
 
     def __post_init__(self) -> None:
         voters = [voter(name) for name in self.names]
@@ -66,6 +68,8 @@
         ends = {envelope.sender.node_id, envelope.target.node_id}
         if core is None or ends & (self.cut | self.frozen):
             return
+        if envelope.target.node_id in self.deaf:
+            return
         self.take(core.identity, core.handle_message(envelope.sender, envelope.message, self.now))
 
     def deliver_all(self) -> None:
--- a/tests/unit/test_consensus.py
+++ b/tests/unit/test_consensus.py
@@ -55,6 +55,15 @@
     assert not old.holds_leadership(cluster.now)
 
 
+def test_a_leader_that_hears_no_answers_makes_way_although_it_is_heard() -> None:
+    cluster = running()
+    old = cluster.leader()
+    cluster.deaf = {old.identity.node_id}
+    cluster.run(3.0)
+    assert not old.is_leader
+    assert cluster.leader() is not old
+
+
 def test_a_voter_bound_by_its_promise_votes_for_nobody_else() -> None:
     cluster = running()
     follower = next(core for core in cluster.cores.values() if not core.is_leader)
