--- a/src/limedeck/control/consensus.py
+++ b/src/limedeck/control/consensus.py
@@ -10,9 +10,7 @@
 
 from __future__ import annotations
 
-import enum
 from collections.abc import Sequence
-from dataclasses import dataclass, field
 
 from limedeck.api.peer_pb2 import (
     AppendReply,
@@ -24,83 +22,31 @@
     TimeoutNow,
     VoteReply,
     VoteRequest,
-    VoterSet,
+)
+from limedeck.control.consensus_state import (
+    NEVER,
+    TERMS_PER_EPOCH,
+    LeaderState,
+    OutgoingMessage,
+    Progress,
+    Role,
+    majority,
+    transfer_rank,
+    voter_set,
+    voters_of,
 )
 from limedeck.control.replicated_log import ReplicatedLog
 from limedeck.control.timing import ControlLimits, ControlTiming
 from limedeck.errors import InvariantViolation
-from limedeck.identity import GroupId, NodeId, Seconds, Voter
+from limedeck.identity import GroupId, Seconds, Voter
 from limedeck.keyspace.hashing import rendezvous_weight
 from limedeck.keyspace.slices import SliceMap, slice_map_from
 
-NEVER: Seconds = float("-inf")
-TERMS_PER_EPOCH = 1 << 32
-"""Terms and log indexes of a later epoch are above all of an earlier one."""
 ENTRIES_PER_APPEND = 64
 """Entries that one append carries at most."""
 SPREAD_RESOLUTION = 1 << 16
 
 
-class Role(enum.Enum):
-    """What a voter is doing in its term."""
-
-    FOLLOWER = "follower"
-    PRE_CANDIDATE = "pre-candidate"
-    CANDIDATE = "candidate"
-    LEADER = "leader"
-
-
-@dataclass(frozen=True)
-class OutgoingMessage:
-    """A message for one member of the group."""
-
-    target: Voter
-    message: GroupMessage
-
-
-@dataclass
-class Progress:
-    """What a leader knows of one follower.
-
-    Parameters
-    ----------
-    next_index
-        First entry to send next.
-    match_index
-        Last entry known to be held.
-    acknowledged_sent_at
-        Leader's clock when it sent the latest append that was acknowledged.
-    last_reply_at
-        Leader's clock when the follower's last reply came.
-    last_sent_at
-        Leader's clock at its last append to the follower.
-    """
-
-    next_index: int
-    match_index: int = 0
-    acknowledged_sent_at: Seconds = NEVER
-    last_reply_at: Seconds = NEVER
-    last_sent_at: Seconds = NEVER
-
-
-@dataclass
-class LeaderState:
-    """State that only a leader has.
-
-    Parameters
-    ----------
-    elected_at
-        Leader's clock when it won the election.
-    first_index
-        Index of the entry it appended on election; it acts once that is committed.
-    """
-
-    elected_at: Seconds
-    first_index: int
-    progress: dict[Voter, Progress] = field(default_factory=dict)
-    learners: list[Voter] = field(default_factory=list)
-
-
 class ConsensusCore:
     """One node's part in one control group.
 
@@ -151,7 +97,7 @@
     def _refresh_voters(self) -> None:
         for entry in reversed(self._log.entries_after_base()):
             if entry.WhichOneof("body") == "voters":
-                self._voters = _voters_of(entry.voters)
+                self._voters = voters_of(entry.voters)
                 return
         self._voters = self._base_voters
 
@@ -314,7 +260,7 @@
         self._promised_until = NEVER
         self._election_due = now + 2 * self._election_delay()
         if candidates:
-            best = max(candidates, key=lambda voter: _transfer_rank(state, voter))
+            best = max(candidates, key=lambda voter: transfer_rank(state, voter))
             self._send(best, GroupMessage(timeout_now=TimeoutNow(term=self.term)))
         return self._finish("transfer")
 
@@ -593,7 +539,7 @@
         while self.commit_index < index:
             entry = self._log.entry(self.commit_index + 1)
             if entry.WhichOneof("body") == "voters":
-                self.committed_voters = _voters_of(entry.voters)
+                self.committed_voters = voters_of(entry.voters)
             else:
                 self.slices.apply(entry.assignment)
             self.commit_index = entry.index
@@ -607,7 +553,7 @@
         for index in range(self._log.base_index + 1, target + 1):
             entry = self._log.entry(index)
             if entry.WhichOneof("body") == "voters":
-                self._base_voters = _voters_of(entry.voters)
+                self._base_voters = voters_of(entry.voters)
             else:
                 self._base_slices.apply(entry.assignment)
         self._log.compact(target)
@@ -616,7 +562,7 @@
         self._log = ReplicatedLog(snapshot.last_index, snapshot.last_term)
         self._snapshot = GroupSnapshot()
         self._base_slices = slice_map_from(snapshot.assignment)
-        self._base_voters = _voters_of(snapshot.voters)
+        self._base_voters = voters_of(snapshot.voters)
         self._refresh_voters()
         self.slices = self._base_slices.copy()
         self.committed_voters = self._base_voters
@@ -645,22 +591,3 @@
         for invariant, holds in checks.items():
             if not holds:
                 raise InvariantViolation(invariant, f"group {self.group}, term {self.term}", cause)
-
-
-def majority(count: int) -> int:
-    """Smallest number of voters that is more than half of `count`."""
-    return count // 2 + 1
-
-
-def voter_set(voters: Sequence[Voter]) -> VoterSet:
-    """Write voters in their message form."""
-    return VoterSet(voters=[voter.to_message() for voter in voters])
-
-
-def _voters_of(message: VoterSet) -> tuple[Voter, ...]:
-    return tuple(Voter.from_message(voter) for voter in message.voters)
-
-
-def _transfer_rank(state: LeaderState, voter: Voter) -> tuple[int, Seconds, NodeId]:
-    progress = state.progress.get(voter, Progress(0))
-    return progress.match_index, progress.last_reply_at, voter.node_id
--- a/src/limedeck/control/group_record.py
+++ b/src/limedeck/control/group_record.py
@@ -10,8 +10,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from limedeck.api.peer_pb2 import GroupRecord, GroupSnapshot, VoterSet
-from limedeck.control.consensus import majority, voter_set
+from limedeck.api.peer_pb2 import GroupRecord, GroupSnapshot
+from limedeck.control.consensus_state import majority, voter_set, voters_of
 from limedeck.identity import GroupId, NodeId, Voter
 
 FIRST_EPOCH = 1
@@ -99,25 +99,20 @@
         return len(possible) < majority(len(voters))
 
 
-def record_voters(message: VoterSet) -> tuple[Voter, ...]:
-    """Read a voter set from its message form."""
-    return tuple(Voter.from_message(voter) for voter in message.voters)
-
-
 def may_start_next_epoch(record: GroupRecord, evidence: LossEvidence, founder: Voter) -> bool:
     """Whether the record's group is lost for certain and `founder` may start it anew.
 
     A founder that is a voter itself gives up its part in the old epoch by starting the next, but
     it may do so only if others are lost too: a healthy group is never started anew.
     """
-    voters = record_voters(record.voters)
+    voters = voters_of(record.voters)
     others = [voter for voter in voters if voter != founder]
-    others += [voter for voter in record_voters(record.next_voters) if voter != founder]
+    others += [voter for voter in voters_of(record.next_voters) if voter != founder]
     if not others or not any(evidence.proves_loss(voter) for voter in others):
         return False
     if not evidence.proves_lost_majority(voters, founder):
         return False
-    next_voters = record_voters(record.next_voters)
+    next_voters = voters_of(record.next_voters)
     return not next_voters or evidence.proves_lost_majority(next_voters, founder)
 
 
--- a/src/limedeck/control/membership.py
+++ b/src/limedeck/control/membership.py
@@ -22,6 +22,7 @@
     PingAck,
 )
 from limedeck.control.timing import ControlLimits, ControlTiming
+from limedeck.errors import InvariantViolation
 from limedeck.identity import Incarnation, NodeId, Seconds, Voter
 from limedeck.keyspace.hashing import rendezvous_weight
 
@@ -153,6 +154,7 @@
         """Send the ping that is due and judge those that were not answered."""
         self._judge_pings(now)
         self._judge_suspects(now)
+        self.validate_state("tick")
         if now < self._next_ping_at:
             return []
         self._next_ping_at = now + self.timing.ping_interval
@@ -170,6 +172,7 @@
         self._take_in(ping.members, now)
         whole = ping.join or newcomer
         ack = PingAck(sequence=ping.sequence, members=self._records_for(sender, whole))
+        self.validate_state(f"ping from {sender.node_id}")
         return [SendPingAck(sender.peer_address, ack)]
 
     def handle_ack(self, sender: Voter, ack: PingAck, now: Seconds) -> None:
@@ -177,6 +180,7 @@
         self._pending.pop(ack.sequence, None)
         self._hear_of(_alive_record(sender), now)
         self._take_in(ack.members, now)
+        self.validate_state(f"ack from {sender.node_id}")
 
     def leave(self, now: Seconds) -> list[MembershipCommand]:
         """Tell the others that this node is about to stop."""
@@ -187,6 +191,14 @@
         chosen = others[: self.limits.piggybacked_members]
         return [self._ping(member.peer_address, now, member) for member in chosen]
 
+    def validate_state(self, cause: str) -> None:
+        """Assert that this node knows itself, whatever others say of it."""
+        own = self.members.get(self.identity.node_id)
+        if own is None or own.identity != self.identity:
+            raise InvariantViolation("member-knows-itself", f"holds {own}", cause)
+        if own.status != self._own_status:
+            raise InvariantViolation("own-status-is-own", f"holds {own.status}", cause)
+
     # ------------------------------------------------------------------ pings
 
     def _ping(self, address: str, now: Seconds, target: Voter | None) -> SendPing:
--- a/src/limedeck/control/node.py
+++ b/src/limedeck/control/node.py
@@ -12,7 +12,7 @@
 from limedeck.api.peer_pb2 import ConfigUpdate, PeerMessage, Service
 from limedeck.config.objects import group_of_backend
 from limedeck.config.replica import ConfigReplica
-from limedeck.control.consensus import OutgoingMessage
+from limedeck.control.consensus_state import OutgoingMessage
 from limedeck.control.dissemination import Deliver, DisseminationCore
 from limedeck.control.events import (
     ConfigReceived,
@@ -24,15 +24,9 @@
     PeerMessageReceived,
     RecordAnswered,
 )
-from limedeck.control.group import (
-    GroupBackend,
-    GroupCommand,
-    GroupCore,
-    GroupView,
-    PublishRoutes,
-    Wake,
-)
+from limedeck.control.group import GroupCommand, GroupCore
 from limedeck.control.group_record import LossEvidence, ReadRecord, WriteRecord
+from limedeck.control.group_view import GroupBackend, GroupView, PublishRoutes, Wake
 from limedeck.control.leases import LeaseExchange
 from limedeck.control.membership import (
     MembershipCommand,
--- a/src/limedeck/control/voters.py
+++ b/src/limedeck/control/voters.py
@@ -6,7 +6,7 @@
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 
-from limedeck.control.consensus import majority
+from limedeck.control.consensus_state import majority
 from limedeck.identity import GroupId, Voter
 from limedeck.keyspace.hashing import rendezvous_weight
 
--- /dev/null
+++ b/src/limedeck/daemon/asgi.py
@@ -0,0 +1,11 @@
+"""Names for what the HTTP server and an application hand each other (ASGI)."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+Scope = dict[str, Any]
+Message = dict[str, Any]
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
--- a/src/limedeck/daemon/callers.py
+++ b/src/limedeck/daemon/callers.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import uuid
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any
 
 import anyio
 
+from limedeck.daemon.asgi import Receive, Scope, Send
 from limedeck.daemon.backend_client import (
     NOT_OWNER,
     AttemptFailed,
@@ -17,6 +17,13 @@
     BackendClient,
     BackendRequest,
 )
+from limedeck.daemon.caller_requests import (
+    OWN_PREFIX,
+    CallerDisconnected,
+    CallerRequest,
+    RequestRefused,
+    read_request,
+)
 from limedeck.daemon.clock import boot_clock
 from limedeck.daemon.control_host import ControlHost
 from limedeck.daemon.in_flight import InFlightRequests
@@ -29,7 +36,6 @@
     refusal,
 )
 from limedeck.daemon.telemetry import Telemetry
-from limedeck.errors import LimedeckError, MissingKey, UnknownService
 from limedeck.identity import Seconds
 from limedeck.routing.backends import BackendStates
 from limedeck.routing.outcomes import FailurePhase, Outcome
@@ -44,59 +50,13 @@
     RoutingLimits,
     Wait,
 )
-from limedeck.routing.rules import MILLISECONDS, RequestTarget, deadline_of, match_request
-
-Scope = dict[str, Any]
-Message = dict[str, Any]
-Receive = Callable[[], Awaitable[Message]]
-Send = Callable[[Message], Awaitable[None]]
+from limedeck.routing.rules import MILLISECONDS
 
 BUFFERED_ANSWER = 256 * 1024
 """An answer up to so many bytes is passed on only once it is whole."""
-LONGEST_REQUEST_ID = 128
-HOP_BY_HOP = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"host",
-        b"content-length",
-    }
-)
-OWN_PREFIX = b"limedeck-"
 RESERVED_ANSWER_HEADERS = frozenset({b"connection", b"keep-alive", b"transfer-encoding"})
 
 
-class CallerDisconnected(LimedeckError):
-    """The caller went away before its request was read."""
-
-
-@dataclass
-class RequestRefused(LimedeckError):
-    """A request is refused before it is routed; nothing was run."""
-
-    answer: WholeAnswer
-    reason: str
-
-
-@dataclass(frozen=True)
-class CallerRequest:
-    """A caller's request, read whole."""
-
-    request_id: str
-    names_own_id: bool
-    method: str
-    target: RequestTarget
-    headers: list[tuple[str, str]]
-    body: bytes
-    deadline: Seconds
-
-
 @dataclass(frozen=True)
 class StreamedAnswer:
     """An answer too large to hold: what has come, and where the rest comes from."""
@@ -138,7 +98,8 @@
             return
         started = boot_clock()
         try:
-            request = await self._read_request(scope, receive, started)
+            self._follow_config()
+            request = await read_request(self._host.core.config, scope, receive, started)
         except RequestRefused as error:
             self._telemetry.requests.labels("", Outcome.NOT_RUN.value, error.reason).inc()
             await self._send_whole(send, error.answer, None)
@@ -153,41 +114,6 @@
 
     # ------------------------------------------------------------------ reading
 
-    async def _read_request(self, scope: Scope, receive: Receive, now: Seconds) -> CallerRequest:
-        self._follow_config()
-        headers = {
-            name.decode("latin-1"): value.decode("latin-1") for name, value in scope["headers"]
-        }
-        raw_path = scope.get("raw_path") or scope["path"].encode()
-        query = scope["query_string"].decode("latin-1")
-        method = scope["method"]
-        try:
-            target = match_request(
-                self._host.core.config, method, raw_path.decode("latin-1"), query, headers
-            )
-        except UnknownService as error:
-            raise _refused(404, "unknown-service", str(error)) from error
-        except MissingKey as error:
-            raise _refused(400, "missing-key", str(error)) from error
-        try:
-            deadline = deadline_of(target.service, headers.get("limedeck-deadline-ms"), now)
-        except ValueError as error:
-            detail = "limedeck-deadline-ms must be a positive number of milliseconds"
-            raise _refused(400, "invalid-deadline", detail) from error
-        own_id = headers.get("limedeck-request-id", "")
-        if len(own_id) > LONGEST_REQUEST_ID:
-            raise _refused(400, "invalid-request-id", f"above {LONGEST_REQUEST_ID} characters")
-        body = await _read_body(receive, headers, target.service.limits.maximum_body_bytes)
-        return CallerRequest(
-            request_id=own_id or uuid.uuid4().hex,
-            names_own_id=bool(own_id),
-            method=method,
-            target=target,
-            headers=_forwarded_headers(scope["headers"]),
-            body=body,
-            deadline=deadline,
-        )
-
     def _follow_config(self) -> None:
         config = self._host.core.config
         membership = self._host.core.membership
@@ -375,30 +301,6 @@
         return headers
 
 
-async def _read_body(receive: Receive, headers: dict[str, str], limit: int) -> bytes:
-    announced = headers.get("content-length", "0")
-    if announced.isdigit() and int(announced) > limit:
-        raise _refused(413, "body-too-large", f"the body may have {limit} bytes")
-    body = bytearray()
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            raise CallerDisconnected
-        body += message.get("body", b"")
-        if len(body) > limit:
-            raise _refused(413, "body-too-large", f"the body may have {limit} bytes")
-        if not message.get("more_body", False):
-            return bytes(body)
-
-
-def _forwarded_headers(headers: Iterable[tuple[bytes, bytes]]) -> list[tuple[str, str]]:
-    return [
-        (name.decode("latin-1"), value.decode("latin-1"))
-        for name, value in headers
-        if name not in HOP_BY_HOP and not name.startswith((OWN_PREFIX, b":"))
-    ]
-
-
 def _answer_headers(headers: Iterable[tuple[bytes, bytes]]) -> list[tuple[bytes, bytes]]:
     lowered = [(name.lower(), value) for name, value in headers]
     return [
@@ -424,10 +326,6 @@
     )
 
 
-def _refused(status: int, reason: str, detail: str) -> RequestRefused:
-    return RequestRefused(problem(status, reason, detail, Outcome.NOT_RUN), reason)
-
-
 def _in_flight_elsewhere() -> WholeAnswer:
     detail = "another request with this id is in flight"
     return problem(409, "request-in-flight", detail, Outcome.UNKNOWN, retry_after=1.0)
--- a/src/limedeck/daemon/control_host.py
+++ b/src/limedeck/daemon/control_host.py
@@ -23,7 +23,6 @@
     RecordAnswered,
     Tick,
 )
-from limedeck.control.group import Wake
 from limedeck.control.group_record import (
     ReadRecord,
     RecordConflict,
@@ -33,6 +32,7 @@
     RecordWritten,
     WriteRecord,
 )
+from limedeck.control.group_view import Wake
 from limedeck.control.leases import LeaseExchange
 from limedeck.control.node import ControlCommand, ControlNode, PollConfig, ReadMachines, SendPeer
 from limedeck.daemon.aiohttp_client import open_session
--- a/src/limedeck_lab/simulation/monitor.py
+++ b/src/limedeck_lab/simulation/monitor.py
@@ -8,7 +8,7 @@
 
 import xxhash
 
-from limedeck.control.consensus import TERMS_PER_EPOCH
+from limedeck.control.consensus_state import TERMS_PER_EPOCH
 from limedeck.control.events import ControlEvent
 from limedeck.control.node import ControlCommand
 from limedeck.errors import InvariantViolation, LimedeckError
--- a/src/limedeck_lab/simulation/nodes.py
+++ b/src/limedeck_lab/simulation/nodes.py
@@ -37,7 +37,7 @@
 LEAVE_NOTICE: Seconds = 1.25
 HAND_OVER_PATIENCE: Seconds = 5.0
 FRAME_BYTES = 4
-HTTP_HEADER_BYTES = 180
+HTTP_HEADER_BYTES = 86
 """Of one side of a lease exchange; `limedeck-lab bench control` measures the real ones."""
 
 
--- a/tests/unit/consensus_cluster.py
+++ b/tests/unit/consensus_cluster.py
@@ -3,7 +3,8 @@
 from dataclasses import dataclass, field
 
 from limedeck.api.peer_pb2 import GroupMessage, GroupSnapshot
-from limedeck.control.consensus import ConsensusCore, OutgoingMessage, voter_set
+from limedeck.control.consensus import ConsensusCore
+from limedeck.control.consensus_state import OutgoingMessage, voter_set
 from limedeck.control.timing import ControlLimits, ControlTiming
 from limedeck.identity import GroupId, Incarnation, NodeId, Voter
 
--- a/tests/unit/test_consensus.py
+++ b/tests/unit/test_consensus.py
@@ -3,7 +3,8 @@
 import pytest
 
 from limedeck.api.peer_pb2 import GroupMessage, GroupSnapshot, TimeoutNow
-from limedeck.control.consensus import TERMS_PER_EPOCH, ConsensusCore, majority
+from limedeck.control.consensus import ConsensusCore
+from limedeck.control.consensus_state import TERMS_PER_EPOCH, majority
 from limedeck.errors import InvariantViolation
 from limedeck.keyspace.slices import change_of
 from tests.unit.consensus_cluster import GROUP, LIMITS, TIMING, ConsensusCluster, voter
--- a/tests/unit/test_group_record.py
+++ b/tests/unit/test_group_record.py
@@ -5,7 +5,7 @@
 import pytest
 
 from limedeck.api.peer_pb2 import GroupRecord, GroupSnapshot
-from limedeck.control.consensus import voter_set
+from limedeck.control.consensus_state import voter_set
 from limedeck.control.group_record import (
     LossEvidence,
     may_start_next_epoch,
