A leader that its back ends do not answer hands over

Ruled out: leases and voters (both as they should be); routers other than the leader's, which reached everything. Now a leader whose slices' owners are silent for the most part hands over, no sooner than two leases after its election.

--- a/src/limedeck/control/assignment_leader.py
+++ b/src/limedeck/control/assignment_leader.py
@@ -63,6 +63,15 @@
         self._finish_moves(now)
         self._advance_moves(may_grant, now)
 
+    def silent_owners(self, now: Seconds) -> list[BackendId]:
+        """Owners of slices that do not answer."""
+        return [
+            owner
+            for owner in self._consensus.slices.owners()
+            if (lease := self.leases.lease(owner)) is None
+            or not lease.is_responsive(now, self._timing)
+        ]
+
     def handle_reply(
         self, backend_id: BackendId, fence: Fence, reply: LeaseReply, now: Seconds
     ) -> bool:
--- a/src/limedeck/control/group.py
+++ b/src/limedeck/control/group.py
@@ -182,9 +182,17 @@
         assignment.advance(self.may_grant(now), now)
         self._commands.extend(assignment.due_exchanges(self.may_grant(now), now))
         self._publish(duties)
-        if planning and self.view.leaving:
+        if planning and (self.view.leaving or self._is_cut_off(duties, now)):
             self._hand_over(duties, now)
 
+    def _is_cut_off(self, duties: LeaderDuties, now: Seconds) -> bool:
+        """Whether most owners of slices do not answer this leader; they may answer another."""
+        state = self.consensus.leader_state
+        if state is None or now - state.elected_at < 2 * self.timing.longest_backend_lease:
+            return False
+        silent = duties.assignment.silent_owners(now)
+        return 2 * len(silent) > len(self.consensus.slices.owners())
+
     def _hand_over(self, duties: LeaderDuties, now: Seconds) -> None:
         """Give leadership to another voter, once there is one."""
         if duties.assignment.moves.withheld_starts():
--- a/src/limedeck_lab/simulation/faults.py
+++ b/src/limedeck_lab/simulation/faults.py
@@ -110,6 +110,19 @@
     return f"{len(some)} machines, {len(cuts)} ways"
 
 
+def isolate_leader(world: World, generator: random.Random) -> str:
+    """The leader reaches the other nodes, but no back end."""
+    leader = world.leader() or world.nodes[0]
+    node = frozenset([leader.place.machine])
+    others = frozenset(backend.place.machine for backend in world.backends)
+    cuts = [Cut(node, others, False), Cut(others, node, False)]
+    world.network.cuts.extend(cuts)
+    span = generator.uniform(5.0, 15.0)
+    for cut in cuts:
+        world.kernel.after(span, lambda cut=cut: world.network.heal(cut))  # type: ignore[misc]
+    return f"{leader.place.machine} for {span:.0f} s"
+
+
 def bad_network(world: World, generator: random.Random) -> str:
     """Messages between nodes are lost, doubled, delayed and reordered."""
     world.network.faults = NetworkFaults(
@@ -243,6 +256,7 @@
     "freeze-node": freeze_node,
     "stop-node": stop_node,
     "partition": partition,
+    "isolate-leader": isolate_leader,
     "bad-network": bad_network,
     "late-messages": late_messages,
     "store-down": store_down,
--- a/tests/unit/test_simulation.py
+++ b/tests/unit/test_simulation.py
@@ -61,6 +61,7 @@
     ("freeze-backend", 3.0),
     ("kill-leader", 0.0),
     ("freeze-leader", 0.0),
+    ("isolate-leader", 3.0),
     ("store-down", 0.0),
     ("lose-leader-zone", 3.0),
     ("lose-leader-and-backend", 3.0),
