--- a/src/limedeck/control/balancing.py
+++ b/src/limedeck/control/balancing.py
@@ -10,18 +10,9 @@
 from limedeck.control.moves import MovePhase, MoveProgress, MoveTable
 from limedeck.control.timing import ControlLimits, ControlTiming
 from limedeck.identity import BackendId, Seconds
-from limedeck.keyspace.planning import (
-    Move,
-    plan_evacuation,
-    plan_merges,
-    plan_rebalance,
-    plan_splits,
-    slice_weights,
-)
+from limedeck.keyspace.planning import Move, plan_balance_step, plan_evacuation
 from limedeck.keyspace.slices import NO_OWNER, SliceMap
 
-SPLITS_AT_ONCE = 8
-MERGES_AT_ONCE = 8
 BUDGET_BURST_FRACTION = 0.25
 """Part of a minute's moves that may be started at once."""
 
@@ -133,20 +124,13 @@
 def _plan_balance(view: BalanceView, budget: MoveBudget, room: int, now: Seconds) -> NextMoves:
     if len(view.moves) > 0:
         return NextMoves()
-    loads = _measured_loads(view)
-    count = len(view.receivers)
-    weights = slice_weights(view.slices, loads, count)
-    splits = plan_splits(view.slices, loads, weights, count, SPLITS_AT_ONCE)
-    if splits.upserts:
-        return NextMoves(reshape=splits)
     allowed = min(room, int(budget.tokens))
-    planned = plan_rebalance(view.slices, weights, view.receivers, allowed)
-    if planned:
-        budget.tokens -= len(planned)
-        return NextMoves([_progress(move, MovePhase.WARMING, now) for move in planned])
-    return NextMoves(
-        reshape=plan_merges(view.slices, weights, count, view.minimum_slices, MERGES_AT_ONCE)
+    step = plan_balance_step(
+        view.slices, _measured_loads(view), view.receivers, allowed, view.minimum_slices
     )
+    budget.tokens -= len(step.moves)
+    moves = [_progress(move, MovePhase.WARMING, now) for move in step.moves]
+    return NextMoves(moves, step.reshape)
 
 
 def _progress(move: Move, phase: MovePhase, now: Seconds) -> MoveProgress:
--- a/src/limedeck/keyspace/planning.py
+++ b/src/limedeck/keyspace/planning.py
@@ -8,7 +8,7 @@
 
 from limedeck.api.peer_pb2 import AssignmentChange
 from limedeck.identity import BackendId
-from limedeck.keyspace.hashing import even_cuts
+from limedeck.keyspace.hashing import KEY_LINE_END, even_cuts
 from limedeck.keyspace.slices import NO_OWNER, Slice, SliceMap, change_of
 
 UNIFORM_LOAD_WEIGHT = 0.05
@@ -24,8 +24,10 @@
 """A slice with fewer requests a second is not split: the measurement would be noise."""
 MERGE_SHARE_OF_MEAN = 0.002
 """Two neighbours of one owner lighter than this together are merged."""
-MINIMUM_SPLIT_WIDTH = 2
-"""A slice of one position cannot be split."""
+MINIMUM_SPLIT_WIDTH = KEY_LINE_END >> 24
+"""A narrower slice holds a few keys at most; splitting it would not spread a hot one."""
+SPLITS_AT_ONCE = 8
+MERGES_AT_ONCE = 8
 
 
 @dataclass(frozen=True)
@@ -163,15 +165,18 @@
     slices: SliceMap,
     loads: Mapping[int, float],
     weights: Mapping[int, float],
-    backend_count: int,
+    backends: Sequence[BackendId],
     budget: int,
 ) -> AssignmentChange:
-    """Halve the slices that are too heavy to be balanced whole; owners stay as they are."""
-    mean = sum(weights.values()) / max(backend_count, 1)
+    """Halve heavy slices of back ends above the tolerance; owners stay as they are."""
+    totals = backend_weights(slices, weights, backends)
+    mean = sum(totals.values()) / max(len(totals), 1)
+    overloaded = {name for name, total in totals.items() if total > mean * BALANCE_TOLERANCE}
     heavy = [
         item
         for item in slices
-        if weights[item.start] > mean * SPLIT_SHARE_OF_MEAN
+        if item.owner in overloaded
+        and weights[item.start] > mean * SPLIT_SHARE_OF_MEAN
         and loads.get(item.start, 0.0) >= SPLIT_RATE
         and item.end - item.start >= MINIMUM_SPLIT_WIDTH
     ]
@@ -207,3 +212,34 @@
 def _mergeable(left: Slice, right: Slice, weights: Mapping[int, float], mean: float) -> bool:
     together = weights[left.start] + weights[right.start]
     return left.owner == right.owner and together < mean * MERGE_SHARE_OF_MEAN
+
+
+@dataclass(frozen=True)
+class BalanceStep:
+    """What brings a group nearer to balance now: moves, or else splits or merges."""
+
+    moves: list[Move]
+    reshape: AssignmentChange
+
+
+def plan_balance_step(
+    slices: SliceMap,
+    loads: Mapping[int, float],
+    backends: Sequence[BackendId],
+    allowed_moves: int,
+    minimum_slices: int,
+) -> BalanceStep:
+    """Move what can be moved; split only what moves cannot balance; merge when all is well.
+
+    Splitting first would starve the moves: a hot key's slice stays heavy however often it is
+    halved.
+    """
+    weights = slice_weights(slices, loads, len(backends))
+    moves = plan_rebalance(slices, weights, backends, allowed_moves)
+    if moves:
+        return BalanceStep(moves, AssignmentChange())
+    splits = plan_splits(slices, loads, weights, backends, SPLITS_AT_ONCE)
+    if splits.upserts:
+        return BalanceStep([], splits)
+    merges = plan_merges(slices, weights, len(backends), minimum_slices, MERGES_AT_ONCE)
+    return BalanceStep([], merges)
--- a/src/limedeck_lab/application.py
+++ b/src/limedeck_lab/application.py
@@ -7,6 +7,7 @@
 from cleo.application import Application
 
 from limedeck_lab.commands.bench import BenchControlCommand, BenchRouterCommand
+from limedeck_lab.commands.experiment import ExperimentBalanceCommand
 from limedeck_lab.commands.load import DemoCommand, LoadCommand
 from limedeck_lab.commands.simulate import SimulateCommand
 from limedeck_lab.commands.standins import BackendCommand, PlatformCommand
@@ -19,6 +20,7 @@
     SimulateCommand,
     BenchControlCommand,
     BenchRouterCommand,
+    ExperimentBalanceCommand,
 )
 
 
--- a/tests/unit/test_planning.py
+++ b/tests/unit/test_planning.py
@@ -8,6 +8,7 @@
     BALANCE_TOLERANCE,
     backend_weights,
     initial_assignment,
+    plan_balance_step,
     plan_evacuation,
     plan_merges,
     plan_rebalance,
@@ -77,12 +78,26 @@
     hot = next(iter(slices))
     loads = {hot.start: 500.0}
     weights = slice_weights(slices, loads, len(BACKENDS))
-    change = plan_splits(slices, loads, weights, len(BACKENDS), 8)
+    change = plan_splits(slices, loads, weights, BACKENDS, 8)
     assert [(item.start, item.owner) for item in change.upserts] == [
         ((hot.start + hot.end) // 2, hot.owner)
     ]
 
 
+def test_a_key_that_stays_hot_does_not_keep_others_from_being_moved() -> None:
+    """Its slice stays heavy however often it is halved."""
+    slices = build()
+    first, second = slices.slices_of(BACKENDS[0])[:2]
+    for _ in range(30):
+        hot = slices.locate(first.start)
+        loads = {hot.start: 900.0, second.start: 400.0}
+        step = plan_balance_step(slices, loads, BACKENDS, 16, len(slices))
+        slices.apply(change_of((move.start, move.target) for move in step.moves))
+        slices.apply(step.reshape)
+    assert slices.locate(first.start).owner != slices.locate(second.start).owner
+    assert len(slices) <= 80
+
+
 def test_merging_keeps_owners_and_the_least_number_of_slices() -> None:
     slices = slice_map_from(change_of((index * 2**56, "a") for index in range(256)))
     weights = {item.start: 1.0 if item.start == 0 else 0.0 for item in slices}
