Close connections only after what uses them has ended

Cause: reading the stop path: the lease session was closed while ticks could still start exchanges, which would end a planned stop with an error. An impossible state is logged before the node ends.

--- a/src/limedeck/daemon/server.py
+++ b/src/limedeck/daemon/server.py
@@ -26,6 +26,7 @@
 from limedeck.daemon.operators import OperatorServer, OperatorService
 from limedeck.daemon.peers import PeerTransport, split_address
 from limedeck.daemon.telemetry import Telemetry
+from limedeck.errors import InvariantViolation
 from limedeck.identity import NodeId, Voter
 from limedeck.platform.http import HttpMachineList, HttpTransactionalTable
 
@@ -120,18 +121,40 @@
             self._settings.control.to_limits(),
             boot_clock(),
         )
-        async with anyio.create_task_group() as tasks:
-            host = ControlHost(core, table, machine_list, self._telemetry, tasks)
-            node = self._settings.node
-            listen_address = node.peer_listen_address or node.peer_address
-            transport = PeerTransport(listen_address, host.receive, self._telemetry, tasks)
-            host.set_transport(transport.send)
-            await tasks.start(transport.serve)
-            tasks.start_soon(host.run)
-            await self._serve_until_stopped(host, ConfigStore(table))
-            tasks.cancel_scope.cancel()
+        host: ControlHost | None = None
+        try:
+            async with anyio.create_task_group() as tasks:
+                host = ControlHost(core, table, machine_list, self._telemetry, tasks)
+                node = self._settings.node
+                listen_address = node.peer_listen_address or node.peer_address
+                transport = PeerTransport(listen_address, host.receive, self._telemetry, tasks)
+                host.set_transport(transport.send)
+                await tasks.start(transport.serve)
+                tasks.start_soon(host.run)
+                await self._serve_until_stopped(host, ConfigStore(table))
+                tasks.cancel_scope.cancel()
+        except* InvariantViolation as group:
+            # A node whose state is impossible grants nothing more: it ends.
+            for error in group.exceptions:
+                self._log.critical("invariant_violated", problem=str(error))
+            raise
+        finally:
+            # Only now does nothing use these connections any more.
+            await self._close(host, table, machine_list)
         self._log.info("stopped", node=self._identity.node_id)
 
+    async def _close(
+        self,
+        host: ControlHost | None,
+        table: HttpTransactionalTable,
+        machine_list: HttpMachineList,
+    ) -> None:
+        with anyio.CancelScope(shield=True):
+            if host is not None:
+                await host.aclose()
+            await table.aclose()
+            await machine_list.aclose()
+
     async def _serve_until_stopped(self, host: ControlHost, store: ConfigStore) -> None:
         client = CLIENTS[self._settings.routing.backend_client]()
         limits = self._settings.routing.to_limits()
@@ -159,7 +182,6 @@
             await operators.stop(OPERATOR_GRACE)
             admin_stop.set()
         await client.aclose()
-        await host.aclose()
 
     async def _wait_until_routable(self, host: ControlHost) -> None:
         """Take no callers before it is known where their requests go, unless that takes long."""
