One place for TOML models, message names, process measurements and NEVER

What stood twice: reading of TOML files into models (three times), the name of a message, /proc readings, the constant NEVER (nine modules).

--- a/src/limedeck/cli/config_file.py
+++ b/src/limedeck/cli/config_file.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import tomllib
-from pathlib import Path
 from typing import Literal
 
-from pydantic import BaseModel, ConfigDict, ValidationError
+from pydantic import BaseModel, ConfigDict
 
 from limedeck.api.peer_pb2 import (
     OWNERSHIP_KEYED,
@@ -16,7 +14,7 @@
     ServiceLimits,
     SharingRule,
 )
-from limedeck.errors import InvalidSetting
+from limedeck.config.toml_files import load_model
 
 OWNERSHIPS = {"keyed": OWNERSHIP_KEYED, "shared": OWNERSHIP_SHARED}
 
@@ -96,12 +94,4 @@
     InvalidSetting
         It cannot be used.
     """
-    try:
-        content = tomllib.loads(Path(file).read_text(encoding="utf-8"))
-        return ConfigFile.model_validate(content)
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
-        raise InvalidSetting(file, "(file)", str(error), "a readable TOML file") from None
-    except ValidationError as error:
-        first = error.errors()[0]
-        key = ".".join(str(part) for part in first["loc"])
-        raise InvalidSetting(file, key, repr(first["input"]), first["msg"]) from None
+    return load_model(file, ConfigFile)
--- a/src/limedeck/config/settings.py
+++ b/src/limedeck/config/settings.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import dataclasses
-import tomllib
-from pathlib import Path
 from typing import Annotated, Any, Literal
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError, model_validator
 from pydantic_settings import BaseSettings, PydanticBaseSettingsSource, SettingsConfigDict
 
 from limedeck.config.objects import require_address
+from limedeck.config.toml_files import WHOLE_FILE, read_toml
 from limedeck.control.timing import ControlLimits, ControlTiming
 from limedeck.errors import InvalidObject, InvalidSetting, SettingsError
 from limedeck.routing.request import RoutingLimits
@@ -161,7 +160,7 @@
     SettingsError
         Or an exception group of them, one for each wrong key.
     """
-    content = _read_toml(file)
+    content = read_toml(file)
     node = content.setdefault("node", {})
     if isinstance(node, dict):
         node.update(overrides)
@@ -174,20 +173,8 @@
         raise ExceptionGroup("settings cannot be used", problems) from None
 
 
-def _read_toml(file: str) -> dict[str, Any]:
-    try:
-        return tomllib.loads(Path(file).read_text(encoding="utf-8"))
-    except OSError as error:
-        reason = error.strerror or type(error).__name__
-        raise InvalidSetting(file, "(file)", reason, "a readable file") from None
-    except UnicodeDecodeError:
-        raise InvalidSetting(file, "(file)", "is not UTF-8", "a TOML file in UTF-8") from None
-    except tomllib.TOMLDecodeError as error:
-        raise InvalidSetting(file, "(file)", str(error), "a TOML file") from None
-
-
 def _invalid(file: str, item: dict[str, Any]) -> SettingsError:
-    key = ".".join(str(part) for part in item["loc"]) or "(file)"
+    key = ".".join(str(part) for part in item["loc"]) or WHOLE_FILE
     kind = item["type"]
     if kind == "missing":
         return InvalidSetting(file, key, "is missing", "a value")
--- a/src/limedeck/control/consensus.py
+++ b/src/limedeck/control/consensus.py
@@ -24,7 +24,6 @@
     VoteRequest,
 )
 from limedeck.control.consensus_state import (
-    NEVER,
     TERMS_PER_EPOCH,
     LeaderState,
     OutgoingMessage,
@@ -38,7 +37,7 @@
 from limedeck.control.replicated_log import ReplicatedLog
 from limedeck.control.timing import ControlLimits, ControlTiming
 from limedeck.errors import InvariantViolation
-from limedeck.identity import GroupId, Seconds, Voter
+from limedeck.identity import NEVER, GroupId, Seconds, Voter
 from limedeck.keyspace.hashing import rendezvous_weight
 from limedeck.keyspace.slices import SliceMap, slice_map_from
 
--- a/src/limedeck/control/consensus_state.py
+++ b/src/limedeck/control/consensus_state.py
@@ -7,9 +7,8 @@
 from dataclasses import dataclass, field
 
 from limedeck.api.peer_pb2 import GroupMessage, VoterSet
-from limedeck.identity import NodeId, Seconds, Voter
+from limedeck.identity import NEVER, NodeId, Seconds, Voter
 
-NEVER: Seconds = float("-inf")
 TERMS_PER_EPOCH = 1 << 32
 """Terms and log indexes of a later epoch are above all of an earlier one."""
 
--- a/src/limedeck/control/dissemination.py
+++ b/src/limedeck/control/dissemination.py
@@ -13,11 +13,10 @@
 from limedeck.api.peer_pb2 import ConfigUpdate, PeerMessage, RouteUpdate, SyncDigest
 from limedeck.config.replica import ConfigReplica, UpdateOutcome
 from limedeck.control.timing import ControlLimits, ControlTiming
-from limedeck.identity import GroupId, Seconds, Voter
+from limedeck.identity import NEVER, GroupId, Seconds, Voter
 from limedeck.keyspace.hashing import rendezvous_weight
 from limedeck.routing.route_table import RouteTable
 
-NEVER: Seconds = float("-inf")
 RELAY_SEED = "zone-relay"
 
 
--- a/src/limedeck/control/group.py
+++ b/src/limedeck/control/group.py
@@ -34,11 +34,9 @@
 from limedeck.control.record_keeper import RecordContents, RecordKeeper
 from limedeck.control.timing import ControlLimits, ControlTiming
 from limedeck.control.voters import VoterSituation, plan_voter_change
-from limedeck.identity import BackendId, Fence, GroupId, Seconds, Voter
+from limedeck.identity import NEVER, BackendId, Fence, GroupId, Seconds, Voter
 from limedeck.keyspace.hashing import rendezvous_weight
 
-NEVER: Seconds = float("-inf")
-
 GroupCommand = OutgoingMessage | LeaseExchange | RecordCommand | PublishRoutes | Wake
 
 
--- a/src/limedeck/control/leases.py
+++ b/src/limedeck/control/leases.py
@@ -16,11 +16,10 @@
 from limedeck.api.backend_pb2 import KeyRange, LeaseReply, LeaseRequest, RangeSet
 from limedeck.control.timing import ControlTiming
 from limedeck.errors import InvariantViolation
-from limedeck.identity import BackendId, Fence, GroupId, Incarnation, Seconds
+from limedeck.identity import NEVER, BackendId, Fence, GroupId, Incarnation, Seconds
 from limedeck.keyspace.hashing import KEY_LINE_END
 from limedeck.keyspace.slices import Slice
 
-NEVER: Seconds = float("-inf")
 NO_FENCE = Fence(0, 0)
 UNKNOWN_INCARNATION = Incarnation(0)
 
--- a/src/limedeck/control/membership.py
+++ b/src/limedeck/control/membership.py
@@ -26,7 +26,6 @@
 from limedeck.identity import Incarnation, NodeId, Seconds, Voter
 from limedeck.keyspace.hashing import rendezvous_weight
 
-NEVER: Seconds = float("-inf")
 DEAD_PROBE_EVERY = 4
 """Every so many pings go to a dead member, so that a healed partition is noticed."""
 RETRANSMISSION_FACTOR = 3
--- a/src/limedeck/control/record_keeper.py
+++ b/src/limedeck/control/record_keeper.py
@@ -15,9 +15,7 @@
     WriteRecord,
 )
 from limedeck.control.timing import ControlTiming
-from limedeck.identity import GroupId, Seconds, Voter
-
-NEVER: Seconds = float("-inf")
+from limedeck.identity import NEVER, GroupId, Seconds, Voter
 
 
 @dataclass(frozen=True)
--- a/src/limedeck/daemon/peers.py
+++ b/src/limedeck/daemon/peers.py
@@ -9,6 +9,7 @@
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
 from limedeck.api.peer_pb2 import PeerMessage
+from limedeck.control.messages import message_kind
 from limedeck.daemon.framing import FrameReader, encode_frame
 from limedeck.daemon.logs import get_logger
 from limedeck.daemon.telemetry import Telemetry
@@ -59,9 +60,9 @@
         try:
             queue.send_nowait(frame)
         except anyio.WouldBlock:
-            self._telemetry.peer_messages.labels("dropped", _kind(message)).inc()
+            self._telemetry.peer_messages.labels("dropped", message_kind(message)).inc()
             return
-        self._telemetry.peer_messages.labels("sent", _kind(message)).inc()
+        self._telemetry.peer_messages.labels("sent", message_kind(message)).inc()
         self._telemetry.peer_bytes.labels("sent").inc(len(frame))
 
     async def serve(self, *, task_status: TaskStatus[None]) -> None:
@@ -111,7 +112,7 @@
             try:
                 while True:
                     message, size = await reader.read()
-                    self._telemetry.peer_messages.labels("received", _kind(message)).inc()
+                    self._telemetry.peer_messages.labels("received", message_kind(message)).inc()
                     self._telemetry.peer_bytes.labels("received").inc(size)
                     self._handler(message)
             except PeerProtocolError as error:
@@ -126,10 +127,3 @@
             queue.receive_nowait()
         except anyio.WouldBlock:
             return
-
-
-def _kind(message: PeerMessage) -> str:
-    kind = message.WhichOneof("body") or "empty"
-    if kind == "group":
-        return message.group.WhichOneof("body") or "empty"
-    return kind
--- a/src/limedeck/identity.py
+++ b/src/limedeck/identity.py
@@ -17,6 +17,9 @@
 Seconds = float
 """A reading of, or a span on, one process's own monotonic clock."""
 
+NEVER: Seconds = float("-inf")
+"""When something happened that has not happened."""
+
 
 @dataclass(frozen=True, order=True)
 class Fence:
--- a/src/limedeck/routing/backends.py
+++ b/src/limedeck/routing/backends.py
@@ -6,10 +6,9 @@
 from dataclasses import dataclass
 
 from limedeck.api.peer_pb2 import Backend, Service
-from limedeck.identity import Seconds
+from limedeck.identity import NEVER, Seconds
 from limedeck.keyspace.hashing import rendezvous_weight
 
-NEVER: Seconds = float("-inf")
 FAILURES_TO_EJECT = 3
 EJECTION_TIME: Seconds = 1.0
 LONGEST_EJECTION: Seconds = 30.0
--- a/src/limedeck_lab/bench_control.py
+++ b/src/limedeck_lab/bench_control.py
@@ -6,20 +6,16 @@
 import time
 from collections.abc import Sequence
 from dataclasses import asdict, dataclass
-from pathlib import Path
 
 import httpx
 import numpy
 
 from limedeck_lab.cluster import Cluster, NodeAddresses, running_cluster
-from limedeck_lab.processes import wait_until
+from limedeck_lab.processes import processor_seconds, resident_bytes, wait_until
 from limedeck_lab.site import RequestKind, Site, SiteService
 
 SETTLING_SECONDS = 6.0
 MEASURED_SECONDS = 10.0
-PAGE_BYTES = 4096
-CLOCK_TICKS = 100
-"""Of /proc/PID/stat, a second."""
 TRAFFIC = re.compile(
     r'^limedeck_(?:peer|lease)_bytes_total\{direction="(?:sent|received)"\} (\S+)$', re.MULTILINE
 )
@@ -133,12 +129,10 @@
     metrics = httpx.get(
         f"http://{addresses.admin}/metrics", trust_env=False, verify=False, timeout=10.0
     ).text
-    fields = Path(f"/proc/{process_id}/stat").read_text().rpartition(")")[2].split()
-    pages = int(Path(f"/proc/{process_id}/statm").read_text().split()[1])
     return Sample(
         at=time.monotonic(),
-        processor_seconds=(int(fields[11]) + int(fields[12])) / CLOCK_TICKS,
-        resident_bytes=pages * PAGE_BYTES,
+        processor_seconds=processor_seconds(process_id),
+        resident_bytes=resident_bytes(process_id),
         control_bytes=sum(float(value) for value in TRAFFIC.findall(metrics)),
         leads=len(LEADS.findall(metrics)),
     )
--- a/src/limedeck_lab/bench_router.py
+++ b/src/limedeck_lab/bench_router.py
@@ -5,13 +5,12 @@
 import time
 from collections.abc import Sequence
 from dataclasses import asdict, dataclass
-from pathlib import Path
 
 import aiohttp
 import anyio
 
-from limedeck_lab.bench_control import CLOCK_TICKS
 from limedeck_lab.cluster import running_cluster
+from limedeck_lab.processes import processor_seconds
 from limedeck_lab.site import RequestKind, Site, SiteService
 from limedeck_lab.statistics import percentile
 
@@ -105,12 +104,6 @@
     return sorted(found)
 
 
-def processor_seconds(process_id: int) -> float:
-    """Processor time that a process has used."""
-    fields = Path(f"/proc/{process_id}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
-
-
 def measure_paths() -> list[PathRate]:
     """Measure the stand-in directly, then one router with each client library."""
     results: list[PathRate] = []
--- a/src/limedeck_lab/processes.py
+++ b/src/limedeck_lab/processes.py
@@ -18,6 +18,9 @@
 
 END_PATIENCE = 20.0
 POLL_PAUSE = 0.05
+USER_TICKS_FIELD = 11
+KERNEL_TICKS_FIELD = 12
+"""Of /proc/PID/stat, counted after the process's name."""
 
 
 class ConditionNotMet(LimedeckError):
@@ -77,6 +80,19 @@
         return False
 
 
+def processor_seconds(process_id: int) -> float:
+    """Processor time that a process has used, in user and kernel."""
+    fields = Path(f"/proc/{process_id}/stat").read_text().rpartition(")")[2].split()
+    ticks = int(fields[USER_TICKS_FIELD]) + int(fields[KERNEL_TICKS_FIELD])
+    return ticks / os.sysconf("SC_CLK_TCK")
+
+
+def resident_bytes(process_id: int) -> int:
+    """Memory of a process that is resident."""
+    pages = int(Path(f"/proc/{process_id}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE")
+
+
 @dataclass
 class ManagedProcess:
     """A process that this run has started.
--- a/src/limedeck_lab/simulation/nodes.py
+++ b/src/limedeck_lab/simulation/nodes.py
@@ -23,6 +23,7 @@
 )
 from limedeck.control.group_record import ReadRecord, RecordEvent, WriteRecord
 from limedeck.control.leases import LeaseExchange
+from limedeck.control.messages import message_kind
 from limedeck.control.node import ControlCommand, ControlNode, PollConfig, ReadMachines, SendPeer
 from limedeck.control.timing import ControlLimits, ControlTiming
 from limedeck.identity import GroupId, Incarnation, NodeId, Seconds, Voter
@@ -229,7 +230,7 @@
             return
         traffic = self._surroundings.traffic
         if traffic.is_counted:
-            kind = _kind(message)
+            kind = message_kind(message)
             traffic.count(kind, message.ByteSize() + FRAME_BYTES, self.node_id, target.node_id)
         event = PeerMessageReceived(message)
         self._surroundings.network.send(
@@ -287,10 +288,3 @@
     def receive_config(self, event: ConfigReceived) -> None:
         """Take in a configuration change that operators made through this node."""
         self.deliver(lambda: self.dispatch(event))
-
-
-def _kind(message: PeerMessage) -> str:
-    kind = message.WhichOneof("body") or "empty"
-    if kind == "group":
-        return message.group.WhichOneof("body") or "empty"
-    return kind
--- a/src/limedeck_lab/site.py
+++ b/src/limedeck_lab/site.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import tomllib
-from pathlib import Path
 from typing import Literal
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field
 
 from limedeck.api.peer_pb2 import (
     OWNERSHIP_KEYED,
@@ -16,7 +14,7 @@
     ServiceLimits,
     SharingRule,
 )
-from limedeck.errors import InvalidSetting
+from limedeck.config.toml_files import load_model
 from limedeck_lab.standins.backend_server import BackendSpecification
 
 
@@ -167,12 +165,4 @@
     InvalidSetting
         It cannot be used.
     """
-    try:
-        content = tomllib.loads(Path(file).read_text(encoding="utf-8"))
-        return Site.model_validate(content)
-    except (OSError, tomllib.TOMLDecodeError) as error:
-        raise InvalidSetting(file, "(file)", str(error), "a readable TOML file") from None
-    except ValidationError as error:
-        first = error.errors()[0]
-        key = ".".join(str(part) for part in first["loc"])
-        raise InvalidSetting(file, key, repr(first["input"]), first["msg"]) from None
+    return load_model(file, Site)
--- a/src/limedeck_lab/standins/backend.py
+++ b/src/limedeck_lab/standins/backend.py
@@ -10,11 +10,10 @@
 from dataclasses import dataclass, field
 
 from limedeck.api.backend_pb2 import Fence, LeaseReply, LeaseRequest, RangeSet, SliceLoad
-from limedeck.identity import Incarnation, Seconds
+from limedeck.identity import NEVER, Incarnation, Seconds
 from limedeck.keyspace.hashing import KEY_LINE_END
 from limedeck.keyspace.slices import RangeLookup
 
-NEVER: Seconds = float("-inf")
 LOAD_WINDOW: Seconds = 5.0
 """Requests are counted over a window of about this length for the reported load."""
 
