--- a/src/limedeck_lab/standins/backend_server.py
+++ b/src/limedeck_lab/standins/backend_server.py
@@ -38,6 +38,8 @@
         Refuses all work.
     health
         What the health page claims, whatever is true.
+    reported_in_flight
+        What the load page claims, whatever is true; set it to an old value for one that lags.
     cut_before, cut_after
         The connection is cut before, or after, the work is done; no answer.
     half_answer
@@ -52,6 +54,7 @@
     frozen: bool = False
     shed_all: bool = False
     health: str = "ok"
+    reported_in_flight: int | None = None
     cut_before: bool = False
     cut_after: bool = False
     half_answer: bool = False
@@ -154,7 +157,9 @@
         elif path == "/limedeck/v1/health":
             await _answer(send, 200, served.faults.health.encode())
         elif path == "/limedeck/v1/load":
-            load = {"in_flight": len(served.backend.in_flight)}
+            claimed = served.faults.reported_in_flight
+            true_load = len(served.backend.in_flight)
+            load = {"in_flight": true_load if claimed is None else claimed}
             await _answer(send, 200, json.dumps(load).encode())
         else:
             await self._work(served, scope, receive, send)
--- a/tests/system/test_callers.py
+++ b/tests/system/test_callers.py
@@ -192,6 +192,16 @@
     assert all(ran[f"shed-{number}"] == 1 for number in range(10))
 
 
+def test_a_load_page_that_lies_costs_no_request(shared_cluster: Cluster) -> None:
+    page = f"http://{shared_cluster.backends[-1].address}/limedeck/v1/load"
+    with faults(shared_cluster, FILING, reported_in_flight=1_000):
+        assert CLIENT.get(page).json() == {"in_flight": 1_000}
+        for number in range(10):
+            response = send(shared_cluster, "POST", "/filing/r", f"lying-load-{number}")
+            assert response.headers["limedeck-outcome"] == "whole"
+    assert CLIENT.get(page).json() == {"in_flight": 0}
+
+
 def test_the_same_request_id_twice_at_once_is_one_request(shared_cluster: Cluster) -> None:
     with faults(shared_cluster, FILING, answer_delay_seconds=0.5), ThreadPoolExecutor(4) as pool:
         answers = list(
