Keys by measured load and speed: nodes report requests by key, the leader moves the excess

The leader keeps fading counts by key and moves the excess of the most used to the least used back end, releasing at the old owner first.

Left: the first seconds, and the seconds after keys turn hot.

--- a/src/limedeck/forwarding/backends.py
+++ b/src/limedeck/forwarding/backends.py
@@ -31,6 +31,8 @@
         Requests of this node that it has not answered.
     service_time
         Smoothed time to work on one request, in seconds.
+    answers
+        Whole answers since they were last reported.
     """
 
     def __init__(self, backend: Backend, now: Seconds) -> None:
@@ -38,6 +40,7 @@
         self.seen_at = now
         self.outstanding = 0
         self.service_time: Seconds | None = None
+        self.answers = 0
         self.failures = 0
         self.ejections = 0
         self.ejected_until: Seconds = NEVER
@@ -51,6 +54,7 @@
 
     def note_answer(self, took: Seconds, load: LoadReport | None, now: Seconds) -> None:
         """An attempt was answered whole."""
+        self.answers += 1
         self.failures = 0
         self.ejections = 0
         self.ejected_until = NEVER
--- a/src/limedeck/forwarding/request.py
+++ b/src/limedeck/forwarding/request.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections import Counter
 from dataclasses import dataclass, field
 
 from limedeck.errors import InvariantViolation
@@ -89,12 +90,15 @@
     ----------
     keyed
         Each key has one owner.
+    key_counts
+        Requests by key since they were last reported.
     """
 
     name: str
     keyed: bool
     budget: RetryBudget
     owners: OwnerMap = field(default_factory=OwnerMap)
+    key_counts: Counter[int] = field(default_factory=Counter)
 
 
 class RequestCore:
--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -15,6 +15,7 @@
     LeaderConfirmation,
     LeaderRecord,
     OwnedKeys,
+    ServiceLoad,
     ServiceOwners,
     Status,
 )
@@ -62,6 +63,7 @@
 TICK: Seconds = 0.05
 RELEASE_TIMEOUT: Seconds = 1.0
 RECORD_RETRY: Seconds = 0.1
+OWN_LOADS_INTERVAL: Seconds = 0.5
 VERSION_BITS = 32
 UNKNOWN_ADDRESS = "0.0.0.0:0"
 """Of a recorded owner that was never listed while this process ran; no order reaches it."""
@@ -112,6 +114,7 @@
         self._owners: dict[str, ServiceOwners] = {}
         self._log = get_logger("control")
         self._store_offset: Seconds = 0.0
+        self._next_own_loads: Seconds = 0.0
         self._tasks: TaskGroup | None = None
 
     @property
@@ -154,6 +157,21 @@
         for owners in status.owners:
             self._state.set_owners(owners.service, _owner_map(owners))
 
+    def take_loads(self) -> list[ServiceLoad]:
+        """What this node has to tell the leader of its requests."""
+        return self._state.take_loads()
+
+    def handle_loads(self, loads: Iterable[ServiceLoad]) -> None:
+        """A node told what it counted."""
+        now = steady_clock()
+        for load in loads:
+            owned = self._services.get(load.service)
+            if owned is None:
+                continue
+            owned.core.load.add(((item.position, item.count) for item in load.keys), now)
+            for sample in load.backends:
+                owned.core.note_service_time(sample.backend_id, sample.service_time)
+
     # ------------------------------------------------------------------ ticking
 
     def _tick(self, now: Seconds) -> None:
@@ -166,6 +184,9 @@
         self._state.node_count = self.node_count()
         self._open_services()
         self._refresh_listing(now)
+        if now >= self._next_own_loads:
+            self._next_own_loads = now + OWN_LOADS_INTERVAL
+            self.handle_loads(self._state.take_loads())
         may_renew = self.election.may_renew(now)
         for name, owned in list(self._services.items()):
             for order in owned.core.handle_tick(may_renew, now):
--- a/src/limedeck/node/gateway.py
+++ b/src/limedeck/node/gateway.py
@@ -118,6 +118,8 @@
         service = self._state.service(choose_service(route, request_id))
         service.budget.note_request(now)
         position = self._protocol.key_position(headers) if service.keyed else None
+        if position is not None:
+            service.key_counts[position] += 1
         core = RequestCore(
             request_id, route, service, self._state.directory, position, deadline, now
         )
--- a/src/limedeck/node/peers.py
+++ b/src/limedeck/node/peers.py
@@ -89,6 +89,7 @@
             node_id=self._identity.node_id,
             incarnation=self._identity.incarnation,
             term=self._control.election.term,
+            loads=self._control.take_loads(),
         )
 
     async def _read_statuses(self, stream: SocketStream, leader: LeaderRecord) -> None:
@@ -143,6 +144,7 @@
                 with anyio.fail_after(SILENCE_LIMIT):
                     message, _ = await reader.read()
                 node = message.report.node_id
+                self._control.handle_loads(message.report.loads)
                 self._nodes[node] = stream
         except ENDED as error:
             self._log.info("follower_left", node=node, problem=type(error).__name__)
--- a/src/limedeck/node/state.py
+++ b/src/limedeck/node/state.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from limedeck.api.control_pb2 import BackendSample, KeyCount, ServiceLoad
 from limedeck.forwarding.backends import BackendDirectory
 from limedeck.forwarding.budget import RetryAllowance, RetryBudget
 from limedeck.forwarding.owners import OwnerMap
@@ -12,6 +13,9 @@
 from limedeck.identity import Seconds
 from limedeck.model import Configuration
 
+MOST_KEYS = 400
+"""Keys in one report, the most requested first."""
+
 
 class NodeState:
     """One node's beliefs; each part of the node reads them, and one part writes each.
@@ -58,6 +62,29 @@
             self.services[name] = view
         return view
 
+    def take_loads(self) -> list[ServiceLoad]:
+        """Return what was counted by key since the last call, and how fast back ends are."""
+        loads = []
+        for view in self.services.values():
+            if not view.keyed:
+                continue
+            load = ServiceLoad(service=view.name)
+            for position, count in view.key_counts.most_common(MOST_KEYS):
+                load.keys.append(KeyCount(position=position, count=count))
+            view.key_counts.clear()
+            for state in self.directory.of_service(view.name):
+                if state.answers and state.service_time is not None:
+                    load.backends.append(
+                        BackendSample(
+                            backend_id=state.backend.backend_id,
+                            answers=state.answers,
+                            service_time=state.service_time,
+                        )
+                    )
+                    state.answers = 0
+            loads.append(load)
+        return loads
+
     def set_owners(self, service: str, owners: OwnerMap) -> None:
         """Take in a service's owners unless they are older."""
         view = self.service(service)
--- a/src/limedeck/ownership/planning.py
+++ b/src/limedeck/ownership/planning.py
@@ -1,10 +1,21 @@
-"""Which back end should own which keys."""
+"""Which back end should own which keys: evenly by measured load and speed, with few moves."""
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
+from limedeck.identity import Seconds
+from limedeck.ownership.key_load import KeyLoad
+
+TOLERATED_EXCESS = 1.2
+"""A back end gives keys up when it is used so many times as much as the mean."""
+LEAST_USE = 0.25
+"""A back end with less of its capacity in use than this gives nothing up."""
+MOVES_AT_ONCE = 12
+SMALLEST_MOVE = 0.04
+"""Moves of less than this part of a back end's capacity are not worth it."""
+
 
 @dataclass(frozen=True, slots=True)
 class PlannedMove:
@@ -15,6 +26,15 @@
     target: str
 
 
+@dataclass(frozen=True, slots=True)
+class OwnedPiece:
+    """Keys that one back end owns, and that may be moved."""
+
+    first: int
+    last: int
+    owner: str
+
+
 def first_assignment(backend_ids: Sequence[str], positions: int) -> list[tuple[int, int, str]]:
     """Cut all keys into one range of equal size for each back end."""
     count = len(backend_ids)
@@ -28,3 +48,130 @@
 def least_loaded(loads: Mapping[str, float]) -> str:
     """Return the back end with the least load; the first by name among equals."""
     return min(loads, key=lambda backend_id: (loads[backend_id], backend_id))
+
+
+class BalancePlan:
+    """Greedy moves from the most to the least used back end.
+
+    Parameters
+    ----------
+    pieces
+        All keys with an owner.
+    capacities
+        Requests a second that each back end can work on.
+    """
+
+    def __init__(
+        self,
+        pieces: Sequence[OwnedPiece],
+        capacities: Mapping[str, float],
+        load: KeyLoad,
+        now: Seconds,
+    ) -> None:
+        self._capacities = capacities
+        self._rates = {
+            piece: load.rates(piece.first, piece.last, now)
+            for piece in pieces
+            if piece.owner in capacities
+        }
+        self._load = dict.fromkeys(capacities, 0.0)
+        for piece, rates in self._rates.items():
+            self._load[piece.owner] += sum(rate for _, rate in rates)
+
+    def moves(self) -> list[PlannedMove]:
+        """Plan what to move now."""
+        planned: list[PlannedMove] = []
+        stuck: set[str] = set()
+        while len(planned) < MOVES_AT_ONCE:
+            heavy = self._pick(max, stuck)
+            if heavy is None:
+                break
+            move = self._relieve(heavy)
+            if move is None:
+                stuck.add(heavy)
+            else:
+                planned.append(move)
+        return planned
+
+    def _use(self, backend_id: str) -> float:
+        return self._load[backend_id] / self._capacities[backend_id]
+
+    def _mean_use(self) -> float:
+        return sum(self._load.values()) / sum(self._capacities.values())
+
+    def _pick(self, best: Callable[..., str], stuck: set[str]) -> str | None:
+        left = [backend_id for backend_id in self._load if backend_id not in stuck]
+        if not left:
+            return None
+        heavy = best(left, key=self._use)
+        use = self._use(heavy)
+        if use < LEAST_USE or use < TOLERATED_EXCESS * self._mean_use():
+            return None
+        return heavy
+
+    def _relieve(self, heavy: str) -> PlannedMove | None:
+        light = min(self._load, key=self._use)
+        mean = self._mean_use()
+        excess = self._load[heavy] - mean * self._capacities[heavy]
+        room = mean * self._capacities[light] - self._load[light]
+        wanted = min(excess, room)
+        if wanted < SMALLEST_MOVE * self._capacities[light]:
+            return None
+        found = self._best_cut(heavy, wanted)
+        if found is None:
+            return None
+        piece, first, last, amount = found
+        self._take_out(piece, first, last)
+        self._load[heavy] -= amount
+        self._load[light] += amount
+        return PlannedMove(first, last, light)
+
+    def _best_cut(self, heavy: str, wanted: float) -> tuple[OwnedPiece, int, int, float] | None:
+        """Find the part at one end of a piece whose load is nearest to what is wanted."""
+        best: tuple[OwnedPiece, int, int, float] | None = None
+        for piece, rates in self._rates.items():
+            if piece.owner != heavy or not rates:
+                continue
+            for found in (_cut_low(piece, rates, wanted), _cut_high(piece, rates, wanted)):
+                if found is not None and (best is None or found[3] > best[3]):
+                    best = found
+        return best
+
+    def _take_out(self, piece: OwnedPiece, first: int, last: int) -> None:
+        rates = self._rates.pop(piece)
+        for left_first, left_last in ((piece.first, first - 1), (last + 1, piece.last)):
+            if left_first <= left_last:
+                kept = [item for item in rates if left_first <= item[0] <= left_last]
+                self._rates[OwnedPiece(left_first, left_last, piece.owner)] = kept
+
+
+def _cut_low(
+    piece: OwnedPiece, rates: list[tuple[int, float]], wanted: float
+) -> tuple[OwnedPiece, int, int, float] | None:
+    """From the piece's first key on, as much as is wanted at most."""
+    amount = 0.0
+    last = None
+    for position, rate in rates:
+        if amount + rate > wanted:
+            break
+        amount += rate
+        last = position
+    if last is None:
+        return None
+    return piece, piece.first, piece.last if last == rates[-1][0] else last, amount
+
+
+def _cut_high(
+    piece: OwnedPiece, rates: list[tuple[int, float]], wanted: float
+) -> tuple[OwnedPiece, int, int, float] | None:
+    """Up to the piece's last key, as much as is wanted at most."""
+    amount = 0.0
+    first = None
+    for position, rate in reversed(rates):
+        if amount + rate > wanted:
+            break
+        amount += rate
+        first = position
+    if first is None:
+        return None
+    return piece, piece.first if first == rates[0][0] else first, piece.last, amount
--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -19,11 +19,21 @@
 from limedeck.identity import NEVER, Seconds
 from limedeck.model import Backend
 from limedeck.ownership.fences import FenceCounter
+from limedeck.ownership.key_load import KeyLoad
 from limedeck.ownership.orders import Grant, Release
-from limedeck.ownership.planning import PlannedMove, first_assignment, least_loaded
+from limedeck.ownership.planning import (
+    BalancePlan,
+    OwnedPiece,
+    PlannedMove,
+    first_assignment,
+    least_loaded,
+)
 from limedeck.ownership.ranges import NO_OWNER, Cause, Phase, RangeState
 from limedeck.ownership.timing import OwnershipTiming
 
+SERVICE_TIME_SMOOTHING = 0.2
+DEFAULT_SERVICE_TIME: Seconds = 0.1
+
 
 @dataclass(frozen=True, slots=True)
 class SendGrant:
@@ -102,6 +112,9 @@
         self._commands: list[OwnershipCommand] = []
         self._published: tuple[OwnedRange, ...] = ()
         self.fenced_off = False
+        self.load = KeyLoad(now)
+        self._service_times: dict[str, Seconds] = {}
+        self._next_balance = now + timing.balance_interval
         if record is not None:
             self._take_over(record, now)
 
@@ -199,6 +212,7 @@
         for found in self.ranges:
             self._tick_range(found, may_renew, now)
         self._record_free_ranges(now)
+        self._balance(now)
         self._check()
         commands = self._commands
         self._commands = []
@@ -211,6 +225,11 @@
             if found is not None and found.phase is Phase.OWNED:
                 self._begin_release(found, Cause.BALANCE, planned.target)
 
+    def note_service_time(self, backend_id: str, sample: Seconds) -> None:
+        """A node tells how long a back end works on one request."""
+        known = self._service_times.get(backend_id, sample)
+        self._service_times[backend_id] = known + SERVICE_TIME_SMOOTHING * (sample - known)
+
     def published(self, now: Seconds) -> tuple[OwnedRange, ...]:
         """Owners that requests may be sent to; `version` rises when they change."""
         ranges = tuple(
@@ -221,6 +240,31 @@
             self.version += 1
         return self._published
 
+    def _balance(self, now: Seconds) -> None:
+        if now < self._next_balance:
+            return
+        self._next_balance = now + self._timing.balance_interval
+        if self._pending_record or any(item.phase is not Phase.OWNED for item in self.ranges):
+            return
+        pieces = [
+            OwnedPiece(item.first, item.last, item.owner)
+            for item in self.ranges
+            if item.confirmed_until > now
+        ]
+        self.move(BalancePlan(pieces, self._capacities(), self.load, now).moves())
+
+    def _capacities(self) -> dict[str, float]:
+        """Requests a second that each usable back end can work on."""
+        known = [
+            self._service_times[item] for item in self._backends if item in self._service_times
+        ]
+        typical = sum(known) / len(known) if known else DEFAULT_SERVICE_TIME
+        return {
+            backend_id: self._backends[backend_id].slots
+            / self._service_times.get(backend_id, typical)
+            for backend_id in self._candidates()
+        }
+
     def _tick_range(self, found: RangeState, may_renew: bool, now: Seconds) -> None:
         if found.phase is Phase.OWNED:
             cause = self._reason_to_move(found, now)
