A winner leads though it was denied its leader; stops keep connections to the end

Found by the log lines elected/denied; ruled out by the same lines: fences (no grant was refused), store conflicts (none). Tests: test_election.py, which failed first; they also showed that a reading of the rows was repeated instead of used, and that a leader's own process that does not know its win yet counted as a denial.

Now connections stay open to the end, requests are passed on for 0.58 of the grace, later ones get 503 at once, and a stopping leader resigns.

--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -139,17 +139,19 @@
             leads=self.leads,
             node_count=self.node_count(),
             store_silence=silence,
+            incarnation=self._identity.incarnation,
+            resigned=self.election.resigned,
         )
 
     def owners(self) -> list[ServiceOwners]:
         """Owners of all services that this node leads."""
         return list(self._owners.values()) if self.leads else []
 
-    def handle_status(self, status: Status) -> None:
+    def handle_status(self, status: Status, leader: LeaderRecord) -> None:
         """The leader, or a node that was taken for it, was heard."""
         now = steady_clock()
         if not status.leads:
-            self.election.handle_denial(self.election.term)
+            self.election.handle_denial(leader.term, status.incarnation, status.resigned)
             return
         self.election.handle_heartbeat(status.term, status.store_silence, now)
         if status.term >= self.election.term:
--- a/src/limedeck/node/gateway.py
+++ b/src/limedeck/node/gateway.py
@@ -84,7 +84,7 @@
         headers = dict(scope["headers"])
         routes = self._state.routes
         configuration = self._state.configuration
-        if routes is None or configuration is None:
+        if routes is None or configuration is None or self._state.closing:
             await self._say(send, NOT_RUN, START_RETRY_AFTER)
             return
         path = scope["raw_path"].decode("latin-1").partition("?")[0]
@@ -144,6 +144,15 @@
         return passed
 
     async def _serve(self, call: _Call, receive: Receive, send: Send) -> None:
+        self._state.in_flight += 1
+        try:
+            await self._serve_watched(call, receive, send)
+        finally:
+            self._state.in_flight -= 1
+            if self._state.stopping:
+                self._state.notify()
+
+    async def _serve_watched(self, call: _Call, receive: Receive, send: Send) -> None:
         """Run a request; a repeatable one is cancelled when its caller leaves."""
         result: BackendAnswer | Refuse | None = None
         async with anyio.create_task_group() as tasks:
--- a/src/limedeck/node/peers.py
+++ b/src/limedeck/node/peers.py
@@ -97,7 +97,7 @@
         while self._control.election.record == leader:
             with anyio.fail_after(SILENCE_LIMIT):
                 message, _ = await reader.read()
-            self._control.handle_status(message.status)
+            self._control.handle_status(message.status, leader)
             if not message.status.leads:
                 return
 
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -4,6 +4,7 @@
 
 import secrets
 import signal
+import socket
 
 import anyio
 from anyio.abc import TaskGroup
@@ -45,8 +46,8 @@
 UPKEEP_INTERVAL: Seconds = 0.5
 CONFIGURATION_JOINING: Seconds = 0.15
 BACKENDS_JOINING: Seconds = 0.15
-STOP_MARGIN: Seconds = 0.7
-"""A planned stop ends so long before the process would be killed."""
+LAST_ANSWERS: Seconds = 0.2
+"""Time for the last answers to be written once no request is under way."""
 
 
 def server_config(address: str, graceful_timeout: Seconds) -> Config:
@@ -109,7 +110,7 @@
         async with anyio.create_task_group() as tasks:
             self._start_control(tasks, control, store)
             tasks.start_soon(self._upkeep, backend_client)
-            await self._serve_until_stopped(gateway)
+            await self._serve_until_stopped(gateway, control)
             tasks.cancel_scope.cancel()
         self._log.info("stopped", node=settings.node.id)
         self._writer.flush()
@@ -122,14 +123,13 @@
         for follower in (self._configuration_follower(), self._backends_follower()):
             tasks.start_soon(TableWatcher(store, follower).run)
 
-    async def _serve_until_stopped(self, gateway: Application) -> None:
+    async def _serve_until_stopped(self, gateway: Application, control: ControlHost) -> None:
         node = self._settings.node
         readiness_stop = anyio.Event()
         callers_stop = anyio.Event()
         listener = open_listener(node.callers)
-        grace = self._settings.stop.grace - STOP_MARGIN
         callers = OwnSocketConfig()
-        configure_server(callers, grace)
+        configure_server(callers, LAST_ANSWERS)
         callers.listener = listener
         readiness = ReadinessApplication(self._state, self._telemetry)
         async with anyio.create_task_group() as servers:
@@ -138,18 +138,27 @@
             )
             servers.start_soon(self._serve, gateway, callers, callers_stop)
             await self._wait_for_stop_signal()
-            started = steady_clock()
-            self._state.stopping = True
             self._log.info("stopping", node=node.id)
-            await anyio.sleep(self._settings.stop.notice)
-            await close_to_newcomers(listener)
+            await self._wind_down(control, listener)
             callers_stop.set()
-            servers.start_soon(self._end_after, started + grace, servers)
             readiness_stop.set()
 
-    async def _end_after(self, moment: Seconds, servers: TaskGroup) -> None:
-        await anyio.sleep(moment - steady_clock())
-        servers.cancel_scope.cancel()
+    async def _wind_down(self, control: ControlHost, listener: socket.socket) -> None:
+        """Serve on while the platform notices, then finish what is under way.
+
+        Connections are kept open to the end: one that is closed earlier may have a request on its
+        way, which would be read and then lost. Every answer asks the caller to close.
+        """
+        stop = self._settings.stop
+        started = steady_clock()
+        self._state.stopping = True
+        control.election.resign()
+        await anyio.sleep(stop.grace * stop.serving)
+        await close_to_newcomers(listener)
+        self._state.closing = True
+        end = started + stop.grace * stop.finishing
+        while self._state.in_flight and steady_clock() < end:
+            await self._state.wait_for_change(end - steady_clock())
 
     async def _serve(self, application: Application, config: Config, stop: anyio.Event) -> None:
         await serve(application, config, shutdown_trigger=stop.wait, mode="asgi")  # type: ignore[arg-type]
--- a/src/limedeck/node/settings.py
+++ b/src/limedeck/node/settings.py
@@ -52,12 +52,15 @@
     ----------
     grace
         After so long the process is killed.
-    notice
-        Callers' connections are still taken for so long after readiness has ended.
+    serving
+        Part of the grace during which requests are still passed on.
+    finishing
+        Part of the grace after which the process ends; requests under way end before.
     """
 
     grace: Positive
-    notice: NotNegative = 2.5
+    serving: Positive = 0.58
+    finishing: Positive = 0.9
 
 
 class OwnershipSection(Section, frozen=True):
--- a/src/limedeck/node/state.py
+++ b/src/limedeck/node/state.py
@@ -28,6 +28,10 @@
         Nodes that share retry budgets, as the leader counts them.
     stopping
         A planned stop has begun.
+    in_flight
+        Requests that were read and not answered.
+    closing
+        The stop is so far that no more requests are passed on.
     """
 
     def __init__(self, zone: str, node_id: str, allowance: RetryAllowance) -> None:
@@ -38,6 +42,8 @@
         self.node_count = 3
         self.backends_listed = False
         self.stopping = False
+        self.closing = False
+        self.in_flight = 0
         self.listing_changes = 0
         self._allowance = allowance
         self._changed = anyio.Event()
--- a/src/limedeck/ownership/election.py
+++ b/src/limedeck/ownership/election.py
@@ -17,6 +17,8 @@
 SPREAD: Seconds = 0.25
 """Candidates begin within so long of each other, so that mostly one writes."""
 RETRY_INTERVAL: Seconds = 0.25
+FRESH_READING: Seconds = 0.5
+"""A campaign rests on rows that were read at most so long ago."""
 
 
 class Role(enum.Enum):
@@ -104,6 +106,7 @@
         self._next_call: Seconds = now + self._spread()
         self._confirmed_at: Seconds = NEVER
         self._busy = False
+        self.resigned = False
 
     @property
     def term(self) -> int:
@@ -127,9 +130,21 @@
         self._denied = False
         self._leader_misses_store = store_silence > self._timing.cut_leader_patience
 
-    def handle_denial(self, term: int) -> None:
-        """The process at the leader's address says that it does not lead this term."""
-        if term == self.term and self.role is Role.FOLLOWER:
+    def handle_denial(self, term: int, incarnation: int, resigned: bool) -> None:
+        """The process at a leader's address says that it does not lead.
+
+        Parameters
+        ----------
+        term
+            Of the record that named the address.
+        incarnation
+            Of the process. The leader's own may just not know yet that it was elected.
+        resigned
+            It led, and has given that up.
+        """
+        if self.record is None or term != self.term or self.role is Role.LEADER:
+            return
+        if resigned or incarnation != self.record.incarnation:
             self._denied = True
 
     def handle_seen(self, seen: LeaderSeen, now: Seconds) -> None:
@@ -145,6 +160,7 @@
             self._leader_misses_store = False
         self._age = seen.confirmation_age
         self._age_read_at = now
+        self._next_call = now
         self._settle_role(now)
 
     def handle_won(self, record: LeaderRecord, row_version: int, now: Seconds) -> None:
@@ -153,6 +169,8 @@
         self.record = record
         self.row_version = row_version
         self._confirmed_at = now
+        self._denied = False
+        self._leader_misses_store = False
         self._settle_role(now)
 
     def handle_confirmed(self, sent_at: Seconds) -> None:
@@ -171,6 +189,13 @@
         self.role = Role.FOLLOWER
         self._denied = True
 
+    def resign(self) -> None:
+        """Lead no more, and never again: this process is about to stop."""
+        if self.role is Role.LEADER:
+            self._denied = True
+        self.resigned = True
+        self.role = Role.FOLLOWER
+
     def handle_tick(self, now: Seconds) -> ElectionCommand | None:
         """Decide what to ask of the store now."""
         if self._busy or now < self._next_call:
@@ -187,10 +212,10 @@
         why = self._suspicion(now)
         if why is None:
             return None
-        self._next_call = now + RETRY_INTERVAL
-        if now - self._age_read_at > RETRY_INTERVAL:
+        if now - self._age_read_at > FRESH_READING:
+            self._next_call = now + RETRY_INTERVAL
             return ReadLeader(why)
-        if self._may_replace(why):
+        if not self.resigned and self._may_replace(why, now):
             self._age_read_at = NEVER
             return Campaign(self._candidacy(), self.row_version, why)
         return None
@@ -206,10 +231,12 @@
             return Suspicion.MISSES_STORE
         return None
 
-    def _may_replace(self, why: Suspicion) -> bool:
+    def _may_replace(self, why: Suspicion, now: Seconds) -> bool:
         if why in (Suspicion.NO_RECORD, Suspicion.DENIED):
             return True
-        return self._age is None or self._age > self._timing.stale_confirmation
+        if self._age is None:
+            return True
+        return self._age + (now - self._age_read_at) > self._timing.stale_confirmation
 
     def _candidacy(self) -> LeaderRecord:
         record = LeaderRecord()
@@ -222,7 +249,7 @@
             self.record.node_id == self._identity.node_id
             and self.record.incarnation == self._identity.incarnation
         )
-        if mine and self.role is Role.FOLLOWER and not self._denied:
+        if mine and not self._denied and not self.resigned and self.role is Role.FOLLOWER:
             self.role = Role.LEADER
             self._confirmed_at = max(self._confirmed_at, now)
             self._next_call = now
--- /dev/null
+++ b/tests/unit/test_election.py
@@ -0,0 +1,166 @@
+"""Playbooks of the election core: events in, commands out."""
+
+from __future__ import annotations
+
+from limedeck.api.control_pb2 import LeaderRecord
+from limedeck.ownership.election import (
+    Campaign,
+    Confirm,
+    ElectionCore,
+    LeaderSeen,
+    ReadLeader,
+    Role,
+    Suspicion,
+)
+from limedeck.ownership.timing import OwnershipTiming
+
+TIMING = OwnershipTiming()
+ME = LeaderRecord(node_id="node-a", incarnation=11, peer_address="127.0.0.1:7001")
+OTHER = LeaderRecord(term=4, node_id="node-b", incarnation=22, peer_address="127.0.0.1:7002")
+
+
+def follower_of_other(now: float = 100.0) -> ElectionCore:
+    core = ElectionCore(ME, TIMING, now)
+    core.handle_seen(LeaderSeen(OTHER, 40, 0.1), now)
+    return core
+
+
+def next_command(core: ElectionCore, since: float, until: float) -> tuple[object, float]:
+    """Tick until the core wants something."""
+    now = since
+    while now < until:
+        command = core.handle_tick(now)
+        if command is not None:
+            return command, now
+        now += 0.05
+    return None, now
+
+
+def campaign_of(core: ElectionCore, seen: LeaderSeen, since: float) -> tuple[Campaign, float]:
+    """Answer each reading of the rows alike until the core campaigns."""
+    now = since
+    for _ in range(10):
+        command, now = next_command(core, now, now + 3.0)
+        if isinstance(command, Campaign):
+            return command, now
+        assert isinstance(command, ReadLeader)
+        core.handle_seen(seen, now)
+    raise AssertionError("it never campaigned")
+
+
+def test_without_a_record_it_reads_then_writes_one() -> None:
+    core = ElectionCore(ME, TIMING, 0.0)
+    command, now = next_command(core, 0.0, 2.0)
+    assert command == ReadLeader(Suspicion.NO_RECORD)
+    core.handle_seen(LeaderSeen(None, 0, None), now)
+    command, now = next_command(core, now, now + 2.0)
+    assert isinstance(command, Campaign)
+    assert (command.record.term, command.row_version) == (1, 0)
+    core.handle_won(command.record, 7, now)
+    assert core.role is Role.LEADER
+    command, now = next_command(core, now, now + 2.0)
+    assert command == Confirm(1, 7)
+
+
+def test_a_leader_that_is_heard_is_left_alone() -> None:
+    core = follower_of_other()
+    for step in range(100):
+        now = 100.0 + step * 0.1
+        core.handle_heartbeat(4, 0.0, now)
+        assert core.handle_tick(now) is None
+
+
+def test_a_silent_leader_that_the_store_confirmed_lately_is_not_replaced() -> None:
+    core = follower_of_other()
+    command, now = next_command(core, 100.0, 103.0)
+    assert command == ReadLeader(Suspicion.SILENT)
+    core.handle_seen(LeaderSeen(OTHER, 40, 0.3), now)
+    command, later = next_command(core, now, now + 1.0)
+    assert isinstance(command, ReadLeader)
+    core.handle_seen(LeaderSeen(OTHER, 40, 0.3), later)
+    assert core.role is Role.FOLLOWER
+
+
+def test_a_silent_leader_with_an_old_confirmation_is_replaced() -> None:
+    core = follower_of_other()
+    _, now = next_command(core, 100.0, 103.0)
+    core.handle_seen(LeaderSeen(OTHER, 40, TIMING.stale_confirmation + 0.1), now)
+    command, now = next_command(core, now, now + 0.3)
+    assert isinstance(command, Campaign)
+    assert (command.record.term, command.row_version) == (5, 40)
+
+
+def test_a_winner_that_was_denied_its_leader_leads() -> None:
+    """Found on trouble-1: every winner stayed a follower, and the term rose four times a second."""
+    core = follower_of_other()
+    core.handle_denial(4, 99, False)
+    command, now = campaign_of(core, LeaderSeen(OTHER, 40, 0.1), 100.0)
+    assert now < 100.6
+    core.handle_won(command.record, 41, now)
+    assert core.role is Role.LEADER
+
+
+def test_a_leader_that_does_not_know_yet_that_it_won_is_no_denial() -> None:
+    core = follower_of_other()
+    core.handle_denial(4, OTHER.incarnation, False)
+    assert core.handle_tick(100.3) is None
+
+
+def test_a_resigned_leader_is_replaced_at_once() -> None:
+    core = follower_of_other()
+    core.handle_denial(4, OTHER.incarnation, True)
+    command, now = campaign_of(core, LeaderSeen(OTHER, 40, 0.1), 100.0)
+    assert command.why is Suspicion.DENIED
+    assert now < 100.6
+
+
+def test_a_denial_of_an_earlier_term_says_nothing() -> None:
+    core = follower_of_other()
+    core.handle_denial(3, 99, False)
+    assert core.handle_tick(100.3) is None
+
+
+def test_a_win_whose_answer_was_lost_is_found_in_the_record() -> None:
+    core = follower_of_other()
+    core.handle_denial(4, 99, False)
+    command, now = campaign_of(core, LeaderSeen(OTHER, 40, 0.1), 100.0)
+    assert now < 100.6
+    core.handle_no_answer(now)
+    command_after, now = next_command(core, now + 0.1, now + 2.0)
+    assert isinstance(command_after, ReadLeader)
+    core.handle_seen(LeaderSeen(command.record, 41, None), now)
+    assert core.role is Role.LEADER
+
+
+def test_an_earlier_life_that_led_is_over() -> None:
+    core = ElectionCore(ME, TIMING, 0.0)
+    earlier = LeaderRecord(term=3, node_id="node-a", incarnation=10)
+    _, now = next_command(core, 0.0, 1.0)
+    core.handle_seen(LeaderSeen(earlier, 9, 0.05), now)
+    assert core.role is Role.FOLLOWER
+    command, _ = next_command(core, now, now + 1.0)
+    assert isinstance(command, Campaign)
+    assert command.record.term == 4
+
+
+def test_a_leader_that_lost_its_row_follows() -> None:
+    core = ElectionCore(ME, TIMING, 0.0)
+    core.handle_won(LeaderRecord(term=3, node_id="node-a", incarnation=11), 30, 0.0)
+    core.handle_seen(LeaderSeen(OTHER, 40, None), 1.0)
+    assert core.role is Role.FOLLOWER
+
+
+def test_renewals_end_when_the_store_is_silent_for_long() -> None:
+    core = ElectionCore(ME, TIMING, 0.0)
+    core.handle_won(LeaderRecord(term=3, node_id="node-a", incarnation=11), 30, 0.0)
+    assert core.may_renew(TIMING.leader_patience - 0.1)
+    assert not core.may_renew(TIMING.leader_patience + 0.1)
+    core.handle_confirmed(10.0)
+    assert core.may_renew(TIMING.leader_patience + 5.0)
+
+
+def test_a_leader_that_misses_the_store_is_replaced_if_its_confirmation_is_old() -> None:
+    core = follower_of_other()
+    core.handle_heartbeat(4, TIMING.cut_leader_patience + 0.1, 100.2)
+    command, _ = campaign_of(core, LeaderSeen(OTHER, 40, 2.5), 100.2)
+    assert command.why is Suspicion.MISSES_STORE
