--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -107,7 +107,8 @@
         self._sequence = 0
         self._backends: dict[str, Backend] = {}
         self._first_seen_at: Seconds | None = None
-        self._heard_at: dict[str, Seconds] = {}
+        self._asked_at: dict[str, Seconds] = {}
+        self._avoided_until: dict[str, Seconds] = {}
         self._pending_record: list[tuple[RangeState, str]] | None = None
         self._commands: list[OwnershipCommand] = []
         self._published: tuple[OwnedRange, ...] = ()
@@ -130,7 +131,7 @@
         self, order: Grant, done: bool, fenced_off: bool, sent_at: Seconds, now: Seconds
     ) -> None:
         """A back end answered a grant."""
-        self._heard_at[order.backend_id] = now
+        self._note_heard(order.backend_id)
         found = self._range_of(order.first, order.last, order.fence)
         if found is None:
             return
@@ -150,7 +151,7 @@
         self, order: Release, done: bool, handover: str, now: Seconds
     ) -> None:
         """A back end answered a release."""
-        self._heard_at[order.backend_id] = now
+        self._note_heard(order.backend_id)
         found = self._range_of(order.first, order.last, order.fence)
         if found is None or found.phase is not Phase.RELEASING:
             return
@@ -163,6 +164,8 @@
 
     def handle_order_lost(self, order: Grant | Release, now: Seconds) -> None:
         """An order had no answer; it may be taken yet."""
+        if order.backend_id in self._avoided_until:
+            self._avoided_until[order.backend_id] = now + self._timing.avoidance
         found = self._range_of(order.first, order.last, order.fence)
         if found is not None:
             found.order_pending = False
@@ -251,9 +254,9 @@
             for item in self.ranges
             if item.confirmed_until > now
         ]
-        self.move(BalancePlan(pieces, self._capacities(), self.load, now).moves())
+        self.move(BalancePlan(pieces, self._capacities(now), self.load, now).moves())
 
-    def _capacities(self) -> dict[str, float]:
+    def _capacities(self, now: Seconds) -> dict[str, float]:
         """Requests a second that each usable back end can work on."""
         known = [
             self._service_times[item] for item in self._backends if item in self._service_times
@@ -262,7 +265,7 @@
         return {
             backend_id: self._backends[backend_id].slots
             / self._service_times.get(backend_id, typical)
-            for backend_id in self._candidates()
+            for backend_id in self._candidates(now)
         }
 
     def _tick_range(self, found: RangeState, may_renew: bool, now: Seconds) -> None:
@@ -278,9 +281,10 @@
     def _reason_to_move(self, found: RangeState, now: Seconds) -> Cause | None:
         owner = self._backends.get(found.owner)
         if owner is None or owner.draining:
-            return Cause.LEAVING if self._candidates() else None
-        heard = self._heard_at.setdefault(found.owner, now)
-        if found.order_pending and now - heard > self._timing.holder_silence:
+            return Cause.LEAVING if self._candidates(now) else None
+        asked_at = self._asked_at.get(found.owner)
+        if asked_at is not None and now - asked_at > self._timing.holder_silence:
+            self._avoided_until[found.owner] = now + self._timing.avoidance
             return Cause.SILENT
         return None
 
@@ -288,7 +292,9 @@
         if found.order_pending or now < found.next_order:
             return
         found.order_pending = True
-        found.held_until = now + self._timing.longest_lease + self._timing.order_timeout
+        longest = now + self._timing.longest_lease + self._timing.order_timeout
+        found.held_until = max(found.held_until, longest)
+        self._asked_at.setdefault(found.owner, now)
         order = Grant(
             found.owner,
             found.first,
@@ -321,7 +327,7 @@
         if self._pending_record is not None:
             return
         free = [item for item in self.ranges if item.phase is Phase.FREE]
-        chosen = self._choose_owners(free)
+        chosen = self._choose_owners(free, now)
         if not chosen:
             return
         for found, _ in chosen:
@@ -331,8 +337,8 @@
         self._sequence += 1
         self._commands.append(WriteRecord(self._record(dict_of(chosen)), self._row_version))
 
-    def _choose_owners(self, free: list[RangeState]) -> list[tuple[RangeState, str]]:
-        candidates = self._candidates()
+    def _choose_owners(self, free: list[RangeState], now: Seconds) -> list[tuple[RangeState, str]]:
+        candidates = self._candidates(now)
         if not candidates:
             return []
         sizes = dict.fromkeys(candidates, 0)
@@ -371,14 +377,22 @@
     def _assign_first(self, now: Seconds) -> None:
         if self._first_seen_at is None or now - self._first_seen_at < self._timing.settling:
             return
-        for first, last, owner in first_assignment(self._candidates(), self._key_positions):
+        for first, last, owner in first_assignment(self._candidates(now), self._key_positions):
             state = RangeState(first, last)
             state.target = owner
             self.ranges.append(state)
 
-    def _candidates(self) -> list[str]:
-        now_usable = [item for item in self._backends.values() if not item.draining]
-        return sorted(item.backend_id for item in now_usable)
+    def _candidates(self, now: Seconds) -> list[str]:
+        """Back ends that may get keys; silent ones only if there are no others."""
+        for backend_id in [key for key, until in self._avoided_until.items() if until <= now]:
+            del self._avoided_until[backend_id]
+            self._asked_at.pop(backend_id, None)
+        usable = sorted(key for key, item in self._backends.items() if not item.draining)
+        return [key for key in usable if key not in self._avoided_until] or usable
+
+    def _note_heard(self, backend_id: str) -> None:
+        self._asked_at.pop(backend_id, None)
+        self._avoided_until.pop(backend_id, None)
 
     def _isolate(self, first: int, last: int) -> RangeState | None:
         """Cut ranges so that one of them holds just these keys."""
--- a/src/limedeck/ownership/timing.py
+++ b/src/limedeck/ownership/timing.py
@@ -25,6 +25,8 @@
         An order without an answer for so long counts as lost.
     holder_silence
         A back end that answered no order for so long loses its keys.
+    avoidance
+        A back end that lost its keys because it was silent gets none for so long.
     heartbeat_interval
         From the leader to all nodes.
     leader_silence
@@ -49,6 +51,7 @@
     renewal_interval: Seconds = 0.5
     order_timeout: Seconds = 0.25
     holder_silence: Seconds = 1.1
+    avoidance: Seconds = 3.0
     heartbeat_interval: Seconds = 0.3
     leader_silence: Seconds = 0.9
     confirm_interval: Seconds = 0.7
--- /dev/null
+++ b/src/limedeck_lab/ownership/node.py
@@ -0,0 +1,260 @@
+"""A node's control in simulated time: the product's own cores, with simulated calls."""
+
+from __future__ import annotations
+
+from collections.abc import Generator
+from typing import TYPE_CHECKING
+
+import simpy
+
+from limedeck.api.control_pb2 import AssignmentRecord, LeaderConfirmation, LeaderRecord
+from limedeck.identity import Seconds
+from limedeck.model import Backend
+from limedeck.ownership.election import (
+    Campaign,
+    Confirm,
+    ElectionCommand,
+    ElectionCore,
+    LeaderSeen,
+    ReadLeader,
+    Role,
+)
+from limedeck.ownership.orders import Grant, Release
+from limedeck.ownership.service import SendGrant, SendRelease, ServiceOwnership, WriteRecord
+from limedeck.store.rows import (
+    ABSENT,
+    ConditionFailed,
+    RowCondition,
+    RowKey,
+    RowWrite,
+    StoredRow,
+    StoreError,
+    TableRead,
+    Written,
+)
+
+if TYPE_CHECKING:
+    from limedeck_lab.ownership.world import World
+
+LEADER = RowKey("leader", "", "leader")
+CONFIRMATION = RowKey("leader", "", "confirmation")
+RECORD = RowKey("assignment", "", "service")
+TICK: Seconds = 0.05
+ORDER_TIME: Seconds = 0.002
+RECORD_RETRY: Seconds = 0.1
+
+Process = Generator[simpy.Event, object, None]
+
+
+class SimulatedNode:
+    """One life of one node's process."""
+
+    def __init__(self, world: World, node_id: str, incarnation: int) -> None:
+        self.world = world
+        self.node_id = node_id
+        self.up = True
+        self.paused = False
+        self.reaches_store = True
+        self.reaches_backends = True
+        self.reaches_nodes = True
+        self.identity = LeaderRecord(node_id=node_id, incarnation=incarnation)
+        now = world.environment.now
+        self.election = ElectionCore(self.identity, world.timing, now)
+        self.core: ServiceOwnership | None = None
+        self._core_term = 0
+        self._opening = False
+        self._backends_seen: dict[str, Backend] = {}
+        world.environment.process(self._run())
+
+    def _run(self) -> Process:
+        while self.up:
+            if not self.paused:
+                self._tick(self.world.environment.now)
+            yield self.world.environment.timeout(TICK)
+
+    def _tick(self, now: Seconds) -> None:
+        self._hear_leader(now)
+        command = self.election.handle_tick(now)
+        if command is not None:
+            self._start(self._election_call(command))
+        if self.election.role is not Role.LEADER:
+            self.core = None
+            return
+        if self.core is None or self._core_term != self.election.term:
+            self.core = None
+            if not self._opening:
+                self._opening = True
+                self._start(self._open(self.election.term))
+            return
+        self._lead(self.core, now)
+
+    def _lead(self, core: ServiceOwnership, now: Seconds) -> None:
+        if self.reaches_store:
+            self._backends_seen = self.world.listing()
+        core.set_backends(self._backends_seen.values(), now)
+        for command in core.handle_tick(self.election.may_renew(now), now):
+            if isinstance(command, SendGrant):
+                self._start(self._grant(core, command.order))
+            elif isinstance(command, SendRelease):
+                self._start(self._release(core, command.order))
+            else:
+                self._start(self._write_record(core, command))
+        core.published(now)
+        if core.fenced_off:
+            self.election.step_down()
+
+    def _start(self, process: Process) -> None:
+        self.world.environment.process(process)
+
+    def _hear_leader(self, now: Seconds) -> None:
+        record = self.election.record
+        if record is None or self.election.role is Role.LEADER:
+            return
+        leader = self.world.nodes.get(record.node_id)
+        if leader is None or not leader.up or leader.paused:
+            return
+        if not (leader.reaches_nodes and self.reaches_nodes):
+            return
+        if leader.election.role is Role.LEADER and leader.election.term >= record.term:
+            silence = leader.election.store_silence(now)
+            self.election.handle_heartbeat(leader.election.term, silence, now)
+        else:
+            incarnation = leader.identity.incarnation
+            self.election.handle_denial(record.term, incarnation, leader.election.resigned)
+
+    # ------------------------------------------------------------------ store
+
+    def _election_call(self, command: ElectionCommand) -> Process:
+        store = self.world.store
+        started = self.world.environment.now
+        try:
+            if isinstance(command, ReadLeader):
+                found = yield from store.read(LEADER.table, self.reaches_store)
+                assert isinstance(found, TableRead)
+                seen = _seen(found.rows, found.store_time)
+                self.election.handle_seen(seen, self.world.environment.now)
+                return
+            if isinstance(command, Campaign):
+                conditions = [RowCondition(LEADER, command.row_version)]
+                write = RowWrite(LEADER, command.record.SerializeToString())
+            else:
+                conditions = [RowCondition(LEADER, command.row_version)]
+                told = LeaderConfirmation(term=command.term, confirmed_at=started)
+                write = RowWrite(CONFIRMATION, told.SerializeToString())
+            written = yield from store.transact(conditions, [write], self.reaches_store)
+            assert isinstance(written, Written)
+        except ConditionFailed as error:
+            self.election.handle_seen(_seen(error.rows, 0.0), self.world.environment.now)
+            return
+        except StoreError:
+            self.election.handle_no_answer(self.world.environment.now)
+            return
+        if isinstance(command, Confirm):
+            self.election.handle_confirmed(started)
+        else:
+            now = self.world.environment.now
+            self.election.handle_won(command.record, written.version, now)
+
+    def _open(self, term: int) -> Process:
+        try:
+            found = yield from self.world.store.read(RECORD.table, self.reaches_store)
+        except StoreError:
+            self._opening = False
+            return
+        self._opening = False
+        assert isinstance(found, TableRead)
+        if self.election.role is not Role.LEADER or self.election.term != term:
+            return
+        row = next(iter(found.rows), None)
+        self.core = ServiceOwnership(
+            "service",
+            self.world.positions,
+            term,
+            _record(row),
+            row.version if row else ABSENT,
+            self.world.timing,
+            self.world.environment.now,
+        )
+        self._core_term = term
+
+    def _write_record(self, core: ServiceOwnership, command: WriteRecord) -> Process:
+        conditions = [
+            RowCondition(LEADER, self.election.row_version),
+            RowCondition(RECORD, command.row_version),
+        ]
+        write = RowWrite(RECORD, command.record.SerializeToString())
+        while self.up and self.core is core:
+            try:
+                written = yield from self.world.store.transact(
+                    conditions, [write], self.reaches_store
+                )
+            except ConditionFailed as error:
+                row = next((item for item in error.rows if item.key == RECORD.key), None)
+                core.handle_record_conflict(_record(row), row.version if row else ABSENT)
+                return
+            except StoreError:
+                yield self.world.environment.timeout(RECORD_RETRY)
+                continue
+            assert isinstance(written, Written)
+            core.handle_record_written(written.version)
+            return
+
+    # ------------------------------------------------------------------ orders
+
+    def _grant(self, core: ServiceOwnership, order: Grant) -> Process:
+        environment = self.world.environment
+        sent_at = environment.now
+        taken = yield from self._deliver(order)
+        if not self.up:
+            return
+        if taken is None:
+            core.handle_order_lost(order, environment.now)
+        else:
+            core.handle_grant_answer(order, taken, not taken, sent_at, environment.now)
+
+    def _release(self, core: ServiceOwnership, order: Release) -> Process:
+        taken = yield from self._deliver(order)
+        if not self.up:
+            return
+        if taken is None:
+            core.handle_order_lost(order, self.world.environment.now)
+        else:
+            core.handle_release_answer(order, True, "", self.world.environment.now)
+
+    def _deliver(self, order: Grant | Release) -> Generator[simpy.Event, object, bool | None]:
+        """Send an order; None when there is no answer."""
+        environment = self.world.environment
+        yield environment.timeout(ORDER_TIME)
+        backend = self.world.backends.get(order.backend_id)
+        reachable = backend is not None and backend.reachable and self.reaches_backends
+        if (self.node_id, order.backend_id) in self.world.pair_cuts:
+            reachable = False
+        lost = self.world.random.random() < self.world.late_orders
+        if backend is None or not reachable or not backend.up or lost:
+            if lost and backend is not None:
+                self.world.take_late(order)
+            yield environment.timeout(self.world.timing.order_timeout)
+            return None
+        taken = self.world.take(backend, order, late=False)
+        yield environment.timeout(ORDER_TIME)
+        return taken
+
+
+def _seen(rows: tuple[StoredRow, ...], store_time: Seconds) -> LeaderSeen:
+    record = None
+    version = ABSENT
+    age = None
+    for row in rows:
+        if row.key == LEADER.key:
+            record = LeaderRecord.FromString(row.value)
+            version = row.version
+    for row in rows:
+        if row.key == CONFIRMATION.key and record is not None:
+            told = LeaderConfirmation.FromString(row.value)
+            if told.term == record.term:
+                age = store_time - told.confirmed_at
+    return LeaderSeen(record, version, age)
+
+
+def _record(row: StoredRow | None) -> AssignmentRecord | None:
+    return AssignmentRecord.FromString(row.value) if row is not None else None
--- /dev/null
+++ b/src/limedeck_lab/ownership/world.py
@@ -0,0 +1,289 @@
+"""Nodes, back ends and a store in simulated time, random faults, and a judge of ownership."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Generator
+from dataclasses import dataclass
+
+import simpy
+
+from limedeck.identity import Seconds
+from limedeck.model import Backend
+from limedeck.ownership.orders import Grant, Release
+from limedeck.ownership.timing import OwnershipTiming
+from limedeck_lab.ownership.backends import SimulatedBackend
+from limedeck_lab.ownership.node import SimulatedNode
+from limedeck_lab.ownership.store import SimulatedStore, StoreFaults
+
+POSITIONS = 48
+JUDGE_INTERVAL: Seconds = 0.02
+LATEST_ORDER: Seconds = 12.0
+EARLIEST_LATE_ORDER: Seconds = 2.0
+HEALING: Seconds = 45.0
+"""After the last fault: longest lease of a leader that is cut off, and everything else."""
+
+
+@dataclass(frozen=True)
+class DoubleOwner:
+    """Two back ends held a key at the same moment."""
+
+    at: Seconds
+    key: int
+    owners: tuple[str, ...]
+
+
+class World:
+    """One simulated deployment.
+
+    Parameters
+    ----------
+    timing
+        Of the product; a sabotaged one must be caught.
+    """
+
+    def __init__(
+        self, seed: int, timing: OwnershipTiming, node_count: int = 3, backend_count: int = 5
+    ) -> None:
+        self.environment = simpy.Environment()
+        self.random = random.Random(seed)
+        self.timing = timing
+        self.positions = POSITIONS
+        self.store = SimulatedStore(self.environment, self.random)
+        self.nodes: dict[str, SimulatedNode] = {}
+        self.backends: dict[str, SimulatedBackend] = {}
+        self.late_orders = 0.0
+        self.pair_cuts: set[tuple[str, str]] = set()
+        self.found: list[DoubleOwner] = []
+        self._lives = 0
+        for index in range(node_count):
+            self.start_node(f"node-{index}")
+        for _ in range(backend_count):
+            self.start_backend()
+        self.environment.process(self._judge())
+
+    # ------------------------------------------------------------------ parts
+
+    def start_node(self, node_id: str) -> None:
+        """Start a node, or a new life of one."""
+        self._lives += 1
+        self.nodes[node_id] = SimulatedNode(self, node_id, self._lives)
+
+    def kill_node(self, node_id: str) -> None:
+        """End a node's process at once."""
+        self.nodes[node_id].up = False
+
+    def start_backend(self) -> SimulatedBackend:
+        """Start a back end."""
+        self._lives += 1
+        backend = SimulatedBackend(f"backend-{self._lives}", self.positions)
+        self.backends[backend.backend_id] = backend
+        return backend
+
+    def listing(self) -> dict[str, Backend]:
+        """The store's list of back ends."""
+        return {
+            item.backend_id: Backend(
+                item.backend_id, "service", "127.0.0.1:1", "z", 2, item.draining
+            )
+            for item in self.backends.values()
+            if item.listed
+        }
+
+    def take(self, backend: SimulatedBackend, order: Grant | Release, late: bool) -> bool:
+        """Carry out an order at a back end."""
+        if isinstance(order, Grant):
+            return backend.grant(order, self.environment.now, late)
+        backend.release(order)
+        return True
+
+    def take_late(self, order: Grant | Release) -> None:
+        """Carry out an order seconds later."""
+        self.environment.process(self._take_late(order))
+
+    def _take_late(self, order: Grant | Release) -> Generator[simpy.Event, object, None]:
+        span = self.random.uniform(EARLIEST_LATE_ORDER, LATEST_ORDER)
+        yield self.environment.timeout(span)
+        backend = self.backends.get(order.backend_id)
+        if backend is not None and backend.up:
+            self.take(backend, order, late=True)
+
+    # ------------------------------------------------------------------ judging
+
+    def _judge(self) -> Generator[simpy.Event, object, None]:
+        while True:
+            yield self.environment.timeout(JUDGE_INTERVAL)
+            now = self.environment.now
+            for key in range(self.positions):
+                owners = tuple(
+                    item.backend_id for item in self.backends.values() if item.holds(key, now)
+                )
+                if len(owners) > 1:
+                    self.found.append(DoubleOwner(now, key, owners))
+
+    def unserved(self) -> list[int]:
+        """Keys that no back end holds now."""
+        now = self.environment.now
+        return [
+            key
+            for key in range(self.positions)
+            if not any(item.holds(key, now) or key in item.late for item in self.backends.values())
+        ]
+
+    # ------------------------------------------------------------------ faults
+
+    def run_with_faults(self, seconds: Seconds) -> None:
+        """Run with random faults for a while, then without any until all must be well."""
+        self.environment.run(until=8.0)
+        faults = (
+            self._fault_node_killed,
+            self._fault_all_killed,
+            self._fault_node_paused,
+            self._fault_store_cut,
+            self._fault_backends_cut,
+            self._fault_node_cut,
+            self._fault_store_down,
+            self._fault_store_lossy,
+            self._fault_orders_late,
+            self._fault_backend_crashed,
+            self._fault_backend_unreachable,
+            self._fault_backend_leaves,
+            self._fault_listing_lapses,
+            self._fault_two_leaders,
+            self._fault_holder_of_old_leader,
+        )
+        end = self.environment.now + seconds
+        while self.environment.now < end:
+            fault = self.random.choice(faults)
+            self.environment.process(fault())
+            self.environment.run(until=self.environment.now + self.random.uniform(0.3, 4.0))
+        self.environment.run(until=end + HEALING)
+
+    def _pause(self, low: Seconds, high: Seconds) -> simpy.Event:
+        return self.environment.timeout(self.random.uniform(low, high))
+
+    def _any_node(self) -> SimulatedNode:
+        return self.random.choice(list(self.nodes.values()))
+
+    def _any_backend(self) -> SimulatedBackend:
+        return self.random.choice([item for item in self.backends.values() if item.listed])
+
+    def _fault_node_killed(self) -> Generator[simpy.Event, object, None]:
+        node = self._any_node()
+        self.kill_node(node.node_id)
+        yield self._pause(0.3, 4.0)
+        self._restart(node)
+
+    def _restart(self, node: SimulatedNode) -> None:
+        if self.nodes[node.node_id] is node:
+            self.start_node(node.node_id)
+
+    def _fault_all_killed(self) -> Generator[simpy.Event, object, None]:
+        nodes = list(self.nodes.values())
+        for node in nodes:
+            self.kill_node(node.node_id)
+        yield self._pause(0.3, 3.0)
+        for node in nodes:
+            self._restart(node)
+
+    def _node_fault(
+        self, begin: Callable[[SimulatedNode], None], end: Callable[[SimulatedNode], None]
+    ) -> Generator[simpy.Event, object, None]:
+        node = self._any_node()
+        begin(node)
+        yield self._pause(0.5, 9.0)
+        end(node)
+
+    def _fault_node_paused(self) -> Generator[simpy.Event, object, None]:
+        return self._node_fault(
+            lambda node: setattr(node, "paused", True), lambda node: setattr(node, "paused", False)
+        )
+
+    def _fault_store_cut(self) -> Generator[simpy.Event, object, None]:
+        return self._node_fault(
+            lambda node: setattr(node, "reaches_store", False),
+            lambda node: setattr(node, "reaches_store", True),
+        )
+
+    def _fault_backends_cut(self) -> Generator[simpy.Event, object, None]:
+        return self._node_fault(
+            lambda node: setattr(node, "reaches_backends", False),
+            lambda node: setattr(node, "reaches_backends", True),
+        )
+
+    def _fault_node_cut(self) -> Generator[simpy.Event, object, None]:
+        return self._node_fault(
+            lambda node: setattr(node, "reaches_nodes", False),
+            lambda node: setattr(node, "reaches_nodes", True),
+        )
+
+    def _leader(self) -> SimulatedNode:
+        leaders = [item for item in self.nodes.values() if item.core is not None and item.up]
+        return self.random.choice(leaders) if leaders else self._any_node()
+
+    def _fault_two_leaders(self) -> Generator[simpy.Event, object, None]:
+        """The leader misses the store, is replaced, and a back end leaves that it does not see."""
+        leader = self._leader()
+        leader.reaches_store = False
+        yield self._pause(3.5, 5.0)
+        yield from self._fault_backend_leaves()
+        leader.reaches_store = True
+
+    def _fault_holder_of_old_leader(self) -> Generator[simpy.Event, object, None]:
+        """The leader misses the store, and it alone reaches one back end."""
+        leader = self._leader()
+        backend = self._any_backend()
+        others = {
+            (node_id, backend.backend_id) for node_id in self.nodes if node_id != leader.node_id
+        }
+        leader.reaches_store = False
+        self.pair_cuts |= others
+        yield self._pause(8.0, 12.0)
+        self.pair_cuts -= others
+        leader.reaches_store = True
+
+    def _fault_store_down(self) -> Generator[simpy.Event, object, None]:
+        faults = StoreFaults(refuses=self.random.random() < 0.5)
+        faults.silent = not faults.refuses
+        self.store.faults = faults
+        yield self._pause(1.0, 12.0)
+        self.store.faults = StoreFaults()
+
+    def _fault_store_lossy(self) -> Generator[simpy.Event, object, None]:
+        self.store.faults = StoreFaults(slowness=10.0, lost_share=0.3, late_share=0.3)
+        yield self._pause(1.0, 8.0)
+        self.store.faults = StoreFaults()
+
+    def _fault_orders_late(self) -> Generator[simpy.Event, object, None]:
+        self.late_orders = 0.3
+        yield self._pause(1.0, 6.0)
+        self.late_orders = 0.0
+
+    def _fault_backend_crashed(self) -> Generator[simpy.Event, object, None]:
+        backend = self._any_backend()
+        backend.up = False
+        yield self._pause(0.5, 3.0)
+        self.start_backend()
+        yield self._pause(0.5, 3.0)
+        backend.listed = False
+
+    def _fault_backend_unreachable(self) -> Generator[simpy.Event, object, None]:
+        backend = self._any_backend()
+        backend.reachable = False
+        yield self._pause(0.5, 8.0)
+        backend.reachable = True
+
+    def _fault_backend_leaves(self) -> Generator[simpy.Event, object, None]:
+        backend = self._any_backend()
+        self.start_backend()
+        backend.draining = True
+        yield self._pause(2.0, 4.0)
+        backend.listed = False
+        yield self._pause(0.0, 5.0)
+        backend.up = False
+
+    def _fault_listing_lapses(self) -> Generator[simpy.Event, object, None]:
+        backend = self._any_backend()
+        backend.listed = False
+        yield self._pause(1.0, 5.0)
+        backend.listed = backend.up and not backend.draining
--- /dev/null
+++ b/tests/unit/test_ownership_world.py
@@ -0,0 +1,67 @@
+"""Randomised runs of election and ownership: no key ever has two owners, and all are served."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+
+from limedeck.ownership import service
+from limedeck.ownership.fences import SEQUENCE_BITS, FenceCounter
+from limedeck.ownership.ranges import Phase, RangeState
+from limedeck.ownership.timing import OwnershipTiming
+from limedeck_lab.ownership.world import World
+
+SEEDS = range(1, 13)
+SECONDS = 60.0
+SABOTAGE_SEEDS = range(1, 6)
+
+
+def run(seed: int, timing: OwnershipTiming | None = None) -> World:
+    world = World(seed, timing or OwnershipTiming())
+    world.run_with_faults(SECONDS)
+    return world
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_key_has_two_owners_and_all_are_served_in_the_end(seed: int) -> None:
+    world = run(seed)
+    assert world.found == []
+    assert world.unserved() == []
+
+
+def caught(timing: OwnershipTiming | None = None) -> list[int]:
+    return [seed for seed in SABOTAGE_SEEDS if run(seed, timing).found]
+
+
+def test_without_waiting_for_leases_two_owners_are_seen_in_each_seed() -> None:
+    timing = dataclasses.replace(OwnershipTiming(), lease_slack=-2.2)
+    assert caught(timing) == list(SABOTAGE_SEEDS)
+
+
+def test_without_a_wait_at_takeover_two_owners_are_seen(monkeypatch: pytest.MonkeyPatch) -> None:
+    original = service.ServiceOwnership._take_over
+
+    def careless(self: service.ServiceOwnership, record: object, now: float) -> None:
+        original(self, record, now)  # type: ignore[arg-type]
+        for item in self.ranges:
+            item.held_until = now
+
+    monkeypatch.setattr(service.ServiceOwnership, "_take_over", careless)
+    assert caught()
+
+
+def test_with_one_fence_for_all_two_owners_are_seen(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(FenceCounter, "next", lambda self: 1 << SEQUENCE_BITS)
+    assert caught()
+
+
+def test_with_a_grant_before_the_release_two_owners_are_seen_in_each_seed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def careless(self: service.ServiceOwnership, found: RangeState, now: float) -> None:
+        found.phase = Phase.FREE
+        found.held_until = now
+
+    monkeypatch.setattr(service.ServiceOwnership, "_release", careless)
+    assert caught() == list(SABOTAGE_SEEDS)
--- /dev/null
+++ b/tests/unit/test_service_ownership.py
@@ -0,0 +1,201 @@
+"""Playbooks of the leader's core for one service."""
+
+from __future__ import annotations
+
+import pytest
+
+from limedeck.api.control_pb2 import AssignmentRecord, OwnedKeys
+from limedeck.model import Backend
+from limedeck.ownership.orders import Grant, Release
+from limedeck.ownership.service import (
+    OwnershipCommand,
+    SendGrant,
+    SendRelease,
+    ServiceOwnership,
+    WriteRecord,
+)
+from limedeck.ownership.timing import OwnershipTiming
+
+TIMING = OwnershipTiming()
+KEYS = 100
+
+
+def backend(name: str, draining: bool = False) -> Backend:
+    return Backend(name, "service", "127.0.0.1:1", "zone", 2, draining)
+
+
+class Play:
+    """Drives a core; back ends answer unless they are silent."""
+
+    def __init__(self, core: ServiceOwnership, silent: set[str] | None = None) -> None:
+        self.core = core
+        self.silent = silent or set()
+        self.now = 0.0
+        self.version = 10
+        self.records: list[tuple[float, AssignmentRecord]] = []
+        self.orders: list[tuple[float, Grant | Release]] = []
+
+    def run(self, until: float) -> None:
+        while self.now < until:
+            for command in self.core.handle_tick(True, self.now):
+                self._answer(command)
+            self.core.published(self.now)
+            self.now = round(self.now + 0.05, 3)
+
+    def _answer(self, command: OwnershipCommand) -> None:
+        if isinstance(command, WriteRecord):
+            self.records.append((self.now, command.record))
+            self.version += 1
+            self.core.handle_record_written(self.version)
+            return
+        order = command.order
+        self.orders.append((self.now, order))
+        if order.backend_id in self.silent:
+            self.core.handle_order_lost(order, self.now + TIMING.order_timeout)
+        elif isinstance(command, SendGrant):
+            self.core.handle_grant_answer(command.order, True, False, self.now, self.now)
+        elif isinstance(command, SendRelease):
+            self.core.handle_release_answer(command.order, True, "token", self.now)
+
+    def owners(self) -> list[tuple[int, int, str]]:
+        return [(r.first, r.last, r.owner) for r in self.core.published(self.now)]
+
+
+def fresh() -> Play:
+    core = ServiceOwnership("service", KEYS, 1, None, 0, TIMING, 0.0)
+    core.set_backends([backend("a"), backend("b")], 0.0)
+    return Play(core)
+
+
+def taken_over(silent: set[str]) -> Play:
+    record = AssignmentRecord(
+        term=1,
+        sequence=4,
+        ranges=[
+            OwnedKeys(first=0, last=49, owner="a"),
+            OwnedKeys(first=50, last=99, owner="b"),
+        ],
+    )
+    core = ServiceOwnership("service", KEYS, 2, record, 9, TIMING, 0.0)
+    core.set_backends([backend("a"), backend("b")], 0.0)
+    return Play(core, silent)
+
+
+def test_the_first_assignment_is_recorded_before_it_is_granted() -> None:
+    play = fresh()
+    play.run(3.0)
+    assert play.owners() == [(0, 49, "a"), (50, 99, "b")]
+    assert play.records[0][0] <= play.orders[0][0]
+    assert play.records[0][0] >= TIMING.settling
+
+
+def test_a_successor_grants_the_same_keys_under_higher_fences_and_moves_nothing() -> None:
+    before = fresh()
+    before.run(2.0)
+    highest = max(order.fence for _, order in before.orders)
+    play = taken_over(set())
+    play.run(0.2)
+    assert play.owners() == [(0, 49, "a"), (50, 99, "b")]
+    assert play.records == []
+    assert min(order.fence for _, order in play.orders) > highest
+
+
+def test_a_silent_owner_of_an_earlier_leader_is_waited_for_as_long_as_that_may_renew() -> None:
+    """The first renewal without an answer must not shorten the wait."""
+    play = taken_over({"b"})
+    play.run(TIMING.leader_patience - 0.1)
+    assert play.records == []
+    play.run(TIMING.leader_patience + TIMING.longest_lease + 3.0)
+    assert [item.owner for item in play.records[-1][1].ranges] == ["a", "a"]
+
+
+def test_a_silent_owner_of_this_leader_loses_its_keys_when_its_lease_is_over() -> None:
+    play = fresh()
+    play.run(3.0)
+    play.silent = {"b"}
+    play.run(9.0)
+    last_grant = max(
+        at for at, order in play.orders if order.backend_id == "b" and isinstance(order, Grant)
+    )
+    moved = next(at for at, record in play.records if at > 3.0)
+    assert moved >= last_grant + TIMING.lease * (1 + TIMING.clock_error)
+    assert moved <= 3.0 + TIMING.renewal_interval + TIMING.holder_silence + 3.0
+    assert {owner for _, _, owner in play.owners()} == {"a"}
+
+
+def test_a_leaving_owner_is_released_before_its_keys_are_recorded_elsewhere() -> None:
+    play = fresh()
+    play.run(3.0)
+    play.core.set_backends([backend("a"), backend("b", draining=True)], play.now)
+    play.run(3.5)
+    release_at = next(at for at, order in play.orders if isinstance(order, Release))
+    record_at = next(at for at, record in play.records if at >= 3.0)
+    assert release_at <= record_at
+    grant = next(order for at, order in play.orders if at >= record_at and isinstance(order, Grant))
+    assert {owner for _, _, owner in play.owners()} == {"a"}
+    handed = [o for _, o in play.orders if isinstance(o, Grant) and o.handover == "token"]
+    assert handed and handed[0].first == 50 and grant.fence > 0
+
+
+def test_without_any_usable_back_end_keys_stay_where_they_are() -> None:
+    play = fresh()
+    play.run(3.0)
+    play.core.set_backends([], play.now)
+    play.run(6.0)
+    assert [order for _, order in play.orders if isinstance(order, Release)] == []
+    assert play.owners() == [(0, 49, "a"), (50, 99, "b")]
+
+
+def test_a_hot_range_is_cut_and_spread() -> None:
+    play = fresh()
+    play.run(3.0)
+    for key in range(10):
+        play.core.load.add([(key, 30)], play.now)
+    for key in range(50, 99, 7):
+        play.core.load.add([(key, 1)], play.now)
+    play.run(4.5)
+    hot_owners = {play_owner(play, key) for key in range(10)}
+    assert hot_owners == {"a", "b"}
+    assert "" not in {owner for _, _, owner in play.owners()}
+
+
+def play_owner(play: Play, key: int) -> str:
+    return next(owner for first, last, owner in play.owners() if first <= key <= last)
+
+
+def test_a_conflict_with_ones_own_earlier_write_counts_as_written() -> None:
+    core = ServiceOwnership("service", KEYS, 1, None, 0, TIMING, 0.0)
+    core.set_backends([backend("a"), backend("b")], 0.0)
+    command = first_record(core)
+    core.handle_record_conflict(command.record, 12)
+    assert not core.fenced_off
+    assert any(isinstance(item, SendGrant) for item in core.handle_tick(True, 1.1))
+
+
+def test_a_conflict_with_another_leaders_record_ends_this_ones_work() -> None:
+    core = ServiceOwnership("service", KEYS, 1, None, 0, TIMING, 0.0)
+    core.set_backends([backend("a"), backend("b")], 0.0)
+    first_record(core)
+    core.handle_record_conflict(AssignmentRecord(term=2, sequence=1), 12)
+    assert core.fenced_off
+
+
+def first_record(core: ServiceOwnership) -> WriteRecord:
+    found = [item for item in core.handle_tick(True, 1.0) if isinstance(item, WriteRecord)]
+    assert len(found) == 1
+    return found[0]
+
+
+def test_nothing_is_renewed_without_leave() -> None:
+    play = fresh()
+    play.run(3.0)
+    assert play.core.handle_tick(False, 10.0) == []
+
+
+@pytest.mark.parametrize("fence_seen", [True])
+def test_a_refused_fence_ends_this_leaders_work(fence_seen: bool) -> None:
+    play = fresh()
+    play.run(3.0)
+    order = next(order for _, order in reversed(play.orders) if isinstance(order, Grant))
+    play.core.handle_grant_answer(order, False, fence_seen, 3.0, 3.0)
+    assert play.core.fenced_off
