A leader learns that former leaders are over, and waits out only those that may still renew

A leader's record now names the former leaders that may still renew (newest life of each node); the new one asks each, with its own term, so that one that is alive stops, and a new life of the same node proves that the old one ended. Tests: test_election.py, test_service_ownership.py; the simulation asks too, and its fault of a leader that alone reaches one back end now cuts it from the other nodes as well (else the sabotaged takeover was no longer caught).

--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -174,6 +174,10 @@
             for sample in load.backends:
                 owned.core.note_service_time(sample.backend_id, sample.service_time)
 
+    def handle_report_term(self, term: int) -> None:
+        """Another node told which term it knows."""
+        self.election.handle_superseded(term)
+
     # ------------------------------------------------------------------ ticking
 
     def _tick(self, now: Seconds) -> None:
@@ -191,6 +195,8 @@
             self.handle_loads(self._state.take_loads())
         may_renew = self.election.may_renew(now)
         for name, owned in list(self._services.items()):
+            if not self.election.former_leaders():
+                owned.core.handle_former_leaders_over(now)
             for order in owned.core.handle_tick(may_renew, now):
                 self._start(self._run_ownership, name, owned, order)
             self._log_changes(name, owned.core)
--- a/src/limedeck/node/peers.py
+++ b/src/limedeck/node/peers.py
@@ -5,7 +5,7 @@
 import anyio
 from anyio.abc import SocketStream
 
-from limedeck.api.control_pb2 import ControlMessage, LeaderRecord, Report, Status
+from limedeck.api.control_pb2 import ControlMessage, FormerLeader, LeaderRecord, Report, Status
 from limedeck.errors import PeerProtocolError
 from limedeck.identity import Seconds
 from limedeck.node.clock import steady_clock
@@ -19,6 +19,8 @@
 SEND_TIMEOUT: Seconds = 1.0
 REPORT_INTERVAL: Seconds = 0.5
 RECONNECT_PAUSE: Seconds = 0.15
+INQUIRY_PAUSE: Seconds = 0.2
+INQUIRY_TIMEOUT: Seconds = 0.8
 MAXIMUM_VERSION = 1 << 63
 """Stands for what the other side knows until it has told."""
 SILENCE_LIMIT: Seconds = 1.5
@@ -113,6 +115,46 @@
                 return
 
 
+class FormerLeaderInquiry:
+    """Asks leaders of earlier terms whether they still lead, while this node leads."""
+
+    def __init__(self, identity: LeaderRecord, control: ControlHost) -> None:
+        self._identity = identity
+        self._control = control
+        self._log = get_logger("peers")
+
+    async def run(self) -> None:
+        """Ask until each has answered, for as long as this node leads; until cancelled."""
+        while True:
+            for former in self._control.election.former_leaders():
+                try:
+                    await self._ask(former)
+                except ENDED as error:
+                    problem = type(error).__name__
+                    self._log.info("former_leader_silent", node=former.node_id, problem=problem)
+            await anyio.sleep(INQUIRY_PAUSE)
+
+    async def _ask(self, former: FormerLeader) -> None:
+        host, _, port = former.peer_address.rpartition(":")
+        own_host = self._identity.peer_address.rpartition(":")[0]
+        report = Report(
+            node_id=self._identity.node_id,
+            incarnation=self._identity.incarnation,
+            term=self._control.election.term,
+        )
+        with anyio.fail_after(INQUIRY_TIMEOUT):
+            stream = await anyio.connect_tcp(host, int(port), local_host=own_host)
+            async with stream:
+                await stream.send(encode_frame(ControlMessage(report=report)))
+                reader = FrameReader(stream, ControlMessage)
+                while True:
+                    message, _ = await reader.read()
+                    if not message.status.leads or message.status.term >= report.term:
+                        break
+        self._log.info("former_leader_over", node=former.node_id)
+        self._control.election.handle_former_over(former.incarnation)
+
+
 class FollowerConnections:
     """Connections that other nodes keep to this one."""
 
@@ -159,6 +201,7 @@
                 with anyio.fail_after(SILENCE_LIMIT):
                     message, _ = await reader.read()
                 node = message.report.node_id
+                self._control.handle_report_term(message.report.term)
                 self._reported[stream] = message.report.configuration_version
                 self._control.handle_loads(message.report.loads)
                 self._store_news.take(message.report, steady_clock())
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -22,7 +22,7 @@
 from limedeck.node.listener import OwnSocketConfig, close_to_newcomers, open_listener
 from limedeck.node.logs import BoundedWriter, get_logger
 from limedeck.node.news import StoreNews
-from limedeck.node.peers import FollowerConnections, LeaderLink
+from limedeck.node.peers import FollowerConnections, FormerLeaderInquiry, LeaderLink
 from limedeck.node.readiness import ReadinessApplication
 from limedeck.node.request_log import RequestLog
 from limedeck.node.settings import NodeSettings
@@ -126,6 +126,7 @@
         followers = FollowerConnections(address, control, news, self._timing)
         tasks.start_soon(followers.serve)
         tasks.start_soon(LeaderLink(self._identity, control, news).run)
+        tasks.start_soon(FormerLeaderInquiry(self._identity, control).run)
         tasks.start_soon(control.run)
         for watcher in news.watchers:
             tasks.start_soon(watcher.run)
--- a/src/limedeck/ownership/election.py
+++ b/src/limedeck/ownership/election.py
@@ -10,7 +10,7 @@
 
 import xxhash
 
-from limedeck.api.control_pb2 import LeaderRecord
+from limedeck.api.control_pb2 import FormerLeader, LeaderRecord
 from limedeck.identity import NEVER, Seconds
 from limedeck.ownership.timing import OwnershipTiming
 
@@ -107,6 +107,7 @@
         self._confirmed_at: Seconds = NEVER
         self._busy = False
         self.resigned = False
+        self._over: set[int] = set()
 
     @property
     def term(self) -> int:
@@ -184,6 +185,21 @@
         self._age = None
         self._next_call = now + RETRY_INTERVAL
 
+    def former_leaders(self) -> list[FormerLeader]:
+        """Leaders of earlier terms that may still renew grants, while this node leads."""
+        if self.role is not Role.LEADER or self.record is None:
+            return []
+        return [item for item in self.record.former if item.incarnation not in self._over]
+
+    def handle_former_over(self, incarnation: int) -> None:
+        """A former leader's process has ended or says that it leads no more."""
+        self._over.add(incarnation)
+
+    def handle_superseded(self, term: int) -> None:
+        """Another node knows of a later term."""
+        if self.role is Role.LEADER and term > self.term:
+            self.step_down()
+
     def step_down(self) -> None:
         """Orders were refused because of a higher fence: there is a later leader."""
         self.role = Role.FOLLOWER
@@ -242,6 +258,8 @@
         record = LeaderRecord()
         record.CopyFrom(self._identity)
         record.term = self.term + 1
+        if self.record is not None:
+            record.former.extend(_former_leaders(self.record, self._identity.node_id))
         return record
 
     def _settle_role(self, now: Seconds) -> None:
@@ -262,3 +280,15 @@
     def _spread(self) -> Seconds:
         text = f"{self._identity.node_id}/{self.term}"
         return xxhash.xxh32_intdigest(text.encode()) / float(1 << 32) * SPREAD
+
+
+def _former_leaders(record: LeaderRecord, own_node: str) -> list[FormerLeader]:
+    """The record's leader and those before it; a later life of a node proves that earlier ended."""
+    newest = {item.node_id: item for item in record.former}
+    newest[record.node_id] = FormerLeader(
+        node_id=record.node_id,
+        incarnation=record.incarnation,
+        peer_address=record.peer_address,
+    )
+    newest.pop(own_node, None)
+    return list(newest.values())
--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -113,6 +113,7 @@
         self._commands: list[OwnershipCommand] = []
         self._published: tuple[OwnedRange, ...] = ()
         self.fenced_off = False
+        self._alone = False
         self.load = KeyLoad(now)
         self._service_times: dict[str, Seconds] = {}
         self._next_balance = now + timing.balance_interval
@@ -206,6 +207,15 @@
         else:
             self.fenced_off = True
 
+    def handle_former_leaders_over(self, now: Seconds) -> None:
+        """No earlier leader can have sent a grant after now."""
+        if self._alone:
+            return
+        self._alone = True
+        latest = now + self._timing.longest_lease + self._timing.order_timeout
+        for item in self.ranges:
+            item.held_until = min(item.held_until, latest)
+
     # ------------------------------------------------------------------ the loop
 
     def handle_tick(self, may_renew: bool, now: Seconds) -> list[OwnershipCommand]:
--- a/src/limedeck_lab/ownership/node.py
+++ b/src/limedeck_lab/ownership/node.py
@@ -89,6 +89,9 @@
         self._lead(self.core, now)
 
     def _lead(self, core: ServiceOwnership, now: Seconds) -> None:
+        self._ask_former_leaders()
+        if not self.election.former_leaders():
+            core.handle_former_leaders_over(now)
         if self.reaches_store:
             self._backends_seen = self.world.listing()
         core.set_backends(self._backends_seen.values(), now)
@@ -103,6 +106,17 @@
         if core.fenced_off:
             self.election.step_down()
 
+    def _ask_former_leaders(self) -> None:
+        for former in self.election.former_leaders():
+            node = self.world.nodes.get(former.node_id)
+            if node is None or not node.up or node.paused:
+                continue
+            if not (node.reaches_nodes and self.reaches_nodes):
+                continue
+            node.election.handle_superseded(self.election.term)
+            if node.election.role is not Role.LEADER:
+                self.election.handle_former_over(former.incarnation)
+
     def _start(self, process: Process) -> None:
         self.world.environment.process(process)
 
--- a/src/limedeck_lab/ownership/world.py
+++ b/src/limedeck_lab/ownership/world.py
@@ -230,17 +230,17 @@
         leader.reaches_store = True
 
     def _fault_holder_of_old_leader(self) -> Generator[simpy.Event, object, None]:
-        """The leader misses the store, and it alone reaches one back end."""
+        """The leader reaches neither store nor nodes, but it alone reaches one back end."""
         leader = self._leader()
         backend = self._any_backend()
         others = {
             (node_id, backend.backend_id) for node_id in self.nodes if node_id != leader.node_id
         }
-        leader.reaches_store = False
+        leader.reaches_store = leader.reaches_nodes = False
         self.pair_cuts |= others
         yield self._pause(8.0, 12.0)
         self.pair_cuts -= others
-        leader.reaches_store = True
+        leader.reaches_store = leader.reaches_nodes = True
 
     def _fault_store_down(self) -> Generator[simpy.Event, object, None]:
         faults = StoreFaults(refuses=self.random.random() < 0.5)
--- a/tests/unit/test_election.py
+++ b/tests/unit/test_election.py
@@ -164,3 +164,29 @@
     core.handle_heartbeat(4, TIMING.cut_leader_patience + 0.1, 100.2)
     command, _ = campaign_of(core, LeaderSeen(OTHER, 40, 2.5), 100.2)
     assert command.why is Suspicion.MISSES_STORE
+
+
+def test_a_winner_names_those_that_may_still_renew_until_they_are_over() -> None:
+    core = follower_of_other()
+    core.handle_denial(4, 99, False)
+    earlier = LeaderRecord()
+    earlier.CopyFrom(OTHER)
+    earlier.former.add(node_id="node-c", incarnation=5)
+    earlier.former.add(node_id="node-a", incarnation=3)
+    command, now = campaign_of(core, LeaderSeen(earlier, 40, 0.1), 101.0)
+    assert [(item.node_id, item.incarnation) for item in command.record.former] == [
+        ("node-c", 5),
+        ("node-b", 22),
+    ]
+    core.handle_won(command.record, 41, now)
+    core.handle_former_over(22)
+    assert [item.node_id for item in core.former_leaders()] == ["node-c"]
+
+
+def test_a_leader_that_hears_of_a_later_term_stops() -> None:
+    core = ElectionCore(ME, TIMING, 0.0)
+    core.handle_won(LeaderRecord(term=3, node_id="node-a", incarnation=11), 30, 0.0)
+    core.handle_superseded(3)
+    assert core.role is Role.LEADER
+    core.handle_superseded(4)
+    assert not core.may_renew(0.1)
--- a/tests/unit/test_service_ownership.py
+++ b/tests/unit/test_service_ownership.py
@@ -109,6 +109,16 @@
     assert [item.owner for item in play.records[-1][1].ranges] == ["a", "a"]
 
 
+def test_the_wait_is_short_once_the_former_leader_is_over() -> None:
+    play = taken_over({"b"})
+    play.run(2.0)
+    play.core.handle_former_leaders_over(play.now)
+    play.run(2.0 + TIMING.longest_lease - 0.1)
+    assert play.records == []
+    play.run(2.0 + TIMING.longest_lease + 1.0)
+    assert [item.owner for item in play.records[-1][1].ranges] == ["a", "a"]
+
+
 def test_a_silent_owner_of_this_leader_loses_its_keys_when_its_lease_is_over() -> None:
     play = fresh()
     play.run(3.0)
