--- /dev/null
+++ b/tests/unit/test_forwarding.py
@@ -0,0 +1,288 @@
+"""Routes, budget, choice of back ends and the decisions for one request."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+
+from limedeck.forwarding.backends import BackendDirectory
+from limedeck.forwarding.budget import MARGIN, RetryAllowance, RetryBudget
+from limedeck.forwarding.owners import OwnedRange, OwnerMap
+from limedeck.forwarding.protocol import LoadReport
+from limedeck.forwarding.request import (
+    Attempt,
+    Command,
+    Reason,
+    Refuse,
+    RequestCore,
+    ServiceView,
+    Wait,
+)
+from limedeck.forwarding.routes import RouteIndex, choose_service
+from limedeck.model import Backend, Configuration, Route, Target
+from limedeck.routing.outcomes import FailurePhase, Outcome
+
+ALLOWANCE = RetryAllowance(ratio=0.2, slack=30.0, window=10.0)
+
+
+def route(
+    prefix: str = "/a/", repeatable: bool = True, targets: tuple[Target, ...] = (Target("s", 1),)
+) -> Route:
+    return Route(prefix, "host", prefix, repeatable, 1.0, 0.2, 2, 1, targets)
+
+
+def backend(name: str, zone: str = "z1", draining: bool = False, slots: int = 2) -> Backend:
+    return Backend(name, "s", f"127.0.0.1:{len(name)}", zone, slots, draining)
+
+
+# ---------------------------------------------------------------------- routes
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "found"),
+    [
+        ("host", "/a/x", "/a/"),
+        ("host", "/a/", "/a/"),
+        ("host", "/a/b/x", "/a/b/"),
+        ("host", "/a/bc/x", "/a/"),
+        ("host", "/a", None),
+        ("host", "/", None),
+        ("host", "", None),
+        ("other", "/a/x", None),
+    ],
+)
+def test_the_longest_prefix_of_the_host_wins(host: str, path: str, found: str | None) -> None:
+    index = RouteIndex(Configuration(1, (route("/a/"), route("/a/b/"))))
+    result = index.find(host, path)
+    assert (result.name if result else None) == found
+
+
+def test_a_split_keeps_its_weights_and_a_request_its_service() -> None:
+    split = route(targets=(Target("s", 90), Target("t", 10)))
+    chosen = Counter(choose_service(split, b"%d" % number) for number in range(5000))
+    assert chosen["t"] / 5000 == pytest.approx(0.1, abs=0.02)
+    assert choose_service(split, b"17") == choose_service(split, b"17")
+
+
+def test_a_weight_of_zero_gets_nothing() -> None:
+    split = route(targets=(Target("s", 0), Target("t", 5)))
+    assert {choose_service(split, b"%d" % number) for number in range(500)} == {"t"}
+
+
+# ---------------------------------------------------------------------- budget
+
+
+def test_retries_keep_to_the_ratio_and_this_nodes_slack() -> None:
+    budget = RetryBudget(ALLOWANCE)
+    for _ in range(100):
+        budget.note_request(5.0)
+    taken = sum(budget.try_take(5.0, 3) for _ in range(1000))
+    assert taken == int(MARGIN * (0.2 * 100 + 30 / 3))
+
+
+def test_no_window_holds_more_than_allowed() -> None:
+    budget = RetryBudget(ALLOWANCE)
+    taken_at: list[float] = []
+    for step in range(600):
+        now = step * 0.1
+        budget.note_request(now)
+        taken_at += [now for _ in range(3) if budget.try_take(now, 1)]
+    for start in range(50):
+        inside = [at for at in taken_at if start <= at < start + 10.0]
+        assert len(inside) <= 0.2 * 101 + 30
+
+
+# ---------------------------------------------------------------------- back ends
+
+
+def test_one_that_drains_or_was_tried_is_not_chosen() -> None:
+    directory = BackendDirectory("z1", "n")
+    directory.put(backend("a", draining=True), 0.0)
+    directory.put(backend("bb"), 0.0)
+    directory.put(backend("ccc"), 0.0)
+    chosen = directory.choose("s", {"bb"}, b"1", 1.0)
+    assert chosen is not None and chosen.backend.backend_id == "ccc"
+    assert directory.choose("s", {"bb", "ccc"}, b"1", 1.0) is None
+
+
+def test_a_loaded_one_is_passed_over_until_its_report_is_old() -> None:
+    directory = BackendDirectory("z1", "n")
+    for name in ("a", "bb"):
+        directory.put(backend(name), 0.0)
+    loaded = directory.find("a")
+    assert loaded is not None
+    loaded.note_load(LoadReport(running=2, waiting=6, slots=2), 10.0)
+    picks = {directory.choose("s", (), b"%d" % n, 10.1).backend.backend_id for n in range(50)}  # type: ignore[union-attr]
+    assert picks == {"bb"}
+    picks = {directory.choose("s", (), b"%d" % n, 20.0).backend.backend_id for n in range(50)}  # type: ignore[union-attr]
+    assert picks == {"a", "bb"}
+
+
+def test_one_of_the_own_zone_is_preferred_among_equals() -> None:
+    directory = BackendDirectory("z1", "n")
+    directory.put(backend("a", zone="z2"), 0.0)
+    directory.put(backend("bb", zone="z1"), 0.0)
+    picks = {directory.choose("s", (), b"%d" % n, 1.0).backend.backend_id for n in range(50)}  # type: ignore[union-attr]
+    assert picks == {"bb"}
+
+
+def test_one_that_fails_is_left_out_and_tried_again_by_a_real_request() -> None:
+    directory = BackendDirectory("z1", "n")
+    directory.put(backend("a"), 0.0)
+    directory.put(backend("bb"), 0.0)
+    failing = directory.find("a")
+    assert failing is not None
+    failing.note_failure(1.0)
+    failing.note_failure(1.0)
+    assert directory.choose("s", (), b"1", 1.1).backend.backend_id == "bb"  # type: ignore[union-attr]
+    assert failing.ejected_until < 2.0
+
+
+def test_an_entry_that_comes_back_starts_anew() -> None:
+    directory = BackendDirectory("z1", "n")
+    directory.put(backend("a"), 0.0)
+    directory.remove("a")
+    assert directory.find("a") is None
+    assert directory.last_address("a") == "127.0.0.1:1"
+
+
+# ---------------------------------------------------------------------- owners
+
+
+def test_every_key_has_one_entry() -> None:
+    owners = OwnerMap(3, (OwnedRange(0, 9, "a"), OwnedRange(10, 19, "")))
+    assert [owners.owner(key) for key in (0, 9, 10, 19, 20)] == ["a", "a", "", "", ""]
+
+
+# ---------------------------------------------------------------------- requests
+
+
+class Play:
+    """One request against two back ends."""
+
+    def __init__(
+        self, repeatable: bool = True, keyed: bool = False, slack: float = 100.0, backends: int = 2
+    ) -> None:
+        self.directory = BackendDirectory("z1", "n")
+        for number in range(backends):
+            self.directory.put(backend("b" * (number + 1)), 0.0)
+        allowance = RetryAllowance(0.0, slack, 10.0)
+        self.view = ServiceView("s", keyed, RetryBudget(allowance))
+        position = 5 if keyed else None
+        self.core = RequestCore(
+            b"id", route(repeatable=repeatable), self.view, self.directory, position, 10.8, 10.0
+        )
+
+    def start(self, now: float = 10.0) -> Command:
+        return self.core.next_command(now, 1)
+
+    def fail(self, phase: FailurePhase, now: float = 10.1, wrong_owner: bool = False) -> Command:
+        return self.core.handle_failure(phase, now, 1, wrong_owner)
+
+
+@pytest.mark.parametrize(
+    ("phase", "repeatable", "then"),
+    [
+        (FailurePhase.NOT_CONNECTED, True, "retry"),
+        (FailurePhase.NOT_CONNECTED, False, "retry"),
+        (FailurePhase.NOT_SENT, False, "retry"),
+        (FailurePhase.REFUSED, True, "retry"),
+        (FailurePhase.REFUSED, False, "retry"),
+        (FailurePhase.SENDING, True, "retry"),
+        (FailurePhase.SENDING, False, "unknown"),
+        (FailurePhase.AWAITING, True, "retry"),
+        (FailurePhase.AWAITING, False, "unknown"),
+        (FailurePhase.ANSWERING, True, "retry"),
+        (FailurePhase.ANSWERING, False, "unknown"),
+    ],
+)
+def test_what_follows_a_failure(phase: FailurePhase, repeatable: bool, then: str) -> None:
+    play = Play(repeatable)
+    first = play.start()
+    assert isinstance(first, Attempt)
+    second = play.fail(phase)
+    if then == "retry":
+        assert isinstance(second, Attempt)
+        assert second.state is not first.state
+    else:
+        assert isinstance(second, Refuse)
+        assert second.outcome is Outcome.UNKNOWN
+
+
+def test_after_its_attempts_a_request_that_never_ran_is_said_not_to_have_run() -> None:
+    play = Play(repeatable=False, backends=3)
+    play.start()
+    assert isinstance(play.fail(FailurePhase.REFUSED), Attempt)
+    last = play.fail(FailurePhase.REFUSED, 10.2)
+    assert isinstance(last, Refuse)
+    assert (last.outcome, last.reason) == (Outcome.NOT_RUN, Reason.REFUSED)
+    assert last.retry_after > 0
+
+
+def test_one_attempt_that_may_have_run_is_never_forgotten() -> None:
+    play = Play(backends=3)
+    play.start()
+    play.fail(FailurePhase.AWAITING)
+    last = play.fail(FailurePhase.REFUSED, 10.2)
+    assert isinstance(last, Refuse)
+    assert last.outcome is Outcome.UNKNOWN
+
+
+def test_without_budget_there_is_one_attempt() -> None:
+    play = Play(slack=0.0)
+    play.start()
+    last = play.fail(FailurePhase.REFUSED)
+    assert isinstance(last, Refuse)
+    assert last.outcome is Outcome.NOT_RUN
+
+
+def test_the_routes_time_and_the_callers_deadline_both_end_it() -> None:
+    play = Play()
+    first = play.start()
+    assert isinstance(first, Attempt)
+    assert first.until == 10.8
+    last = play.fail(FailurePhase.AWAITING, 10.8)
+    assert isinstance(last, Refuse)
+    assert last.reason is Reason.TIMED_OUT
+
+
+def test_a_keyed_request_goes_to_its_owner_only() -> None:
+    play = Play(keyed=True)
+    play.view.owners = OwnerMap(1, (OwnedRange(0, 4, "b"), OwnedRange(5, 9, "bb")))
+    first = play.start()
+    assert isinstance(first, Attempt)
+    assert first.state.backend.backend_id == "bb"
+
+
+def test_a_keyed_request_waits_for_a_move_and_then_goes_on() -> None:
+    play = Play(keyed=True)
+    play.view.owners = OwnerMap(1, (OwnedRange(0, 9, "b"),))
+    play.start()
+    waiting = play.fail(FailurePhase.REFUSED, 10.05, wrong_owner=True)
+    assert isinstance(waiting, Wait)
+    play.view.owners = OwnerMap(2, (OwnedRange(0, 9, "bb"),))
+    again = play.core.next_command(10.06, 1)
+    assert isinstance(again, Attempt)
+    assert again.state.backend.backend_id == "bb"
+
+
+def test_a_keyed_request_without_an_owner_is_refused_soon() -> None:
+    play = Play(keyed=True)
+    command = play.start()
+    now = 10.0
+    while isinstance(command, Wait):
+        assert command.until > now
+        now = command.until
+        command = play.core.next_command(now, 1)
+    assert isinstance(command, Refuse)
+    assert (command.outcome, command.reason) == (Outcome.NOT_RUN, Reason.NO_OWNER)
+    assert now <= 10.41
+
+
+def test_a_keyed_request_without_a_readable_key_is_refused() -> None:
+    play = Play(keyed=True)
+    play.core.position = None
+    command = play.start()
+    assert isinstance(command, Refuse)
+    assert command.reason is Reason.BAD_KEY
--- /dev/null
+++ b/tests/unit/test_http_client.py
@@ -0,0 +1,195 @@
+"""Answers of back ends, whole and broken, as bytes on real connections."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import anyio
+import pytest
+from anyio.abc import SocketAttribute, SocketStream
+
+from limedeck.node.clock import steady_clock
+from limedeck.node.http_client import AttemptFailed, BackendRequest, HttpClient
+from limedeck.routing.outcomes import FailurePhase
+
+pytestmark = pytest.mark.anyio
+PATIENCE = 5.0
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+@dataclass
+class Script:
+    """What a back end sends for each request on a connection.
+
+    Parameters
+    ----------
+    answers
+        Bytes for each request in turn, over all connections.
+    reset
+        End each connection with a reset after the first answer; else with a close if `close`.
+    late
+        Bytes that follow the first answer a moment later.
+    once
+        Only the first bytes of each connection are answered.
+    """
+
+    answers: Sequence[bytes]
+    reset: bool = False
+    close: bool = False
+    late: bytes = b""
+    once: bool = False
+    connections: int = 0
+    requests: list[bytes] = field(default_factory=list)
+
+    async def serve(self, stream: SocketStream) -> None:
+        self.connections += 1
+        async with stream:
+            try:
+                while True:
+                    self.requests.append(await stream.receive())
+                    if self.once:
+                        await stream.send(self.answers[self.connections - 1])
+                        await anyio.sleep_forever()
+                    await stream.send(self.answers[len(self.requests) - 1])
+                    if self.late and len(self.requests) == 1:
+                        await anyio.sleep(0.05)
+                        await stream.send(self.late)
+                    if self.reset:
+                        raw = stream.extra(SocketAttribute.raw_socket)
+                        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                        await anyio.sleep(0.05)
+                        return
+                    if self.close:
+                        return
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                return
+
+
+@asynccontextmanager
+async def backend(script: Script) -> AsyncIterator[BackendRequest]:
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(SocketAttribute.local_port)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, script.serve)
+        yield BackendRequest(f"127.0.0.1:{port}", b"GET", b"/x", [(b"host", b"h")])
+        tasks.cancel_scope.cancel()
+    await listener.aclose()
+
+
+OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\nok"
+
+
+@pytest.mark.parametrize(
+    ("script", "body"),
+    [
+        (Script([OK]), b"ok"),
+        (
+            Script([b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"]),
+            b"ok",
+        ),
+        (Script([UNFRAMED], close=True), b"ok"),
+        (Script([b"HTTP/1.1 100 Continue\r\n\r\n" + OK]), b"ok"),
+    ],
+    ids=["length", "chunked", "unframed", "informational"],
+)
+async def test_a_whole_answer(script: Script, body: bytes) -> None:
+    async with backend(script) as request:
+        answer = await HttpClient().exchange(request, steady_clock() + PATIENCE)
+        assert (answer.status, answer.body) == (200, body)
+
+
+@pytest.mark.parametrize(
+    ("script", "phase"),
+    [
+        (Script([b""], close=True), FailurePhase.AWAITING),
+        (Script([b"no such protocol\r\n\r\n"]), FailurePhase.AWAITING),
+        (Script([b"HTTP/1.1 200 OK\r\ncontent-l"], close=True), FailurePhase.AWAITING),
+        (Script([OK[:-1]], close=True), FailurePhase.ANSWERING),
+        (
+            Script([b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok"], close=True),
+            FailurePhase.ANSWERING,
+        ),
+        (
+            Script([b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n"]),
+            FailurePhase.ANSWERING,
+        ),
+        (Script([UNFRAMED], reset=True), FailurePhase.ANSWERING),
+    ],
+    ids=["nothing", "garbage", "half-head", "short", "no-last-chunk", "bad-chunk", "reset"],
+)
+async def test_a_broken_answer_is_never_whole(script: Script, phase: FailurePhase) -> None:
+    async with backend(script) as request:
+        with pytest.raises(AttemptFailed) as caught:
+            await HttpClient().exchange(request, steady_clock() + PATIENCE)
+        assert caught.value.phase is phase
+
+
+async def test_a_connection_is_used_again() -> None:
+    script = Script([OK, OK])
+    async with backend(script) as request:
+        client = HttpClient()
+        for _ in range(2):
+            await client.exchange(request, steady_clock() + PATIENCE)
+        assert script.connections == 1
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        Script([OK + OK, OK]),
+        Script([OK, OK], late=OK),
+        Script([OK.replace(b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n"), OK]),
+        Script([OK.replace(b"\r\n\r\n", b"\r\nkeep-alive: timeout=1\r\n\r\n"), OK]),
+        Script([OK, OK], close=True),
+    ],
+    ids=["surplus", "late-surplus", "close", "short-keep-alive", "closed"],
+)
+async def test_a_doubtful_connection_is_not_used_again(script: Script) -> None:
+    async with backend(script) as request:
+        client = HttpClient()
+        await client.exchange(request, steady_clock() + PATIENCE)
+        await anyio.sleep(0.2)
+        answer = await client.exchange(request, steady_clock() + PATIENCE)
+        assert answer.body == b"ok"
+        assert script.connections == 2
+
+
+async def test_a_dead_port_is_not_connected() -> None:
+    async with backend(Script([])) as request:
+        pass
+    with pytest.raises(AttemptFailed) as caught:
+        await HttpClient().exchange(request, steady_clock() + PATIENCE)
+    assert caught.value.phase is FailurePhase.NOT_CONNECTED
+
+
+async def test_an_answer_may_come_before_a_long_body_is_read() -> None:
+    early = b"HTTP/1.1 413 Too Large\r\ncontent-length: 0\r\n\r\n"
+    script = Script([early, OK], once=True)
+    async with backend(script) as request:
+        client = HttpClient()
+        body = b"x" * (8 << 20)
+        headers = [(b"host", b"h"), (b"content-length", b"%d" % len(body))]
+        long = BackendRequest(request.address, b"POST", b"/x", headers, body)
+        answer = await client.exchange(long, steady_clock() + PATIENCE)
+        assert answer.status == 413
+        await client.exchange(request, steady_clock() + PATIENCE)
+        assert script.connections == 2
+
+
+async def test_a_header_that_cannot_be_sent_is_not_sent() -> None:
+    script = Script([OK])
+    async with backend(script) as request:
+        bad = BackendRequest(request.address, b"GET", b"/x", [(b"host", b"h\r\nx: y")])
+        with pytest.raises(AttemptFailed) as caught:
+            await HttpClient().exchange(bad, steady_clock() + PATIENCE)
+        assert caught.value.phase is FailurePhase.NOT_SENT
+        assert script.requests == []
