--- a/src/limedeck/forwarding/backends.py
+++ b/src/limedeck/forwarding/backends.py
@@ -18,7 +18,7 @@
 FAILURES_TO_EJECT = 2
 EJECTION_TIME: Seconds = 0.5
 LONGEST_EJECTION: Seconds = 4.0
-OTHER_ZONE_FACTOR = 1.15
+OTHER_ZONE_FACTOR = 1.6
 """A back end of another zone must be better by so much."""
 
 
