--- a/src/limedeck/forwarding/request.py
+++ b/src/limedeck/forwarding/request.py
@@ -23,8 +23,8 @@
 
 SHORTEST_ATTEMPT: Seconds = 0.005
 """An attempt is not begun with less time than this left."""
-RETRY_PAUSE: Seconds = 0.02
-"""Before the same owner is asked again."""
+RETRY_PAUSE: Seconds = 0.05
+"""Before the same owner is asked again; about the time that frees a slot."""
 LONGEST_MOVE_WAIT: Seconds = 0.4
 """A request waits at most so long for its key to have an owner."""
 RETRY_AFTER: Seconds = 0.1
@@ -130,7 +130,7 @@
         self.attempts = 0
         self.maybe_run = False
         self._directory = directory
-        self._arrived = now
+        self._waiting_since: Seconds | None = None
         self._excluded: set[str] = set()
         self._stale_version = -1
         self._not_before: Seconds = now
@@ -186,7 +186,9 @@
         return self._attempt(state, now, node_count)
 
     def _wait_for_owner(self, now: Seconds) -> Command:
-        wait_end = min(self._arrived + LONGEST_MOVE_WAIT, self.until)
+        if self._waiting_since is None:
+            self._waiting_since = now
+        wait_end = min(self._waiting_since + LONGEST_MOVE_WAIT, self.until)
         if now >= wait_end:
             return self._refuse(Reason.NO_OWNER, NO_OWNER_RETRY_AFTER)
         return Wait(min(max(self._not_before, now + RETRY_PAUSE), wait_end))
@@ -205,6 +207,7 @@
         if self.attempts and not self.service.budget.try_take(now, node_count):
             return self._refuse(Reason.REFUSED, RETRY_AFTER)
         self.attempts += 1
+        self._waiting_since = None
         self._in_flight = Attempt(state, self.until)
         return self._in_flight
 
--- a/tests/unit/test_forwarding.py
+++ b/tests/unit/test_forwarding.py
@@ -267,6 +267,16 @@
     assert again.state.backend.backend_id == "bb"
 
 
+def test_a_keyed_request_that_fails_late_is_tried_again_at_its_owner() -> None:
+    """Found in an incident of vetagenda-ne: it was refused for want of an owner, which it had."""
+    play = Play(keyed=True)
+    play.view.owners = OwnerMap(1, (OwnedRange(0, 9, "b"),))
+    play.start()
+    waiting = play.fail(FailurePhase.AWAITING, 10.5)
+    assert isinstance(waiting, Wait)
+    assert isinstance(play.core.next_command(waiting.until, 1), Attempt)
+
+
 def test_a_keyed_request_without_an_owner_is_refused_soon() -> None:
     play = Play(keyed=True)
     command = play.start()
