--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -168,9 +168,14 @@
         if order.backend_id in self._avoided_until:
             self._avoided_until[order.backend_id] = now + self._timing.avoidance
         found = self._range_of(order.first, order.last, order.fence)
-        if found is not None:
-            found.order_pending = False
-            found.next_order = now
+        if found is None:
+            return
+        found.order_pending = False
+        found.next_order = now
+        if found.phase is Phase.RELEASING and found.cause is Cause.BALANCE:
+            found.cause = Cause.SILENT
+            found.target = NO_OWNER
+            self._avoided_until[order.backend_id] = now + self._timing.avoidance
 
     def handle_record_written(self, row_version: int) -> None:
         """The store took the record."""
@@ -257,13 +262,13 @@
         if now < self._next_balance:
             return
         self._next_balance = now + self._timing.balance_interval
-        if self._pending_record or any(item.phase is not Phase.OWNED for item in self.ranges):
+        if any(item.is_moving_for(Cause.BALANCE) for item in self.ranges):
             return
         self._merge_neighbours(now)
         pieces = [
             OwnedPiece(item.first, item.last, item.owner)
             for item in self.ranges
-            if item.confirmed_until > now
+            if item.phase is Phase.OWNED and item.confirmed_until > now
         ]
         self.move(BalancePlan(pieces, self._capacities(now), self.load, now).moves())
 
@@ -366,19 +371,24 @@
         candidates = self._candidates(now)
         if not candidates:
             return []
-        sizes = dict.fromkeys(candidates, 0)
+        capacities = self._capacities(now)
+        uses = dict.fromkeys(candidates, 0.0)
         for item in self.ranges:
-            if item.phase is not Phase.FREE and item.owner in sizes:
-                sizes[item.owner] += item.size
+            if item.phase is not Phase.FREE and item.owner in uses:
+                uses[item.owner] += self._weight(item, now) / capacities[item.owner]
         chosen = []
         for item in free:
             target = item.target
             if target not in candidates:
-                target = least_loaded(sizes)
-            sizes[target] += item.size
+                target = least_loaded(uses)
+            uses[target] += self._weight(item, now) / capacities[target]
             chosen.append((item, target))
         return chosen
 
+    def _weight(self, item: RangeState, now: Seconds) -> float:
+        """Requests a second for a range, and a little for its size, which counts without any."""
+        return self.load.total(item.first, item.last, now) + item.size / self._key_positions
+
     def _record(self, chosen: dict[int, str]) -> AssignmentRecord:
         record = AssignmentRecord(term=self._fences.term, sequence=self._sequence)
         for item in self.ranges:
--- a/tests/unit/test_service_ownership.py
+++ b/tests/unit/test_service_ownership.py
@@ -7,6 +7,7 @@
 from limedeck.api.control_pb2 import AssignmentRecord, OwnedKeys
 from limedeck.model import Backend
 from limedeck.ownership.orders import Grant, Release
+from limedeck.ownership.planning import PlannedMove
 from limedeck.ownership.service import (
     OwnershipCommand,
     SendGrant,
@@ -169,6 +170,45 @@
     assert "" not in {owner for _, _, owner in play.owners()}
 
 
+def test_a_silent_back_end_does_not_stop_the_balancing_of_the_others() -> None:
+    """Found in an incident of zhbs-gate: one back end at a time was swamped for 4 s."""
+    core = ServiceOwnership("service", 150, 1, None, 0, TIMING, 0.0)
+    core.set_backends([backend("a"), backend("b"), backend("c")], 0.0)
+    play = Play(core)
+    play.run(3.0)
+    play.silent = {"c"}
+    play.run(4.8)
+    for key in range(10):
+        core.load.add([(key, 30)], play.now)
+    play.run(5.4)
+    assert {play_owner(play, key) for key in range(10)} == {"a", "b"}
+
+
+def test_a_move_that_its_owner_does_not_answer_does_not_stop_other_moves() -> None:
+    core = ServiceOwnership("service", 150, 1, None, 0, TIMING, 0.0)
+    core.set_backends([backend("a"), backend("b"), backend("c")], 0.0)
+    play = Play(core)
+    play.run(3.0)
+    play.silent = {"c"}
+    core.move([PlannedMove(120, 149, "a")])
+    play.run(3.2)
+    for key in range(10):
+        core.load.add([(key, 30)], play.now)
+    play.run(4.2)
+    assert {play_owner(play, key) for key in range(10)} == {"a", "b"}
+
+
+def test_a_lost_owners_keys_go_to_the_one_with_the_least_load() -> None:
+    core = ServiceOwnership("service", 150, 1, None, 0, TIMING, 0.0)
+    core.set_backends([backend("a"), backend("b"), backend("c")], 0.0)
+    play = Play(core)
+    play.run(3.0)
+    core.load.add([(10, 12)], play.now)
+    play.core.set_backends([backend("a"), backend("b"), backend("c", draining=True)], play.now)
+    play.run(3.4)
+    assert play_owner(play, 140) == "b"
+
+
 def test_ranges_side_by_side_of_one_owner_become_one() -> None:
     play = fresh()
     play.run(3.0)
