--- /dev/null
+++ b/tests/contract/test_platform_formats.py
@@ -0,0 +1,177 @@
+"""The users' rows, headers and orders, as the product's own types."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from limedeck.errors import PlatformProtocolError
+from limedeck.forwarding.protocol import LoadReport
+from limedeck.model import Target
+from limedeck.ownership.orders import Grant, Release
+from limedeck.platform.grants import PlatformOrders
+from limedeck.platform.headers import PlatformProtocol
+from limedeck.platform.messages import read_backend, read_configuration
+
+ROUTE = {
+    "name": "r-1",
+    "domain": "Host.Example",
+    "path_prefix": "/a/",
+    "route_type": "unsafe",
+    "timeout_s": 0.8,
+    "target_latency_s": 0.25,
+    "priority": 1,
+    "max_attempts": 2,
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {**ROUTE, "backend": "s"},
+        {
+            **ROUTE,
+            "route_type": "safe",
+            "traffic_split": [{"backend": "s", "weight": 90}, {"backend": "t", "weight": 10}],
+        },
+    ],
+    "backends": [
+        {"name": "s", "health_check": "/h", "max_connections": 130, "sharded": True, "warm_s": 2.0},
+        {"name": "t", "health_check": "/h", "max_connections": 50, "unknown": [1]},
+    ],
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 1000,
+        "header_timeout_s": 3,
+        "idle_timeout_s": 15,
+    },
+}
+SERVER = {
+    "address": "10.1.2.3:80",
+    "info": {"backend": "s", "version": "v1", "zone": "z", "slots": 2},
+    "status": {"state": "draining", "sequence": 4, "warmup_s_time": 1.5},
+}
+
+
+def test_a_configuration() -> None:
+    found = read_configuration(json.dumps(CONFIGURATION).encode())
+    assert found.version == 7
+    first, second = found.routes
+    assert (first.host, first.repeatable, first.timeout, first.objective) == (
+        "host.example",
+        False,
+        0.8,
+        0.25,
+    )
+    assert first.targets == (Target("s", 1.0),)
+    assert second.repeatable and second.targets == (Target("s", 90), Target("t", 10))
+    assert found.services["s"].keyed and not found.services["t"].keyed
+    assert found.limits.body_bytes == 1000
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"{",
+        b"[]",
+        b'{"version": "seven"}',
+        json.dumps({**CONFIGURATION, "routes": [{"name": "r"}]}).encode(),
+        json.dumps({**CONFIGURATION, "backends": None}).encode(),
+    ],
+)
+def test_a_configuration_that_cannot_be_read_has_a_type(value: bytes) -> None:
+    with pytest.raises(PlatformProtocolError):
+        read_configuration(value)
+
+
+def test_a_back_end() -> None:
+    found = read_backend("i-1", json.dumps(SERVER).encode())
+    assert (found.backend_id, found.service, found.address, found.zone) == (
+        "i-1",
+        "s",
+        "10.1.2.3:80",
+        "z",
+    )
+    assert (found.slots, found.draining, found.warmup) == (2, True, 1.5)
+
+
+def test_an_entry_that_cannot_be_read_has_a_type() -> None:
+    with pytest.raises(PlatformProtocolError):
+        read_backend("i-1", b'{"address": 5}')
+
+
+@pytest.mark.parametrize(
+    ("headers", "time_left", "position"),
+    [
+        ({b"x-deadline-ms": b"800", b"x-shard-key": b"0"}, 0.8, 0),
+        ({b"x-deadline-ms": b"12.5", b"x-shard-key": b"65535"}, 0.0125, 65535),
+        ({b"x-deadline-ms": b"soon", b"x-shard-key": b"65536"}, None, None),
+        ({b"x-deadline-ms": b"-1", b"x-shard-key": b"-1"}, None, None),
+        ({b"x-deadline-ms": b"inf", b"x-shard-key": b"nan"}, None, None),
+        ({}, None, None),
+    ],
+)
+def test_a_requests_headers(
+    headers: dict[bytes, bytes], time_left: float | None, position: int | None
+) -> None:
+    protocol = PlatformProtocol()
+    assert protocol.time_left(headers) == time_left
+    assert protocol.key_position(headers) == position
+
+
+def test_an_attempts_headers_tell_what_is_left_and_who_is_meant() -> None:
+    added = dict(PlatformProtocol().attempt_headers("i-1", 0.1239))
+    assert added == {b"x-deadline-ms": b"123", b"x-expect-instance": b"i-1"}
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "not_run", "wrong", "credible"),
+    [
+        (200, [(b"x-upstream-signature", b"s")], False, False, True),
+        (200, [], False, False, False),
+        (500, [], False, False, True),
+        (503, [(b"x-not-executed", b"1")], True, False, True),
+        (503, [], False, False, True),
+        (421, [], True, True, True),
+        (429, [(b"x-not-executed", b"1")], True, False, True),
+    ],
+)
+def test_an_answers_head(
+    status: int, headers: list[tuple[bytes, bytes]], not_run: bool, wrong: bool, credible: bool
+) -> None:
+    facts = PlatformProtocol().answer_facts(status, [(b"x-attempt-id", b"a"), *headers])
+    assert facts.request_id == b"a"
+    assert (facts.not_run, facts.wrong_instance, facts.credible) == (not_run, wrong, credible)
+
+
+@pytest.mark.parametrize(
+    ("value", "load"),
+    [
+        (b"3,0,8", LoadReport(3, 0, 8)),
+        (b"3, 1, 8", LoadReport(3, 1, 8)),
+        (b"3,0", None),
+        (b"a,b,c", None),
+        (b"", None),
+    ],
+)
+def test_a_load_report(value: bytes, load: LoadReport | None) -> None:
+    assert PlatformProtocol().answer_facts(200, [(b"x-upstream-load", value)]).load == load
+
+
+def test_orders() -> None:
+    orders = PlatformOrders()
+    granted = orders.grant(Grant("i-1", 4096, 8191, 12, 4.0, "5c0e"))
+    assert granted.path == b"/v1/grant"
+    assert json.loads(granted.body) == {
+        "from": 4096,
+        "target_version": 8191,
+        "fence": 12,
+        "hold_s": 4.0,
+        "handover": "5c0e",
+    }
+    assert "handover" not in json.loads(orders.grant(Grant("i-1", 0, 1, 1, 2.0)).body)
+    released = orders.release(Release("i-1", 4096, 8191, 13))
+    assert released.path == b"/v1/release"
+    assert json.loads(released.body) == {"from": 4096, "target_version": 8191, "fence": 13}
+    assert orders.handover([(b"x-handover", b"5c0e")]) == "5c0e"
+    assert orders.is_done(200) and not orders.is_done(409) and orders.is_fenced_off(409)
--- /dev/null
+++ b/tests/system/platform_site.py
@@ -0,0 +1,331 @@
+"""A small site on the users' platform: stand-in store and upstreams here, nodes as processes."""
+
+from __future__ import annotations
+
+import itertools
+import json
+import time
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import anyio
+import httpx
+from anyio.from_thread import start_blocking_portal
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+
+from limedeck_lab.processes import ManagedProcess, ProcessGroup, free_ports, wait_until
+from limedeck_lab.standins.row_store import RowStoreStandIn, StoreWords
+
+WORDS = StoreWords(
+    read="/v1/rows-get",
+    transact="/v1/rows-tx",
+    feed="/v1/rows-feed",
+    conditions="expected_revision",
+    key="key_file",
+    version="ver",
+    more="has_more",
+)
+KEYS = 65_536
+WORK_TIME = 0.02
+Application = Callable[[dict[str, Any], Any, Any], Awaitable[None]]
+
+
+@dataclass
+class Upstream:
+    """One upstream; all of a site are judged together.
+
+    Parameters
+    ----------
+    held
+        Ranges with their fence and end, on the test's clock.
+    """
+
+    name: str
+    service: str
+    keyed: bool
+    address: str
+    site: Site
+    draining: bool = False
+    silent: bool = False
+    held: dict[tuple[int, int], tuple[int, float]] = field(default_factory=dict)
+
+    async def __call__(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
+        """Answer one request."""
+        if scope["type"] != "http":
+            return
+        body = b""
+        more = True
+        while more:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                return
+            body += message.get("body", b"")
+            more = message.get("more_body", False)
+        if self.silent:
+            await anyio.sleep(5.0)
+            return
+        headers = dict(scope["headers"])
+        if headers.get(b"x-expect-instance", self.name.encode()) != self.name.encode():
+            await _answer(send, 421, [(b"x-not-executed", b"1")])
+        elif scope["path"] == "/v1/grant":
+            await self._grant(json.loads(body), send)
+        elif scope["path"] == "/v1/release":
+            await self._release(json.loads(body), send)
+        else:
+            await self._work(headers, body, send)
+
+    async def _grant(self, order: dict[str, Any], send: Any) -> None:
+        span = (order["from"], order["target_version"])
+        if any(fence > order["fence"] for at, (fence, _) in self.held.items() if _meet(at, span)):
+            await _answer(send, 409, [])
+            return
+        for at in [at for at in self.held if _within(at, span)]:
+            del self.held[at]
+        self.held[span] = (order["fence"], time.monotonic() + order["hold_s"])
+        self.site.judge()
+        await _answer(send, 200, [])
+
+    async def _release(self, order: dict[str, Any], send: Any) -> None:
+        span = (order["from"], order["target_version"])
+        kept: dict[tuple[int, int], tuple[int, float]] = {}
+        for (first, last), held in self.held.items():
+            for piece in ((first, min(last, span[0] - 1)), (max(first, span[1] + 1), last)):
+                if piece[0] <= piece[1]:
+                    kept[piece] = held
+        self.held = kept
+        await _answer(send, 200, [(b"x-handover", b"token")])
+
+    async def _work(self, headers: dict[bytes, bytes], body: bytes, send: Any) -> None:
+        request_id = headers[b"x-attempt-id"]
+        echo = [(b"x-attempt-id", request_id), (b"x-upstream-load", b"1,0,2")]
+        key = int(headers.get(b"x-shard-key", b"0"))
+        if self.keyed and not self.holds(key):
+            await _answer(send, 421, [*echo, (b"x-not-executed", b"1")])
+            return
+        self.site.runs.append((request_id.decode(), self.name))
+        await anyio.sleep(WORK_TIME)
+        signed = [*echo, (b"x-upstream-signature", self.name.encode())]
+        await _answer(send, 200, signed, request_id + b":" + body)
+
+    def holds(self, key: int) -> bool:
+        """Whether it would run a request for a key now."""
+        now = time.monotonic()
+        return any(
+            first <= key <= last and end > now for (first, last), (_, end) in self.held.items()
+        )
+
+    def entry(self) -> bytes:
+        """What it writes about itself."""
+        return json.dumps(
+            {
+                "address": self.address,
+                "info": {"backend": self.service, "version": "v1", "zone": "z1", "slots": 2},
+                "status": {
+                    "state": "draining" if self.draining else "ready",
+                    "sequence": 1,
+                    "warmup_s_time": 0,
+                },
+            }
+        ).encode()
+
+
+def _meet(one: tuple[int, int], other: tuple[int, int]) -> bool:
+    return one[0] <= other[1] and other[0] <= one[1]
+
+
+def _within(one: tuple[int, int], other: tuple[int, int]) -> bool:
+    return other[0] <= one[0] and one[1] <= other[1]
+
+
+async def _answer(
+    send: Any, status: int, headers: list[tuple[bytes, bytes]], body: bytes = b""
+) -> None:
+    framed = [*headers, (b"content-length", b"%d" % len(body))]
+    await send({"type": "http.response.start", "status": status, "headers": framed})
+    await send({"type": "http.response.body", "body": body})
+
+
+@dataclass
+class NodeProcess:
+    """One node."""
+
+    process: ManagedProcess
+    callers: str
+    readiness: str
+    settings: Path
+
+    def is_ready(self) -> bool:
+        """Whether it says so."""
+        try:
+            return httpx.get(f"http://{self.readiness}/v1/readyz", timeout=1.0).status_code == 200
+        except httpx.HTTPError:
+            return False
+
+
+@dataclass
+class Site:
+    """Store, upstreams and nodes.
+
+    Parameters
+    ----------
+    runs
+        Requests that ran, and where.
+    two_owners
+        Pairs of upstreams that held a key at the same moment.
+    """
+
+    store: RowStoreStandIn = field(default_factory=lambda: RowStoreStandIn(WORDS))
+    upstreams: list[Upstream] = field(default_factory=list)
+    nodes: list[NodeProcess] = field(default_factory=list)
+    runs: list[tuple[str, str]] = field(default_factory=list)
+    two_owners: list[tuple[str, str]] = field(default_factory=list)
+    sent: int = 0
+
+    def judge(self) -> None:
+        """Look for keys that two upstreams hold."""
+        now = time.monotonic()
+        spans = sorted(
+            (span, upstream.name)
+            for upstream in self.upstreams
+            if upstream.keyed
+            for span, (_, end) in upstream.held.items()
+            if end > now
+        )
+        for (one, owner), (other, rival) in itertools.pairwise(spans):
+            if owner != rival and _meet(one, other):
+                self.two_owners.append((owner, rival))
+
+    def list_upstream(self, upstream: Upstream) -> None:
+        """Write an upstream's entry to the store."""
+        self.store.put("servers", upstream.name, upstream.entry())
+
+    def configure(self, version: int, routes: list[dict[str, Any]]) -> None:
+        """Write the operator's configuration."""
+        services = [
+            {"name": "keyed", "health_check": "/h", "max_connections": 50, "sharded": True},
+            {"name": "plain", "health_check": "/h", "max_connections": 50},
+        ]
+        limits = {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1 << 20,
+            "header_timeout_s": 3,
+            "idle_timeout_s": 15,
+        }
+        body = {"version": version, "routes": routes, "backends": services, "limits": limits}
+        self.store.put("op", "config", json.dumps(body).encode())
+
+    def send(self, client: httpx.Client, node: NodeProcess, path: str, key: int) -> httpx.Response:
+        """Send one request with an id of its own."""
+        self.sent += 1
+        headers = {
+            "host": "h.example",
+            "x-attempt-id": f"{self.sent:016x}",
+            "x-deadline-ms": "2000",
+            "x-shard-key": str(key),
+        }
+        return client.get(f"http://{node.callers}{path}", headers=headers)
+
+    def everything_is_held(self) -> bool:
+        """Whether each key of a sample has an owner."""
+        keyed = [upstream for upstream in self.upstreams if upstream.keyed]
+        return all(
+            any(upstream.holds(key) for upstream in keyed) for key in range(0, KEYS, KEYS // 64)
+        )
+
+
+def route(prefix: str, service: str, kind: str = "safe") -> dict[str, Any]:
+    """One route of the operator's configuration."""
+    return {
+        "name": f"r{prefix}",
+        "domain": "h.example",
+        "path_prefix": prefix,
+        "route_type": kind,
+        "timeout_s": 2.0,
+        "target_latency_s": 0.5,
+        "priority": 1,
+        "max_attempts": 3,
+        "backend": service,
+    }
+
+
+ROUTES = [route("/keyed/", "keyed"), route("/plain/", "plain", "unsafe")]
+
+
+def _settings(site_store: str, number: int, ports: list[int]) -> str:
+    return f"""
+[node]
+id = "node-{number}"
+zone = "z1"
+ip = "127.0.0.1"
+callers = "127.0.0.1:{ports[0]}"
+readiness = "127.0.0.1:{ports[1]}"
+first_peer_port = {ports[2]}
+[store]
+address = "{site_store}"
+[retries]
+ratio = 0.2
+slack = 60
+window = 10
+[stop]
+grace = 4
+"""
+
+
+def start_node(
+    processes: ProcessGroup, folder: Path, store: str, number: int, life: int = 0
+) -> NodeProcess:
+    """Start one node."""
+    ports = free_ports(3)
+    settings = folder / f"node-{number}-{life}.toml"
+    settings.write_text(_settings(store, number, ports))
+    process = processes.start(
+        f"node-{number}-{life}", "limedeck.node.main", ["--settings", str(settings)]
+    )
+    return NodeProcess(process, f"127.0.0.1:{ports[0]}", f"127.0.0.1:{ports[1]}", settings)
+
+
+@contextmanager
+def running_site(folder: Path, keyed: int = 3, plain: int = 2, nodes: int = 3) -> Iterator[Site]:
+    """Run a whole site until the block ends."""
+    site = Site()
+    ports = free_ports(keyed + plain + 1)
+    store_address = f"127.0.0.1:{ports[-1]}"
+    for number, port in enumerate(ports[:-1]):
+        service = "keyed" if number < keyed else "plain"
+        address = f"127.0.0.1:{port}"
+        upstream = Upstream(f"i-{number}", service, service == "keyed", address, site)
+        site.upstreams.append(upstream)
+        site.list_upstream(upstream)
+    site.configure(1, ROUTES)
+    processes = ProcessGroup(folder)
+    stop = anyio.Event
+    with start_blocking_portal() as portal:
+        ended = portal.call(stop)
+        served: list[tuple[Application, str]] = [
+            (site.store.application(), store_address),
+            *((upstream, upstream.address) for upstream in site.upstreams),
+        ]
+        futures = [portal.start_task_soon(_serve, app, where, ended) for app, where in served]
+        try:
+            for number in range(nodes):
+                site.nodes.append(start_node(processes, folder, store_address, number))
+            wait_until(lambda: all(node.is_ready() for node in site.nodes), "nodes are ready")
+            wait_until(site.everything_is_held, "all keys are held")
+            yield site
+        finally:
+            processes.end_all()
+            portal.call(ended.set)
+            for future in futures:
+                future.result(timeout=20.0)
+
+
+async def _serve(application: Application, address: str, ended: anyio.Event) -> None:
+    config = Config()
+    config.bind = [address]
+    config.graceful_timeout = 10.0
+    config.errorlog = None
+    await serve(application, config, shutdown_trigger=ended.wait, mode="asgi")  # type: ignore[arg-type]
--- /dev/null
+++ b/tests/system/test_node_site.py
@@ -0,0 +1,179 @@
+"""Real nodes on a stand-in of the users' platform, from a request to its answer."""
+
+from __future__ import annotations
+
+import json
+import signal
+from collections import Counter
+from collections.abc import Iterator
+from pathlib import Path
+
+import httpx
+import pytest
+
+from limedeck_lab.processes import ManagedProcess, wait_until
+from tests.system.platform_site import ROUTES, Site, route, running_site
+
+
+@pytest.fixture
+def site(tmp_path: Path) -> Iterator[Site]:
+    with running_site(tmp_path) as running:
+        yield running
+        assert running.two_owners == []
+
+
+@pytest.fixture
+def client() -> Iterator[httpx.Client]:
+    with httpx.Client(timeout=5.0) as open_client:
+        yield open_client
+
+
+def send_many(site: Site, client: httpx.Client, count: int) -> Counter[int]:
+    """Send requests of both kinds to all nodes that run; check that each answer is its own."""
+    statuses: Counter[int] = Counter()
+    running = [node for node in site.nodes if node.process.is_running]
+    for number in range(count):
+        node = running[number % len(running)]
+        path = "/keyed/x" if number % 2 else "/plain/x"
+        answer = site.send(client, node, path, number * 997 % 65_536)
+        statuses[answer.status_code] += 1
+        if answer.status_code == 200:
+            assert answer.content == f"{site.sent:016x}:".encode()
+            assert answer.headers["x-attempt-id"] == f"{site.sent:016x}"
+    return statuses
+
+
+def leader_of(site: Site) -> ManagedProcess:
+    """Find the node whose own figures say that it leads."""
+    for node in site.nodes:
+        if node.process.is_running:
+            figures = httpx.get(f"http://{node.readiness}/metrics").text
+            if "limedeck_leads 1.0" in figures:
+                return node.process
+    raise AssertionError("no node leads")
+
+
+def test_requests_of_both_kinds_are_served_by_every_node(site: Site, client: httpx.Client) -> None:
+    assert send_many(site, client, 60) == {200: 60}
+    assert max(Counter(request for request, _ in site.runs).values()) == 1
+    assert {name for _, name in site.runs} == {upstream.name for upstream in site.upstreams}
+    missing = site.send(client, site.nodes[0], "/none/x", 5)
+    assert missing.status_code == 404
+
+
+def test_a_new_configuration_is_in_force_on_every_node(site: Site, client: httpx.Client) -> None:
+    site.configure(2, [*ROUTES, route("/new/", "plain")])
+
+    def in_force() -> bool:
+        return all(site.send(client, node, "/new/x", 1).status_code == 200 for node in site.nodes)
+
+    wait_until(in_force, "the new route is served")
+    site.store.put("op", "config", b'{"version": 3, "routes": 7}')
+    site.configure(2, ROUTES)
+    assert in_force()
+
+
+def test_an_upstream_that_leaves_is_emptied_without_a_failed_request(
+    site: Site, client: httpx.Client
+) -> None:
+    leaving = site.upstreams[0]
+    leaving.draining = True
+    site.list_upstream(leaving)
+    statuses: Counter[int] = Counter()
+
+    def emptied() -> bool:
+        statuses.update(send_many(site, client, 12))
+        return not leaving.held and site.everything_is_held()
+
+    wait_until(emptied, "the leaving upstream holds nothing")
+    statuses.update(send_many(site, client, 30))
+    assert set(statuses) == {200}
+
+
+def test_a_silent_upstreams_keys_get_another_owner(site: Site, client: httpx.Client) -> None:
+    silent = site.upstreams[1]
+    silent.silent = True
+    others = [item for item in site.upstreams if item.keyed and item is not silent]
+
+    def taken_over() -> bool:
+        return all(any(item.holds(key) for item in others) for key in range(0, 65_536, 1024))
+
+    wait_until(taken_over, "its keys are held by others")
+    wait_until(lambda: set(send_many(site, client, 20)) == {200}, "everything is served without it")
+
+
+def test_a_killed_leader_is_replaced_and_no_key_moves(site: Site, client: httpx.Client) -> None:
+    send_many(site, client, 20)
+    before = {item.name: sorted(item.held) for item in site.upstreams if item.keyed}
+    leader = leader_of(site)
+    leader.signal(signal.SIGKILL)
+    leader.wait()
+    wait_until(lambda: leader_of_or_none(site) is not None, "another node leads")
+    wait_until(site.everything_is_held, "all keys are held")
+    assert set(send_many(site, client, 20)) == {200}
+    assert {item.name: sorted(item.held) for item in site.upstreams if item.keyed} == before
+
+
+def leader_of_or_none(site: Site) -> ManagedProcess | None:
+    try:
+        return leader_of(site)
+    except AssertionError:
+        return None
+
+
+def test_a_planned_stop_cuts_off_no_request(site: Site, client: httpx.Client) -> None:
+    stopping = site.nodes[0]
+    assert site.send(client, stopping, "/keyed/x", 7).status_code == 200
+    stopping.process.signal(signal.SIGTERM)
+    wait_until(lambda: not stopping.is_ready(), "the node is not ready")
+    served = 0
+    while stopping.process.is_running:
+        try:
+            answer = site.send(client, stopping, "/keyed/x", 7)
+        except httpx.ConnectError:
+            break
+        assert answer.status_code in (200, 503)
+        assert answer.headers["connection"] == "close"
+        served += answer.status_code == 200
+    assert stopping.process.wait() == 0
+    assert served > 0
+    wait_until(lambda: set(send_many(site, client, 20)) == {200}, "the others serve")
+
+
+def test_each_failed_request_can_be_found_in_the_log(
+    site: Site, client: httpx.Client, tmp_path: Path
+) -> None:
+    for upstream in site.upstreams:
+        if not upstream.keyed:
+            upstream.silent = True
+    answer = site.send(client, site.nodes[0], "/plain/x", 1)
+    assert answer.status_code == 504
+    request = f"{site.sent:016x}"
+    lines = [json.loads(line) for line in log_lines(tmp_path, "node-0-0")]
+    story = [line for line in lines if line.get("request") == request]
+    assert [line["event"] for line in story] == ["attempt_failed", "given_up"]
+    assert story[0]["phase"] == "awaiting"
+    assert (story[1]["outcome"], story[1]["reason"]) == ("unknown", "timed-out")
+
+
+def log_lines(folder: Path, name: str) -> list[str]:
+    """The lines that a node wrote to its standard output."""
+    text = "".join(file.read_text() for file in folder.glob(f"{name}*") if file.suffix != ".toml")
+    return [line for line in text.splitlines() if line.startswith("{")]
+
+
+def test_settings_that_cannot_be_used_end_with_one_line(tmp_path: Path, site: Site) -> None:
+    from limedeck.errors import InvalidSetting
+    from limedeck.node.settings import load_node_settings
+
+    good = site.nodes[0].settings.read_text()
+    for name, text in {
+        "missing": good.replace('zone = "z1"', ""),
+        "wrong": good.replace("grace = 4", 'grace = "long"'),
+        "negative": good.replace("grace = 4", "grace = -1"),
+        "not-toml": "node = [",
+    }.items():
+        file = tmp_path / f"{name}-settings"
+        file.write_text(text)
+        with pytest.raises(InvalidSetting):
+            load_node_settings(str(file))
