--- a/tests/contract/test_platform_store.py
+++ b/tests/contract/test_platform_store.py
@@ -24,18 +24,10 @@
     StoreRefused,
     StoreUnavailable,
 )
-from limedeck_lab.standins.row_store import Fault, RowStoreStandIn, StoreWords
+from limedeck_lab.standins.row_store import Fault, RowStoreStandIn
+from tests.system.platform_site import WORDS
 
 pytestmark = pytest.mark.anyio
-WORDS = StoreWords(
-    read="/v1/rows-get",
-    transact="/v1/rows-tx",
-    feed="/v1/rows-feed",
-    conditions="expected_revision",
-    key="key_file",
-    version="ver",
-    more="has_more",
-)
 TIMEOUT = 0.5
 ROW = RowKey("t", "", "k")
 
