--- a/tests/system/platform_site.py
+++ b/tests/system/platform_site.py
@@ -4,6 +4,7 @@
 
 import itertools
 import json
+import signal
 import time
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
@@ -317,6 +318,9 @@
             wait_until(site.everything_is_held, "all keys are held")
             yield site
         finally:
+            for node in site.nodes:
+                if node.process.is_running:
+                    node.process.signal(signal.SIGTERM)
             processes.end_all()
             portal.call(ended.set)
             for future in futures:
