The build leaves what is unchanged alone

Cause: the build removed and copied the package on each run.

Ruled out: a fault of the product; the traceback names a module that was being copied. Now a checksum of the sources decides, and a new copy takes the old one's place by a rename.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Puts the libraries of a node, and limedeck itself, under target/deps.
+# Puts the libraries of a node, and limedeck itself, under target/deps. What is there already and
+# unchanged is left alone, since processes may be starting from it.
 set -eu
 deps=target/deps
 if [ ! -e "$deps/.libraries" ] || [ deploy/requirements.txt -nt "$deps/.libraries" ]; then
@@ -9,6 +10,13 @@
     python3 -m compileall -q "$deps"
     touch "$deps/.libraries"
 fi
-rm -rf "$deps/limedeck"
-cp -r src/limedeck "$deps/limedeck"
-python3 -m compileall -q "$deps/limedeck"
+sources=$(find src/limedeck -name '*.py' -print0 | sort -z | xargs -0 sha256sum | sha256sum)
+if [ "$(cat "$deps/.sources" 2>/dev/null || true)" != "$sources" ]; then
+    rm -rf "$deps/.next"
+    cp -r src/limedeck "$deps/.next"
+    find "$deps/.next" -name __pycache__ -prune -exec rm -rf {} +
+    python3 -m compileall -q "$deps/.next" -s "$deps/.next" -p "$deps/limedeck"
+    rm -rf "$deps/limedeck"
+    mv "$deps/.next" "$deps/limedeck"
+    echo "$sources" > "$deps/.sources"
+fi
