Nodes tell each other whatever the store does not tell some of them

Cause: a node that the store refuses heard of configurations from the leader, but not of back ends. Ruled out: waiting for the store (a refusal may last as long as it likes); telling everybody at once (nodes that the store serves would be told what they have). Change: replicas of tables (limedeck.store.replica) learn in the order of versions, so one number says what a replica lacks; leader and followers exchange it, and tell what the other has lacked for 0.6 s. The configuration's own way between nodes is gone: it is a table like the others. Tests that failed first: tests/unit/test_store_news.py.

--- a/src/limedeck/node/news.py
+++ b/src/limedeck/node/news.py
@@ -2,76 +2,98 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+import dataclasses
+from typing import TYPE_CHECKING
 
-from limedeck.api.control_pb2 import Report, Status, StoredConfiguration, TableVersion
-from limedeck.errors import PlatformProtocolError
-from limedeck.identity import Seconds
-from limedeck.model import Configuration
-from limedeck.node.logs import get_logger
-from limedeck.node.state import NodeState
-from limedeck.node.telemetry import Telemetry
-from limedeck.node.watchers import TableWatcher
+from limedeck.api import control_pb2
+from limedeck.store import replica
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from limedeck import identity
+    from limedeck.node import watchers
+
+
+PATIENCE: identity.Seconds = 0.6
+"""Another node is told what it lacks this long after this one learned it; above the interval of
+reports, so that nodes which the store serves are told nothing."""
 
-class StoreNews:
-    """The newest configuration and table versions that this node knows, from whichever source.
+
+@dataclasses.dataclass(slots=True)
+class PeerTables:
+    """How far the replicas of the node at the other end of a connection are.
 
     Parameters
     ----------
-    read
-        Reads a configuration's stored form.
+    since
+        When the connection was opened.
+    newest
+        Newest version by table, as told last; None until it was told.
     """
 
-    def __init__(
-        self, state: NodeState, telemetry: Telemetry, read: Callable[[bytes], Configuration]
+    since: identity.Seconds
+    newest: dict[str, int] | None = None
+
+
+class StoreNews:
+    """Exchanges, with the leader or with all that follow it, what replicas of tables lack."""
+
+    def __init__(self, tables: Sequence[watchers.TableWatcher]) -> None:
+        self._watchers = {watcher.table: watcher for watcher in tables}
+
+    def fill(
+        self,
+        message: control_pb2.Report | control_pb2.Status,
+        peer: PeerTables,
+        now: identity.Seconds,
+    ) -> None:
+        """Add how far this node is, and what the other one lacks."""
+        for watcher in self._watchers.values():
+            message.tables.append(
+                control_pb2.TableVersion(table=watcher.table, version=watcher.newest)
+            )
+            if peer.newest is None or now - peer.since < PATIENCE:
+                continue
+            told = peer.newest.get(watcher.table, 0)
+            news = watcher.replica.news_for(told, now - PATIENCE)
+            if news is not None:
+                message.news.append(_encoded(news))
+
+    def take(
+        self,
+        message: control_pb2.Report | control_pb2.Status,
+        peer: PeerTables,
+        now: identity.Seconds,
     ) -> None:
-        self.watchers: Sequence[TableWatcher] = ()
-        self._state = state
-        self._telemetry = telemetry
-        self._read = read
-        self._stored = StoredConfiguration()
-        self._log = get_logger("configuration")
-
-    def adopt(self, value: bytes, source: str) -> None:
-        """Put a configuration in force if it is newer than the one that is.
-
-        Raises
-        ------
-        PlatformProtocolError
-            It cannot be read; the one in force stays.
-        """
-        configuration = self._read(value)
-        if not self._state.set_configuration(configuration):
-            return
-        self._stored = StoredConfiguration(version=configuration.version, value=value)
-        self._telemetry.configuration.set(configuration.version)
-        self._log.info("configuration", version=configuration.version, source=source)
-
-    def fill_report(self, report: Report, leader_version: int) -> None:
-        """Add what the leader may not know."""
-        report.tables.extend(self._tables())
-        report.configuration_version = self._stored.version
-        if self._stored.version > leader_version:
-            report.configuration.CopyFrom(self._stored)
-
-    def fill_status(self, status: Status, node_version: int) -> None:
-        """Add what a node may not know."""
-        status.tables.extend(self._tables())
-        status.configuration_version = self._stored.version
-        if self._stored.version > node_version:
-            status.configuration.CopyFrom(self._stored)
-
-    def take(self, message: Report | Status, now: Seconds) -> None:
-        """Take in what another node tells."""
-        if message.HasField("configuration"):
-            try:
-                self.adopt(message.configuration.value, "node")
-            except PlatformProtocolError as error:
-                self._log.error("configuration_refused", problem=str(error))
-        told = {item.table: item.version for item in message.tables}
-        for watcher in self.watchers:
-            watcher.handle_told(told.get(watcher.table, 0), now)
-
-    def _tables(self) -> list[TableVersion]:
-        return [TableVersion(table=item.table, version=item.newest) for item in self.watchers]
+        """Take in what the other node tells."""
+        for news in message.news:
+            watcher = self._watchers.get(news.table)
+            if watcher is not None:
+                watcher.handle_news(_decoded(news), now)
+        peer.newest = {item.table: item.version for item in message.tables}
+        for watcher in self._watchers.values():
+            watcher.handle_told(peer.newest.get(watcher.table, 0), now)
+
+
+def _encoded(news: replica.TableNews) -> control_pb2.TableNews:
+    entries = [
+        control_pb2.TableEntry(
+            key=entry.key,
+            version=entry.version,
+            value=entry.value or b"",
+            dropped=entry.value is None,
+        )
+        for entry in news.entries
+    ]
+    return control_pb2.TableNews(
+        table=news.table, whole=news.whole, newest=news.newest, entries=entries
+    )
+
+
+def _decoded(news: control_pb2.TableNews) -> replica.TableNews:
+    entries = tuple(
+        replica.Entry(entry.key, entry.version, None if entry.dropped else entry.value)
+        for entry in news.entries
+    )
+    return replica.TableNews(news.table, entries, news.newest, news.whole)
--- a/src/limedeck/node/peers.py
+++ b/src/limedeck/node/peers.py
@@ -12,7 +12,7 @@
 from limedeck.node.control import ControlHost
 from limedeck.node.framing import FrameReader, encode_frame
 from limedeck.node.logs import get_logger
-from limedeck.node.news import StoreNews
+from limedeck.node.news import PeerTables, StoreNews
 from limedeck.ownership.timing import OwnershipTiming
 
 CONNECT_TIMEOUT: Seconds = 0.3
@@ -21,8 +21,6 @@
 RECONNECT_PAUSE: Seconds = 0.15
 INQUIRY_PAUSE: Seconds = 0.2
 INQUIRY_TIMEOUT: Seconds = 0.8
-MAXIMUM_VERSION = 1 << 63
-"""Stands for what the other side knows until it has told."""
 SILENCE_LIMIT: Seconds = 1.5
 """A connection on which nothing came for so long is given up."""
 
@@ -45,7 +43,7 @@
         self._identity = identity
         self._control = control
         self._news = news
-        self._leader_version = 0
+        self._peer = PeerTables(steady_clock())
         self._log = get_logger("peers")
 
     async def run(self) -> None:
@@ -70,6 +68,7 @@
         own_host = self._identity.peer_address.rpartition(":")[0]
         with anyio.fail_after(CONNECT_TIMEOUT):
             stream = await anyio.connect_tcp(host, int(port), local_host=own_host)
+        self._peer = PeerTables(steady_clock())
         async with stream:
             failure: Exception | None = None
             async with anyio.create_task_group() as tasks:
@@ -99,18 +98,16 @@
             term=self._control.election.term,
             loads=self._control.take_loads(),
         )
-        self._news.fill_report(report, self._leader_version)
+        self._news.fill(report, self._peer, steady_clock())
         return report
 
     async def _read_statuses(self, stream: SocketStream, leader: LeaderRecord) -> None:
         reader = FrameReader(stream, ControlMessage)
-        self._leader_version = MAXIMUM_VERSION
         while self._control.election.record == leader:
             with anyio.fail_after(SILENCE_LIMIT):
                 message, _ = await reader.read()
             self._control.handle_status(message.status, leader)
-            self._leader_version = message.status.configuration_version
-            self._news.take(message.status, steady_clock())
+            self._news.take(message.status, self._peer, steady_clock())
             if not message.status.leads:
                 return
 
@@ -166,7 +163,6 @@
         self._control = control
         self._timing = timing
         self._nodes: dict[str, SocketStream] = {}
-        self._reported: dict[SocketStream, int] = {}
         self._store_news = news
         self._news = anyio.Event()
         self._log = get_logger("peers")
@@ -189,11 +185,12 @@
 
     async def _serve_one(self, stream: SocketStream) -> None:
         async with stream, anyio.create_task_group() as tasks:
-            tasks.start_soon(self._send_statuses, stream, tasks.cancel_scope)
-            await self._read_reports(stream)
+            peer = PeerTables(steady_clock())
+            tasks.start_soon(self._send_statuses, stream, peer, tasks.cancel_scope)
+            await self._read_reports(stream, peer)
             tasks.cancel_scope.cancel()
 
-    async def _read_reports(self, stream: SocketStream) -> None:
+    async def _read_reports(self, stream: SocketStream, peer: PeerTables) -> None:
         reader = FrameReader(stream, ControlMessage)
         node = ""
         try:
@@ -202,25 +199,24 @@
                     message, _ = await reader.read()
                 node = message.report.node_id
                 self._control.handle_report_term(message.report.term)
-                self._reported[stream] = message.report.configuration_version
                 self._control.handle_loads(message.report.loads)
-                self._store_news.take(message.report, steady_clock())
+                self._store_news.take(message.report, peer, steady_clock())
                 self._nodes[node] = stream
         except ENDED as error:
             self._log.info("follower_left", node=node, problem=type(error).__name__)
         finally:
-            self._reported.pop(stream, None)
             if self._nodes.get(node) is stream:
                 del self._nodes[node]
 
-    async def _send_statuses(self, stream: SocketStream, scope: anyio.CancelScope) -> None:
+    async def _send_statuses(
+        self, stream: SocketStream, peer: PeerTables, scope: anyio.CancelScope
+    ) -> None:
         sent: dict[str, int] = {}
         try:
             while True:
                 status = self._control.status()
                 self._add_news(status, sent)
-                version = self._reported.get(stream, MAXIMUM_VERSION)
-                self._store_news.fill_status(status, version)
+                self._store_news.fill(status, peer, steady_clock())
                 with anyio.fail_after(SEND_TIMEOUT):
                     await stream.send(encode_frame(ControlMessage(status=status)))
                 with anyio.move_on_after(self._timing.heartbeat_interval):
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -14,6 +14,7 @@
 from limedeck.api.control_pb2 import LeaderRecord
 from limedeck.forwarding.budget import RetryAllowance
 from limedeck.identity import Seconds
+from limedeck.model import Configuration
 from limedeck.node.asgi import Application
 from limedeck.node.clock import steady_clock
 from limedeck.node.control import ControlHost
@@ -40,6 +41,7 @@
     read_configuration,
 )
 from limedeck.platform.store import PlatformStore
+from limedeck.store.replica import Source
 from limedeck.store.rows import StoredRow
 
 LARGEST_HEAD = 128 * 1024
@@ -117,18 +119,18 @@
         self._writer.flush()
 
     def _start_control(self, tasks: TaskGroup, control: ControlHost, store: PlatformStore) -> None:
-        news = StoreNews(self._state, self._telemetry, read_configuration)
-        news.watchers = (
-            TableWatcher(store, self._configuration_follower(news)),
+        watchers = (
+            TableWatcher(store, self._configuration_follower()),
             TableWatcher(store, self._backends_follower()),
         )
+        news = StoreNews(watchers)
         address = self._identity.peer_address
         followers = FollowerConnections(address, control, news, self._timing)
         tasks.start_soon(followers.serve)
         tasks.start_soon(LeaderLink(self._identity, control, news).run)
         tasks.start_soon(FormerLeaderInquiry(self._identity, control).run)
         tasks.start_soon(control.run)
-        for watcher in news.watchers:
+        for watcher in watchers:
             tasks.start_soon(watcher.run)
 
     async def _serve_until_stopped(self, gateway: Application, control: ControlHost) -> None:
@@ -186,10 +188,10 @@
 
     # ------------------------------------------------------------------ tables
 
-    def _configuration_follower(self, news: StoreNews) -> TableFollower:
-        def put(row: StoredRow) -> None:
+    def _configuration_follower(self) -> TableFollower:
+        def put(row: StoredRow, source: Source) -> None:
             if row.key == CONFIGURATION_KEY:
-                news.adopt(row.value, "store")
+                self._adopt(read_configuration(row.value), source)
 
         return TableFollower(
             CONFIGURATION_TABLE,
@@ -200,10 +202,16 @@
             feed_wait=self._settings.store.feed_wait,
         )
 
+    def _adopt(self, configuration: Configuration, source: Source) -> None:
+        if not self._state.set_configuration(configuration):
+            return
+        self._telemetry.configuration.set(configuration.version)
+        self._log.info("configuration", version=configuration.version, source=source.value)
+
     def _backends_follower(self) -> TableFollower:
         state = self._state
 
-        def put(row: StoredRow) -> None:
+        def put(row: StoredRow, source: Source) -> None:
             backend = read_backend(row.key, row.value)
             state.directory.put(backend, steady_clock())
             state.notify()
--- a/src/limedeck/node/watchers.py
+++ b/src/limedeck/node/watchers.py
@@ -2,33 +2,38 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from dataclasses import dataclass
+import dataclasses
+from typing import TYPE_CHECKING
 
 import anyio
 
-from limedeck.errors import PlatformProtocolError
-from limedeck.identity import Seconds
-from limedeck.node.logs import get_logger
-from limedeck.store.rows import HistoryGone, RowStore, StoredRow, StoreError
+from limedeck import errors
+from limedeck.node import clock, logs
+from limedeck.store import replica, rows
 
-SHORTEST_PAUSE: Seconds = 0.2
-LONGEST_PAUSE: Seconds = 1.0
-LAG_PATIENCE: Seconds = 0.6
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
+    from limedeck import identity
 
-@dataclass(frozen=True, slots=True)
+
+SHORTEST_PAUSE: identity.Seconds = 0.2
+LONGEST_PAUSE: identity.Seconds = 1.0
+LAG_PATIENCE: identity.Seconds = 0.6
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
 class TableFollower:
     """How one table is followed.
 
     Parameters
     ----------
     put
-        Called with each new or changed row.
+        Called with each new or changed row, and where it was learned.
     remove
         Called with the key of each row that is gone.
     complete
-        Called when the whole table has been read.
+        Called when the whole table is known.
     joining
         Pause between two calls, so that changes close together come in one answer.
     feed_wait
@@ -36,42 +41,51 @@
     """
 
     table: str
-    put: Callable[[StoredRow], None]
+    put: Callable[[rows.StoredRow, replica.Source], None]
     remove: Callable[[str], None]
     complete: Callable[[], None]
-    joining: Seconds
-    feed_wait: Seconds
+    joining: identity.Seconds
+    feed_wait: identity.Seconds
 
 
 class TableWatcher:
-    """Keeps a copy of one table up to date for as long as the process runs."""
+    """Keeps a replica of one table up to date for as long as the process runs."""
 
-    def __init__(self, store: RowStore, follower: TableFollower) -> None:
-        self.newest = 0
-        """Version of the newest change that was seen."""
+    def __init__(self, store: rows.RowStore, follower: TableFollower) -> None:
+        self.replica = replica.TableReplica(follower.table, self._put, follower.remove)
         self._store = store
         self._follower = follower
-        self._keys: dict[str, int] = {}
         self._after: int | None = None
         self._lost = False
-        self._behind_since: Seconds | None = None
-        self._waiting = anyio.CancelScope()
-        self._log = get_logger("store")
+        self._behind_since: identity.Seconds | None = None
+        self._waiting: anyio.CancelScope | None = None
+        self._log = logs.get_logger("store")
+
+    @property
+    def table(self) -> str:
+        """Which table this is."""
+        return self._follower.table
+
+    @property
+    def newest(self) -> int:
+        """Version of the newest change that is known."""
+        return self.replica.newest
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
         pause = SHORTEST_PAUSE
         while True:
             try:
-                with anyio.CancelScope() as self._waiting:
+                with anyio.CancelScope() as scope:
+                    self._waiting = scope
                     await self._step()
-                if self._waiting.cancelled_caught:
+                if scope.cancelled_caught:
                     continue
-            except HistoryGone:
-                self._log.info("history_gone", table=self._follower.table)
+            except rows.HistoryGone:
+                self._log.info("history_gone", table=self.table)
                 self._after = None
-            except StoreError as error:
-                self._note_lost(error)
+            except rows.StoreError as exc:
+                self._note_lost(exc)
                 await anyio.sleep(pause)
                 pause = min(pause * 2, LONGEST_PAUSE)
                 continue
@@ -79,7 +93,7 @@
             pause = SHORTEST_PAUSE
             await anyio.sleep(self._follower.joining)
 
-    def handle_told(self, newest: int, now: Seconds) -> None:
+    def handle_told(self, newest: int, now: identity.Seconds) -> None:
         """Another node has seen a change of this version; read anew if this one is behind for long.
 
         A feed that waits and one that is dead look alike from here.
@@ -92,56 +106,55 @@
             self._log.warning("feed_behind", table=self.table, after=self._after, told=newest)
             self._behind_since = None
             self._after = None
-            self._waiting.cancel()
-
-    @property
-    def table(self) -> str:
-        """Which table this is."""
-        return self._follower.table
+            if self._waiting is not None:
+                self._waiting.cancel()
+
+    def handle_news(self, news: replica.TableNews, now: identity.Seconds) -> None:
+        """Another node tells what this one's replica lacks."""
+        before = self.replica.newest
+        self.replica.take_news(news, now)
+        if news.whole:
+            self._follower.complete()
+        if self.replica.newest > before:
+            self._log.info(
+                "table_told",
+                table=self.table,
+                entries=len(news.entries),
+                whole=news.whole,
+                version=news.newest,
+            )
 
     async def _step(self) -> None:
         if self._after is None:
             await self._read_whole()
             return
-        changes = await self._store.changes(
-            self._follower.table, self._after, self._follower.feed_wait
-        )
-        for row in changes.rows:
-            self._put(row)
-        for key in changes.gone:
-            self._remove(key.key)
+        changes = await self._store.changes(self.table, self._after, self._follower.feed_wait)
+        entries = [replica.Entry(row.key, row.version, row.value) for row in changes.rows]
+        entries += [replica.Entry(row.key, row.version, None) for row in changes.dropped]
+        entries.sort(key=lambda entry: entry.version)
+        self.replica.take_changes(entries, replica.Source.STORE, clock.steady_clock())
         self._after = changes.version
-        self.newest = max(self.newest, changes.newest)
 
     async def _read_whole(self) -> None:
-        found = await self._store.read(self._follower.table)
-        for row in found.rows:
-            self._put(row)
-        for key in set(self._keys) - {row.key for row in found.rows}:
-            self._remove(key)
+        found = await self._store.read(self.table)
+        entries = [replica.Entry(row.key, row.version, row.value) for row in found.rows]
+        now = clock.steady_clock()
+        self.replica.take_whole(entries, found.version, replica.Source.STORE, now)
         self._after = found.version
-        self.newest = max([self.newest, *(row.version for row in found.rows)])
         self._follower.complete()
 
-    def _put(self, row: StoredRow) -> None:
-        if self._keys.get(row.key) == row.version:
-            return
-        self._keys[row.key] = row.version
+    def _put(self, row: rows.StoredRow, source: replica.Source) -> None:
         try:
-            self._follower.put(row)
-        except PlatformProtocolError as error:
-            self._log.error("row_refused", table=row.table, key=row.key, problem=str(error))
-
-    def _remove(self, key: str) -> None:
-        if self._keys.pop(key, None) is not None:
-            self._follower.remove(key)
+            self._follower.put(row, source)
+        except errors.PlatformProtocolError as exc:
+            self._log.error("row_refused", table=row.table, key=row.key, problem=str(exc))
 
-    def _note_lost(self, error: StoreError) -> None:
+    def _note_lost(self, exc: rows.StoreError) -> None:
         if not self._lost:
-            self._log.warning("store_lost", table=self._follower.table, problem=str(error))
+            self._log.warning("store_lost", table=self.table, problem=str(exc))
         self._lost = True
 
     def _note_regained(self) -> None:
         if self._lost:
-            self._log.info("store_regained", table=self._follower.table)
+            self._log.info("store_regained", table=self.table)
         self._lost = False
--- a/src/limedeck/platform/store.py
+++ b/src/limedeck/platform/store.py
@@ -12,6 +12,7 @@
 from limedeck.identity import Seconds
 from limedeck.store.rows import (
     ConditionFailed,
+    DroppedRow,
     HistoryGone,
     RowCondition,
     RowKey,
@@ -111,9 +112,8 @@
         found = _decoded(answer)
         return TableChanges(
             rows=tuple(_stored(row) for row in found.rows if not row.gone),
-            gone=tuple(RowKey(row.table, row.part, row.key_file) for row in found.rows if row.gone),
+            dropped=tuple(DroppedRow(row.key_file, row.ver) for row in found.rows if row.gone),
             version=found.ver,
-            newest=max((row.ver for row in found.rows), default=0),
         )
 
     async def aclose(self) -> None:
--- a/src/limedeck/store/rows.py
+++ b/src/limedeck/store/rows.py
@@ -132,6 +132,14 @@
     store_time: Seconds
 
 
+@dataclass(frozen=True, slots=True)
+class DroppedRow:
+    """A row that was dropped, by the transaction with this version."""
+
+    key: str
+    version: int
+
+
 @dataclass(frozen=True, slots=True)
 class TableChanges:
     """What has changed in a table since a version.
@@ -140,18 +148,15 @@
     ----------
     rows
         Changed rows, in order.
-    gone
-        Keys of rows that were dropped.
+    dropped
+        Rows that were dropped, in order.
     version
         Where to go on from.
-    newest
-        Version of the newest of these changes; zero if there are none.
     """
 
     rows: tuple[StoredRow, ...]
-    gone: tuple[RowKey, ...]
+    dropped: tuple[DroppedRow, ...]
     version: int
-    newest: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/contract/test_platform_store.py
+++ b/tests/contract/test_platform_store.py
@@ -15,6 +15,7 @@
 from limedeck.store.rows import (
     ABSENT,
     ConditionFailed,
+    DroppedRow,
     HistoryGone,
     RowCondition,
     RowKey,
@@ -73,7 +74,8 @@
         assert found.store_time >= written.store_time > 0
         told = await store.changes("t", 0, 0.1)
         assert [row.value for row in told.rows] == [b"\x00\xff"]
-        assert (told.version, told.newest) == (written.version, written.version)
+        assert told.version == written.version
+        assert [row.version for row in told.rows] == [written.version]
 
 
 async def test_a_condition_that_does_not_hold_shows_the_rows_as_they_are() -> None:
@@ -111,7 +113,7 @@
     stand_in.drop("t", "", "k")
     async with connected(stand_in) as store:
         told = await store.changes("t", 1, 0.1)
-        assert (told.rows, told.gone, told.newest) == ((), (ROW,), 2)
+        assert (told.rows, told.dropped) == ((), (DroppedRow(ROW.key, 2),))
 
 
 async def test_a_forgotten_history_is_said() -> None:
--- /dev/null
+++ b/tests/unit/test_store_news.py
@@ -0,0 +1,165 @@
+"""Nodes that the store refuses learn of changes from others: replicas and what they exchange."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+import random
+
+import pytest
+
+from limedeck.api import control_pb2
+from limedeck.node import news, watchers
+from limedeck.store import replica, rows
+from tests.unit import test_watchers
+
+
+@dataclasses.dataclass
+class Held:
+    """What a replica told its user."""
+
+    values: dict[str, bytes] = dataclasses.field(default_factory=dict)
+    completions: int = 0
+
+    def put(self, row: rows.StoredRow, source: replica.Source) -> None:
+        self.values[row.key] = row.value
+
+    def remove(self, key: str) -> None:
+        del self.values[key]
+
+    def complete(self) -> None:
+        self.completions += 1
+
+
+class Node:
+    """A watcher that never runs: the test is its store."""
+
+    def __init__(self) -> None:
+        self.held = Held()
+        follower = watchers.TableFollower(
+            "t", self.held.put, self.held.remove, self.held.complete, 0.0, 20.0
+        )
+        self.watcher = watchers.TableWatcher(test_watchers.ScriptedStore(), follower)
+        self.replica = self.watcher.replica
+        self.news = news.StoreNews([self.watcher])
+
+    def learns(self, now: float, *entries: replica.Entry) -> None:
+        self.replica.take_changes(entries, replica.Source.STORE, now)
+
+    def reads(self, now: float, newest: int, *entries: replica.Entry) -> None:
+        self.replica.take_whole(entries, newest, replica.Source.STORE, now)
+
+
+def entry(key: str, version: int, value: bytes | None = b"x") -> replica.Entry:
+    return replica.Entry(key, version, value)
+
+
+def exchange(leader: Node, follower: Node, now: float) -> int:
+    """One report and one status on a connection that is old; return how many entries were told."""
+    at_leader, at_follower = news.PeerTables(0.0), news.PeerTables(0.0)
+    report, status = control_pb2.Report(), control_pb2.Status()
+    follower.news.fill(report, at_follower, now)
+    leader.news.take(report, at_leader, now)
+    leader.news.fill(status, at_leader, now)
+    follower.news.take(status, at_follower, now)
+    return sum(len(told.entries) for told in status.news)
+
+
+def test_a_node_that_the_store_refuses_hears_of_a_leaving_back_end() -> None:
+    """Found on a day of our own: such nodes heard of it when the store served them again."""
+    leader, refused = Node(), Node()
+    for node in (leader, refused):
+        node.reads(1.0, 2, entry("a", 1), entry("b", 2))
+    leader.learns(5.0, entry("a", 3, b"draining"))
+    leader.learns(5.1, entry("b", 4, None))
+    exchange(leader, refused, 5.0 + news.PATIENCE + 0.2)
+    assert refused.held.values == {"a": b"draining"}
+    assert refused.replica.newest == 4
+
+
+def test_nodes_that_the_store_serves_are_told_nothing() -> None:
+    leader, served = Node(), Node()
+    for node in (leader, served):
+        node.reads(1.0, 1, entry("a", 1))
+        node.learns(5.0, entry("a", 2))
+    assert exchange(leader, served, 9.0) == 0
+    leader.learns(9.0, entry("a", 3))
+    assert exchange(leader, served, 9.0 + news.PATIENCE / 2) == 0
+
+
+def test_a_node_that_knows_nothing_is_told_the_table_whole() -> None:
+    leader, new = Node(), Node()
+    leader.reads(1.0, 5, entry("a", 1), entry("b", 5))
+    leader.learns(2.0, entry("a", 6, None))
+    exchange(leader, new, 9.0)
+    assert new.held.values == {"b": b"x"}
+    assert new.held.completions == 1
+    assert new.replica.is_complete
+
+
+def test_who_missed_what_is_forgotten_is_told_the_table_whole(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(replica, "MOST_DROPPED", 3)
+    leader, behind = Node(), Node()
+    for node in (leader, behind):
+        node.reads(1.0, 9, *(entry(f"k{number}", number) for number in range(1, 10)))
+    for number in range(1, 9):
+        leader.learns(2.0, entry(f"k{number}", 10 + number, None))
+    exchange(leader, behind, 9.0)
+    assert behind.held.values == {"k9": b"x"}
+
+
+def test_what_another_node_told_is_passed_on_at_once() -> None:
+    leader, refused = Node(), Node()
+    for node in (leader, refused):
+        node.reads(1.0, 1, entry("a", 1))
+    leader.watcher.handle_news(replica.TableNews("t", (entry("a", 2, b"new"),), 2), 9.0)
+    exchange(leader, refused, 9.0)
+    assert refused.held.values == {"a": b"new"}
+
+
+def test_a_new_connection_waits_until_the_other_node_can_have_read() -> None:
+    leader = Node()
+    leader.reads(1.0, 1, entry("a", 1))
+    peer = news.PeerTables(since=9.0, newest={"t": 0})
+    status = control_pb2.Status()
+    leader.news.fill(status, peer, 9.0 + news.PATIENCE / 2)
+    assert not status.news
+
+
+def test_an_older_answer_of_the_store_takes_nothing_back() -> None:
+    node = Node()
+    node.reads(1.0, 2, entry("a", 1), entry("b", 2))
+    node.watcher.handle_news(replica.TableNews("t", (entry("a", 5, b"new"), entry("c", 6)), 6), 2.0)
+    node.reads(3.0, 4, entry("a", 4, b"old"))
+    assert node.held.values == {"a": b"new", "c": b"x"}
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_replicas_agree_whoever_tells(seed: int) -> None:
+    """Random changes; each node hears of each from the store or, when refused, from the leader."""
+    random_source = random.Random(seed)
+    nodes = [Node() for _ in range(4)]
+    for node in nodes:
+        node.reads(0.0, 1, entry("k0", 1))
+    version = itertools.count(2)
+    refused: set[int] = set()
+    missed: dict[int, list[replica.Entry]] = {index: [] for index in range(4)}
+    for step in range(60):
+        now = 1.0 + step
+        if random_source.random() < 0.3:
+            refused = {index for index in range(1, 4) if random_source.random() < 0.5}
+        key = f"k{random_source.randrange(6)}"
+        value = None if random_source.random() < 0.3 else b"%d" % step
+        change = entry(key, next(version), value)
+        for index, node in enumerate(nodes):
+            missed[index].append(change)
+            if index not in refused:
+                node.learns(now, *missed[index])
+                missed[index].clear()
+        leader = nodes[0]
+        for node in nodes[1:]:
+            exchange(leader, node, now + news.PATIENCE + 0.1)
+            assert node.held.values == leader.held.values
+            assert node.replica.newest == leader.replica.newest
--- a/tests/unit/test_watchers.py
+++ b/tests/unit/test_watchers.py
@@ -72,7 +72,7 @@
         if self.failures:
             raise self.failures.pop(0)
         rows = tuple(row for row in self.rows.values() if row.version > after)
-        return TableChanges(rows, (), self.version, self.version)
+        return TableChanges(rows, (), self.version)
 
     async def transact(
         self, conditions: Sequence[RowCondition], writes: Sequence[RowWrite]
@@ -93,7 +93,7 @@
     def follower(self) -> TableFollower:
         return TableFollower(
             "t",
-            put=lambda row: self.keys.add(row.key),
+            put=lambda row, source: self.keys.add(row.key),
             remove=lambda key: self.keys.discard(key),
             complete=self._complete,
             joining=0.0,
