Feeds of the store at the leader and two observers; the others are told

Ruled out: longer pauses between calls (a change must be in force within 2 s); feeds at the leader alone (a dead feed and a quiet one look alike; observers in other zones show it). Change: limedeck.store.feeds decides whether a node keeps feeds: the leader, two observers that it names, and any node that has not heard for 0.7 s from a leader that the store has confirmed within 1.2 s. Others are told: news up to 4 KB at once, larger ones they read from the store when told of the version, and if the store refuses them they are told after 0.6 s all the same.

--- a/src/limedeck/node/news.py
+++ b/src/limedeck/node/news.py
@@ -5,19 +5,27 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+import anyio
+
 from limedeck.api import control_pb2
+from limedeck.node import clock
 from limedeck.store import replica
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from limedeck import identity
     from limedeck.node import watchers
+    from limedeck.store import feeds
 
 
 PATIENCE: identity.Seconds = 0.6
-"""Another node is told what it lacks this long after this one learned it; above the interval of
-reports, so that nodes which the store serves are told nothing."""
+"""A node that asks the store itself is told what it lacks this long after this one learned it;
+above the interval of reports, so that nodes which the store serves are told nothing."""
+SMALL_NEWS = 4_096
+"""Bytes that a node without feeds is told at once; more is cheaper to read from the store."""
+TICK: identity.Seconds = 0.1
+"""Between two looks at whether this node keeps feeds."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -30,10 +38,16 @@
         When the connection was opened.
     newest
         Newest version by table, as told last; None until it was told.
+    keeps_feeds
+        It learns from the store itself.
+    node_id
+        Its name, once it has told it.
     """
 
     since: identity.Seconds
     newest: dict[str, int] | None = None
+    keeps_feeds: bool = True
+    node_id: str | None = None
 
 
 class StoreNews:
@@ -42,6 +56,11 @@
     def __init__(self, tables: Sequence[watchers.TableWatcher]) -> None:
         self._watchers = {watcher.table: watcher for watcher in tables}
 
+    def set_on_change(self, handler: Callable[[], None]) -> None:
+        """Call a function whenever a replica has changed."""
+        for watcher in self._watchers.values():
+            watcher.replica.on_change = handler
+
     def fill(
         self,
         message: control_pb2.Report | control_pb2.Status,
@@ -53,10 +72,7 @@
             message.tables.append(
                 control_pb2.TableVersion(table=watcher.table, version=watcher.newest)
             )
-            if peer.newest is None or now - peer.since < PATIENCE:
-                continue
-            told = peer.newest.get(watcher.table, 0)
-            news = watcher.replica.news_for(told, now - PATIENCE)
+            news = _news_for(watcher.replica, peer, now)
             if news is not None:
                 message.news.append(_encoded(news))
 
@@ -76,6 +92,43 @@
             watcher.handle_told(peer.newest.get(watcher.table, 0), now)
 
 
+class FeedKeeper:
+    """Lets this node's watchers keep feeds, or be told."""
+
+    def __init__(
+        self,
+        policy: feeds.FeedPolicy,
+        tables: Sequence[watchers.TableWatcher],
+        leads: Callable[[], bool],
+    ) -> None:
+        self._policy = policy
+        self._watchers = tables
+        self._leads = leads
+
+    async def run(self) -> None:
+        """Look again and again until cancelled."""
+        while True:
+            keeps = self._policy.keeps_feeds(self._leads(), clock.steady_clock())
+            for watcher in self._watchers:
+                watcher.set_following(keeps)
+            await anyio.sleep(TICK)
+
+
+def _news_for(
+    table: replica.TableReplica, peer: PeerTables, now: identity.Seconds
+) -> replica.TableNews | None:
+    if peer.newest is None:
+        return None
+    told = peer.newest.get(table.table, 0)
+    if not peer.keeps_feeds:
+        news = table.news_for(told, now)
+        if news is None or news.size <= SMALL_NEWS:
+            return news
+    if now - peer.since < PATIENCE:
+        return None
+    return table.news_for(told, now - PATIENCE)
+
+
 def _encoded(news: replica.TableNews) -> control_pb2.TableNews:
     entries = [
         control_pb2.TableEntry(
--- a/src/limedeck/node/peers.py
+++ b/src/limedeck/node/peers.py
@@ -14,6 +14,7 @@
 from limedeck.node.logs import get_logger
 from limedeck.node.news import PeerTables, StoreNews
 from limedeck.ownership.timing import OwnershipTiming
+from limedeck.store.feeds import FeedPolicy, choose_observers
 
 CONNECT_TIMEOUT: Seconds = 0.3
 SEND_TIMEOUT: Seconds = 1.0
@@ -39,10 +40,19 @@
 class LeaderLink:
     """A node's connection to the node that leads."""
 
-    def __init__(self, identity: LeaderRecord, control: ControlHost, news: StoreNews) -> None:
+    def __init__(
+        self,
+        identity: LeaderRecord,
+        zone: str,
+        control: ControlHost,
+        news: StoreNews,
+        policy: FeedPolicy,
+    ) -> None:
         self._identity = identity
+        self._zone = zone
         self._control = control
         self._news = news
+        self._policy = policy
         self._peer = PeerTables(steady_clock())
         self._log = get_logger("peers")
 
@@ -97,6 +107,7 @@
             incarnation=self._identity.incarnation,
             term=self._control.election.term,
             loads=self._control.take_loads(),
+            zone=self._zone,
         )
         self._news.fill(report, self._peer, steady_clock())
         return report
@@ -107,9 +118,11 @@
             with anyio.fail_after(SILENCE_LIMIT):
                 message, _ = await reader.read()
             self._control.handle_status(message.status, leader)
-            self._news.take(message.status, self._peer, steady_clock())
             if not message.status.leads:
                 return
+            status, now = message.status, steady_clock()
+            self._policy.handle_status(status.observes, status.store_silence, now)
+            self._news.take(status, self._peer, now)
 
 
 class FormerLeaderInquiry:
@@ -156,18 +169,27 @@
     """Connections that other nodes keep to this one."""
 
     def __init__(
-        self, address: str, control: ControlHost, news: StoreNews, timing: OwnershipTiming
+        self,
+        address: str,
+        zone: str,
+        control: ControlHost,
+        news: StoreNews,
+        timing: OwnershipTiming,
     ) -> None:
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
         self._control = control
         self._timing = timing
         self._nodes: dict[str, SocketStream] = {}
+        self._zones: dict[str, str] = {}
+        self._observers: frozenset[str] = frozenset()
+        self._zone = zone
         self._store_news = news
         self._news = anyio.Event()
         self._log = get_logger("peers")
         control.node_count = self.node_count
         control.on_owners = self._tell_all
+        news.set_on_change(self._tell_all)
 
     def node_count(self) -> int:
         """Nodes that follow this one, and itself."""
@@ -201,12 +223,26 @@
                 self._control.handle_report_term(message.report.term)
                 self._control.handle_loads(message.report.loads)
                 self._store_news.take(message.report, peer, steady_clock())
-                self._nodes[node] = stream
+                self._note_follower(message.report, stream, peer)
         except ENDED as error:
             self._log.info("follower_left", node=node, problem=type(error).__name__)
         finally:
             if self._nodes.get(node) is stream:
                 del self._nodes[node]
+                del self._zones[node]
+                self._observers = choose_observers(self._zones, self._zone)
+
+    def _note_follower(self, report: Report, stream: SocketStream, peer: PeerTables) -> None:
+        node = report.node_id
+        if self._nodes.get(node) is not stream:
+            self._nodes[node] = stream
+            self._zones[node] = report.zone
+            self._observers = choose_observers(self._zones, self._zone)
+        was_told = peer.node_id is not None
+        peer.node_id = node
+        peer.keeps_feeds = node in self._observers
+        if not was_told:
+            self._tell_all()
 
     async def _send_statuses(
         self, stream: SocketStream, peer: PeerTables, scope: anyio.CancelScope
@@ -215,6 +251,7 @@
         try:
             while True:
                 status = self._control.status()
+                status.observes = peer.node_id in self._observers
                 self._add_news(status, sent)
                 self._store_news.fill(status, peer, steady_clock())
                 with anyio.fail_after(SEND_TIMEOUT):
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -22,7 +22,7 @@
 from limedeck.node.http_client import HttpClient
 from limedeck.node.listener import OwnSocketConfig, close_to_newcomers, open_listener
 from limedeck.node.logs import BoundedWriter, get_logger
-from limedeck.node.news import StoreNews
+from limedeck.node.news import FeedKeeper, StoreNews
 from limedeck.node.peers import FollowerConnections, FormerLeaderInquiry, LeaderLink
 from limedeck.node.readiness import ReadinessApplication
 from limedeck.node.request_log import RequestLog
@@ -41,6 +41,7 @@
     read_configuration,
 )
 from limedeck.platform.store import PlatformStore
+from limedeck.store.feeds import FeedPolicy
 from limedeck.store.replica import Source
 from limedeck.store.rows import StoredRow
 
@@ -124,10 +125,13 @@
             TableWatcher(store, self._backends_follower()),
         )
         news = StoreNews(watchers)
+        policy = FeedPolicy(steady_clock())
         address = self._identity.peer_address
-        followers = FollowerConnections(address, control, news, self._timing)
+        zone = self._settings.node.zone
+        followers = FollowerConnections(address, zone, control, news, self._timing)
         tasks.start_soon(followers.serve)
-        tasks.start_soon(LeaderLink(self._identity, control, news).run)
+        tasks.start_soon(LeaderLink(self._identity, zone, control, news, policy).run)
+        tasks.start_soon(FeedKeeper(policy, watchers, lambda: control.leads).run)
         tasks.start_soon(FormerLeaderInquiry(self._identity, control).run)
         tasks.start_soon(control.run)
         for watcher in watchers:
--- a/src/limedeck/node/watchers.py
+++ b/src/limedeck/node/watchers.py
@@ -56,6 +56,9 @@
         self._store = store
         self._follower = follower
         self._after: int | None = None
+        self._follows = False
+        self._wanted = False
+        self._wake = anyio.Event()
         self._lost = False
         self._behind_since: identity.Seconds | None = None
         self._waiting: anyio.CancelScope | None = None
@@ -72,13 +75,17 @@
         return self.replica.newest
 
     async def run(self) -> None:
-        """Follow the table until cancelled."""
+        """Follow the table until cancelled, while a feed is wanted or a reading."""
         pause = SHORTEST_PAUSE
         while True:
+            if not self._follows and not self._wanted:
+                await self._wake.wait()
+                continue
             try:
                 with anyio.CancelScope() as scope:
                     self._waiting = scope
                     await self._step()
+                self._waiting = None
                 if scope.cancelled_caught:
                     continue
             except rows.HistoryGone:
@@ -93,11 +100,30 @@
             pause = SHORTEST_PAUSE
             await anyio.sleep(self._follower.joining)
 
+    def set_following(self, follows: bool) -> None:
+        """Keep a feed from now on, or keep none and be told by another node."""
+        if follows == self._follows:
+            return
+        self._follows = follows
+        self._log.info("feed_kept" if follows else "feed_ended", table=self.table)
+        if follows:
+            self._after = self.replica.newest if self.replica.is_complete else None
+            self._awake()
+        elif self._waiting is not None:
+            self._waiting.cancel()
+
     def handle_told(self, newest: int, now: identity.Seconds) -> None:
-        """Another node has seen a change of this version; read anew if this one is behind for long.
+        """Another node has seen a change of this version.
 
-        A feed that waits and one that is dead look alike from here.
+        Without a feed the table is read at once. A feed that waits and one that is dead look alike
+        from here: it is given up if it is behind for long.
         """
+        if not self._follows:
+            self._wanted = newest > self.replica.newest or not self.replica.is_complete
+            if self._wanted:
+                self._after = None
+                self._awake()
+            return
         if self._after is None or newest <= self._after:
             self._behind_since = None
         elif self._behind_since is None:
@@ -124,6 +150,10 @@
                 version=news.newest,
             )
 
+    def _awake(self) -> None:
+        self._wake.set()
+        self._wake = anyio.Event()
+
     async def _step(self) -> None:
         if self._after is None:
             await self._read_whole()
@@ -141,6 +171,7 @@
         now = clock.steady_clock()
         self.replica.take_whole(entries, found.version, replica.Source.STORE, now)
         self._after = found.version
+        self._wanted = False
         self._follower.complete()
 
     def _put(self, row: rows.StoredRow, source: replica.Source) -> None:
--- /dev/null
+++ b/src/limedeck/store/feeds.py
@@ -0,0 +1,85 @@
+"""Which nodes keep feeds of the store: the leader and a few others; these tell the rest.
+
+A feed at every node would cost calls that grow with nodes times changes. A node that is told goes
+back to feeds of its own as soon as it cannot be sure that the leader would know of a change.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from limedeck import identity
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+OBSERVERS = 2
+"""Nodes beside the leader that keep feeds; they show a leader that its own feed is dead."""
+START_PATIENCE: identity.Seconds = 1.0
+"""A node that has just started waits so long to be told."""
+TOLD_PATIENCE: identity.Seconds = 0.7
+"""Longest time between two words of the leader; above its heartbeat interval, below two."""
+LEADER_STORE_SILENCE: identity.Seconds = 1.2
+"""A leader that the store has not confirmed for so long may not know of changes."""
+SHORTEST_STAY: identity.Seconds = 3.0
+"""A node that has gone back to feeds keeps them at least so long."""
+
+
+class FeedPolicy:
+    """Whether one node keeps feeds of its own.
+
+    Parameters
+    ----------
+    now
+        When the node started, on its clock.
+    """
+
+    def __init__(self, now: identity.Seconds) -> None:
+        self._told_until = now + START_PATIENCE
+        self._stays_until: identity.Seconds = identity.NEVER
+        self._is_observer = False
+
+    def handle_status(
+        self, observes: bool, leader_store_silence: identity.Seconds, now: identity.Seconds
+    ) -> None:
+        """The leader was heard.
+
+        Parameters
+        ----------
+        observes
+            The leader wants this node to keep feeds.
+        leader_store_silence
+            How long the store has not confirmed the leader.
+        """
+        self._is_observer = observes
+        if leader_store_silence <= LEADER_STORE_SILENCE:
+            self._told_until = now + TOLD_PATIENCE
+        else:
+            self._told_until = identity.NEVER
+
+    def keeps_feeds(self, leads: bool, now: identity.Seconds) -> bool:
+        """Whether this node keeps feeds now."""
+        if leads or self._is_observer:
+            return True
+        if now > self._told_until:
+            self._stays_until = now + SHORTEST_STAY
+        return now <= self._stays_until
+
+
+def choose_observers(zones: Mapping[str, str], leader_zone: str) -> frozenset[str]:
+    """Choose the nodes that keep feeds beside the leader, each in a zone of its own if possible.
+
+    Parameters
+    ----------
+    zones
+        Zone by node, for the nodes that follow; those that have followed longest first.
+    """
+    chosen: list[str] = []
+    covered = {leader_zone}
+    for node, zone in zones.items():
+        if zone not in covered:
+            chosen.append(node)
+            covered.add(zone)
+    chosen += [node for node in zones if node not in chosen]
+    return frozenset(chosen[:OBSERVERS])
--- a/src/limedeck/store/replica.py
+++ b/src/limedeck/store/replica.py
@@ -62,6 +62,11 @@
     newest: int
     whole: bool = False
 
+    @property
+    def size(self) -> int:
+        """Bytes of keys and values."""
+        return sum(len(entry.key) + len(entry.value or b"") for entry in self.entries)
+
 
 @dataclasses.dataclass(slots=True)
 class _Known:
@@ -86,6 +91,7 @@
         put: Callable[[rows.StoredRow, Source], None],
         remove: Callable[[str], None],
     ) -> None:
+        self.on_change: Callable[[], None] = lambda: None
         self.table = table
         self.newest = 0
         self.is_complete = False
@@ -112,6 +118,7 @@
         if source is Source.NODE:
             self.newest = max(self.newest, newest)
         self.is_complete = True
+        self.on_change()
 
     def take_changes(
         self,
@@ -120,8 +127,11 @@
         now: identity.Seconds,
     ) -> None:
         """Take in changes in the order of their versions."""
+        before = self.newest
         for entry in entries:
             self._take(entry, source, now)
+        if self.newest > before:
+            self.on_change()
 
     def take_news(self, news: TableNews, now: identity.Seconds) -> None:
         """Take in what another node's replica holds."""
--- a/tests/unit/test_store_news.py
+++ b/tests/unit/test_store_news.py
@@ -40,6 +40,7 @@
             "t", self.held.put, self.held.remove, self.held.complete, 0.0, 20.0
         )
         self.watcher = watchers.TableWatcher(test_watchers.ScriptedStore(), follower)
+        self.watcher.set_following(True)
         self.replica = self.watcher.replica
         self.news = news.StoreNews([self.watcher])
 
--- a/tests/unit/test_watchers.py
+++ b/tests/unit/test_watchers.py
@@ -104,6 +104,13 @@
         self.completions += 1
 
 
+def followed(store: ScriptedStore, copy: Copy) -> TableWatcher:
+    """A watcher that keeps a feed."""
+    watcher = TableWatcher(store, copy.follower())
+    watcher.set_following(True)
+    return watcher
+
+
 async def settle() -> None:
     for _ in range(50):
         await anyio.lowlevel.checkpoint()
@@ -112,7 +119,7 @@
 async def test_it_follows_changes() -> None:
     store, copy = ScriptedStore(), Copy()
     store.put("a")
-    watcher = TableWatcher(store, copy.follower())
+    watcher = followed(store, copy)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(watcher.run)
         await settle()
@@ -128,7 +135,7 @@
     store.put("a")
     store.put("b")
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(TableWatcher(store, copy.follower()).run)
+        tasks.start_soon(followed(store, copy).run)
         await settle()
         del store.rows["a"]
         store.fail(HistoryGone())
@@ -142,7 +149,7 @@
     """Found on trouble-1 of the second site: a feed died in a cut and was waited for 14 s."""
     store, copy = ScriptedStore(), Copy()
     store.put("a")
-    watcher = TableWatcher(store, copy.follower())
+    watcher = followed(store, copy)
     async with anyio.create_task_group() as tasks:
         store.silent = True
         tasks.start_soon(watcher.run)
@@ -162,7 +169,7 @@
 async def test_lag_that_was_made_up_is_forgotten() -> None:
     store, copy = ScriptedStore(), Copy()
     store.put("a")
-    watcher = TableWatcher(store, copy.follower())
+    watcher = followed(store, copy)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(watcher.run)
         await settle()
@@ -179,7 +186,7 @@
 async def test_a_store_that_is_away_is_waited_for() -> None:
     store, copy = ScriptedStore(), Copy()
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(TableWatcher(store, copy.follower()).run)
+        tasks.start_soon(followed(store, copy).run)
         await settle()
         store.fail(StoreUnavailable("ReadTimeout"))
         await settle()
@@ -187,3 +194,42 @@
         await anyio.sleep(0.3)
         assert copy.keys == {"a"}
         tasks.cancel_scope.cancel()
+
+
+async def test_without_a_feed_the_store_is_read_only_when_another_node_has_seen_more() -> None:
+    store, copy = ScriptedStore(), Copy()
+    store.put("a")
+    watcher = TableWatcher(store, copy.follower())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(watcher.run)
+        await settle()
+        assert store.reads == 0
+        watcher.handle_told(1, 10.0)
+        await settle()
+        assert (copy.keys, store.reads) == ({"a"}, 1)
+        store.put("b")
+        watcher.handle_told(1, 10.3)
+        await settle()
+        assert (copy.keys, store.reads) == ({"a"}, 1)
+        watcher.handle_told(2, 10.6)
+        await settle()
+        assert (copy.keys, store.reads) == ({"a", "b"}, 2)
+        tasks.cancel_scope.cancel()
+
+
+async def test_a_feed_that_is_taken_up_again_goes_on_from_what_is_known() -> None:
+    store, copy = ScriptedStore(), Copy()
+    store.put("a")
+    watcher = followed(store, copy)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(watcher.run)
+        await settle()
+        watcher.set_following(False)
+        await settle()
+        store.put("b")
+        await settle()
+        assert copy.keys == {"a"}
+        watcher.set_following(True)
+        await settle()
+        assert (copy.keys, store.reads) == ({"a", "b"}, 1)
+        tasks.cancel_scope.cancel()
