What would miss its objective is refused at once, while a second try can meet it

Ruled out: asking the same owner again after it turned a request away (its queue of 8 for 2 slots is longer than the objective). Change: the time that a back end will take is estimated from the load that it told last and from this node's own requests there; a request that is expected to miss its objective within the first quarter of it gets 503 and when to come back, the later the longer the queue. A back end that turned a request away counts as full for a moment. Tests that failed first: test_forwarding.py, early refusal.

--- a/src/limedeck/forwarding/backends.py
+++ b/src/limedeck/forwarding/backends.py
@@ -18,6 +18,8 @@
 FAILURES_TO_EJECT = 2
 EJECTION_TIME: Seconds = 0.5
 LONGEST_EJECTION: Seconds = 4.0
+FULL_QUEUE = 4.0
+"""Requests for each slot that a back end is taken to hold when it turns one away, at least."""
 OTHER_ZONE_FACTOR = 1.6
 """A back end of another zone must be better by so much."""
 
@@ -73,6 +75,12 @@
             self.ejected_until = now + min(span, LONGEST_EJECTION)
             self.ejections += 1
 
+    def note_full(self, now: Seconds) -> None:
+        """It turned a request away because its queue is full."""
+        least = FULL_QUEUE * self.backend.slots - self.outstanding
+        self._others = max(self._others if self._reported_at == now else 0.0, least, 0.0)
+        self._reported_at = now
+
     def expected_load(self, now: Seconds) -> float:
         """Requests that are expected to be there now."""
         memory = math.exp(-(now - self._reported_at) / LOAD_MEMORY)
@@ -87,6 +95,12 @@
         busy = min(ahead / slots, 1.0)
         return work * (1.0 + queued + 0.3 * busy) * self._warming(now)
 
+    def queueing_time(self, now: Seconds) -> Seconds | None:
+        """Time that one more request is expected to take; None if nothing was measured."""
+        if self.service_time is None:
+            return None
+        return self.expected_time(now, self.service_time)
+
     def _warming(self, now: Seconds) -> float:
         age = now - self.seen_at
         return 2.0 if age < self.backend.warmup else 1.0
@@ -161,7 +175,7 @@
 
         def cost(state: BackendState) -> float:
             near = state.backend.zone == self._zone
-            spread = _spread(state.backend.backend_id, request_id)
+            spread = spread_of(state.backend.backend_id.encode() + request_id)
             time = state.expected_time(now, typical) * (1.0 + 0.1 * spread)
             return time if near else time * OTHER_ZONE_FACTOR
 
@@ -172,6 +186,6 @@
         return sum(known) / len(known) if known else DEFAULT_SERVICE_TIME
 
 
-def _spread(backend_id: str, request_id: bytes) -> float:
-    """A number from 0 to 1 that differs by back end and request."""
-    return xxhash.xxh32_intdigest(backend_id.encode() + request_id) / float(1 << 32)
+def spread_of(text: bytes) -> float:
+    """A number from 0 to 1 that differs from text to text."""
+    return xxhash.xxh32_intdigest(text) / float(1 << 32)
--- a/src/limedeck/forwarding/request.py
+++ b/src/limedeck/forwarding/request.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from limedeck.errors import InvariantViolation
-from limedeck.forwarding.backends import BackendDirectory, BackendState
+from limedeck.forwarding.backends import BackendDirectory, BackendState, spread_of
 from limedeck.forwarding.budget import RetryBudget
 from limedeck.forwarding.owners import OwnerMap
 from limedeck.identity import Seconds
@@ -27,7 +27,10 @@
 """Before the same owner is asked again; about the time that frees a slot."""
 LONGEST_MOVE_WAIT: Seconds = 0.4
 """A request waits at most so long for its key to have an owner."""
+EARLY_PART = 0.25
+"""A request may be refused for its objective's sake within this part of the objective."""
 RETRY_AFTER: Seconds = 0.1
+LONGEST_RETRY_AFTER: Seconds = 1.0
 NO_OWNER_RETRY_AFTER: Seconds = 0.25
 
 
@@ -37,6 +40,7 @@
     NO_OWNER = "no-owner"
     NO_BACKEND = "no-backend"
     REFUSED = "refused-by-back-end"
+    OVERLOADED = "overloaded"
     UNREACHABLE = "back-end-unreachable"
     ANSWER_LOST = "answer-lost"
     TIMED_OUT = "timed-out"
@@ -126,6 +130,7 @@
         self.route = route
         self.service = service
         self.position = position
+        self.arrived = now
         self.until = min(deadline, now + route.timeout)
         self.attempts = 0
         self.maybe_run = False
@@ -172,6 +177,11 @@
             return self._refuse(_reason_for(phase, history.time_left), RETRY_AFTER)
         backend_id = attempt.state.backend.backend_id
         self._excluded.add(backend_id)
+        if phase is FailurePhase.REFUSED and not wrong_owner:
+            attempt.state.note_full(now)
+            refusal = self._early_refusal(attempt.state, now) if self.service.keyed else None
+            if refusal is not None:
+                return refusal
         self._stale_version = self.service.owners.version
         self._not_before = now + (LONGEST_MOVE_WAIT if wrong_owner else RETRY_PAUSE)
         return self.next_command(now, node_count)
@@ -183,7 +193,7 @@
         stale = owners.version == self._stale_version and now < self._not_before
         if state is None or stale:
             return self._wait_for_owner(now)
-        return self._attempt(state, now, node_count)
+        return self._attempt_in_time(state, now, node_count)
 
     def _wait_for_owner(self, now: Seconds) -> Command:
         if self._waiting_since is None:
@@ -199,7 +209,26 @@
             return self._refuse(Reason.REFUSED, RETRY_AFTER)
         if state is None:
             return self._refuse(Reason.NO_BACKEND, NO_OWNER_RETRY_AFTER)
-        return self._attempt(state, now, node_count)
+        return self._attempt_in_time(state, now, node_count)
+
+    def _attempt_in_time(self, state: BackendState, now: Seconds, node_count: int) -> Command:
+        """Send it, unless it is expected to miss its objective and may come back in time."""
+        return self._early_refusal(state, now) or self._attempt(state, now, node_count)
+
+    def _early_refusal(self, state: BackendState, now: Seconds) -> Refuse | None:
+        """Refuse what would miss its objective, as long as a second try can meet it.
+
+        The back end keeps a queue that is short enough for the requests it takes.
+        """
+        elapsed = now - self.arrived
+        objective = self.route.objective
+        expected = state.queueing_time(now)
+        is_early = elapsed <= EARLY_PART * objective and not self.maybe_run
+        if expected is None or not is_early or elapsed + expected <= objective:
+            return None
+        too_long = elapsed + expected - EARLY_PART * objective
+        spread = 1.0 + 0.5 * spread_of(self.request_id)
+        return self._refuse(Reason.OVERLOADED, min(too_long * spread, LONGEST_RETRY_AFTER))
 
     def _attempt(self, state: BackendState, now: Seconds, node_count: int) -> Command:
         if self.maybe_run and not self.route.repeatable:
--- a/tests/unit/test_forwarding.py
+++ b/tests/unit/test_forwarding.py
@@ -296,3 +296,63 @@
     command = play.start()
     assert isinstance(command, Refuse)
     assert command.reason is Reason.BAD_KEY
+
+
+# ---------------------------------------------------------------------- early refusal
+
+
+def busy_owner(running: int, waiting: int, reported: float, now: float = 10.0) -> RequestCore:
+    directory = BackendDirectory("z1", "n")
+    directory.put(backend("b1"), 0.0)
+    state = directory.find("b1")
+    assert state is not None
+    state.note_answer(0.06, LoadReport(1, 0, 2), reported)
+    state.note_load(LoadReport(running, waiting, 2), reported)
+    view = ServiceView("s", True, RetryBudget(ALLOWANCE))
+    view.owners = OwnerMap(1, (OwnedRange(0, 99, "b1"),))
+    return RequestCore(b"r", route(), view, directory, 5, now + 1.0, now)
+
+
+@pytest.mark.parametrize(
+    ("running", "waiting", "sent"),
+    [(0, 0, True), (2, 0, True), (2, 2, True), (2, 6, False), (2, 8, False)],
+)
+def test_what_would_miss_its_objective_is_refused_at_once(
+    running: int, waiting: int, sent: bool
+) -> None:
+    """Found on quiet days with hot keys: such requests were served late, or refused late."""
+    command = busy_owner(running, waiting, 10.0).next_command(10.0, 3)
+    assert isinstance(command, Attempt) is sent
+    if isinstance(command, Refuse):
+        assert (command.outcome, command.reason) == (Outcome.NOT_RUN, Reason.OVERLOADED)
+        assert 0.05 < command.retry_after <= 1.0
+
+
+def test_the_longer_the_queue_the_later_the_caller_comes_back() -> None:
+    waits = []
+    for waiting in (6, 8, 12):
+        command = busy_owner(2, waiting, 10.0).next_command(10.0, 3)
+        assert isinstance(command, Refuse)
+        waits.append(command.retry_after)
+    assert waits == sorted(waits)
+    assert waits[0] < waits[-1]
+
+
+def test_an_owner_that_turns_a_request_away_is_not_asked_again_for_it() -> None:
+    core = busy_owner(0, 0, 10.0)
+    assert isinstance(core.next_command(10.0, 3), Attempt)
+    command = core.handle_failure(FailurePhase.REFUSED, 10.005, 3)
+    while isinstance(command, Wait):
+        assert command.until <= 10.0 + 0.25 * 0.2 + 0.051
+        command = core.next_command(command.until, 3)
+    assert isinstance(command, Refuse)
+    assert command.outcome is Outcome.NOT_RUN
+
+
+def test_an_old_report_refuses_nothing() -> None:
+    assert isinstance(busy_owner(2, 8, 10.0, 12.0).next_command(12.0, 3), Attempt)
+
+
+def test_past_the_early_part_a_late_answer_is_better_than_none() -> None:
+    core = busy_owner(2, 8, 10.0)
+    assert isinstance(core.next_command(10.0 + 0.06, 3), Attempt)
