Owners of keys are told as changes

Change: on one connection the first map is whole, later ones name the ranges whose owner changed; neighbours of one owner are joined before. A node that does not know the base drops the connection and gets the whole map.

--- a/src/limedeck/forwarding/owners.py
+++ b/src/limedeck/forwarding/owners.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from bisect import bisect_right
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from limedeck.errors import InvariantViolation
@@ -38,9 +39,55 @@
                 raise InvariantViolation("ranges-cover-all-keys", f"{item} after {expected}")
             expected = item.last + 1
 
+    def changes_to(self, later: OwnerMap) -> tuple[OwnedRange, ...]:
+        """Ranges of a later map whose owner is another one there."""
+        changed: list[OwnedRange] = []
+        for item in later.ranges:
+            for former in self._between(item.first, item.last):
+                if former.owner != item.owner:
+                    changed.append(OwnedRange(former.first, former.last, item.owner))
+        return joined(changed)
+
+    def changed(self, version: int, changes: tuple[OwnedRange, ...]) -> OwnerMap:
+        """Return the map with other owners for these ranges, which are in the order of the keys."""
+        kept: list[OwnedRange] = []
+        position = 0
+        for item in changes:
+            kept += self._between(position, item.first - 1)
+            kept.append(item)
+            position = item.last + 1
+        if self.ranges:
+            kept += self._between(position, self.ranges[-1].last)
+        return OwnerMap(version, joined(kept))
+
+    def _between(self, first: int, last: int) -> list[OwnedRange]:
+        """Return the parts of ranges from one key to another, both inside."""
+        if last < first:
+            return []
+        start = max(bisect_right(self._firsts, first) - 1, 0)
+        parts = []
+        for item in self.ranges[start:]:
+            if item.first > last:
+                break
+            if item.last >= first:
+                parts.append(OwnedRange(max(item.first, first), min(item.last, last), item.owner))
+        return parts
+
     def owner(self, position: int) -> str:
         """Owner of a key, or empty if it has none now."""
         index = bisect_right(self._firsts, position) - 1
         if index < 0 or position > self.ranges[index].last:
             return ""
         return self.ranges[index].owner
+
+
+def joined(ranges: Iterable[OwnedRange]) -> tuple[OwnedRange, ...]:
+    """Join ranges side by side that have the same owner."""
+    result: list[OwnedRange] = []
+    for item in ranges:
+        last = result[-1] if result else None
+        if last is not None and last.owner == item.owner and last.last + 1 == item.first:
+            result[-1] = OwnedRange(last.first, item.last, item.owner)
+        else:
+            result.append(item)
+    return tuple(result)
--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -14,17 +14,17 @@
     AssignmentRecord,
     LeaderConfirmation,
     LeaderRecord,
-    OwnedKeys,
     ServiceLoad,
     ServiceOwners,
     Status,
 )
 from limedeck.errors import PlatformProtocolError
-from limedeck.forwarding.owners import OwnedRange, OwnerMap
+from limedeck.forwarding.owners import OwnerMap
 from limedeck.identity import Seconds
 from limedeck.node.clock import steady_clock
 from limedeck.node.http_client import AttemptFailed, BackendRequest, HttpClient
 from limedeck.node.logs import get_logger
+from limedeck.node.owner_changes import PublishedOwners, read_owners
 from limedeck.node.state import NodeState
 from limedeck.node.telemetry import Telemetry
 from limedeck.ownership.election import (
@@ -111,7 +111,7 @@
         self._services: dict[str, _OwnedService] = {}
         self._opening: set[str] = set()
         self._listing_seen = -1
-        self._owners: dict[str, ServiceOwners] = {}
+        self._owners = PublishedOwners()
         self._log = get_logger("control")
         self._store_offset: Seconds = 0.0
         self._next_own_loads: Seconds = 0.0
@@ -143,9 +143,9 @@
             resigned=self.election.resigned,
         )
 
-    def owners(self) -> list[ServiceOwners]:
-        """Owners of all services that this node leads."""
-        return list(self._owners.values()) if self.leads else []
+    def owners_since(self, told: dict[str, OwnerMap]) -> list[ServiceOwners]:
+        """What a node lacks of the owners of services that this node leads; `told` is updated."""
+        return self._owners.since(told) if self.leads else []
 
     def handle_status(self, status: Status, leader: LeaderRecord) -> None:
         """The leader, or a node that was taken for it, was heard."""
@@ -157,7 +157,9 @@
         if status.term >= self.election.term:
             self._state.node_count = max(status.node_count, 1)
         for owners in status.owners:
-            self._state.set_owners(owners.service, _owner_map(owners))
+            known = self._state.service(owners.service).owners
+            if owners.version > known.version:
+                self._state.set_owners(owners.service, read_owners(owners, known))
 
     def take_loads(self) -> list[ServiceLoad]:
         """What this node has to tell the leader of its requests."""
@@ -230,12 +232,11 @@
     def _publish(self, name: str, owned: _OwnedService, now: Seconds) -> None:
         ranges = owned.core.published(now)
         version = owned.term << VERSION_BITS | owned.core.version
-        known = self._owners.get(name)
-        if not ranges or (known is not None and known.version == version):
+        if not ranges or self._owners.version(name) == version:
             return
-        keys = [OwnedKeys(first=r.first, last=r.last, owner=r.owner) for r in ranges]
-        self._owners[name] = ServiceOwners(service=name, version=version, ranges=keys)
-        self._state.set_owners(name, OwnerMap(version, ranges))
+        owners = OwnerMap(version, ranges)
+        self._owners.publish(name, owners)
+        self._state.set_owners(name, owners)
         self.on_owners()
 
     def _log_changes(self, name: str, core: ServiceOwnership) -> None:
@@ -459,11 +460,6 @@
         raise PlatformProtocolError(f"row {row.key}", str(error)) from error
 
 
-def _owner_map(owners: ServiceOwners) -> OwnerMap:
-    ranges = tuple(OwnedRange(item.first, item.last, item.owner) for item in owners.ranges)
-    return OwnerMap(owners.version, ranges)
-
-
 def _told(order: Grant | Release) -> dict[str, object]:
     return {
         "backend": order.backend_id,
--- /dev/null
+++ b/src/limedeck/node/owner_changes.py
@@ -0,0 +1,96 @@
+"""Owners of keys as a leader tells them: whole at first, then what has changed since."""
+
+from __future__ import annotations
+
+from limedeck import errors
+from limedeck.api import control_pb2
+from limedeck.forwarding import owners
+
+
+class PublishedOwners:
+    """The newest owners of each service, and messages that lead up to them."""
+
+    def __init__(self) -> None:
+        self._newest: dict[str, owners.OwnerMap] = {}
+        self._messages: dict[tuple[str, int], control_pb2.ServiceOwners] = {}
+
+    def publish(self, service: str, newest: owners.OwnerMap) -> None:
+        """These are a service's owners from now on."""
+        self._newest[service] = newest
+        self._messages = {key: item for key, item in self._messages.items() if key[0] != service}
+
+    def version(self, service: str) -> int:
+        """Version of a service's newest owners; zero if there are none."""
+        newest = self._newest.get(service)
+        return newest.version if newest is not None else 0
+
+    def clear(self) -> None:
+        """Forget everything: this node leads no more."""
+        self._newest.clear()
+        self._messages.clear()
+
+    def since(self, told: dict[str, owners.OwnerMap]) -> list[control_pb2.ServiceOwners]:
+        """What a node lacks.
+
+        Parameters
+        ----------
+        told
+            By service, what it was told on its connection; updated.
+        """
+        lacking = []
+        for service, newest in self._newest.items():
+            base = told.get(service)
+            if base is None or base.version != newest.version:
+                lacking.append(self._message(service, base, newest))
+                told[service] = newest
+        return lacking
+
+    def _message(
+        self, service: str, base: owners.OwnerMap | None, newest: owners.OwnerMap
+    ) -> control_pb2.ServiceOwners:
+        key = (service, base.version if base is not None else 0)
+        message = self._messages.get(key)
+        if message is None:
+            message = _written(service, base, newest)
+            self._messages[key] = message
+        return message
+
+
+def read_owners(message: control_pb2.ServiceOwners, known: owners.OwnerMap) -> owners.OwnerMap:
+    """Read a leader's message.
+
+    Parameters
+    ----------
+    known
+        The owners that this node knows.
+
+    Raises
+    ------
+    PeerProtocolError
+        The message builds on owners that this node does not know.
+    """
+    ranges = tuple(owners.OwnedRange(item.first, item.last, item.owner) for item in message.ranges)
+    if not message.base_version:
+        return owners.OwnerMap(message.version, ranges)
+    if message.base_version != known.version:
+        raise errors.PeerProtocolError(
+            f"changes since version {message.base_version}, but {known.version} is known"
+        )
+    return known.changed(message.version, ranges)
+
+
+def _written(
+    service: str, base: owners.OwnerMap | None, newest: owners.OwnerMap
+) -> control_pb2.ServiceOwners:
+    ranges = newest.ranges
+    base_version = 0
+    if base is not None:
+        changes = base.changes_to(newest)
+        if len(changes) < len(ranges):
+            ranges, base_version = changes, base.version
+    keys = [
+        control_pb2.OwnedKeys(first=item.first, last=item.last, owner=item.owner) for item in ranges
+    ]
+    return control_pb2.ServiceOwners(
+        service=service, version=newest.version, ranges=keys, base_version=base_version
+    )
--- a/src/limedeck/node/peers.py
+++ b/src/limedeck/node/peers.py
@@ -5,8 +5,9 @@
 import anyio
 from anyio.abc import SocketStream
 
-from limedeck.api.control_pb2 import ControlMessage, FormerLeader, LeaderRecord, Report, Status
+from limedeck.api.control_pb2 import ControlMessage, FormerLeader, LeaderRecord, Report
 from limedeck.errors import PeerProtocolError
+from limedeck.forwarding.owners import OwnerMap
 from limedeck.identity import Seconds
 from limedeck.node.clock import steady_clock
 from limedeck.node.control import ControlHost
@@ -247,12 +248,12 @@
     async def _send_statuses(
         self, stream: SocketStream, peer: PeerTables, scope: anyio.CancelScope
     ) -> None:
-        sent: dict[str, int] = {}
+        told: dict[str, OwnerMap] = {}
         try:
             while True:
                 status = self._control.status()
                 status.observes = peer.node_id in self._observers
-                self._add_news(status, sent)
+                status.owners.extend(self._control.owners_since(told))
                 self._store_news.fill(status, peer, steady_clock())
                 with anyio.fail_after(SEND_TIMEOUT):
                     await stream.send(encode_frame(ControlMessage(status=status)))
@@ -260,9 +261,3 @@
                     await self._news.wait()
         except ENDED:
             scope.cancel()
-
-    def _add_news(self, status: Status, sent: dict[str, int]) -> None:
-        for owners in self._control.owners():
-            if sent.get(owners.service) != owners.version:
-                sent[owners.service] = owners.version
-                status.owners.append(owners)
--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -15,7 +15,7 @@
 
 from limedeck.api.control_pb2 import AssignmentRecord, OwnedKeys
 from limedeck.errors import InvariantViolation
-from limedeck.forwarding.owners import OwnedRange
+from limedeck.forwarding.owners import OwnedRange, joined
 from limedeck.identity import NEVER, Seconds
 from limedeck.model import Backend
 from limedeck.ownership.fences import FenceCounter
@@ -250,7 +250,7 @@
 
     def published(self, now: Seconds) -> tuple[OwnedRange, ...]:
         """Owners that requests may be sent to; `version` rises when they change."""
-        ranges = tuple(
+        ranges = joined(
             OwnedRange(item.first, item.last, self._visible_owner(item)) for item in self.ranges
         )
         if ranges != self._published:
