Surges are seen by a short memory, and chance is told from load

Change: two memories, 1 s and 3 s; the span that a memory really covers divides; a back end is relieved only if its load is 2.5 standard deviations above what is tolerated. Tests that failed first: test_planning_moves.py (chance, surge, first requests).

--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -172,7 +172,7 @@
             owned = self._services.get(load.service)
             if owned is None:
                 continue
-            owned.core.load.add(((item.position, item.count) for item in load.keys), now)
+            owned.core.note_requests(((item.position, item.count) for item in load.keys), now)
             for sample in load.backends:
                 owned.core.note_service_time(sample.backend_id, sample.service_time)
 
--- a/src/limedeck/ownership/key_load.py
+++ b/src/limedeck/ownership/key_load.py
@@ -10,6 +10,10 @@
 
 MEMORY: Seconds = 3.0
 """After so long, a request counts for a third."""
+RECENT_MEMORY: Seconds = 1.0
+"""For loads that show a surge soon, and less surely."""
+FIRST_SPAN: Seconds = 0.5
+"""The first requests that are heard of came within so long: the interval of reports."""
 LARGEST_EXPONENT = 40.0
 """Stored weights grow with time; they are scaled down when they have grown so much."""
 NEGLIGIBLE = 0.02
@@ -21,9 +25,16 @@
     """Requests a second by key, with exponentially fading memory.
 
     Weights are stored as if at `_origin`, so that fading costs nothing for keys without requests.
+
+    Parameters
+    ----------
+    memory
+        After so long, in seconds, a request counts for a third.
     """
 
-    def __init__(self, now: Seconds) -> None:
+    def __init__(self, now: Seconds, memory: Seconds = MEMORY) -> None:
+        self._memory = memory
+        self._since = now
         self._weights: dict[int, float] = {}
         self._positions: list[int] = []
         self._origin = now
@@ -32,7 +43,9 @@
     def add(self, counts: Iterable[tuple[int, int]], now: Seconds) -> None:
         """Take in requests by key."""
         self._rescale(now)
-        factor = math.exp((now - self._origin) / MEMORY)
+        if not self._weights:
+            self._since = now - FIRST_SPAN
+        factor = math.exp((now - self._origin) / self._memory)
         for position, count in counts:
             if position not in self._weights:
                 insort(self._positions, position)
@@ -41,7 +54,7 @@
 
     def rates(self, first: int, last: int, now: Seconds) -> list[tuple[int, float]]:
         """Requests a second of each key from `first` to `last` that had any, in order."""
-        factor = math.exp(-(now - self._origin) / MEMORY) / MEMORY
+        factor = math.exp(-(now - self._origin) / self._memory) / self._span(now)
         start = bisect_left(self._positions, first)
         end = bisect_left(self._positions, last + 1)
         return [
@@ -52,8 +65,17 @@
         """Requests a second of all keys from `first` to `last`."""
         return sum(rate for _, rate in self.rates(first, last, now))
 
+    def deviation(self, rate: float, now: Seconds) -> float:
+        """Standard deviation of a measured rate, in requests a second: requests come at random."""
+        return math.sqrt(max(rate, 0.0) / (2.0 * self._span(now)))
+
+    def _span(self, now: Seconds) -> Seconds:
+        """Time that the memory covers; short while the first requests are not long ago."""
+        age = max(now - self._since, FIRST_SPAN)
+        return self._memory * -math.expm1(-age / self._memory)
+
     def _rescale(self, now: Seconds) -> None:
-        exponent = (now - self._origin) / MEMORY
+        exponent = (now - self._origin) / self._memory
         if exponent < LARGEST_EXPONENT and now - self._pruned_at < PRUNE_INTERVAL:
             return
         factor = math.exp(-exponent)
--- a/src/limedeck/ownership/planning.py
+++ b/src/limedeck/ownership/planning.py
@@ -71,6 +71,9 @@
         All keys with an owner.
     capacities
         Requests a second that each back end can work on.
+    certainty
+        Standard deviations by which a load must be above what is tolerated; a load that is too
+        high by chance only is left where it is.
     """
 
     def __init__(
@@ -79,8 +82,12 @@
         capacities: Mapping[str, float],
         load: KeyLoad,
         now: Seconds,
+        certainty: float = 0.0,
     ) -> None:
         self._capacities = capacities
+        self._key_load = load
+        self._now = now
+        self._certainty = certainty
         self._rates = {
             piece: load.rates(piece.first, piece.last, now)
             for piece in pieces
@@ -117,7 +124,9 @@
             return None
         heavy = best(left, key=self._use)
         use = self._use(heavy)
-        if use < LEAST_USE or use < TOLERATED_EXCESS * self._mean_use():
+        doubt = self._certainty * self._key_load.deviation(self._load[heavy], self._now)
+        tolerated = TOLERATED_EXCESS * self._mean_use() + doubt / self._capacities[heavy]
+        if use < LEAST_USE or use < tolerated:
             return None
         return heavy
 
--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -19,7 +19,7 @@
 from limedeck.identity import NEVER, Seconds
 from limedeck.model import Backend
 from limedeck.ownership.fences import FenceCounter
-from limedeck.ownership.key_load import KeyLoad
+from limedeck.ownership.key_load import RECENT_MEMORY, KeyLoad
 from limedeck.ownership.orders import Grant, Release
 from limedeck.ownership.planning import (
     BalancePlan,
@@ -33,6 +33,8 @@
 
 SERVICE_TIME_SMOOTHING = 0.2
 DEFAULT_SERVICE_TIME: Seconds = 0.1
+CERTAINTY = 2.5
+"""Standard deviations by which a load must be too high before keys move."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,6 +117,7 @@
         self.fenced_off = False
         self._alone = False
         self.load = KeyLoad(now)
+        self.recent_load = KeyLoad(now, RECENT_MEMORY)
         self._service_times: dict[str, Seconds] = {}
         self._next_balance = now + timing.balance_interval
         if record is not None:
@@ -243,6 +246,12 @@
             if found is not None and found.phase is Phase.OWNED:
                 self._begin_release(found, Cause.BALANCE, planned.target)
 
+    def note_requests(self, counts: Iterable[tuple[int, int]], now: Seconds) -> None:
+        """A node tells how many requests it had by key."""
+        counted = list(counts)
+        self.load.add(counted, now)
+        self.recent_load.add(counted, now)
+
     def note_service_time(self, backend_id: str, sample: Seconds) -> None:
         """A node tells how long a back end works on one request."""
         known = self._service_times.get(backend_id, sample)
@@ -270,7 +279,12 @@
             for item in self.ranges
             if item.phase is Phase.OWNED and item.confirmed_until > now
         ]
-        self.move(BalancePlan(pieces, self._capacities(now), self.load, now).moves())
+        capacities = self._capacities(now)
+        for load in (self.recent_load, self.load):
+            moves = BalancePlan(pieces, capacities, load, now, CERTAINTY).moves()
+            if moves:
+                self.move(moves)
+                return
 
     def _merge_neighbours(self, now: Seconds) -> None:
         """Join ranges side by side of one owner: each range costs a grant for every renewal."""
--- a/tests/unit/test_planning_moves.py
+++ b/tests/unit/test_planning_moves.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import itertools
+import random
+from collections import Counter
 
-from limedeck.ownership.key_load import MEMORY, KeyLoad
+import pytest
+
+from limedeck.ownership.key_load import FIRST_SPAN, MEMORY, RECENT_MEMORY, KeyLoad
 from limedeck.ownership.planning import (
     TOLERATED_EXCESS,
     BalancePlan,
@@ -12,6 +16,7 @@
     PlannedMove,
     first_assignment,
 )
+from limedeck.ownership.service import CERTAINTY
 
 NOW = 100.0
 
@@ -20,6 +25,7 @@
     """Loads as they are after a long time at these rates."""
     load = KeyLoad(NOW)
     load.add([(key, 1) for key in rates], NOW)
+    load._since = NOW - 100.0
     for key, rate in rates.items():
         load._weights[key] = rate * MEMORY
     return load
@@ -130,3 +136,42 @@
     assert load.total(0, 10, MEMORY) < 0.4 * early
     load.add([(6, 1)], 100.0)
     assert [key for key, _ in load.rates(0, 10, 100.0)] == [6]
+
+
+def test_the_first_requests_are_not_taken_for_few() -> None:
+    """Found at the start of quiet days: a hot stretch was seen at its load after seconds only."""
+    load = KeyLoad(0.0)
+    for step in range(1, 4):
+        load.add([(5, 10)], 10.0 + step * FIRST_SPAN)
+    assert load.total(0, 10, 11.5) == pytest.approx(20.0, rel=0.2)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_loads_that_differ_by_chance_only_move_nothing(seed: int) -> None:
+    """Found on quiet days: keys moved all the time, since small loads never look even."""
+    source = random.Random(seed)
+    load = KeyLoad(0.0)
+    recent = KeyLoad(0.0, RECENT_MEMORY)
+    pieces = [OwnedPiece(i * 20, i * 20 + 19, f"b{i}") for i in range(14)]
+    capacities = dict.fromkeys((piece.owner for piece in pieces), 16.0)
+    moves = 0
+    for step in range(60):
+        now = step * FIRST_SPAN
+        counts = Counter(source.randrange(280) for _ in range(source.randrange(50, 63)))
+        load.add(counts.items(), now)
+        recent.add(counts.items(), now)
+        for item in (load, recent):
+            moves += len(BalancePlan(pieces, capacities, item, now, CERTAINTY).moves())
+    assert moves <= 6
+
+
+def test_a_surge_shows_within_a_second() -> None:
+    load = KeyLoad(0.0, RECENT_MEMORY)
+    pieces = [OwnedPiece(i * 20, i * 20 + 19, f"b{i}") for i in range(14)]
+    capacities = dict.fromkeys((piece.owner for piece in pieces), 33.0)
+    even = [(key, 1) for key in range(0, 280, 5)]
+    for step in range(20):
+        load.add(even, step * FIRST_SPAN)
+    for step in (20, 21):
+        load.add([*even, *((key, 1) for key in range(40, 60))], step * FIRST_SPAN)
+    assert BalancePlan(pieces, capacities, load, 21 * FIRST_SPAN, CERTAINTY).moves()
