A connection that is reset at once is no connection

Ruled out: the protocol towards callers, the retry's decisions (the traceback begins in _open). Change: such a stream is a failure to connect: nothing was sent, so another attempt is safe. Test that failed first: test_http_client.py.

--- a/src/limedeck/node/gateway.py
+++ b/src/limedeck/node/gateway.py
@@ -102,7 +102,12 @@
         except BodyTooLarge:
             await self._say(send, TOO_LARGE)
             return
-        await self._serve(self._call(scope, headers, route, request_id, body, now), receive, send)
+        call = self._call(scope, headers, route, request_id, body, now)
+        try:
+            await self._serve(call, receive, send)
+        except Exception as error:
+            self._log.broken(request_id, error)
+            raise
 
     def _call(
         self,
--- a/src/limedeck/node/http_client.py
+++ b/src/limedeck/node/http_client.py
@@ -263,7 +263,12 @@
         except (OSError, TimeoutError, ValueError) as error:
             raise AttemptFailed(FailurePhase.NOT_CONNECTED, type(error).__name__) from error
         self.connections_opened += 1
-        return _Connection(stream)
+        try:
+            return _Connection(stream)
+        except (AttributeError, OSError, ValueError) as error:
+            # A stream that was reset at once has no socket any more.
+            await anyio.aclose_forcefully(stream)
+            raise AttemptFailed(FailurePhase.NOT_CONNECTED, "reset at once") from error
 
 
 def _idle_time(headers: Headers) -> Seconds:
--- a/src/limedeck/node/request_log.py
+++ b/src/limedeck/node/request_log.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import traceback
+
 import xxhash
 
 from limedeck.forwarding.request import Refuse, RequestCore
@@ -73,6 +75,14 @@
                 configuration=version,
             )
 
+    def broken(self, request_id: bytes, error: Exception) -> None:
+        """A fault of this program; the server answers 500 or drops the connection."""
+        self._log.error(
+            "request_broken",
+            request=request_id.decode("latin-1"),
+            problem="".join(traceback.format_exception(error)),
+        )
+
     def _count(self, core: RequestCore, outcome: str, took: Seconds) -> None:
         self._telemetry.requests.labels(core.service.name, outcome).inc()
         self._telemetry.request_seconds.labels(core.service.name).observe(took)
--- a/tests/unit/test_http_client.py
+++ b/tests/unit/test_http_client.py
@@ -193,3 +193,23 @@
             await HttpClient().exchange(bad, steady_clock() + PATIENCE)
         assert caught.value.phase is FailurePhase.NOT_SENT
         assert script.requests == []
+
+
+async def test_a_connection_that_is_reset_at_once_is_none(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Found on vetagenda-ne scale-2: the stream had no socket any more, and the caller got 500."""
+    opened: list[SocketStream] = []
+    connect = anyio.connect_tcp
+
+    async def connect_and_lose(host: str, port: int, local_host: str | None) -> SocketStream:
+        stream = await connect(host, port, local_host=local_host)
+        opened.append(stream)
+        await anyio.aclose_forcefully(stream)
+        await anyio.sleep(0.01)
+        return stream
+
+    monkeypatch.setattr(anyio, "connect_tcp", connect_and_lose)
+    async with backend(Script([OK])) as request:
+        with pytest.raises(AttemptFailed) as caught:
+            await HttpClient().exchange(request, steady_clock() + PATIENCE)
+        assert caught.value.phase is FailurePhase.NOT_CONNECTED
+    assert len(opened) == 1
