A changed settings file is taken up; no lease is above what back ends take

Cause (by reading): SIGHUP was logged and nothing else; a file that changes without a signal was not noticed; the longest lease that back ends take was read and not used, so that a deployment whose bound is below 2 s would have had each grant refused. Leases, and their renewals, are cut to the bound.

--- a/src/limedeck/forwarding/budget.py
+++ b/src/limedeck/forwarding/budget.py
@@ -48,6 +48,10 @@
         self._requests = 0
         self._retries = 0
 
+    def set_allowance(self, allowance: RetryAllowance) -> None:
+        """Operators allow more or less from now on."""
+        self._allowance = allowance
+
     def note_request(self, now: Seconds) -> None:
         """A request came in."""
         self._piece(now).requests += 1
--- a/src/limedeck/node/main.py
+++ b/src/limedeck/node/main.py
@@ -11,6 +11,7 @@
 
 from limedeck.errors import SettingsError
 from limedeck.node.logs import configure_logs
+from limedeck.node.reload import SettingsFile
 from limedeck.node.server import Node
 from limedeck.node.settings import load_node_settings
 
@@ -42,7 +43,8 @@
         if self.option("check"):
             self.line(f"{file}: settings are good")
             return EXIT_OK
-        node = Node(settings, configure_logs(settings.log.level))
+        writer = configure_logs(settings.log.level)
+        node = Node(SettingsFile(file, settings), writer)
         anyio.run(node.run, backend_options={"use_uvloop": True})
         return EXIT_OK
 
--- a/src/limedeck/node/request_log.py
+++ b/src/limedeck/node/request_log.py
@@ -20,11 +20,15 @@
     """One line for each decision that ends or repeats a request."""
 
     def __init__(self, settings: LogSection, telemetry: Telemetry) -> None:
-        self._sample = max(settings.sample, 1)
-        self._failures = RateLimit(settings.failures_per_second)
+        self.set_bounds(settings)
         self._telemetry = telemetry
         self._log = get_logger("requests")
 
+    def set_bounds(self, settings: LogSection) -> None:
+        """Log this much from now on."""
+        self._sample = max(settings.sample, 1)
+        self._failures = RateLimit(settings.failures_per_second)
+
     def answered(self, request_id: bytes, core: RequestCore, status: int, since: Seconds) -> None:
         """A back end's answer is passed on."""
         took = steady_clock() - since
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -25,12 +25,13 @@
 from limedeck.node.news import FeedKeeper, StoreNews
 from limedeck.node.peers import FollowerConnections, FormerLeaderInquiry, LeaderLink
 from limedeck.node.readiness import ReadinessApplication
+from limedeck.node.reload import SettingsFile
 from limedeck.node.request_log import RequestLog
 from limedeck.node.settings import NodeSettings
 from limedeck.node.state import NodeState
 from limedeck.node.telemetry import Telemetry
 from limedeck.node.watchers import TableFollower, TableWatcher
-from limedeck.ownership.timing import OwnershipTiming
+from limedeck.ownership.timing import timing_within
 from limedeck.platform.grants import PlatformOrders
 from limedeck.platform.headers import PlatformProtocol
 from limedeck.platform.messages import (
@@ -76,21 +77,22 @@
 class Node:
     """One node: its control, its router and its servers."""
 
-    def __init__(self, settings: NodeSettings, writer: BoundedWriter) -> None:
+    def __init__(self, file: SettingsFile, writer: BoundedWriter) -> None:
+        settings = file.in_force
+        self._file = file
         self._settings = settings
         self._writer = writer
         node = settings.node
-        retries = settings.retries
-        allowance = RetryAllowance(retries.ratio, retries.slack, retries.window)
-        self._state = NodeState(node.zone, node.id, allowance)
+        self._state = NodeState(node.zone, node.id, _allowance(settings))
         self._telemetry = Telemetry()
+        self._request_log = RequestLog(settings.log, self._telemetry)
         self._log = get_logger("node")
         self._identity = LeaderRecord(
             node_id=node.id,
             incarnation=secrets.randbits(48),
             peer_address=f"{node.ip}:{node.first_peer_port}",
         )
-        self._timing = OwnershipTiming()
+        self._timing = timing_within(settings.ownership.longest_lease)
         self._protocol = PlatformProtocol()
 
     async def run(self) -> None:
@@ -109,8 +111,8 @@
             self._timing,
             self._telemetry,
         )
-        request_log = RequestLog(settings.log, self._telemetry)
-        gateway = CallerGateway(self._state, self._protocol, backend_client, request_log)
+        self._file.on_change = self._take_up
+        gateway = CallerGateway(self._state, self._protocol, backend_client, self._request_log)
         async with anyio.create_task_group() as tasks:
             self._start_control(tasks, control, store)
             tasks.start_soon(self._upkeep, backend_client)
@@ -119,6 +121,12 @@
         self._log.info("stopped", node=settings.node.id)
         self._writer.flush()
 
+    def _take_up(self, settings: NodeSettings) -> None:
+        """The settings file has changed."""
+        self._settings = settings
+        self._state.set_allowance(_allowance(settings))
+        self._request_log.set_bounds(settings.log)
+
     def _start_control(self, tasks: TaskGroup, control: ControlHost, store: PlatformStore) -> None:
         watchers = (
             TableWatcher(store, self._configuration_follower()),
@@ -182,13 +190,14 @@
             async for number in signals:
                 if number is not signal.SIGHUP:
                     return
-                self._log.info("reloaded")
+                self._file.reload()
 
     async def _upkeep(self, client: HttpClient) -> None:
         while True:
             await anyio.sleep(UPKEEP_INTERVAL)
             await client.drop_idle(self._state.directory.addresses())
             self._writer.flush()
+            self._file.reload_if_changed()
 
     # ------------------------------------------------------------------ tables
 
@@ -235,3 +244,8 @@
             joining=BACKENDS_JOINING,
             feed_wait=self._settings.store.feed_wait,
         )
+
+
+def _allowance(settings: NodeSettings) -> RetryAllowance:
+    retries = settings.retries
+    return RetryAllowance(retries.ratio, retries.slack, retries.window)
--- a/src/limedeck/node/state.py
+++ b/src/limedeck/node/state.py
@@ -60,6 +60,12 @@
         self.notify()
         return True
 
+    def set_allowance(self, allowance: RetryAllowance) -> None:
+        """Operators allow other retries from now on."""
+        self._allowance = allowance
+        for view in self.services.values():
+            view.budget.set_allowance(allowance)
+
     def service(self, name: str) -> ServiceView:
         """Return what requests for a service share."""
         view = self.services.get(name)
--- a/src/limedeck/ownership/timing.py
+++ b/src/limedeck/ownership/timing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from limedeck.identity import Seconds
 
@@ -65,3 +65,15 @@
     def longest_lease(self) -> Seconds:
         """Time after sending a grant when it has surely ended, if it was not taken late."""
         return self.lease * (1.0 + self.clock_error) + self.lease_slack
+
+
+RENEWALS_IN_A_LEASE = 4
+
+
+def timing_within(longest_lease: Seconds) -> OwnershipTiming:
+    """Return the times for back ends that take no lease above `longest_lease`, in seconds."""
+    usual = OwnershipTiming()
+    if longest_lease >= usual.lease:
+        return usual
+    renewal = longest_lease / RENEWALS_IN_A_LEASE
+    return replace(usual, lease=longest_lease, renewal_interval=renewal)
--- a/tests/system/test_node_site.py
+++ b/tests/system/test_node_site.py
@@ -162,6 +162,26 @@
     return [line for line in text.splitlines() if line.startswith("{")]
 
 
+@pytest.mark.parametrize("by_signal", [True, False], ids=["signal", "file-alone"])
+def test_changed_settings_are_taken_up_without_a_cut(
+    site: Site, client: httpx.Client, tmp_path: Path, by_signal: bool
+) -> None:
+    node = site.nodes[0]
+    text = node.settings.read_text()
+    node.settings.write_text(text.replace("slack = 60", "slack = 600").replace("z1", "z2"))
+    if by_signal:
+        node.process.signal(signal.SIGHUP)
+    assert send_many(site, client, 60) == {200: 60}
+
+    def reloads() -> list[tuple[list[str], list[str]]]:
+        lines = [json.loads(line) for line in log_lines(tmp_path, "node-0-0")]
+        found = [line for line in lines if line["event"] == "reloaded"]
+        return [(line["taken_up"], line["waiting_for_restart"]) for line in found]
+
+    wait_until(lambda: reloads() == [(["retries"], ["node"])], "the settings are taken up")
+    assert node.is_ready()
+
+
 def test_settings_that_cannot_be_used_end_with_one_line(tmp_path: Path, site: Site) -> None:
     from limedeck.errors import InvalidSetting
     from limedeck.node.settings import load_node_settings
