Feeds are brief while nobody would show that one is dead, and begin anew once the store is back

The log of edge-kst-north-3 in a replay: the leader missed the store at 1.7 s, so the node began feeds, whose call died in the outage; the leader was killed at 7.1 s, so nobody showed the node that it was behind; version 9, acknowledged at 6.19 s, came at 9.95 s from the next leader. Ruled out: the news between nodes (they came 1.7 s after the node had the new leader); a store that refused this node (it read the leader's row at 6.48 s). Change: feeds are none, brief or lasting; a brief one's call waits 2 s at most; when the store answers a node's call after calls without an answer, its feeds begin anew. Calls that fail are repeated after 0.25 s up to 1 s instead of each 0.25 s.

--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -100,6 +100,8 @@
         self.election = ElectionCore(identity, timing, steady_clock())
         self.node_count: Callable[[], int] = lambda: 1
         self.on_owners: Callable[[], None] = lambda: None
+        self.on_store_back: Callable[[], None] = lambda: None
+        self._store_missed = False
         self._identity = identity
         self._state = state
         self._store = store
@@ -272,6 +274,11 @@
         except StoreError as error:
             self._log.info("election_call_failed", problem=str(error))
             self.election.handle_no_answer(steady_clock())
+            self._store_missed = True
+            return
+        if self._store_missed:
+            self._store_missed = False
+            self.on_store_back()
 
     async def _read_leader(self, command: ReadLeader) -> None:
         found = await self._store.read(LEADER_ROW.table, LEADER_ROW.part)
--- a/src/limedeck/node/news.py
+++ b/src/limedeck/node/news.py
@@ -105,12 +105,17 @@
         self._watchers = tables
         self._leads = leads
 
+    def handle_store_back(self) -> None:
+        """The store answers after calls without an answer; feeds that waited may be dead."""
+        for watcher in self._watchers:
+            watcher.restart_feed()
+
     async def run(self) -> None:
         """Look again and again until cancelled."""
         while True:
-            keeps = self._policy.keeps_feeds(self._leads(), clock.steady_clock())
+            wanted = self._policy.feeds(self._leads(), clock.steady_clock())
             for watcher in self._watchers:
-                watcher.set_following(keeps)
+                watcher.set_feeds(wanted)
             await anyio.sleep(TICK)
 
 
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -139,7 +139,9 @@
         followers = FollowerConnections(address, zone, control, news, self._timing)
         tasks.start_soon(followers.serve)
         tasks.start_soon(LeaderLink(self._identity, zone, control, news, policy).run)
-        tasks.start_soon(FeedKeeper(policy, watchers, lambda: control.leads).run)
+        keeper = FeedKeeper(policy, watchers, lambda: control.leads)
+        control.on_store_back = keeper.handle_store_back
+        tasks.start_soon(keeper.run)
         tasks.start_soon(FormerLeaderInquiry(self._identity, control).run)
         tasks.start_soon(control.run)
         for watcher in watchers:
--- a/src/limedeck/node/watchers.py
+++ b/src/limedeck/node/watchers.py
@@ -9,7 +9,7 @@
 
 from limedeck import errors
 from limedeck.node import clock, logs
-from limedeck.store import replica, rows
+from limedeck.store import feeds, replica, rows
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -20,6 +20,8 @@
 SHORTEST_PAUSE: identity.Seconds = 0.2
 LONGEST_PAUSE: identity.Seconds = 1.0
 LAG_PATIENCE: identity.Seconds = 0.6
+BRIEF_WAIT: identity.Seconds = 2.0
+"""Longest time that a call waits for a change when nobody would show that the feed is dead."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,7 +58,7 @@
         self._store = store
         self._follower = follower
         self._after: int | None = None
-        self._follows = False
+        self._feeds = feeds.Feeds.NONE
         self._wanted = False
         self._wake = anyio.Event()
         self._lost = False
@@ -78,7 +80,7 @@
         """Follow the table until cancelled, while a feed is wanted or a reading."""
         pause = SHORTEST_PAUSE
         while True:
-            if not self._follows and not self._wanted:
+            if self._feeds is feeds.Feeds.NONE and not self._wanted:
                 await self._wake.wait()
                 continue
             try:
@@ -100,17 +102,21 @@
             pause = SHORTEST_PAUSE
             await anyio.sleep(self._follower.joining)
 
-    def set_following(self, follows: bool) -> None:
+    def set_feeds(self, wanted: feeds.Feeds) -> None:
         """Keep a feed from now on, or keep none and be told by another node."""
-        if follows == self._follows:
+        if wanted is self._feeds:
             return
-        self._follows = follows
-        self._log.info("feed_kept" if follows else "feed_ended", table=self.table)
-        if follows:
+        self._feeds = wanted
+        self._log.info("feed", table=self.table, feeds=wanted.value)
+        self.restart_feed()
+
+    def restart_feed(self) -> None:
+        """Go on from what is known by a call of its own: the one that waits may be dead."""
+        if self._waiting is not None:
+            self._waiting.cancel()
+        if self._feeds is not feeds.Feeds.NONE:
             self._after = self.replica.newest if self.replica.is_complete else None
             self._awake()
-        elif self._waiting is not None:
-            self._waiting.cancel()
 
     def handle_told(self, newest: int, now: identity.Seconds) -> None:
         """Another node has seen a change of this version.
@@ -118,7 +124,7 @@
         Without a feed the table is read at once. A feed that waits and one that is dead look alike
         from here: it is given up if it is behind for long.
         """
-        if not self._follows:
+        if self._feeds is feeds.Feeds.NONE:
             self._wanted = newest > self.replica.newest or not self.replica.is_complete
             if self._wanted:
                 self._after = None
@@ -158,7 +164,10 @@
         if self._after is None:
             await self._read_whole()
             return
-        changes = await self._store.changes(self.table, self._after, self._follower.feed_wait)
+        wait = self._follower.feed_wait
+        if self._feeds is feeds.Feeds.BRIEF:
+            wait = min(wait, BRIEF_WAIT)
+        changes = await self._store.changes(self.table, self._after, wait)
         entries = [replica.Entry(row.key, row.version, row.value) for row in changes.rows]
         entries += [replica.Entry(row.key, row.version, None) for row in changes.dropped]
         entries.sort(key=lambda entry: entry.version)
--- a/src/limedeck/ownership/election.py
+++ b/src/limedeck/ownership/election.py
@@ -17,6 +17,8 @@
 SPREAD: Seconds = 0.25
 """Candidates begin within so long of each other, so that mostly one writes."""
 RETRY_INTERVAL: Seconds = 0.25
+LONGEST_RETRY_INTERVAL: Seconds = 1.0
+"""Calls that fail are repeated more and more slowly: all nodes make them at the same time."""
 FRESH_READING: Seconds = 0.5
 """A campaign rests on rows that were read at most so long ago."""
 
@@ -106,6 +108,7 @@
         self._next_call: Seconds = now + self._spread()
         self._confirmed_at: Seconds = NEVER
         self._busy = False
+        self._failures = 0
         self.resigned = False
         self._over: set[tuple[int, int]] = set()
         self._heard_term = 0
@@ -152,6 +155,7 @@
     def handle_seen(self, seen: LeaderSeen, now: Seconds) -> None:
         """The leader's rows were read, or a write showed them."""
         self._busy = False
+        self._failures = 0
         known = self.term
         if seen.row_version >= self.row_version:
             self.record = seen.record
@@ -168,6 +172,7 @@
     def handle_won(self, record: LeaderRecord, row_version: int, now: Seconds) -> None:
         """The store took this node's record."""
         self._busy = False
+        self._failures = 0
         self.record = record
         self.row_version = row_version
         self._confirmed_at = now
@@ -178,13 +183,16 @@
     def handle_confirmed(self, sent_at: Seconds) -> None:
         """The store confirmed this leader; the time is that before the call."""
         self._busy = False
+        self._failures = 0
         self._confirmed_at = max(self._confirmed_at, sent_at)
 
     def handle_no_answer(self, now: Seconds) -> None:
         """A call to the store failed; whether it did anything is unknown."""
         self._busy = False
         self._age = None
-        self._next_call = now + RETRY_INTERVAL
+        self._failures += 1
+        pause = RETRY_INTERVAL * 2.0 ** min(self._failures - 1, 10)
+        self._next_call = now + min(pause, LONGEST_RETRY_INTERVAL)
 
     def former_leaders(self) -> list[FormerLeader]:
         """Leaders of earlier terms that may still renew grants, while this node leads."""
--- a/src/limedeck/store/feeds.py
+++ b/src/limedeck/store/feeds.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import enum
 from typing import TYPE_CHECKING
 
 from limedeck import identity
@@ -26,6 +27,22 @@
 """A node that has gone back to feeds keeps them at least so long."""
 
 
+class Feeds(enum.Enum):
+    """What a node does to learn of changes.
+
+    NONE
+        Nothing: it is told.
+    BRIEF
+        It keeps feeds while nobody tells it, and nobody would show it that one is dead.
+    LASTING
+        It keeps feeds, and other nodes show it when one is dead.
+    """
+
+    NONE = "none"
+    BRIEF = "brief"
+    LASTING = "lasting"
+
+
 class FeedPolicy:
     """Whether one node keeps feeds of its own.
 
@@ -58,13 +75,13 @@
         else:
             self._told_until = identity.NEVER
 
-    def keeps_feeds(self, leads: bool, now: identity.Seconds) -> bool:
-        """Whether this node keeps feeds now."""
-        if leads or self._is_observer:
-            return True
-        if now > self._told_until:
+    def feeds(self, leads: bool, now: identity.Seconds) -> Feeds:
+        """What this node does now."""
+        if now > self._told_until and not leads:
             self._stays_until = now + SHORTEST_STAY
-        return now <= self._stays_until
+        if now <= self._stays_until:
+            return Feeds.BRIEF
+        return Feeds.LASTING if leads or self._is_observer else Feeds.NONE
 
 
 def choose_observers(zones: Mapping[str, str], leader_zone: str) -> frozenset[str]:
--- a/tests/system/platform_site.py
+++ b/tests/system/platform_site.py
@@ -43,6 +43,8 @@
     ----------
     held
         Ranges with their fence and end, on the test's clock.
+    released
+        Ranges and the fences of their releases; no grant below one of these is taken.
     """
 
     name: str
@@ -53,6 +55,7 @@
     draining: bool = False
     silent: bool = False
     held: dict[tuple[int, int], tuple[int, float]] = field(default_factory=dict)
+    released: list[tuple[tuple[int, int], int]] = field(default_factory=list)
 
     async def __call__(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
         """Answer one request."""
@@ -81,7 +84,8 @@
 
     async def _grant(self, order: dict[str, Any], send: Any) -> None:
         span = (order["from"], order["target_version"])
-        if any(fence > order["fence"] for at, (fence, _) in self.held.items() if _meet(at, span)):
+        seen = [(at, fence) for at, (fence, _) in self.held.items()] + self.released
+        if any(fence > order["fence"] for at, fence in seen if _meet(at, span)):
             await _answer(send, 409, [])
             return
         for at in [at for at in self.held if _within(at, span)]:
@@ -98,6 +102,7 @@
                 if piece[0] <= piece[1]:
                     kept[piece] = held
         self.held = kept
+        self.released.append((span, order["fence"]))
         await _answer(send, 200, [(b"x-handover", b"token")])
 
     async def _work(self, headers: dict[bytes, bytes], body: bytes, send: Any) -> None:
@@ -310,7 +315,7 @@
             (site.store.application(), store_address),
             *((upstream, upstream.address) for upstream in site.upstreams),
         ]
-        futures = [portal.start_task_soon(_serve, app, where, ended) for app, where in served]
+        futures = [portal.start_task_soon(serve_until, app, where, ended) for app, where in served]
         try:
             for number in range(nodes):
                 site.nodes.append(start_node(processes, folder, store_address, number))
@@ -327,7 +332,8 @@
                 future.result(timeout=20.0)
 
 
-async def _serve(application: Application, address: str, ended: anyio.Event) -> None:
+async def serve_until(application: Application, address: str, ended: anyio.Event) -> None:
+    """Serve an application at an address until the event is set."""
     config = Config()
     config.bind = [address]
     config.graceful_timeout = 10.0
--- a/tests/unit/test_feeds.py
+++ b/tests/unit/test_feeds.py
@@ -19,42 +19,42 @@
 def test_a_node_that_is_told_keeps_no_feeds() -> None:
     policy = feeds.FeedPolicy(0.0)
     told_for(policy, 0.5, 20.0)
-    assert not policy.keeps_feeds(leads=False, now=20.0)
+    assert policy.feeds(leads=False, now=20.0) is feeds.Feeds.NONE
 
 
 def test_a_new_node_waits_a_little_to_be_told() -> None:
     policy = feeds.FeedPolicy(0.0)
-    assert not policy.keeps_feeds(leads=False, now=feeds.START_PATIENCE - 0.1)
-    assert policy.keeps_feeds(leads=False, now=feeds.START_PATIENCE + 0.1)
+    assert policy.feeds(leads=False, now=feeds.START_PATIENCE - 0.1) is feeds.Feeds.NONE
+    assert policy.feeds(leads=False, now=feeds.START_PATIENCE + 0.1) is feeds.Feeds.BRIEF
 
 
 def test_a_silent_leader_is_not_waited_for() -> None:
     policy = feeds.FeedPolicy(0.0)
     told_for(policy, 0.0, 10.0)
-    assert policy.keeps_feeds(leads=False, now=10.0 + feeds.TOLD_PATIENCE + 0.01)
+    assert policy.feeds(leads=False, now=10.0 + feeds.TOLD_PATIENCE + 0.01) is feeds.Feeds.BRIEF
 
 
 def test_a_leader_that_misses_the_store_tells_nothing() -> None:
     policy = feeds.FeedPolicy(0.0)
     told_for(policy, 0.0, 10.0)
     policy.handle_status(False, feeds.LEADER_STORE_SILENCE + 0.01, 10.0)
-    assert policy.keeps_feeds(leads=False, now=10.0)
+    assert policy.feeds(leads=False, now=10.0) is feeds.Feeds.BRIEF
 
 
 def test_a_node_that_went_back_to_feeds_stays_a_while() -> None:
     policy = feeds.FeedPolicy(0.0)
-    assert policy.keeps_feeds(leads=False, now=2.0)
+    assert policy.feeds(leads=False, now=2.0) is feeds.Feeds.BRIEF
     policy.handle_status(False, 0.1, 2.1)
-    assert policy.keeps_feeds(leads=False, now=2.2)
+    assert policy.feeds(leads=False, now=2.2) is feeds.Feeds.BRIEF
     told_for(policy, 2.1, 2.0 + feeds.SHORTEST_STAY)
-    assert not policy.keeps_feeds(leads=False, now=2.0 + feeds.SHORTEST_STAY + 0.1)
+    assert policy.feeds(leads=False, now=2.0 + feeds.SHORTEST_STAY + 0.1) is feeds.Feeds.NONE
 
 
 @pytest.mark.parametrize("leads", [True, False])
 def test_leader_and_observers_keep_feeds(leads: bool) -> None:
     policy = feeds.FeedPolicy(0.0)
     policy.handle_status(not leads, 0.1, 0.5)
-    assert policy.keeps_feeds(leads, 0.6)
+    assert policy.feeds(leads, 0.6) is feeds.Feeds.LASTING
 
 
 @pytest.mark.parametrize(
--- a/tests/unit/test_store_news.py
+++ b/tests/unit/test_store_news.py
@@ -10,7 +10,7 @@
 
 from limedeck.api import control_pb2
 from limedeck.node import news, watchers
-from limedeck.store import replica, rows
+from limedeck.store import feeds, replica, rows
 from tests.unit import test_watchers
 
 
@@ -40,7 +40,7 @@
             "t", self.held.put, self.held.remove, self.held.complete, 0.0, 20.0
         )
         self.watcher = watchers.TableWatcher(test_watchers.ScriptedStore(), follower)
-        self.watcher.set_following(True)
+        self.watcher.set_feeds(feeds.Feeds.LASTING)
         self.replica = self.watcher.replica
         self.news = news.StoreNews([self.watcher])
 
--- a/tests/unit/test_watchers.py
+++ b/tests/unit/test_watchers.py
@@ -9,7 +9,8 @@
 import pytest
 
 from limedeck.identity import Seconds
-from limedeck.node.watchers import LAG_PATIENCE, TableFollower, TableWatcher
+from limedeck.node.watchers import BRIEF_WAIT, LAG_PATIENCE, TableFollower, TableWatcher
+from limedeck.store import feeds
 from limedeck.store.rows import (
     HistoryGone,
     RowCondition,
@@ -39,6 +40,7 @@
         self.silent = False
         self.failures: list[Exception] = []
         self.reads = 0
+        self.waits: list[Seconds] = []
         self._changed = anyio.Event()
 
     def put(self, key: str) -> None:
@@ -64,6 +66,7 @@
         return TableRead(tuple(self.rows.values()), self.version, 0.0)
 
     async def changes(self, table: str, after: int, wait: Seconds) -> TableChanges:
+        self.waits.append(wait)
         if self.silent:
             await anyio.sleep_forever()
         changed = self._changed
@@ -107,7 +110,7 @@
 def followed(store: ScriptedStore, copy: Copy) -> TableWatcher:
     """A watcher that keeps a feed."""
     watcher = TableWatcher(store, copy.follower())
-    watcher.set_following(True)
+    watcher.set_feeds(feeds.Feeds.LASTING)
     return watcher
 
 
@@ -224,12 +227,48 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(watcher.run)
         await settle()
-        watcher.set_following(False)
+        watcher.set_feeds(feeds.Feeds.NONE)
         await settle()
         store.put("b")
         await settle()
         assert copy.keys == {"a"}
-        watcher.set_following(True)
+        watcher.set_feeds(feeds.Feeds.LASTING)
         await settle()
         assert (copy.keys, store.reads) == ({"a", "b"}, 1)
         tasks.cancel_scope.cancel()
+
+
+async def test_a_feed_that_died_with_the_leader_gone_is_found() -> None:
+    """Found on a drawn day of zhbs-gate-grown: the feed died in an outage, then the leader did."""
+    store, copy = ScriptedStore(), Copy()
+    store.put("a")
+    watcher = followed(store, copy)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(watcher.run)
+        await settle()
+        store.silent = True
+        store.put("b")
+        await settle()
+        store.put("c")
+        await settle()
+        assert copy.keys == {"a", "b"}
+        store.silent = False
+        await settle()
+        assert copy.keys == {"a", "b"}
+        watcher.restart_feed()
+        await settle()
+        assert copy.keys == {"a", "b", "c"}
+        tasks.cancel_scope.cancel()
+
+
+async def test_a_call_waits_briefly_when_nobody_would_show_a_dead_feed() -> None:
+    store, copy = ScriptedStore(), Copy()
+    watcher = TableWatcher(store, copy.follower())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(watcher.run)
+        watcher.set_feeds(feeds.Feeds.BRIEF)
+        await settle()
+        watcher.set_feeds(feeds.Feeds.LASTING)
+        await settle()
+        assert store.waits == [BRIEF_WAIT, 20.0]
+        tasks.cancel_scope.cancel()
