Keys are first assigned when no more back ends turn up

Ruled out: loss of ownership later on (leases and grants in the log are steady). Change: keys are assigned once no new back end was seen for 0.8 s, 5 s after the first at the latest. Tests that failed first: test_service_ownership.py.

--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -111,6 +111,7 @@
         self._sequence = 0
         self._backends: dict[str, Backend] = {}
         self._first_seen_at: Seconds | None = None
+        self._newest_seen_at: Seconds = now
         self._asked_at: dict[str, Seconds] = {}
         self._avoided_until: dict[str, Seconds] = {}
         self._pending_record: list[tuple[RangeState, str]] | None = None
@@ -130,7 +131,10 @@
 
     def set_backends(self, backends: Iterable[Backend], now: Seconds) -> None:
         """The listing of this service's back ends has changed."""
+        known = self._backends.keys()
         self._backends = {item.backend_id: item for item in backends}
+        if self._backends.keys() - known:
+            self._newest_seen_at = now
         if self._backends and self._first_seen_at is None:
             self._first_seen_at = now
 
@@ -435,7 +439,10 @@
         self._sequence = record.sequence
 
     def _assign_first(self, now: Seconds) -> None:
-        if self._first_seen_at is None or now - self._first_seen_at < self._timing.settling:
+        if self._first_seen_at is None:
+            return
+        is_calm = now - self._newest_seen_at >= self._timing.settling
+        if not is_calm and now - self._first_seen_at < self._timing.longest_settling:
             return
         for first, last, owner in first_assignment(self._candidates(now), self._key_positions):
             state = RangeState(first, last)
--- a/src/limedeck/ownership/timing.py
+++ b/src/limedeck/ownership/timing.py
@@ -40,7 +40,9 @@
     cut_leader_patience
         A leader that says it misses the store for so long may be replaced by one that does not.
     settling
-        Back ends seen so soon after the first are part of the first assignment.
+        Keys are assigned for the first time once no new back end was seen for so long.
+    longest_settling
+        They are assigned so long after the first back end was seen, calm or not.
     balance_interval
         Between two looks at how evenly load is spread.
     """
@@ -59,6 +61,7 @@
     leader_patience: Seconds = 20.0
     cut_leader_patience: Seconds = 2.0
     settling: Seconds = 0.8
+    longest_settling: Seconds = 5.0
     balance_interval: Seconds = 0.5
 
     @property
--- a/tests/unit/test_service_ownership.py
+++ b/tests/unit/test_service_ownership.py
@@ -259,3 +259,31 @@
     order = next(order for _, order in reversed(play.orders) if isinstance(order, Grant))
     play.core.handle_grant_answer(order, False, fence_seen, 3.0, 3.0)
     assert play.core.fenced_off
+
+
+def test_the_first_assignment_waits_until_no_more_back_ends_turn_up() -> None:
+    """Found on zhbs-gate-grown: 12 of 93 back ends had all keys when the day began."""
+    core = ServiceOwnership("service", KEYS, 1, None, 0, TIMING, 0.0)
+    listed: list[Backend] = []
+    now = 0.0
+    for number in range(10):
+        now = number * 0.5 * TIMING.settling
+        listed.append(Backend(f"b{number}", "service", "127.0.0.1:1", "z", 2))
+        core.set_backends(listed, now)
+        assert core.handle_tick(True, now) == []
+    core.handle_tick(True, now + TIMING.settling)
+    assert len(core.ranges) == 10
+
+
+def test_the_first_assignment_does_not_wait_for_ever() -> None:
+    core = ServiceOwnership("service", KEYS, 1, None, 0, TIMING, 0.0)
+    now = 0.0
+    listed: list[Backend] = []
+    while now < TIMING.longest_settling:
+        listed.append(Backend(f"b{len(listed)}", "service", "127.0.0.1:1", "z", 2))
+        core.set_backends(listed, now)
+        core.handle_tick(True, now)
+        assert core.ranges == []
+        now += 0.5 * TIMING.settling
+    core.handle_tick(True, TIMING.longest_settling)
+    assert core.ranges
