--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -323,6 +323,11 @@
         self.result.violations += [f"{what}: {item}" for item in items[:5]]
 
 
+def _end_with_all_processes(number: int, _: object) -> None:
+    """Leave by an exception, so that the nodes are ended too."""
+    raise SystemExit(128 + number)
+
+
 def main(arguments: list[str] | None = None) -> int:
     """Run one soak."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -330,6 +335,8 @@
     parser.add_argument("--seconds", type=float, default=60.0)
     parser.add_argument("--logs", type=pathlib.Path, help="folder that keeps the nodes' logs")
     options: Any = parser.parse_args(arguments)
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, _end_with_all_processes)
     with contextlib.ExitStack() as stack:
         folder = options.logs
         if folder is None:
