Half of the grace is left for the last request of a planned stop

Ruled out: the server library's stop alone; it only shows since no time was left. Change: passed on for 0.48 of the grace and 2.8 s at most, ended at 0.93 of it; later requests are told to come back at once.

--- a/src/limedeck/node/gateway.py
+++ b/src/limedeck/node/gateway.py
@@ -39,6 +39,9 @@
 LOST = 502
 TIMED_OUT = 504
 START_RETRY_AFTER: Seconds = 0.3
+"""A node that starts has read its configuration after about so long."""
+STOP_RETRY_AFTER: Seconds = 0.02
+"""Another node can take the request at once; spares a client that returns in the same instant."""
 LONGEST_DEADLINE: Seconds = 3600.0
 
 
@@ -84,7 +87,10 @@
         headers = dict(scope["headers"])
         routes = self._state.routes
         configuration = self._state.configuration
-        if routes is None or configuration is None or self._state.closing:
+        if self._state.closing:
+            await self._say(send, NOT_RUN, STOP_RETRY_AFTER)
+            return
+        if routes is None or configuration is None:
             await self._say(send, NOT_RUN, START_RETRY_AFTER)
             return
         path = scope["raw_path"].decode("latin-1").partition("?")[0]
@@ -243,7 +249,8 @@
             problem = f"status {answer.status}"
             self._log.attempt_failed(call.request_id, backend, FailurePhase.REFUSED, problem)
             return FailurePhase.REFUSED, facts.wrong_instance
-        attempt.state.note_answer(now - started, facts.load, now)
+        took = now - started
+        attempt.state.note_answer(took, facts.load, now, call.route.name, attempt.ahead)
         return answer
 
     async def _pass_on(self, send: Send, answer: BackendAnswer) -> None:
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -180,10 +180,10 @@
         started = steady_clock()
         self._state.stopping = True
         control.election.resign()
-        await anyio.sleep(stop.grace * stop.serving)
+        await anyio.sleep(stop.serving_time)
         await close_to_newcomers(listener)
         self._state.closing = True
-        end = started + stop.grace * stop.finishing
+        end = started + stop.finishing_time
         while self._state.in_flight and steady_clock() < end:
             await self._state.wait_for_change(end - steady_clock())
 
--- a/src/limedeck/node/settings.py
+++ b/src/limedeck/node/settings.py
@@ -53,14 +53,30 @@
     grace
         After so long the process is killed.
     serving
-        Part of the grace during which requests are still passed on.
+        Part of the grace during which requests are still passed on; those that come later are told
+        that they have not run. Half of the grace is left for the last of them to be answered.
+    longest_serving
+        They are passed on no longer than this, however long the grace: the platform sends no more
+        new connections after two failed readiness checks, one a second.
     finishing
-        Part of the grace after which the process ends; requests under way end before.
+        Part of the grace after which the process ends, whatever is still under way; the rest is
+        for writing the last answers and for a slow machine's exit.
     """
 
     grace: Positive
-    serving: Positive = 0.58
-    finishing: Positive = 0.9
+    serving: Positive = 0.48
+    longest_serving: Positive = 2.8
+    finishing: Positive = 0.93
+
+    @property
+    def serving_time(self) -> float:
+        """Seconds from the stop's begin during which requests are passed on."""
+        return min(self.grace * self.serving, self.longest_serving)
+
+    @property
+    def finishing_time(self) -> float:
+        """Seconds from the stop's begin until the process ends at the latest."""
+        return self.grace * self.finishing
 
 
 class OwnershipSection(Section, frozen=True):
