--- a/src/limedeck/forwarding/backends.py
+++ b/src/limedeck/forwarding/backends.py
@@ -3,25 +3,57 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
+from dataclasses import dataclass
 
 import xxhash
 
 from limedeck.forwarding.protocol import LoadReport
+from limedeck.forwarding.stale_load import levelling_shares
+from limedeck.forwarding.work import ServiceWork
 from limedeck.identity import NEVER, Seconds
 from limedeck.model import Backend
 
 DEFAULT_SERVICE_TIME: Seconds = 0.1
 LATENCY_SMOOTHING = 0.15
+"""Weight of one answer in a back end's service time; some seven answers show that it slowed."""
 LOAD_MEMORY: Seconds = 0.5
-"""After so long, a reported load counts for a third only."""
+"""After so long, a load that an answer told counts for a third only."""
+FLEET_LOAD_LIFE: Seconds = 1.5
+"""What other nodes have at a back end is believed for so long: several reports may be missed."""
 FAILURES_TO_EJECT = 2
 EJECTION_TIME: Seconds = 0.5
 LONGEST_EJECTION: Seconds = 4.0
 FULL_QUEUE = 4.0
 """Requests for each slot that a back end is taken to hold when it turns one away, at least."""
 OTHER_ZONE_FACTOR = 1.6
-"""A back end of another zone must be better by so much."""
+"""A back end of another zone must be better by so much, if each tells its load."""
+OTHER_ZONE_LOAD = 0.25
+"""If loads are known late, a back end of another zone counts as having so many more a slot."""
+REPORT_DELAY: Seconds = 0.3
+"""Age that loads told by the leader have when the next ones come; see `node.peers`."""
+FEWEST_ARRIVALS = 0.1
+"""While hardly anything is under way, the best back end gets all of it."""
+
+
+@dataclass(frozen=True, slots=True)
+class WorkSample:
+    """What one back end was seen to do since the last report.
+
+    Parameters
+    ----------
+    outstanding
+        Requests of this node that it has not answered.
+    answers
+        Whole answers.
+    service_time
+        Their mean time in seconds, queues left out; zero without answers.
+    """
+
+    backend_id: str
+    outstanding: int
+    answers: int
+    service_time: Seconds
 
 
 class BackendState:
@@ -32,40 +64,80 @@
     outstanding
         Requests of this node that it has not answered.
     service_time
-        Smoothed time to work on one request, in seconds.
-    answers
-        Whole answers since they were last reported.
+        Smoothed time to work on one request of the service's present mix, in seconds.
+    tells_load
+        Its answers tell how many requests it has.
     """
 
-    def __init__(self, backend: Backend, now: Seconds) -> None:
+    def __init__(self, backend: Backend, work: ServiceWork, now: Seconds) -> None:
         self.backend = backend
+        self.work = work
         self.seen_at = now
         self.outstanding = 0
         self.service_time: Seconds | None = None
-        self.answers = 0
+        self.tells_load = False
         self.failures = 0
         self.ejections = 0
         self.ejected_until: Seconds = NEVER
         self._others = 0.0
         self._reported_at: Seconds = NEVER
+        self._elsewhere = 0.0
+        self._elsewhere_at: Seconds = NEVER
+        self._outstanding_told = 0
+        self._answers = 0
+        self._work_time: Seconds = 0.0
 
     def note_load(self, report: LoadReport, now: Seconds) -> None:
         """Take in the load that an answer told."""
+        self.tells_load = True
         self._others = max(report.running + report.waiting - self.outstanding, 0.0)
         self._reported_at = now
 
-    def note_answer(self, took: Seconds, load: LoadReport | None, now: Seconds) -> None:
-        """An attempt was answered whole."""
-        self.answers += 1
+    def note_fleet(self, outstanding: int, service_time: Seconds, now: Seconds) -> None:
+        """Take in what the leader tells: all nodes' requests there, and its service time."""
+        self._elsewhere = float(max(outstanding - self._outstanding_told, 0))
+        self._elsewhere_at = now
+        if service_time > 0.0:
+            self.service_time = service_time
+
+    def note_answer(
+        self,
+        took: Seconds,
+        load: LoadReport | None,
+        now: Seconds,
+        route: str = "",
+        ahead: float = 0,
+    ) -> None:
+        """An attempt was answered whole.
+
+        Parameters
+        ----------
+        ahead
+            Requests that were believed to be there when it was sent; an answer's load is better.
+        """
         self.failures = 0
         self.ejections = 0
         self.ejected_until = NEVER
-        queued = (load.waiting if load else 0) / self.backend.slots
-        sample = took / (1.0 + queued)
+        waiting = load.waiting if load else max(ahead + 1.0 - self.backend.slots, 0.0)
+        without_queue = took / (1.0 + waiting / self.backend.slots)
+        sample = without_queue / self.work.relative(route)
         if self.service_time is None:
             self.service_time = sample
-        else:
-            self.service_time += LATENCY_SMOOTHING * (sample - self.service_time)
+        self.work.note(route, without_queue / self.service_time)
+        self.service_time += LATENCY_SMOOTHING * (sample - self.service_time)
+        self._answers += 1
+        self._work_time += sample
+
+    def take_sample(self) -> WorkSample | None:
+        """Return what there is to report since the last call; None if nothing."""
+        if not self._answers and not self.outstanding and not self._outstanding_told:
+            return None
+        mean = self._work_time / self._answers if self._answers else 0.0
+        sample = WorkSample(self.backend.backend_id, self.outstanding, self._answers, mean)
+        self._outstanding_told = self.outstanding
+        self._answers = 0
+        self._work_time = 0.0
+        return sample
 
     def note_failure(self, now: Seconds) -> None:
         """An attempt ended without an answer."""
@@ -83,23 +155,43 @@
 
     def expected_load(self, now: Seconds) -> float:
         """Requests that are expected to be there now."""
-        memory = math.exp(-(now - self._reported_at) / LOAD_MEMORY)
-        return self.outstanding + self._others * memory
-
-    def expected_time(self, now: Seconds, typical: Seconds) -> Seconds:
-        """Time that one more request is expected to take."""
+        others = self._others * math.exp(-(now - self._reported_at) / LOAD_MEMORY)
+        if not self.tells_load and now - self._elsewhere_at < FLEET_LOAD_LIFE:
+            others = max(others, self._elsewhere)
+        return self.outstanding + others
+
+    def load_age(self, now: Seconds) -> Seconds:
+        """How long ago it was last heard what other nodes have there."""
+        return now - max(self._reported_at, self._elsewhere_at)
+
+    def is_full(self, now: Seconds) -> bool:
+        """Whether one more request may be reset, as those do that tell no load."""
+        return not self.tells_load and self.expected_load(now) >= FULL_QUEUE * self.backend.slots
+
+    def capacity(self, now: Seconds, typical: Seconds) -> float:
+        """Requests a second that it can work on."""
+        return self.backend.slots / ((self.service_time or typical) * self._warming(now))
+
+    def expected_time(self, now: Seconds, typical: Seconds, relative: float = 1.0) -> Seconds:
+        """Time that one more request is expected to take.
+
+        Parameters
+        ----------
+        relative
+            Its work, as a part of the mean over the service's requests.
+        """
         work = self.service_time or typical
         slots = self.backend.slots
         ahead = self.expected_load(now)
         queued = max(ahead + 1.0 - slots, 0.0) / slots
         busy = min(ahead / slots, 1.0)
-        return work * (1.0 + queued + 0.3 * busy) * self._warming(now)
+        return work * (relative * (1.0 + 0.3 * busy) + queued) * self._warming(now)
 
-    def queueing_time(self, now: Seconds) -> Seconds | None:
-        """Time that one more request is expected to take; None if nothing was measured."""
-        if self.service_time is None:
+    def expected_time_of(self, route: str, now: Seconds) -> Seconds | None:
+        """Time that a request of this route is expected to take; None if too little is known."""
+        if self.service_time is None or not self.work.is_measured(route):
             return None
-        return self.expected_time(now, self.service_time)
+        return self.expected_time(now, self.service_time, self.work.relative(route))
 
     def _warming(self, now: Seconds) -> float:
         age = now - self.seen_at
@@ -123,13 +215,15 @@
         self._states: dict[str, BackendState] = {}
         self._services: dict[str, dict[str, BackendState]] = {}
         self._addresses: dict[str, str] = {}
+        self._work: dict[str, ServiceWork] = {}
 
     def put(self, backend: Backend, now: Seconds) -> None:
         """A back end's entry is new or has changed."""
         self._addresses[backend.backend_id] = backend.address
         state = self._states.get(backend.backend_id)
         if state is None:
-            state = BackendState(backend, now)
+            work = self._work.setdefault(backend.service, ServiceWork())
+            state = BackendState(backend, work, now)
             self._states[backend.backend_id] = state
         else:
             self._services.get(state.backend.service, {}).pop(backend.backend_id, None)
@@ -154,6 +248,10 @@
         """Return where the listed back ends are."""
         return {state.backend.address for state in self._states.values()}
 
+    def all_states(self) -> Collection[BackendState]:
+        """Return all back ends that are listed."""
+        return self._states.values()
+
     def of_service(self, service: str) -> list[BackendState]:
         """Return a service's back ends."""
         return list(self._services.get(service, {}).values())
@@ -171,6 +269,14 @@
         candidates = healthy or usable
         if not candidates:
             return None
+        if any(state.tells_load for state in candidates):
+            return self._soonest(candidates, request_id, now)
+        return self._by_share(candidates, request_id, now)
+
+    def _soonest(
+        self, candidates: list[BackendState], request_id: bytes, now: Seconds
+    ) -> BackendState:
+        """The one that is expected to answer first: each answer tells its load of that moment."""
         typical = self._typical_time(candidates)
 
         def cost(state: BackendState) -> float:
@@ -181,11 +287,41 @@
 
         return min(candidates, key=cost)
 
+    def _by_share(
+        self, candidates: list[BackendState], request_id: bytes, now: Seconds
+    ) -> BackendState:
+        """The better of two drawn by shares that level a load which is known late."""
+        typical = self._typical_time(candidates)
+        loads = [state.expected_load(now) for state in candidates]
+        arrivals = max(sum(loads) * REPORT_DELAY / typical, FEWEST_ARRIVALS)
+        weighed = [
+            load
+            if state.backend.zone == self._zone
+            else load + OTHER_ZONE_LOAD * state.backend.slots
+            for state, load in zip(candidates, loads, strict=True)
+        ]
+        capacities = [state.capacity(now, typical) for state in candidates]
+        shares = levelling_shares(weighed, capacities, arrivals)
+        drawn = [
+            candidates[drawn_index(shares, spread_of(mark + request_id))] for mark in (b"1", b"2")
+        ]
+        return min(drawn, key=lambda state: state.outstanding * (state.service_time or typical))
+
     def _typical_time(self, states: list[BackendState]) -> Seconds:
         known = [state.service_time for state in states if state.service_time is not None]
         return sum(known) / len(known) if known else DEFAULT_SERVICE_TIME
 
 
+def drawn_index(shares: Sequence[float], point: float) -> int:
+    """Return the index of the share that holds `point`, a part of all shares from 0 to 1."""
+    left = point * sum(shares)
+    for index, share in enumerate(shares):
+        left -= share
+        if left < 0.0:
+            return index
+    return max(range(len(shares)), key=shares.__getitem__)
+
+
 def spread_of(text: bytes) -> float:
     """A number from 0 to 1 that differs from text to text."""
     return xxhash.xxh32_intdigest(text) / float(1 << 32)
--- a/src/limedeck/forwarding/request.py
+++ b/src/limedeck/forwarding/request.py
@@ -55,10 +55,13 @@
     ----------
     until
         When the attempt is given up, on this node's clock.
+    ahead
+        Requests that the back end is believed to have.
     """
 
     state: BackendState
     until: Seconds
+    ahead: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -222,7 +225,7 @@
         """
         elapsed = now - self.arrived
         objective = self.route.objective
-        expected = state.queueing_time(now)
+        expected = state.expected_time_of(self.route.name, now)
         is_early = elapsed <= EARLY_PART * objective and not self.maybe_run
         if expected is None or not is_early or elapsed + expected <= objective:
             return None
@@ -237,7 +240,7 @@
             return self._refuse(Reason.REFUSED, RETRY_AFTER)
         self.attempts += 1
         self._waiting_since = None
-        self._in_flight = Attempt(state, self.until)
+        self._in_flight = Attempt(state, self.until, state.expected_load(now))
         return self._in_flight
 
     def _refuse(self, reason: Reason, retry_after: Seconds) -> Refuse:
--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -12,6 +12,7 @@
 
 from limedeck.api.control_pb2 import (
     AssignmentRecord,
+    BackendLoads,
     LeaderConfirmation,
     LeaderRecord,
     ServiceLoad,
@@ -21,6 +22,7 @@
 from limedeck.errors import PlatformProtocolError
 from limedeck.forwarding.owners import OwnerMap
 from limedeck.identity import Seconds
+from limedeck.node import backend_loads
 from limedeck.node.clock import steady_clock
 from limedeck.node.http_client import AttemptFailed, BackendRequest, HttpClient
 from limedeck.node.logs import get_logger
@@ -36,6 +38,7 @@
     ReadLeader,
     Role,
 )
+from limedeck.ownership.fleet_load import FleetLoad
 from limedeck.ownership.orders import Grant, OrderProtocol, Release
 from limedeck.ownership.service import (
     OwnershipCommand,
@@ -64,6 +67,8 @@
 RELEASE_TIMEOUT: Seconds = 1.0
 RECORD_RETRY: Seconds = 0.1
 OWN_LOADS_INTERVAL: Seconds = 0.5
+TOTALS_INTERVAL: Seconds = 0.25
+"""Between two sums of what all nodes have at back ends; nodes report as often."""
 VERSION_BITS = 32
 UNKNOWN_ADDRESS = "0.0.0.0:0"
 """Of a recorded owner that was never listed while this process ran; no order reaches it."""
@@ -117,6 +122,9 @@
         self._log = get_logger("control")
         self._store_offset: Seconds = 0.0
         self._next_own_loads: Seconds = 0.0
+        self._fleet_load = FleetLoad()
+        self._backend_totals = BackendLoads()
+        self._next_totals: Seconds = 0.0
         self._tasks: TaskGroup | None = None
 
     @property
@@ -143,6 +151,7 @@
             store_silence=silence,
             incarnation=self._identity.incarnation,
             resigned=self.election.resigned,
+            backend_loads=self._backend_totals,
         )
 
     def owners_since(self, told: dict[str, OwnerMap]) -> list[ServiceOwners]:
@@ -158,6 +167,7 @@
         self.election.handle_heartbeat(status.term, status.store_silence, now)
         if status.term >= self.election.term:
             self._state.node_count = max(status.node_count, 1)
+            backend_loads.take_totals(status.backend_loads, self._state.directory, now)
         for owners in status.owners:
             known = self._state.service(owners.service).owners
             if owners.version > known.version:
@@ -175,8 +185,35 @@
             if owned is None:
                 continue
             owned.core.note_requests(((item.position, item.count) for item in load.keys), now)
-            for sample in load.backends:
-                owned.core.note_service_time(sample.backend_id, sample.service_time)
+
+    def backend_report(self) -> BackendLoads:
+        """What this node has to tell the leader of its requests at back ends."""
+        return backend_loads.write_report(self._state.directory)
+
+    def handle_backend_report(self, node: str, message: BackendLoads) -> None:
+        """A node told what it has at back ends."""
+        self._fleet_load.note(node, backend_loads.read_report(message))
+
+    def handle_follower_left(self, node: str) -> None:
+        """A node is not connected any more."""
+        self._fleet_load.forget(node)
+
+    def _refresh_loads(self, now: Seconds) -> None:
+        """Add up what all nodes told, and believe it on this node too."""
+        if now < self._next_totals:
+            return
+        self._next_totals = now + TOTALS_INTERVAL
+        directory = self._state.directory
+        self.handle_backend_report(self._identity.node_id, self.backend_report())
+        marks = {backend_loads.mark_of(s.backend.backend_id): s for s in directory.all_states()}
+        totals = self._fleet_load.totals(marks)
+        self._backend_totals = backend_loads.write_totals(totals)
+        backend_loads.take_totals(self._backend_totals, directory, now)
+        for total in totals:
+            backend = marks[total.backend].backend
+            owned = self._services.get(backend.service)
+            if owned is not None and total.service_time > 0.0:
+                owned.core.set_service_time(backend.backend_id, total.service_time)
 
     def handle_report_term(self, term: int) -> None:
         """Another node told which term it knows."""
@@ -194,6 +231,7 @@
         self._state.node_count = self.node_count()
         self._open_services()
         self._refresh_listing(now)
+        self._refresh_loads(now)
         if now >= self._next_own_loads:
             self._next_own_loads = now + OWN_LOADS_INTERVAL
             self.handle_loads(self._state.take_loads())
@@ -215,6 +253,8 @@
             self._log.info("leadership_ended", term=self.election.term)
             self._services.clear()
             self._owners.clear()
+            self._fleet_load.clear()
+            self._backend_totals = BackendLoads()
             self._telemetry.leads.set(0)
 
     def _open_services(self) -> None:
--- a/src/limedeck/node/peers.py
+++ b/src/limedeck/node/peers.py
@@ -19,7 +19,10 @@
 
 CONNECT_TIMEOUT: Seconds = 0.3
 SEND_TIMEOUT: Seconds = 1.0
-REPORT_INTERVAL: Seconds = 0.5
+REPORT_INTERVAL: Seconds = 0.25
+"""Back ends' loads are known so late; a shorter one costs bytes between zones."""
+KEY_REPORT_INTERVAL: Seconds = 0.5
+"""Requests by key are told less often: the leader's shortest memory of them is a second."""
 RECONNECT_PAUSE: Seconds = 0.15
 INQUIRY_PAUSE: Seconds = 0.2
 INQUIRY_TIMEOUT: Seconds = 0.8
@@ -55,6 +58,7 @@
         self._news = news
         self._policy = policy
         self._peer = PeerTables(steady_clock())
+        self._next_key_report: Seconds = 0.0
         self._log = get_logger("peers")
 
     async def run(self) -> None:
@@ -103,14 +107,20 @@
             return
 
     def _report(self) -> Report:
+        now = steady_clock()
+        loads = []
+        if now >= self._next_key_report:
+            self._next_key_report = now + KEY_REPORT_INTERVAL
+            loads = self._control.take_loads()
         report = Report(
             node_id=self._identity.node_id,
             incarnation=self._identity.incarnation,
             term=self._control.election.term,
-            loads=self._control.take_loads(),
+            loads=loads,
             zone=self._zone,
+            backend_loads=self._control.backend_report(),
         )
-        self._news.fill(report, self._peer, steady_clock())
+        self._news.fill(report, self._peer, now)
         return report
 
     async def _read_statuses(self, stream: SocketStream, leader: LeaderRecord) -> None:
@@ -223,6 +233,7 @@
                 node = message.report.node_id
                 self._control.handle_report_term(message.report.term)
                 self._control.handle_loads(message.report.loads)
+                self._control.handle_backend_report(node, message.report.backend_loads)
                 self._store_news.take(message.report, peer, steady_clock())
                 self._note_follower(message.report, stream, peer)
         except ENDED as error:
@@ -230,6 +241,7 @@
         finally:
             if self._nodes.get(node) is stream:
                 del self._nodes[node]
+                self._control.handle_follower_left(node)
                 del self._zones[node]
                 self._observers = choose_observers(self._zones, self._zone)
 
--- a/src/limedeck/node/state.py
+++ b/src/limedeck/node/state.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from limedeck.api.control_pb2 import BackendSample, KeyCount, ServiceLoad
+from limedeck.api.control_pb2 import KeyCount, ServiceLoad
 from limedeck.forwarding.backends import BackendDirectory
 from limedeck.forwarding.budget import RetryAllowance, RetryBudget
 from limedeck.forwarding.owners import OwnerMap
@@ -75,7 +75,7 @@
         return view
 
     def take_loads(self) -> list[ServiceLoad]:
-        """Return what was counted by key since the last call, and how fast back ends are."""
+        """Return what was counted by key since the last call."""
         loads = []
         for view in self.services.values():
             if not view.keyed:
@@ -84,16 +84,6 @@
             for position, count in view.key_counts.most_common(MOST_KEYS):
                 load.keys.append(KeyCount(position=position, count=count))
             view.key_counts.clear()
-            for state in self.directory.of_service(view.name):
-                if state.answers and state.service_time is not None:
-                    load.backends.append(
-                        BackendSample(
-                            backend_id=state.backend.backend_id,
-                            answers=state.answers,
-                            service_time=state.service_time,
-                        )
-                    )
-                    state.answers = 0
             loads.append(load)
         return loads
 
--- /dev/null
+++ b/src/limedeck/ownership/fleet_load.py
@@ -0,0 +1,93 @@
+"""What all nodes together have at each back end, as the leader hears it from each of them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from limedeck.identity import Seconds
+
+SMOOTHING = 0.05
+"""Weight of one answer in a back end's service time; some 20 tell the mean of uneven work."""
+
+
+@dataclass(frozen=True, slots=True)
+class BackendReport:
+    """What one node tells of one back end.
+
+    Parameters
+    ----------
+    backend
+        A hash of its id.
+    outstanding
+        This node's requests that it has not answered.
+    answers
+        Whole answers since the last report.
+    service_time
+        Their mean time in seconds, queues left out.
+    """
+
+    backend: int
+    outstanding: int
+    answers: int
+    service_time: Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class BackendTotal:
+    """What all nodes know of one back end; a service time of zero is not known."""
+
+    backend: int
+    outstanding: int
+    service_time: Seconds
+
+
+class FleetLoad:
+    """Adds up nodes' reports; a node that is not heard any more is left out."""
+
+    def __init__(self) -> None:
+        self._by_node: dict[str, dict[int, int]] = {}
+        self._service_times: dict[int, Seconds] = {}
+
+    def note(self, node: str, reports: Iterable[BackendReport]) -> None:
+        """Take in a node's report, which names every back end that has requests of it."""
+        outstanding: dict[int, int] = {}
+        for report in reports:
+            if report.outstanding:
+                outstanding[report.backend] = report.outstanding
+            if report.answers:
+                self._note_answers(report)
+        self._by_node[node] = outstanding
+
+    def forget(self, node: str) -> None:
+        """A node is not connected any more."""
+        self._by_node.pop(node, None)
+
+    def clear(self) -> None:
+        """Forget everything: this node leads no more."""
+        self._by_node.clear()
+        self._service_times.clear()
+
+    def service_time(self, backend: int) -> Seconds | None:
+        """Return a back end's service time, if it is known."""
+        return self._service_times.get(backend)
+
+    def totals(self, listed: Iterable[int]) -> list[BackendTotal]:
+        """Return what is known of these back ends; the others are forgotten."""
+        wanted = list(listed)
+        sums = dict.fromkeys(wanted, 0)
+        for outstanding in self._by_node.values():
+            for backend, count in outstanding.items():
+                if backend in sums:
+                    sums[backend] += count
+        kept = {item: self._service_times[item] for item in wanted if item in self._service_times}
+        self._service_times = kept
+        return [BackendTotal(item, sums[item], kept.get(item, 0.0)) for item in wanted]
+
+    def _note_answers(self, report: BackendReport) -> None:
+        known = self._service_times.get(report.backend)
+        if known is None:
+            self._service_times[report.backend] = report.service_time
+            return
+        weight = 1.0 - (1.0 - SMOOTHING) ** report.answers
+        self._service_times[report.backend] = known + weight * (report.service_time - known)
--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -31,7 +31,6 @@
 from limedeck.ownership.ranges import NO_OWNER, Cause, Phase, RangeState
 from limedeck.ownership.timing import OwnershipTiming
 
-SERVICE_TIME_SMOOTHING = 0.2
 DEFAULT_SERVICE_TIME: Seconds = 0.1
 HOT_KEY_REST: Seconds = 4.0
 """A hot key that was moved by itself stays so long where it is."""
@@ -259,10 +258,9 @@
         self.load.add(counted, now)
         self.recent_load.add(counted, now)
 
-    def note_service_time(self, backend_id: str, sample: Seconds) -> None:
-        """A node tells how long a back end works on one request."""
-        known = self._service_times.get(backend_id, sample)
-        self._service_times[backend_id] = known + SERVICE_TIME_SMOOTHING * (sample - known)
+    def set_service_time(self, backend_id: str, service_time: Seconds) -> None:
+        """All nodes' answers tell how long a back end works on one request."""
+        self._service_times[backend_id] = service_time
 
     def published(self, now: Seconds) -> tuple[OwnedRange, ...]:
         """Owners that requests may be sent to; `version` rises when they change."""
--- /dev/null
+++ b/tests/unit/test_backend_loads.py
@@ -0,0 +1,177 @@
+"""What nodes believe of back ends: work by route, loads told by the leader, shares by load."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import pytest
+
+from limedeck.api import control_pb2
+from limedeck.errors import PeerProtocolError
+from limedeck.forwarding import backends, budget, request, stale_load, work
+from limedeck.forwarding.protocol import LoadReport
+from limedeck.model import Backend, Route, Target
+from limedeck.node import backend_loads
+from limedeck.ownership import fleet_load
+
+SLOTS = 4
+
+
+def directory_of(*names: str) -> backends.BackendDirectory:
+    directory = backends.BackendDirectory("z1", "n")
+    for name in names:
+        directory.put(Backend(name, "s", "127.0.0.1:1", "z1", SLOTS), 0.0)
+    return directory
+
+
+def state_in(directory: backends.BackendDirectory, name: str) -> backends.BackendState:
+    state = directory.find(name)
+    assert state is not None
+    return state
+
+
+def core_for(
+    directory: backends.BackendDirectory, name: str, objective: float, now: float
+) -> request.RequestCore:
+    route = Route(name, "h", "/", False, 2.0, objective, 2, 0, (Target("s", 1),))
+    allowance = budget.RetryAllowance(0.2, 30.0, 10.0)
+    view = request.ServiceView("s", False, budget.RetryBudget(allowance))
+    return request.RequestCore(b"r", route, view, directory, None, now + 1.0, now)
+
+
+# ---------------------------------------------------------------------- work by route
+
+
+def test_a_route_that_is_new_at_a_slow_service_is_not_refused_for_the_others_work() -> None:
+    """Found on klvs-gateway: 6,739 short requests were refused by the time that long ones take."""
+    directory = directory_of("a")
+    state = state_in(directory, "a")
+    for step in range(50):
+        state.note_answer(0.24, None, step * 0.1, "long")
+    short = core_for(directory, "short", 0.15, 10.0)
+    assert isinstance(short.next_command(10.0, 3), request.Attempt)
+
+
+def test_each_routes_time_is_its_own_work_at_the_back_ends_speed() -> None:
+    directory = directory_of("slow", "fast")
+    slow, fast = state_in(directory, "slow"), state_in(directory, "fast")
+    for step in range(400):
+        now = step * 0.1
+        slow.note_answer(0.2 if step % 2 else 0.04, None, now, "long" if step % 2 else "short")
+        fast.note_answer(0.1 if step % 2 else 0.02, None, now, "long" if step % 2 else "short")
+    for state, factor in ((slow, 2.0), (fast, 1.0)):
+        assert state.expected_time_of("long", 100.0) == pytest.approx(0.1 * factor, rel=0.25)
+        assert state.expected_time_of("short", 100.0) == pytest.approx(0.02 * factor, rel=0.25)
+
+
+def test_the_only_route_of_a_service_has_the_mean_work() -> None:
+    measured = work.ServiceWork()
+    for ratio in (0.5, 1.5, 3.0, 0.7, 0.9, 1.1):
+        measured.note("r", ratio)
+    assert measured.relative("r") == 1.0
+    assert measured.relative("other") == 1.0
+
+
+def test_a_queue_is_not_taken_for_slowness() -> None:
+    directory = directory_of("a")
+    state = state_in(directory, "a")
+    for step in range(100):
+        state.note_answer(0.3, None, step * 0.1, "r", ahead=3 * SLOTS - 1)
+    assert state.service_time == pytest.approx(0.1, rel=0.1)
+
+
+# ---------------------------------------------------------------------- loads told by the leader
+
+
+def test_what_other_nodes_have_counts_until_it_is_old() -> None:
+    state = state_in(directory_of("a"), "a")
+    state.outstanding = 2
+    assert state.take_sample() is not None
+    state.note_fleet(9, 0.0, 5.0)
+    assert state.expected_load(5.1) == 9.0
+    assert state.expected_load(5.1 + backends.FLEET_LOAD_LIFE) == 2.0
+
+
+def test_a_back_end_that_tells_its_load_is_believed_before_the_leader() -> None:
+    state = state_in(directory_of("a"), "a")
+    state.note_load(LoadReport(1, 0, SLOTS), 5.0)
+    state.note_fleet(9, 0.0, 5.0)
+    assert state.expected_load(5.0) == 1.0
+
+
+def test_loads_add_up_over_nodes_and_a_lost_node_counts_no_more() -> None:
+    leader = fleet_load.FleetLoad()
+    nodes = {}
+    for name, outstanding in (("n1", 3), ("n2", 4)):
+        directory = directory_of("a", "b")
+        state = state_in(directory, "a")
+        state.outstanding = outstanding
+        state.note_answer(0.1, None, 1.0, "r")
+        nodes[name] = directory
+        message = backend_loads.write_report(directory)
+        leader.note(name, backend_loads.read_report(message))
+    marks = [backend_loads.mark_of(name) for name in ("a", "b")]
+    totals = leader.totals(marks)
+    assert [item.outstanding for item in totals] == [7, 0]
+    assert totals[0].service_time == pytest.approx(0.1)
+    backend_loads.take_totals(backend_loads.write_totals(totals), nodes["n1"], 2.0)
+    assert state_in(nodes["n1"], "a").expected_load(2.0) == 7.0
+    leader.forget("n2")
+    assert leader.totals(marks)[0].outstanding == 3
+
+
+def test_a_report_names_a_back_end_once_more_when_its_requests_have_ended() -> None:
+    directory = directory_of("a")
+    state = state_in(directory, "a")
+    state.outstanding = 1
+    assert len(backend_loads.write_report(directory).backends) == 1
+    state.outstanding = 0
+    assert list(backend_loads.write_report(directory).outstanding) == [0]
+    assert not backend_loads.write_report(directory).backends
+
+
+def test_a_report_with_lists_of_unequal_length_is_refused() -> None:
+    message = control_pb2.BackendLoads(backends=[1, 2], outstanding=[1])
+    with pytest.raises(PeerProtocolError):
+        backend_loads.read_report(message)
+
+
+# ---------------------------------------------------------------------- shares
+
+
+def test_shares_level_the_use_of_back_ends() -> None:
+    shares = stale_load.levelling_shares([8.0, 2.0, 0.0], [1.0, 1.0, 2.0], 6.0)
+    assert shares == pytest.approx([0.0, 2.0 / 3.0, 16.0 / 3.0])
+    assert sum(shares) == pytest.approx(6.0)
+
+
+def test_nodes_that_know_the_same_old_loads_do_not_all_choose_the_same_back_end() -> None:
+    """Eleven nodes that each choose the least loaded one would swamp it before the next report."""
+    names = [f"b{number}" for number in range(6)]
+    directory = directory_of(*names)
+    loads = (5, 5, 4, 4, 3, 3)
+    for name, load in zip(names, loads, strict=True):
+        state_in(directory, name).note_fleet(load, 0.4, 10.0)
+    chosen: Counter[str] = Counter()
+    for number in range(400):
+        state = directory.choose("s", (), b"%d" % number, 10.1)
+        assert state is not None
+        chosen[state.backend.backend_id] += 1
+    assert len(chosen) == len(names)
+    assert chosen["b5"] > 1.5 * chosen["b0"]
+
+
+def test_shares_hold_for_any_loads() -> None:
+    luck = random.Random(7)
+    for _ in range(200):
+        count = luck.randint(1, 12)
+        loads = [luck.uniform(0.0, 20.0) for _ in range(count)]
+        capacities = [luck.uniform(1.0, 90.0) for _ in range(count)]
+        arrivals = luck.uniform(0.1, 50.0)
+        shares = stale_load.levelling_shares(loads, capacities, arrivals)
+        assert sum(shares) == pytest.approx(arrivals)
+        uses = [(a + b) / c for a, b, c in zip(loads, shares, capacities, strict=True)]
+        given = [use for use, share in zip(uses, shares, strict=True) if share > 0]
+        assert max(given) == pytest.approx(min(given))
+        assert all(use >= max(given) - 1e-9 for use in uses)
--- a/tests/unit/test_forwarding.py
+++ b/tests/unit/test_forwarding.py
@@ -20,6 +20,7 @@
     Wait,
 )
 from limedeck.forwarding.routes import RouteIndex, choose_service
+from limedeck.forwarding.work import FEWEST_SAMPLES
 from limedeck.model import Backend, Configuration, Route, Target
 from limedeck.routing.outcomes import FailurePhase, Outcome
 
@@ -306,7 +307,8 @@
     directory.put(backend("b1"), 0.0)
     state = directory.find("b1")
     assert state is not None
-    state.note_answer(0.06, LoadReport(1, 0, 2), reported)
+    for _ in range(FEWEST_SAMPLES):
+        state.note_answer(0.06, LoadReport(1, 0, 2), reported, route().name)
     state.note_load(LoadReport(running, waiting, 2), reported)
     view = ServiceView("s", True, RetryBudget(ALLOWANCE))
     view.owners = OwnerMap(1, (OwnedRange(0, 99, "b1"),))
