--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -21,7 +21,7 @@
 )
 from limedeck.errors import PlatformProtocolError
 from limedeck.forwarding.owners import OwnerMap
-from limedeck.identity import Seconds
+from limedeck.identity import NEVER, Seconds
 from limedeck.node import backend_loads
 from limedeck.node.clock import steady_clock
 from limedeck.node.http_client import AttemptFailed, BackendRequest, HttpClient
@@ -64,6 +64,9 @@
 ASSIGNMENT_TABLE = "limedeck_assignment"
 Record = TypeVar("Record", bound=Message)
 TICK: Seconds = 0.05
+BALANCE_LOG_INTERVAL: Seconds = 1.0
+LOGGED_USES = 12
+"""The most used back ends that a log line names."""
 RELEASE_TIMEOUT: Seconds = 1.0
 RECORD_RETRY: Seconds = 0.1
 OWN_LOADS_INTERVAL: Seconds = 0.5
@@ -125,6 +128,7 @@
         self._fleet_load = FleetLoad()
         self._backend_totals = BackendLoads()
         self._next_totals: Seconds = 0.0
+        self._next_balance_log: dict[str, Seconds] = {}
         self._tasks: TaskGroup | None = None
 
     @property
@@ -243,6 +247,7 @@
             for order in owned.core.handle_tick(may_renew, now, silence):
                 self._start(self._run_ownership, name, owned, order)
             self._log_changes(name, owned.core)
+            self._log_balance(name, owned.core, now)
             self._publish(name, owned, now)
             if owned.core.fenced_off:
                 self._log.warning("fenced_off", service=name, term=owned.term)
@@ -282,6 +287,19 @@
         self._state.set_owners(name, owners)
         self.on_owners()
 
+    def _log_balance(self, name: str, core: ServiceOwnership, now: Seconds) -> None:
+        if now < self._next_balance_log.get(name, NEVER) or not core.uses:
+            return
+        self._next_balance_log[name] = now + BALANCE_LOG_INTERVAL
+        by_use = sorted(core.uses.items(), key=lambda item: -item[1])
+        self._log.info(
+            "balance",
+            service=name,
+            pieces=len(core.ranges),
+            mean=round(sum(core.uses.values()) / len(core.uses), 2),
+            uses={backend_id: round(use, 2) for backend_id, use in by_use[:LOGGED_USES]},
+        )
+
     def _log_changes(self, name: str, core: ServiceOwnership) -> None:
         for change in core.changes:
             self._telemetry.owner_changes.labels(change.cause.value).inc()
--- a/src/limedeck/ownership/planning.py
+++ b/src/limedeck/ownership/planning.py
@@ -131,6 +131,10 @@
                 planned.append(move)
         return planned
 
+    def uses(self) -> dict[str, float]:
+        """Part of each back end's capacity that its keys' requests need."""
+        return {backend_id: self._use(backend_id) for backend_id in self._load}
+
     def _use(self, backend_id: str) -> float:
         return self._load[backend_id] / self._capacities[backend_id]
 
--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -118,6 +118,7 @@
         self._commands: list[OwnershipCommand] = []
         self._published: tuple[OwnedRange, ...] = ()
         self.fenced_off = False
+        self.uses: dict[str, float] = {}
         self._alone = False
         self.load = KeyLoad(now)
         self.recent_load = KeyLoad(now, RECENT_MEMORY)
@@ -297,6 +298,7 @@
         capacities = self._capacities(now)
         for load in (self.recent_load, self.load):
             plan = BalancePlan(pieces, capacities, load, now, CERTAINTY, self._settled_keys(now))
+            self.uses = plan.uses()
             moves = plan.moves()
             if moves:
                 self._settled_until.update(dict.fromkeys(plan.parted, now + HOT_KEY_REST))
