Balance by a lasting memory and closer when use is high; fewest keys a cut; shares with departures

Cause, from the balance lines: owners above 0.7 of their capacity queue although the mean is below it, and what is tolerated (1.2 times and 2.5 deviations of a short memory) is above all that is left. Cuts moved many idle keys. Shares took all arrivals of a report's interval for a standing load, so zones hardly counted. Ruled out: asking for less certainty (110 moves by chance in test_planning_moves).

--- a/src/limedeck/forwarding/backends.py
+++ b/src/limedeck/forwarding/backends.py
@@ -21,6 +21,10 @@
 """After so long, a load that an answer told counts for a third only."""
 FLEET_LOAD_LIFE: Seconds = 1.5
 """What other nodes have at a back end is believed for so long: several reports may be missed."""
+GROWTH_CERTAINTY = 2.0
+"""Requests added to both counts from which growth is told, since small counts change by chance."""
+LARGEST_GROWTH = 3.0
+"""Other nodes' requests are believed to have grown or shrunk so many times at most."""
 FAILURES_TO_EJECT = 2
 EJECTION_TIME: Seconds = 0.5
 LONGEST_EJECTION: Seconds = 4.0
@@ -158,9 +162,18 @@
         """Requests that are expected to be there now."""
         others = self._others * math.exp(-(now - self._reported_at) / LOAD_MEMORY)
         if not self.tells_load and now - self._elsewhere_at < FLEET_LOAD_LIFE:
-            others = max(others, self._elsewhere)
+            others = max(others, self._elsewhere * self._growth())
         return self.outstanding + others
 
+    def _growth(self) -> float:
+        """How much other nodes' requests there have probably grown since they were told.
+
+        A surge shows at all nodes alike, and first in this node's own requests.
+        """
+        now_here = self.outstanding + GROWTH_CERTAINTY
+        growth = now_here / (self._outstanding_told + GROWTH_CERTAINTY)
+        return min(max(growth, 1.0 / LARGEST_GROWTH), LARGEST_GROWTH)
+
     def load_age(self, now: Seconds) -> Seconds:
         """How long ago it was last heard what other nodes have there."""
         return now - max(self._reported_at, self._elsewhere_at)
@@ -291,10 +304,16 @@
     def _by_share(
         self, candidates: list[BackendState], request_id: bytes, now: Seconds
     ) -> BackendState:
-        """The better of two drawn by shares that level a load which is known late."""
+        """The better of two drawn by shares that level a load which is known late.
+
+        Until loads are known anew, a part of the requests that are there will have been answered,
+        and as many others will have come.
+        """
         typical = self._typical_time(candidates)
-        loads = [state.expected_load(now) for state in candidates]
-        arrivals = max(sum(loads) * REPORT_DELAY / typical, FEWEST_ARRIVALS)
+        present = [state.expected_load(now) for state in candidates]
+        remaining = math.exp(-REPORT_DELAY / typical)
+        arrivals = max(sum(present) * (1.0 - remaining), FEWEST_ARRIVALS)
+        loads = [load * remaining for load in present]
         weighed = [
             load
             if state.backend.zone == self._zone
--- a/src/limedeck/ownership/key_load.py
+++ b/src/limedeck/ownership/key_load.py
@@ -12,6 +12,8 @@
 """After so long, a request counts for a third."""
 RECENT_MEMORY: Seconds = 1.0
 """For loads that show a surge soon, and less surely."""
+LASTING_MEMORY: Seconds = 8.0
+"""For small differences that last: they show above chance only after some seconds."""
 FIRST_SPAN: Seconds = 0.5
 """The first requests that are heard of came within so long: the interval of reports."""
 LARGEST_EXPONENT = 40.0
--- a/src/limedeck/ownership/planning.py
+++ b/src/limedeck/ownership/planning.py
@@ -10,6 +10,13 @@
 
 TOLERATED_EXCESS = 1.2
 """A back end gives keys up when it is used so many times as much as the mean."""
+HIGH_USE = 0.7
+"""From this use on, a queue grows much faster than the use, so less is tolerated: requests that
+come at random wait for one of four slots 0.4 of their work at 0.7, and twice their work at 0.9."""
+TOLERATED_HIGH_EXCESS = 1.06
+"""The same as `TOLERATED_EXCESS`, for a back end above `HIGH_USE`."""
+SAME_AMOUNT = 0.8
+"""Cuts that move this part of the largest amount are as good; the one with fewest keys is made."""
 LEAST_USE = 0.25
 """A back end with less of its capacity in use than this gives nothing up."""
 MOVES_AT_ONCE = 12
@@ -55,6 +62,11 @@
     amount: float
     single: int | None = None
 
+    @property
+    def size(self) -> int:
+        """How many keys these are, with load or without."""
+        return self.last - self.first + 1
+
 
 def first_assignment(backend_ids: Sequence[str], positions: int) -> list[tuple[int, int, str]]:
     """Cut all keys into one range of equal size for each back end."""
@@ -148,7 +160,8 @@
         heavy = best(left, key=self._use)
         use = self._use(heavy)
         doubt = self._certainty * self._key_load.deviation(self._load[heavy], self._now)
-        tolerated = TOLERATED_EXCESS * self._mean_use() + doubt / self._capacities[heavy]
+        excess = TOLERATED_HIGH_EXCESS if use >= HIGH_USE else TOLERATED_EXCESS
+        tolerated = excess * self._mean_use() + doubt / self._capacities[heavy]
         if use < LEAST_USE or use < tolerated:
             return None
         return heavy
@@ -207,15 +220,18 @@
         return cuts
 
     def _best_cut(self, heavy: str, wanted: float) -> Cut | None:
-        """Find the part at one end of a piece whose load is nearest to what is wanted."""
-        best: Cut | None = None
+        """Find the part at one end of a piece whose load is near what is wanted, with few keys."""
+        cuts: list[Cut] = []
         for piece, rates in self._rates.items():
             if piece.owner != heavy or not rates:
                 continue
             for found in (_cut_low(piece, rates, wanted), _cut_high(piece, rates, wanted)):
-                if found is not None and (best is None or found.amount > best.amount):
-                    best = found
-        return best
+                if found is not None:
+                    cuts.append(found)
+        if not cuts:
+            return None
+        enough = SAME_AMOUNT * max(cut.amount for cut in cuts)
+        return min((cut for cut in cuts if cut.amount >= enough), key=lambda cut: cut.size)
 
     def _take_out(self, piece: OwnedPiece, first: int, last: int) -> None:
         rates = self._rates.pop(piece)
--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -19,7 +19,7 @@
 from limedeck.identity import NEVER, Seconds
 from limedeck.model import Backend
 from limedeck.ownership.fences import FenceCounter
-from limedeck.ownership.key_load import RECENT_MEMORY, KeyLoad
+from limedeck.ownership.key_load import LASTING_MEMORY, RECENT_MEMORY, KeyLoad
 from limedeck.ownership.orders import Grant, Release
 from limedeck.ownership.planning import (
     BalancePlan,
@@ -122,6 +122,7 @@
         self._alone = False
         self.load = KeyLoad(now)
         self.recent_load = KeyLoad(now, RECENT_MEMORY)
+        self.lasting_load = KeyLoad(now, LASTING_MEMORY)
         self._service_times: dict[str, Seconds] = {}
         self._next_balance = now + timing.balance_interval
         self._settled_until: dict[int, Seconds] = {}
@@ -266,8 +267,8 @@
     def note_requests(self, counts: Iterable[tuple[int, int]], now: Seconds) -> None:
         """A node tells how many requests it had by key."""
         counted = list(counts)
-        self.load.add(counted, now)
-        self.recent_load.add(counted, now)
+        for load in (self.recent_load, self.load, self.lasting_load):
+            load.add(counted, now)
 
     def set_service_time(self, backend_id: str, service_time: Seconds) -> None:
         """All nodes' answers tell how long a back end works on one request."""
@@ -296,7 +297,7 @@
             if item.phase is Phase.OWNED and item.confirmed_until > now
         ]
         capacities = self._capacities(now)
-        for load in (self.recent_load, self.load):
+        for load in (self.recent_load, self.load, self.lasting_load):
             plan = BalancePlan(pieces, capacities, load, now, CERTAINTY, self._settled_keys(now))
             self.uses = plan.uses()
             moves = plan.moves()
