--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -168,7 +168,7 @@
         if not status.leads:
             self.election.handle_denial(leader.term, status.incarnation, status.resigned)
             return
-        self.election.handle_heartbeat(status.term, status.store_silence, now)
+        self.election.handle_heartbeat(status.term, status.store_silence, now, status.node_count)
         if status.term >= self.election.term:
             self._state.node_count = max(status.node_count, 1)
             backend_loads.take_totals(status.backend_loads, self._state.directory, now)
--- a/src/limedeck/node/news.py
+++ b/src/limedeck/node/news.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import dataclasses
+import zlib
 from typing import TYPE_CHECKING
 
 import anyio
+from google.protobuf import message
 
+from limedeck import errors
 from limedeck.api import control_pb2
 from limedeck.node import clock
 from limedeck.store import replica
@@ -22,8 +25,11 @@
 PATIENCE: identity.Seconds = 0.6
 """A node that asks the store itself is told what it lacks this long after this one learned it;
 above the interval of reports, so that nodes which the store serves are told nothing."""
-SMALL_NEWS = 4_096
-"""Bytes that a node without feeds is told at once; more is cheaper to read from the store."""
+SMALL_NEWS = 32_768
+"""Bytes that a node without feeds is told at once, before they are compressed to about a sixth.
+More would fill a leader's link of 10 Mbit/s for too long; it is read from the store."""
+LARGEST_NEWS = 64 << 20
+"""Bytes after decompression; the store's rows are far smaller together."""
 TICK: identity.Seconds = 0.1
 """Between two looks at whether this node keeps feeds."""
 
@@ -63,31 +69,31 @@
 
     def fill(
         self,
-        message: control_pb2.Report | control_pb2.Status,
+        told: control_pb2.Report | control_pb2.Status,
         peer: PeerTables,
         now: identity.Seconds,
     ) -> None:
         """Add how far this node is, and what the other one lacks."""
         for watcher in self._watchers.values():
-            message.tables.append(
+            told.tables.append(
                 control_pb2.TableVersion(table=watcher.table, version=watcher.newest)
             )
             news = _news_for(watcher.replica, peer, now)
             if news is not None:
-                message.news.append(_encoded(news))
+                told.news.append(_encoded(news))
 
     def take(
         self,
-        message: control_pb2.Report | control_pb2.Status,
+        told: control_pb2.Report | control_pb2.Status,
         peer: PeerTables,
         now: identity.Seconds,
     ) -> None:
         """Take in what the other node tells."""
-        for news in message.news:
+        for news in told.news:
             watcher = self._watchers.get(news.table)
             if watcher is not None:
                 watcher.handle_news(_decoded(news), now)
-        peer.newest = {item.table: item.version for item in message.tables}
+        peer.newest = {item.table: item.version for item in told.tables}
         for watcher in self._watchers.values():
             watcher.handle_told(peer.newest.get(watcher.table, 0), now)
 
@@ -135,23 +141,33 @@
 
 
 def _encoded(news: replica.TableNews) -> control_pb2.TableNews:
-    entries = [
-        control_pb2.TableEntry(
-            key=entry.key,
-            version=entry.version,
-            value=entry.value or b"",
-            dropped=entry.value is None,
-        )
-        for entry in news.entries
-    ]
+    entries = control_pb2.TableEntries(
+        entries=[
+            control_pb2.TableEntry(
+                key=entry.key,
+                version=entry.version,
+                value=entry.value or b"",
+                dropped=entry.value is None,
+            )
+            for entry in news.entries
+        ]
+    )
     return control_pb2.TableNews(
-        table=news.table, whole=news.whole, newest=news.newest, entries=entries
+        table=news.table,
+        whole=news.whole,
+        newest=news.newest,
+        entries=zlib.compress(entries.SerializeToString()),
     )
 
 
 def _decoded(news: control_pb2.TableNews) -> replica.TableNews:
+    try:
+        unpacked = zlib.decompressobj().decompress(news.entries, LARGEST_NEWS)
+        told = control_pb2.TableEntries.FromString(unpacked)
+    except (zlib.error, message.DecodeError) as exc:
+        raise errors.PeerProtocolError(f"news of {news.table}", str(exc)) from exc
     entries = tuple(
         replica.Entry(entry.key, entry.version, None if entry.dropped else entry.value)
-        for entry in news.entries
+        for entry in told.entries
     )
     return replica.TableNews(news.table, entries, news.newest, news.whole)
--- a/src/limedeck/node/peers.py
+++ b/src/limedeck/node/peers.py
@@ -132,7 +132,9 @@
             if not message.status.leads:
                 return
             status, now = message.status, steady_clock()
-            self._policy.handle_status(status.observes, status.store_silence, now)
+            self._policy.handle_status(
+                status.observes, status.store_silence, now, status.node_count
+            )
             self._news.take(status, self._peer, now)
 
 
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -14,6 +14,7 @@
 from hypercorn.config import Config
 
 from limedeck.api.control_pb2 import LeaderRecord
+from limedeck.forwarding.backends import spread_of
 from limedeck.forwarding.budget import RetryAllowance
 from limedeck.identity import Seconds
 from limedeck.model import Configuration
@@ -135,7 +136,7 @@
             TableWatcher(store, self._backends_follower()),
         )
         news = StoreNews(watchers)
-        policy = FeedPolicy(steady_clock())
+        policy = FeedPolicy(steady_clock(), spread_of(self._identity.node_id.encode()))
         address = self._identity.peer_address
         zone = self._settings.node.zone
         followers = FollowerConnections(address, zone, control, news, self._timing)
--- a/src/limedeck/ownership/election.py
+++ b/src/limedeck/ownership/election.py
@@ -10,6 +10,7 @@
 
 import xxhash
 
+from limedeck import staggering
 from limedeck.api.control_pb2 import FormerLeader, LeaderRecord
 from limedeck.identity import NEVER, Seconds
 from limedeck.ownership.timing import OwnershipTiming
@@ -127,13 +128,16 @@
         leads = self.role is Role.LEADER
         return leads and self.store_silence(now) < self._timing.leader_patience
 
-    def handle_heartbeat(self, term: int, store_silence: Seconds, now: Seconds) -> None:
-        """The leader was heard."""
+    def handle_heartbeat(
+        self, term: int, store_silence: Seconds, now: Seconds, node_count: int = 1
+    ) -> None:
+        """The leader was heard; it tells how long the store has not confirmed it."""
         if term < self.term:
             return
         self._heard_at = now
         self._denied = False
-        self._leader_misses_store = store_silence > self._timing.cut_leader_patience
+        patience = self._timing.cut_leader_patience + staggering.delay(self._place(), node_count)
+        self._leader_misses_store = store_silence > patience
 
     def handle_denial(self, term: int, incarnation: int, resigned: bool) -> None:
         """The process at a leader's address says that it does not lead.
@@ -291,8 +295,12 @@
                 self._denied = True
 
     def _spread(self) -> Seconds:
+        return self._place() * SPREAD
+
+    def _place(self) -> float:
+        """Where this node stands among the candidates, from 0 to 1; another in each term."""
         text = f"{self._identity.node_id}/{self.term}"
-        return xxhash.xxh32_intdigest(text.encode()) / float(1 << 32) * SPREAD
+        return xxhash.xxh32_intdigest(text.encode()) / float(1 << 32)
 
 
 def _former_leaders(record: LeaderRecord, own_node: str) -> list[FormerLeader]:
--- a/src/limedeck/store/feeds.py
+++ b/src/limedeck/store/feeds.py
@@ -9,7 +9,7 @@
 import enum
 from typing import TYPE_CHECKING
 
-from limedeck import identity
+from limedeck import identity, staggering
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -23,8 +23,8 @@
 """Longest time between two words of the leader; above its heartbeat interval, below two."""
 LEADER_STORE_SILENCE: identity.Seconds = 1.2
 """A leader that the store has not confirmed for so long may not know of changes."""
-SHORTEST_STAY: identity.Seconds = 3.0
-"""A node that has gone back to feeds keeps them at least so long."""
+SHORTEST_STAY: identity.Seconds = 1.5
+"""A node that has gone back to feeds keeps them at least so long; above two of their calls."""
 
 
 class Feeds(enum.Enum):
@@ -50,15 +50,22 @@
     ----------
     now
         When the node started, on its clock.
+    place
+        Where this node stands among all, from 0 to 1; the first ones ask the store first.
     """
 
-    def __init__(self, now: identity.Seconds) -> None:
+    def __init__(self, now: identity.Seconds, place: float = 0.0) -> None:
+        self._place = place
         self._told_until = now + START_PATIENCE
         self._stays_until: identity.Seconds = identity.NEVER
         self._is_observer = False
 
     def handle_status(
-        self, observes: bool, leader_store_silence: identity.Seconds, now: identity.Seconds
+        self,
+        observes: bool,
+        leader_store_silence: identity.Seconds,
+        now: identity.Seconds,
+        node_count: int = 1,
     ) -> None:
         """The leader was heard.
 
@@ -68,9 +75,13 @@
             The leader wants this node to keep feeds.
         leader_store_silence
             How long the store has not confirmed the leader.
+        node_count
+            Nodes that follow the leader, and itself.
         """
+        # If the store serves some nodes they tell the others; if it serves none, calls are few.
+        patience = LEADER_STORE_SILENCE + staggering.delay(self._place, node_count)
         self._is_observer = observes
-        if leader_store_silence <= LEADER_STORE_SILENCE:
+        if leader_store_silence <= patience:
             self._told_until = now + TOLD_PATIENCE
         else:
             self._told_until = identity.NEVER
--- a/tests/unit/test_feeds.py
+++ b/tests/unit/test_feeds.py
@@ -41,6 +41,21 @@
     assert policy.feeds(leads=False, now=10.0) is feeds.Feeds.BRIEF
 
 
+def test_few_of_many_nodes_ask_a_store_that_their_leader_misses() -> None:
+    """Found on klvs-gateway-grown: 78 nodes made 5,000 calls in an outage of five seconds."""
+    nodes = [feeds.FeedPolicy(0.0, number / 78) for number in range(78)]
+    asking = []
+    for silence in (1.3, 1.8, 2.3, 5.0):
+        for policy in nodes:
+            policy.handle_status(False, silence, 10.0, len(nodes))
+        keep = [policy.feeds(leads=False, now=10.0) is feeds.Feeds.BRIEF for policy in nodes]
+        asking.append(sum(keep))
+    assert 1 <= asking[0] <= 2
+    assert asking[1] <= 4
+    assert asking[2] <= 8
+    assert asking[3] == len(nodes)
+
+
 def test_a_node_that_went_back_to_feeds_stays_a_while() -> None:
     policy = feeds.FeedPolicy(0.0)
     assert policy.feeds(leads=False, now=2.0) is feeds.Feeds.BRIEF
--- a/tests/unit/test_store_news.py
+++ b/tests/unit/test_store_news.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from limedeck import errors
 from limedeck.api import control_pb2
 from limedeck.node import news, watchers
 from limedeck.store import feeds, replica, rows
@@ -164,3 +165,9 @@
             exchange(leader, node, now + news.PATIENCE + 0.1)
             assert node.held.values == leader.held.values
             assert node.replica.newest == leader.replica.newest
+
+
+def test_news_that_cannot_be_unpacked_ends_the_connection() -> None:
+    told = control_pb2.Status(news=[control_pb2.TableNews(table="t", entries=b"no zlib")])
+    with pytest.raises(errors.PeerProtocolError):
+        news.StoreNews((Node().watcher,)).take(told, news.PeerTables(0.0), 0.0)
