--- a/src/limedeck/forwarding/request.py
+++ b/src/limedeck/forwarding/request.py
@@ -101,7 +101,7 @@
     keyed
         Each key has one owner.
     key_counts
-        Requests by key since they were last reported.
+        Requests by key since they were last reported; one that comes back counts once.
     longest_waits
         By route, the longest time that a caller was ready to wait, in seconds.
     """
--- a/src/limedeck/node/backend_loads.py
+++ b/src/limedeck/node/backend_loads.py
@@ -20,6 +20,15 @@
     return xxhash.xxh32_intdigest(backend_id.encode())
 
 
+def known_service_times(directory: backends.BackendDirectory) -> dict[int, Seconds]:
+    """Return the service times that this node believes, by hash of the back end's id."""
+    return {
+        mark_of(state.backend.backend_id): state.service_time
+        for state in directory.all_states()
+        if state.service_time is not None
+    }
+
+
 def write_report(directory: backends.BackendDirectory) -> control_pb2.BackendLoads:
     """Write what this node has to tell the leader since the last report."""
     message = control_pb2.BackendLoads()
--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -170,6 +170,7 @@
             return
         self.election.handle_heartbeat(status.term, status.store_silence, now, status.node_count)
         if status.term >= self.election.term:
+            self._state.note_leader(status.store_silence, now)
             self._state.node_count = max(status.node_count, 1)
             backend_loads.take_totals(status.backend_loads, self._state.directory, now)
         for owners in status.owners:
@@ -206,6 +207,8 @@
         """Add up what all nodes told, and believe it on this node too."""
         if now < self._next_totals:
             return
+        if not self._next_totals:
+            self._fleet_load.begin_with(backend_loads.known_service_times(self._state.directory))
         self._next_totals = now + TOTALS_INTERVAL
         directory = self._state.directory
         self.handle_backend_report(self._identity.node_id, self.backend_report())
@@ -233,6 +236,7 @@
             self._leave_office()
             return
         self._state.node_count = self.node_count()
+        self._state.note_leader(self.election.store_silence(now), now)
         self._open_services()
         self._refresh_listing(now)
         self._refresh_loads(now)
@@ -261,6 +265,7 @@
             self._owners.clear()
             self._fleet_load.clear()
             self._backend_totals = BackendLoads()
+            self._next_totals = 0.0
             self._telemetry.leads.set(0)
 
     def _open_services(self) -> None:
@@ -297,6 +302,7 @@
             service=name,
             pieces=len(core.ranges),
             mean=round(sum(core.uses.values()) / len(core.uses), 2),
+            service_time=round(core.typical_service_time(), 4),
             uses={backend_id: round(use, 2) for backend_id, use in by_use[:LOGGED_USES]},
         )
 
--- a/src/limedeck/node/gateway.py
+++ b/src/limedeck/node/gateway.py
@@ -129,9 +129,9 @@
         service = self._state.service(choose_service(route, request_id))
         service.budget.note_request(now)
         position = self._protocol.key_position(headers) if service.keyed else None
-        if position is not None:
-            service.key_counts[position] += 1
         returned = service.note_wait(route.name, deadline - now)
+        if position is not None and not returned:
+            service.key_counts[position] += 1
         core = RequestCore(
             request_id, route, service, self._state.directory, position, deadline, now, returned
         )
@@ -277,7 +277,7 @@
         await self._send(send, status, headers, b"")
 
     async def _send(self, send: Send, status: int, headers: Headers, body: bytes) -> None:
-        if self._state.stopping:
+        if self._state.stopping or self._state.is_isolated(steady_clock()):
             headers.append((b"connection", b"close"))
         await send({"type": "http.response.start", "status": status, "headers": headers})
         await send({"type": "http.response.body", "body": body})
--- a/src/limedeck/node/readiness.py
+++ b/src/limedeck/node/readiness.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from limedeck.node.asgi import Receive, Scope, Send
+from limedeck.node.clock import steady_clock
 from limedeck.node.state import NodeState
 from limedeck.node.telemetry import Telemetry
 
@@ -25,7 +26,7 @@
         if scope["path"] == METRICS_PATH:
             await _answer(send, READY, self._telemetry.exposition())
         else:
-            await _answer(send, READY if self._state.is_ready() else NOT_READY, b"")
+            await _answer(send, READY if self._state.is_ready(steady_clock()) else NOT_READY, b"")
 
 
 async def _answer(send: Send, status: int, body: bytes) -> None:
--- a/src/limedeck/node/state.py
+++ b/src/limedeck/node/state.py
@@ -13,6 +13,11 @@
 from limedeck.identity import Seconds
 from limedeck.model import Configuration
 
+ISOLATION: Seconds = 2.5
+"""A node that has not heard from a sound leader for so long believes owners of long ago; above the
+time in which a lost leader is replaced."""
+LEADER_STORE_SILENCE: Seconds = 4.0
+"""A leader that the store has not confirmed for so long may have been replaced without knowing."""
 MOST_KEYS = 400
 """Keys in one report, the most requested first."""
 
@@ -30,6 +35,8 @@
         A planned stop has begun.
     in_flight
         Requests that were read and not answered.
+    leader_heard_at
+        When a leader that is in touch with the store was heard, or this node was one; None before.
     closing
         The stop is so far that no more requests are passed on.
     """
@@ -44,6 +51,7 @@
         self.stopping = False
         self.closing = False
         self.in_flight = 0
+        self.leader_heard_at: Seconds | None = None
         self.listing_changes = 0
         self._allowance = allowance
         self._changed = anyio.Event()
@@ -94,8 +102,19 @@
             view.owners = owners
             self.notify()
 
-    def is_ready(self) -> bool:
-        """Whether requests can be served here."""
+    def note_leader(self, store_silence: Seconds, now: Seconds) -> None:
+        """A leader was heard, or this node leads; the store confirmed it so long ago."""
+        if store_silence < LEADER_STORE_SILENCE:
+            self.leader_heard_at = now
+
+    def is_isolated(self, now: Seconds) -> bool:
+        """Whether what this node believes of owners may be long out of date."""
+        return self.leader_heard_at is not None and now - self.leader_heard_at > ISOLATION
+
+    def is_ready(self, now: Seconds) -> bool:
+        """Whether requests can be served here, as well as at other nodes."""
+        if self.is_isolated(now):
+            return False
         if self.stopping or self.configuration is None or not self.backends_listed:
             return False
         return all(view.owners.ranges for view in self.services.values() if view.keyed)
--- a/src/limedeck/ownership/fleet_load.py
+++ b/src/limedeck/ownership/fleet_load.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from limedeck.identity import Seconds
@@ -49,6 +49,11 @@
         self._by_node: dict[str, dict[int, int]] = {}
         self._service_times: dict[int, Seconds] = {}
 
+    def begin_with(self, service_times: Mapping[int, Seconds]) -> None:
+        """Go on from what this node was told by the leader before it, or has seen itself."""
+        for backend, known in service_times.items():
+            self._service_times.setdefault(backend, known)
+
     def note(self, node: str, reports: Iterable[BackendReport]) -> None:
         """Take in a node's report, which names every back end that has requests of it."""
         outstanding: dict[int, int] = {}
--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -326,12 +326,16 @@
             self._renew_pieces([last])
         self.ranges = merged
 
-    def _capacities(self, now: Seconds) -> dict[str, float]:
-        """Requests a second that each usable back end can work on."""
+    def typical_service_time(self) -> Seconds:
+        """Mean over the back ends that were measured."""
         known = [
             self._service_times[item] for item in self._backends if item in self._service_times
         ]
-        typical = sum(known) / len(known) if known else DEFAULT_SERVICE_TIME
+        return sum(known) / len(known) if known else DEFAULT_SERVICE_TIME
+
+    def _capacities(self, now: Seconds) -> dict[str, float]:
+        """Requests a second that each usable back end can work on."""
+        typical = self.typical_service_time()
         return {
             backend_id: self._backends[backend_id].slots
             / self._service_times.get(backend_id, typical)
--- a/tests/unit/test_backend_loads.py
+++ b/tests/unit/test_backend_loads.py
@@ -122,6 +122,16 @@
     assert leader.totals(marks)[0].outstanding == 3
 
 
+def test_a_new_leader_goes_on_from_the_service_times_that_it_was_told() -> None:
+    """Found on klvs-gateway scale-2: a new leader gave a very hot key to a slow back end."""
+    directory = directory_of("a", "b")
+    state_in(directory, "a").note_fleet(0, 0.05, 1.0)
+    leader = fleet_load.FleetLoad()
+    leader.begin_with(backend_loads.known_service_times(directory))
+    marks = [backend_loads.mark_of(name) for name in ("a", "b")]
+    assert [item.service_time for item in leader.totals(marks)] == [0.05, 0.0]
+
+
 def test_a_report_names_a_back_end_once_more_when_its_requests_have_ended() -> None:
     directory = directory_of("a")
     state = state_in(directory, "a")
