--- a/src/limedeck/forwarding/backends.py
+++ b/src/limedeck/forwarding/backends.py
@@ -32,7 +32,7 @@
 """Requests for each slot that a back end is taken to hold when it turns one away, at least."""
 OTHER_ZONE_FACTOR = 1.6
 """A back end of another zone must be better by so much, if each tells its load."""
-OTHER_ZONE_LOAD = 1.0
+OTHER_ZONE_LOAD = 1.5
 """If loads are known late, a back end of another zone counts as having so many more a slot: it is
 used once the near ones are busy. At 0.25, bytes between zones cost 0.016 more of a day's worth."""
 REPORT_DELAY: Seconds = 0.3
