--- a/src/limedeck/forwarding/request.py
+++ b/src/limedeck/forwarding/request.py
@@ -30,6 +30,9 @@
 RETURN_PART = 0.85
 """A caller that will wait less than this part of the longest wait seen on its route has been here
 before: what is left after a refusal is below it, and callers of a route wait equally long."""
+LAST_RETURN = 2.25
+"""Objectives: with less time left than this, a caller that waits a third of it and comes back once
+more would be left with one and a half objectives, too little to be served in time."""
 EARLY_PART = 0.25
 """A request may be refused for its objective's sake within this part of the objective."""
 RETRY_AFTER: Seconds = 0.1
@@ -130,7 +133,7 @@
     deadline
         When the caller stops waiting, on this node's clock.
     returned
-        The caller was refused before and has come back, with little time for another return.
+        The caller was here before with the same request and has come back.
     """
 
     def __init__(
@@ -245,13 +248,14 @@
         """Refuse what would miss its objective, as long as a second try can meet it.
 
         The back end keeps a queue that is short enough for the requests it takes. A caller that
-        has come back after a refusal is served, though late: it will not come a third time.
+        has come back with too little time for another return is served, though late.
         """
         elapsed = now - self.arrived
         objective = self.route.objective
         expected = state.expected_time_of(self.route.name, now)
         is_early = elapsed <= EARLY_PART * objective and not self.maybe_run
-        if self.returned or expected is None or not is_early or elapsed + expected <= objective:
+        is_last = self.returned and self.until - now < LAST_RETURN * objective
+        if is_last or expected is None or not is_early or elapsed + expected <= objective:
             return None
         return self._refuse(Reason.OVERLOADED, self._time_until_room(state, now))
 
--- a/tests/unit/test_backend_loads.py
+++ b/tests/unit/test_backend_loads.py
@@ -208,7 +208,7 @@
     return directory
 
 
-def test_who_was_refused_once_is_served_late_rather_than_refused_again() -> None:
+def test_who_cannot_come_back_once_more_is_served_late_rather_than_refused() -> None:
     directory = busy_directory(3 * SLOTS)
     first = core_for(directory, "r", 0.2, 10.0)
     command = first.next_command(10.0, 3)
@@ -216,6 +216,8 @@
     assert command.outcome is outcomes.Outcome.NOT_RUN
     again = core_for(directory, "r", 0.2, 10.0)
     again.returned = True
+    assert isinstance(again.next_command(10.0, 3), request.Refuse)
+    again.until = 10.4
     assert isinstance(again.next_command(10.0, 3), request.Attempt)
 
 
