--- a/src/limedeck/ownership/timing.py
+++ b/src/limedeck/ownership/timing.py
@@ -54,7 +54,7 @@
     """
 
     lease: Seconds = 2.0
-    outage_lease: Seconds = 6.0
+    outage_lease: Seconds = 2.0
     outage_silence: Seconds = 1.0
     clock_error: float = 0.02
     lease_slack: Seconds = 0.1
