--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -22,9 +22,9 @@
 from limedeck.errors import PlatformProtocolError
 from limedeck.forwarding.owners import OwnerMap
 from limedeck.identity import NEVER, Seconds
-from limedeck.node import backend_loads
+from limedeck.node import backend_loads, order_sender
 from limedeck.node.clock import steady_clock
-from limedeck.node.http_client import AttemptFailed, BackendRequest, HttpClient
+from limedeck.node.http_client import HttpClient
 from limedeck.node.logs import get_logger
 from limedeck.node.owner_changes import PublishedOwners, read_owners
 from limedeck.node.state import NodeState
@@ -39,7 +39,7 @@
     Role,
 )
 from limedeck.ownership.fleet_load import FleetLoad
-from limedeck.ownership.orders import Grant, OrderProtocol, Release
+from limedeck.ownership.orders import OrderProtocol
 from limedeck.ownership.service import (
     OwnershipCommand,
     SendGrant,
@@ -67,14 +67,11 @@
 BALANCE_LOG_INTERVAL: Seconds = 1.0
 LOGGED_USES = 12
 """The most used back ends that a log line names."""
-RELEASE_TIMEOUT: Seconds = 1.0
 RECORD_RETRY: Seconds = 0.1
 OWN_LOADS_INTERVAL: Seconds = 0.5
 TOTALS_INTERVAL: Seconds = 0.25
 """Between two sums of what all nodes have at back ends; nodes report as often."""
 VERSION_BITS = 32
-UNKNOWN_ADDRESS = "0.0.0.0:0"
-"""Of a recorded owner that was never listed while this process ran; no order reaches it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,9 +110,10 @@
         self._identity = identity
         self._state = state
         self._store = store
-        self._orders = orders
         self._key_positions = key_positions
-        self._client = client
+        self._order_sender = order_sender.OrderSender(
+            state.directory, orders, client, timing.order_timeout, telemetry
+        )
         self._timing = timing
         self._telemetry = telemetry
         self._services: dict[str, _OwnedService] = {}
@@ -424,63 +422,12 @@
         self, name: str, owned: _OwnedService, command: OwnershipCommand
     ) -> None:
         if isinstance(command, SendGrant):
-            await self._send_grant(name, owned.core, command.order)
+            await self._order_sender.send_grant(name, owned.core, command.order)
         elif isinstance(command, SendRelease):
-            await self._send_release(name, owned.core, command.order)
+            await self._order_sender.send_release(name, owned.core, command.order)
         else:
             await self._write_record(name, owned, command)
 
-    async def _send_grant(self, name: str, core: ServiceOwnership, order: Grant) -> None:
-        sent_at = steady_clock()
-        request = self._order_request(order.backend_id, order)
-        try:
-            answer = await self._client.exchange(request, sent_at + self._timing.order_timeout)
-        except AttemptFailed as error:
-            self._note_lost(name, core, order, str(error))
-            return
-        done = self._orders.is_done(answer.status)
-        fenced_off = self._orders.is_fenced_off(answer.status)
-        self._telemetry.orders.labels("grant", str(answer.status)).inc()
-        if not done:
-            self._log.warning("grant_refused", service=name, status=answer.status, **_told(order))
-        core.handle_grant_answer(order, done, fenced_off, sent_at, steady_clock())
-
-    async def _send_release(self, name: str, core: ServiceOwnership, order: Release) -> None:
-        request = self._order_request(order.backend_id, order)
-        try:
-            answer = await self._client.exchange(request, steady_clock() + RELEASE_TIMEOUT)
-        except AttemptFailed as error:
-            self._note_lost(name, core, order, str(error))
-            return
-        done = self._orders.is_done(answer.status)
-        self._telemetry.orders.labels("release", str(answer.status)).inc()
-        handover = self._orders.handover(answer.headers)
-        self._log.info(
-            "released", service=name, status=answer.status, handover=bool(handover), **_told(order)
-        )
-        core.handle_release_answer(order, done, handover, steady_clock())
-
-    def _note_lost(
-        self, name: str, core: ServiceOwnership, order: Grant | Release, problem: str
-    ) -> None:
-        kind = "grant" if isinstance(order, Grant) else "release"
-        self._telemetry.orders.labels(kind, "lost").inc()
-        self._log.info("order_lost", service=name, kind=kind, problem=problem, **_told(order))
-        core.handle_order_lost(order, steady_clock())
-
-    def _order_request(self, backend_id: str, order: Grant | Release) -> BackendRequest:
-        address = self._state.directory.last_address(backend_id) or UNKNOWN_ADDRESS
-        if isinstance(order, Grant):
-            written = self._orders.grant(order)
-        else:
-            written = self._orders.release(order)
-        headers = [
-            (b"host", address.encode()),
-            *written.headers,
-            (b"content-length", b"%d" % len(written.body)),
-        ]
-        return BackendRequest(address, b"POST", written.path, headers, written.body)
-
     async def _write_record(self, name: str, owned: _OwnedService, command: WriteRecord) -> None:
         """Write until the store answers: then an earlier write is either done or dead."""
         row = RowKey(ASSIGNMENT_TABLE, "", name)
@@ -530,12 +477,3 @@
         return kind.FromString(row.value)
     except DecodeError as error:
         raise PlatformProtocolError(f"row {row.key}", str(error)) from error
-
-
-def _told(order: Grant | Release) -> dict[str, object]:
-    return {
-        "backend": order.backend_id,
-        "first": order.first,
-        "last": order.last,
-        "fence": order.fence,
-    }
