--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -242,11 +242,10 @@
             self._next_own_loads = now + OWN_LOADS_INTERVAL
             self.handle_loads(self._state.take_loads())
         may_renew = self.election.may_renew(now)
-        silence = self.election.store_silence(now)
         for name, owned in list(self._services.items()):
             if not self.election.former_leaders():
                 owned.core.handle_former_leaders_over(now)
-            for order in owned.core.handle_tick(may_renew, now, silence):
+            for order in owned.core.handle_tick(may_renew, now):
                 self._start(self._run_ownership, name, owned, order)
             self._log_changes(name, owned.core)
             self._log_balance(name, owned.core, now)
--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -113,7 +113,6 @@
         self._newest_seen_at: Seconds = now
         self._asked_at: dict[str, Seconds] = {}
         self._avoided_until: dict[str, Seconds] = {}
-        self._store_silence: Seconds = 0.0
         self._pending_record: list[tuple[RangeState, str]] | None = None
         self._commands: list[OwnershipCommand] = []
         self._published: tuple[OwnedRange, ...] = ()
@@ -150,8 +149,8 @@
             return
         found.order_pending = False
         if done:
-            found.confirmed_until = sent_at + order.duration
-            found.held_until = now + self._timing.ended_after(order.duration)
+            found.confirmed_until = sent_at + self._timing.lease
+            found.held_until = now + self._timing.longest_lease
             found.handover = ""
             found.next_order = sent_at + self._timing.renewal_interval
         elif fenced_off:
@@ -235,17 +234,8 @@
 
     # ------------------------------------------------------------------ the loop
 
-    def handle_tick(
-        self, may_renew: bool, now: Seconds, store_silence: Seconds = 0.0
-    ) -> list[OwnershipCommand]:
-        """Do what is due; see the module's documentation.
-
-        Parameters
-        ----------
-        store_silence
-            How long the store has not confirmed this leader.
-        """
-        self._store_silence = store_silence
+    def handle_tick(self, may_renew: bool, now: Seconds) -> list[OwnershipCommand]:
+        """Do what is due; see the module's documentation."""
         if not self.ranges:
             self._assign_first(now)
         for found in self.ranges:
@@ -366,8 +356,7 @@
         if found.order_pending or now < found.next_order:
             return
         found.order_pending = True
-        duration = self._timing.lease_now(self._store_silence)
-        longest = now + self._timing.ended_after(duration) + self._timing.order_timeout
+        longest = now + self._timing.longest_lease + self._timing.order_timeout
         found.held_until = max(found.held_until, longest)
         self._asked_at.setdefault(found.owner, now)
         order = Grant(
@@ -375,7 +364,7 @@
             found.first,
             found.last,
             found.fence,
-            duration,
+            self._timing.lease,
             found.handover,
         )
         self._commands.append(SendGrant(order))
--- a/src/limedeck/ownership/timing.py
+++ b/src/limedeck/ownership/timing.py
@@ -15,12 +15,6 @@
     ----------
     lease
         Time that a grant runs from its arrival.
-    outage_lease
-        The same while the store has not confirmed the leader lately. Keys cannot move then, since
-        their record cannot be written, and a leader that is lost cannot be replaced.
-    outage_silence
-        The store counts as away when it has not confirmed the leader for so long; above
-        `confirm_interval` and the time of a slow answer.
     clock_error
         Part by which a back end's clock may be slow.
     lease_slack
@@ -54,8 +48,6 @@
     """
 
     lease: Seconds = 2.0
-    outage_lease: Seconds = 6.0
-    outage_silence: Seconds = 1.0
     clock_error: float = 0.02
     lease_slack: Seconds = 0.1
     renewal_interval: Seconds = 0.5
@@ -74,16 +66,8 @@
 
     @property
     def longest_lease(self) -> Seconds:
-        """Time after which any grant has surely ended, if it was not taken late."""
-        return self.ended_after(max(self.lease, self.outage_lease))
-
-    def ended_after(self, lease: Seconds) -> Seconds:
-        """Time after which a grant of this length has surely ended, if it was not taken late."""
-        return lease * (1.0 + self.clock_error) + self.lease_slack
-
-    def lease_now(self, store_silence: Seconds) -> Seconds:
-        """How long a grant is to run when the store has not confirmed the leader for so long."""
-        return self.outage_lease if store_silence > self.outage_silence else self.lease
+        """Time after sending a grant when it has surely ended, if it was not taken late."""
+        return self.lease * (1.0 + self.clock_error) + self.lease_slack
 
 
 RENEWALS_IN_A_LEASE = 4
@@ -92,7 +76,6 @@
 def timing_within(longest_lease: Seconds) -> OwnershipTiming:
     """Return the times for back ends that take no lease above `longest_lease`, in seconds."""
     usual = OwnershipTiming()
-    usual = replace(usual, outage_lease=min(usual.outage_lease, longest_lease))
     if longest_lease >= usual.lease:
         return usual
     renewal = longest_lease / RENEWALS_IN_A_LEASE
