--- a/src/limedeck/forwarding/backends.py
+++ b/src/limedeck/forwarding/backends.py
@@ -160,7 +160,9 @@
 
     def expected_load(self, now: Seconds) -> float:
         """Requests that are expected to be there now."""
-        others = self._others * math.exp(-(now - self._reported_at) / LOAD_MEMORY)
+        others = self._others
+        if others:
+            others *= math.exp(-(now - self._reported_at) / LOAD_MEMORY)
         if not self.tells_load and now - self._elsewhere_at < FLEET_LOAD_LIFE:
             others = max(others, self._elsewhere * self._growth())
         return self.outstanding + others
--- a/src/limedeck/node/backend_loads.py
+++ b/src/limedeck/node/backend_loads.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from collections.abc import Iterable
 
 import xxhash
@@ -13,8 +14,11 @@
 from limedeck.ownership import fleet_load
 
 MICROSECONDS = 1e6
+MARKS_KEPT = 4096
+"""Hashes that are remembered: more than the back ends of a large site."""
 
 
+@functools.lru_cache(maxsize=MARKS_KEPT)
 def mark_of(backend_id: str) -> int:
     """Return the hash by which messages name a back end."""
     return xxhash.xxh32_intdigest(backend_id.encode())
--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -153,9 +153,12 @@
             store_silence=silence,
             incarnation=self._identity.incarnation,
             resigned=self.election.resigned,
-            backend_loads=self._backend_totals,
         )
 
+    def backend_totals(self) -> BackendLoads:
+        """What all nodes have at back ends; another object each time that it was summed up."""
+        return self._backend_totals
+
     def owners_since(self, told: dict[str, OwnerMap]) -> list[ServiceOwners]:
         """What a node lacks of the owners of services that this node leads; `told` is updated."""
         return self._owners.since(told) if self.leads else []
@@ -170,7 +173,8 @@
         if status.term >= self.election.term:
             self._state.note_leader(status.store_silence, now)
             self._state.node_count = max(status.node_count, 1)
-            backend_loads.take_totals(status.backend_loads, self._state.directory, now)
+            if status.HasField("backend_loads"):
+                backend_loads.take_totals(status.backend_loads, self._state.directory, now)
         for owners in status.owners:
             known = self._state.service(owners.service).owners
             if owners.version > known.version:
--- a/src/limedeck/node/peers.py
+++ b/src/limedeck/node/peers.py
@@ -5,7 +5,13 @@
 import anyio
 from anyio.abc import SocketStream
 
-from limedeck.api.control_pb2 import ControlMessage, FormerLeader, LeaderRecord, Report
+from limedeck.api.control_pb2 import (
+    BackendLoads,
+    ControlMessage,
+    FormerLeader,
+    LeaderRecord,
+    Report,
+)
 from limedeck.errors import PeerProtocolError
 from limedeck.forwarding.owners import OwnerMap
 from limedeck.identity import Seconds
@@ -263,9 +269,14 @@
         self, stream: SocketStream, peer: PeerTables, scope: anyio.CancelScope
     ) -> None:
         told: dict[str, OwnerMap] = {}
+        told_totals: BackendLoads | None = None
         try:
             while True:
                 status = self._control.status()
+                totals = self._control.backend_totals()
+                if totals is not told_totals:
+                    status.backend_loads.CopyFrom(totals)
+                    told_totals = totals
                 status.observes = peer.node_id in self._observers
                 status.owners.extend(self._control.owners_since(told))
                 self._store_news.fill(status, peer, steady_clock())
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -6,6 +6,7 @@
 import secrets
 import signal
 import socket
+from collections import Counter
 from collections.abc import AsyncIterator
 
 import anyio
@@ -21,6 +22,7 @@
 from limedeck.node.asgi import Application
 from limedeck.node.clock import steady_clock
 from limedeck.node.control import ControlHost
+from limedeck.node.counted_store import CountedStore
 from limedeck.node.gateway import CallerGateway
 from limedeck.node.http_client import HttpClient
 from limedeck.node.listener import OwnSocketConfig, close_to_newcomers, open_listener
@@ -52,6 +54,8 @@
 LARGEST_HEAD = 128 * 1024
 KEEP_ALIVE: Seconds = 60.0
 UPKEEP_INTERVAL: Seconds = 0.5
+STORE_CALLS_INTERVAL: Seconds = 5.0
+"""Between two log lines of calls to the store; as often as figures are fetched in an incident."""
 CONFIGURATION_JOINING: Seconds = 0.15
 BACKENDS_JOINING: Seconds = 0.15
 LAST_ANSWERS: Seconds = 0.2
@@ -102,7 +106,8 @@
         """Run until a planned stop is over."""
         settings = self._settings
         self._log.info("started", node=settings.node.id, zone=settings.node.zone)
-        store = PlatformStore(settings.store.address, settings.store.timeout)
+        platform_store = PlatformStore(settings.store.address, settings.store.timeout)
+        store = CountedStore(platform_store, self._telemetry)
         backend_client = HttpClient(settings.node.ip)
         control = ControlHost(
             self._identity,
@@ -119,6 +124,7 @@
         async with anyio.create_task_group() as tasks:
             self._start_control(tasks, control, store)
             tasks.start_soon(self._upkeep, backend_client)
+            tasks.start_soon(self._log_store_calls, store)
             await self._serve_until_stopped(gateway, control)
             tasks.cancel_scope.cancel()
         self._log.info("stopped", node=settings.node.id)
@@ -130,7 +136,7 @@
         self._state.set_allowance(_allowance(settings))
         self._request_log.set_bounds(settings.log)
 
-    def _start_control(self, tasks: TaskGroup, control: ControlHost, store: PlatformStore) -> None:
+    def _start_control(self, tasks: TaskGroup, control: ControlHost, store: CountedStore) -> None:
         watchers = (
             TableWatcher(store, self._configuration_follower()),
             TableWatcher(store, self._backends_follower()),
@@ -210,6 +216,16 @@
                 else:
                     stop_requested.set()
 
+    async def _log_store_calls(self, store: CountedStore) -> None:
+        """Log now and then what was asked of the store; nothing is logged while that is nothing."""
+        told: Counter[str] = Counter()
+        while True:
+            await anyio.sleep(STORE_CALLS_INTERVAL)
+            new = store.counts - told
+            if new:
+                self._log.info("store_calls", seconds=STORE_CALLS_INTERVAL, calls=dict(new))
+            told = Counter(store.counts)
+
     async def _upkeep(self, client: HttpClient) -> None:
         while True:
             await anyio.sleep(UPKEEP_INTERVAL)
--- a/src/limedeck/node/telemetry.py
+++ b/src/limedeck/node/telemetry.py
@@ -35,6 +35,12 @@
         self.owner_changes = Counter(
             "limedeck_owner_changes", "Ranges that changed owner", ["cause"], registry=registry
         )
+        self.store_calls = Counter(
+            "limedeck_store_calls",
+            "Calls to the store",
+            ["kind", "table", "result"],
+            registry=registry,
+        )
         self.leads = Gauge("limedeck_leads", "1 while this node leads", registry=registry)
         self.term = Gauge("limedeck_term", "Newest term known", registry=registry)
         self.configuration = Gauge(
