Leaders at size: strong machines stand first, telling is paced, connecting is patient

It told 77 nodes at each change of an owner, and repeated releases that strangers refused (400) four times a second. Ruled out: calls at the start (308 in all). Change: less than a core stands up to 0.4 s later; 1.5 ms a node between rounds of telling; 0.7 s to connect; 1 s after a refused release. Test: test_election.py.

--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -89,6 +89,8 @@
     ----------
     identity
         This node's record for elections.
+    processor
+        Cores that this node may use.
     """
 
     def __init__(
@@ -101,8 +103,9 @@
         client: HttpClient,
         timing: OwnershipTiming,
         telemetry: Telemetry,
+        processor: float = 1.0,
     ) -> None:
-        self.election = ElectionCore(identity, timing, steady_clock())
+        self.election = ElectionCore(identity, timing, steady_clock(), processor)
         self.node_count: Callable[[], int] = lambda: 1
         self.on_owners: Callable[[], None] = lambda: None
         self.on_store_back: Callable[[], None] = lambda: None
--- a/src/limedeck/node/peers.py
+++ b/src/limedeck/node/peers.py
@@ -23,7 +23,8 @@
 from limedeck.ownership.timing import OwnershipTiming
 from limedeck.store.feeds import FeedPolicy, choose_observers
 
-CONNECT_TIMEOUT: Seconds = 0.3
+CONNECT_TIMEOUT: Seconds = 0.7
+"""A new leader on a slow machine takes so long to accept all nodes of a large site at once."""
 SEND_TIMEOUT: Seconds = 1.0
 REPORT_INTERVAL: Seconds = 0.25
 """Back ends' loads are known so late; a shorter one costs bytes between zones."""
@@ -32,6 +33,9 @@
 RECONNECT_PAUSE: Seconds = 0.15
 INQUIRY_PAUSE: Seconds = 0.2
 INQUIRY_TIMEOUT: Seconds = 0.8
+TELLING_TIME: Seconds = 0.0015
+"""About what it costs a leader on a slow machine to tell one node; it spends at most about all of
+its time on that, since what changes meanwhile goes into the next message."""
 SILENCE_LIMIT: Seconds = 1.5
 """A connection on which nothing came for so long is given up."""
 
@@ -282,6 +286,7 @@
                 self._store_news.fill(status, peer, steady_clock())
                 with anyio.fail_after(SEND_TIMEOUT):
                     await stream.send(encode_frame(ControlMessage(status=status)))
+                await anyio.sleep(TELLING_TIME * self.node_count())
                 with anyio.move_on_after(self._timing.heartbeat_interval):
                     await self._news.wait()
         except ENDED:
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -118,6 +118,7 @@
             HttpClient(settings.node.ip),
             self._timing,
             self._telemetry,
+            settings.node.processor,
         )
         self._file.on_change = self._take_up
         gateway = CallerGateway(self._state, self._protocol, backend_client, self._request_log)
--- a/src/limedeck/node/settings.py
+++ b/src/limedeck/node/settings.py
@@ -18,7 +18,13 @@
 
 
 class NodeSection(Section, frozen=True):
-    """Who this node is and where it listens."""
+    """Who this node is and where it listens.
+
+    Parameters
+    ----------
+    cpu_share, cpus
+        It may use this share of a core that is as fast as so many.
+    """
 
     id: str
     zone: str
@@ -27,6 +33,13 @@
     readiness: Address
     first_peer_port: int
     metrics_port: int = 0
+    cpu_share: Positive = 1.0
+    cpus: Positive = 1.0
+
+    @property
+    def processor(self) -> float:
+        """Cores that this node may use."""
+        return self.cpu_share * self.cpus
 
 
 class StoreSection(Section, frozen=True):
--- a/src/limedeck/ownership/election.py
+++ b/src/limedeck/ownership/election.py
@@ -93,9 +93,18 @@
     ----------
     identity
         This node's record; its term is not used.
+    processor
+        Cores that this node may use; one with less than a whole core stands later.
     """
 
-    def __init__(self, identity: LeaderRecord, timing: OwnershipTiming, now: Seconds) -> None:
+    def __init__(
+        self,
+        identity: LeaderRecord,
+        timing: OwnershipTiming,
+        now: Seconds,
+        processor: float = 1.0,
+    ) -> None:
+        self._handicap = timing.weakness_delay * max(1.0 - processor, 0.0)
         self.role = Role.FOLLOWER
         self.record: LeaderRecord | None = None
         self.row_version = 0
@@ -295,7 +304,7 @@
                 self._denied = True
 
     def _spread(self) -> Seconds:
-        return self._place() * SPREAD
+        return self._place() * SPREAD + self._handicap
 
     def _place(self) -> float:
         """Where this node stands among the candidates, from 0 to 1; another in each term."""
--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -168,7 +168,7 @@
         if found is None or found.phase is not Phase.RELEASING:
             return
         found.order_pending = False
-        found.next_order = now + self._timing.order_timeout
+        found.next_order = now + self._timing.refused_release_pause
         if done:
             found.phase = Phase.FREE
             found.held_until = now
--- a/src/limedeck/ownership/timing.py
+++ b/src/limedeck/ownership/timing.py
@@ -23,6 +23,12 @@
         Between two grants of the same keys.
     order_timeout
         An order without an answer for so long counts as lost.
+    refused_release_pause
+        A release that was refused is sent again after so long: most likely the back end has gone
+        and its address belongs to another process, and only the end of its lease will free keys.
+    weakness_delay
+        A machine without any processor would stand for election so much later than one with a
+        whole core: a leader does more the more nodes follow it.
     holder_silence
         A back end that answered no order for so long loses its keys.
     avoidance
@@ -52,6 +58,8 @@
     lease_slack: Seconds = 0.1
     renewal_interval: Seconds = 0.5
     order_timeout: Seconds = 0.25
+    refused_release_pause: Seconds = 1.0
+    weakness_delay: Seconds = 0.4
     holder_silence: Seconds = 1.1
     avoidance: Seconds = 3.0
     heartbeat_interval: Seconds = 0.3
--- a/tests/unit/test_election.py
+++ b/tests/unit/test_election.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from limedeck.api.control_pb2 import LeaderRecord
 from limedeck.ownership.election import (
     Campaign,
@@ -213,3 +215,18 @@
     assert core.role is Role.LEADER
     core.handle_superseded(4)
     assert not core.may_renew(0.1)
+
+
+def test_a_strong_machine_stands_before_a_weak_one() -> None:
+    """Found on klvs-gateway-grown: a leader with 0.43 of a core could not answer 77 nodes."""
+    waits = {}
+    for processor in (0.43, 1.0, 2.15):
+        core = ElectionCore(ME, TIMING, 0.0, processor)
+        core.handle_seen(LeaderSeen(OTHER, 40, 0.0), 0.0)
+        core.handle_heartbeat(OTHER.term, 0.0, 0.0)
+        now = 0.0
+        while core.handle_tick(now) is None:
+            now += 0.01
+        waits[processor] = now
+    assert waits[2.15] == waits[1.0]
+    assert waits[0.43] - waits[1.0] == pytest.approx(0.57 * TIMING.weakness_delay, abs=0.02)
