--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -22,9 +22,9 @@
 from limedeck.errors import PlatformProtocolError
 from limedeck.forwarding.owners import OwnerMap
 from limedeck.identity import NEVER, Seconds
-from limedeck.node import backend_loads
+from limedeck.node import backend_loads, order_sender
 from limedeck.node.clock import steady_clock
-from limedeck.node.http_client import AttemptFailed, BackendRequest, HttpClient
+from limedeck.node.http_client import HttpClient
 from limedeck.node.logs import get_logger
 from limedeck.node.owner_changes import PublishedOwners, read_owners
 from limedeck.node.state import NodeState
@@ -39,7 +39,7 @@
     Role,
 )
 from limedeck.ownership.fleet_load import FleetLoad
-from limedeck.ownership.orders import Grant, OrderProtocol, Release
+from limedeck.ownership.orders import OrderProtocol
 from limedeck.ownership.service import (
     OwnershipCommand,
     SendGrant,
@@ -67,14 +67,11 @@
 BALANCE_LOG_INTERVAL: Seconds = 1.0
 LOGGED_USES = 12
 """The most used back ends that a log line names."""
-RELEASE_TIMEOUT: Seconds = 1.0
 RECORD_RETRY: Seconds = 0.1
 OWN_LOADS_INTERVAL: Seconds = 0.5
 TOTALS_INTERVAL: Seconds = 0.25
 """Between two sums of what all nodes have at back ends; nodes report as often."""
 VERSION_BITS = 32
-UNKNOWN_ADDRESS = "0.0.0.0:0"
-"""Of a recorded owner that was never listed while this process ran; no order reaches it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +89,8 @@
     ----------
     identity
         This node's record for elections.
+    processor
+        Cores that this node may use.
     """
 
     def __init__(
@@ -104,8 +103,9 @@
         client: HttpClient,
         timing: OwnershipTiming,
         telemetry: Telemetry,
+        processor: float = 1.0,
     ) -> None:
-        self.election = ElectionCore(identity, timing, steady_clock())
+        self.election = ElectionCore(identity, timing, steady_clock(), processor)
         self.node_count: Callable[[], int] = lambda: 1
         self.on_owners: Callable[[], None] = lambda: None
         self.on_store_back: Callable[[], None] = lambda: None
@@ -113,9 +113,10 @@
         self._identity = identity
         self._state = state
         self._store = store
-        self._orders = orders
         self._key_positions = key_positions
-        self._client = client
+        self._order_sender = order_sender.OrderSender(
+            state.directory, orders, client, timing.order_timeout, telemetry
+        )
         self._timing = timing
         self._telemetry = telemetry
         self._services: dict[str, _OwnedService] = {}
@@ -155,9 +156,12 @@
             store_silence=silence,
             incarnation=self._identity.incarnation,
             resigned=self.election.resigned,
-            backend_loads=self._backend_totals,
         )
 
+    def backend_totals(self) -> BackendLoads:
+        """What all nodes have at back ends; another object each time that it was summed up."""
+        return self._backend_totals
+
     def owners_since(self, told: dict[str, OwnerMap]) -> list[ServiceOwners]:
         """What a node lacks of the owners of services that this node leads; `told` is updated."""
         return self._owners.since(told) if self.leads else []
@@ -172,7 +176,8 @@
         if status.term >= self.election.term:
             self._state.note_leader(status.store_silence, now)
             self._state.node_count = max(status.node_count, 1)
-            backend_loads.take_totals(status.backend_loads, self._state.directory, now)
+            if status.HasField("backend_loads"):
+                backend_loads.take_totals(status.backend_loads, self._state.directory, now)
         for owners in status.owners:
             known = self._state.service(owners.service).owners
             if owners.version > known.version:
@@ -244,11 +249,10 @@
             self._next_own_loads = now + OWN_LOADS_INTERVAL
             self.handle_loads(self._state.take_loads())
         may_renew = self.election.may_renew(now)
-        silence = self.election.store_silence(now)
         for name, owned in list(self._services.items()):
             if not self.election.former_leaders():
                 owned.core.handle_former_leaders_over(now)
-            for order in owned.core.handle_tick(may_renew, now, silence):
+            for order in owned.core.handle_tick(may_renew, now):
                 self._start(self._run_ownership, name, owned, order)
             self._log_changes(name, owned.core)
             self._log_balance(name, owned.core, now)
@@ -424,63 +428,12 @@
         self, name: str, owned: _OwnedService, command: OwnershipCommand
     ) -> None:
         if isinstance(command, SendGrant):
-            await self._send_grant(name, owned.core, command.order)
+            await self._order_sender.send_grant(name, owned.core, command.order)
         elif isinstance(command, SendRelease):
-            await self._send_release(name, owned.core, command.order)
+            await self._order_sender.send_release(name, owned.core, command.order)
         else:
             await self._write_record(name, owned, command)
 
-    async def _send_grant(self, name: str, core: ServiceOwnership, order: Grant) -> None:
-        sent_at = steady_clock()
-        request = self._order_request(order.backend_id, order)
-        try:
-            answer = await self._client.exchange(request, sent_at + self._timing.order_timeout)
-        except AttemptFailed as error:
-            self._note_lost(name, core, order, str(error))
-            return
-        done = self._orders.is_done(answer.status)
-        fenced_off = self._orders.is_fenced_off(answer.status)
-        self._telemetry.orders.labels("grant", str(answer.status)).inc()
-        if not done:
-            self._log.warning("grant_refused", service=name, status=answer.status, **_told(order))
-        core.handle_grant_answer(order, done, fenced_off, sent_at, steady_clock())
-
-    async def _send_release(self, name: str, core: ServiceOwnership, order: Release) -> None:
-        request = self._order_request(order.backend_id, order)
-        try:
-            answer = await self._client.exchange(request, steady_clock() + RELEASE_TIMEOUT)
-        except AttemptFailed as error:
-            self._note_lost(name, core, order, str(error))
-            return
-        done = self._orders.is_done(answer.status)
-        self._telemetry.orders.labels("release", str(answer.status)).inc()
-        handover = self._orders.handover(answer.headers)
-        self._log.info(
-            "released", service=name, status=answer.status, handover=bool(handover), **_told(order)
-        )
-        core.handle_release_answer(order, done, handover, steady_clock())
-
-    def _note_lost(
-        self, name: str, core: ServiceOwnership, order: Grant | Release, problem: str
-    ) -> None:
-        kind = "grant" if isinstance(order, Grant) else "release"
-        self._telemetry.orders.labels(kind, "lost").inc()
-        self._log.info("order_lost", service=name, kind=kind, problem=problem, **_told(order))
-        core.handle_order_lost(order, steady_clock())
-
-    def _order_request(self, backend_id: str, order: Grant | Release) -> BackendRequest:
-        address = self._state.directory.last_address(backend_id) or UNKNOWN_ADDRESS
-        if isinstance(order, Grant):
-            written = self._orders.grant(order)
-        else:
-            written = self._orders.release(order)
-        headers = [
-            (b"host", address.encode()),
-            *written.headers,
-            (b"content-length", b"%d" % len(written.body)),
-        ]
-        return BackendRequest(address, b"POST", written.path, headers, written.body)
-
     async def _write_record(self, name: str, owned: _OwnedService, command: WriteRecord) -> None:
         """Write until the store answers: then an earlier write is either done or dead."""
         row = RowKey(ASSIGNMENT_TABLE, "", name)
@@ -530,12 +483,3 @@
         return kind.FromString(row.value)
     except DecodeError as error:
         raise PlatformProtocolError(f"row {row.key}", str(error)) from error
-
-
-def _told(order: Grant | Release) -> dict[str, object]:
-    return {
-        "backend": order.backend_id,
-        "first": order.first,
-        "last": order.last,
-        "fence": order.fence,
-    }
--- a/src/limedeck/node/peers.py
+++ b/src/limedeck/node/peers.py
@@ -5,7 +5,13 @@
 import anyio
 from anyio.abc import SocketStream
 
-from limedeck.api.control_pb2 import ControlMessage, FormerLeader, LeaderRecord, Report
+from limedeck.api.control_pb2 import (
+    BackendLoads,
+    ControlMessage,
+    FormerLeader,
+    LeaderRecord,
+    Report,
+)
 from limedeck.errors import PeerProtocolError
 from limedeck.forwarding.owners import OwnerMap
 from limedeck.identity import Seconds
@@ -17,7 +23,8 @@
 from limedeck.ownership.timing import OwnershipTiming
 from limedeck.store.feeds import FeedPolicy, choose_observers
 
-CONNECT_TIMEOUT: Seconds = 0.3
+CONNECT_TIMEOUT: Seconds = 0.7
+"""A new leader on a slow machine takes so long to accept all nodes of a large site at once."""
 SEND_TIMEOUT: Seconds = 1.0
 REPORT_INTERVAL: Seconds = 0.25
 """Back ends' loads are known so late; a shorter one costs bytes between zones."""
@@ -26,6 +33,9 @@
 RECONNECT_PAUSE: Seconds = 0.15
 INQUIRY_PAUSE: Seconds = 0.2
 INQUIRY_TIMEOUT: Seconds = 0.8
+TELLING_TIME: Seconds = 0.0015
+"""About what it costs a leader on a slow machine to tell one node; it spends at most about all of
+its time on that, since what changes meanwhile goes into the next message."""
 SILENCE_LIMIT: Seconds = 1.5
 """A connection on which nothing came for so long is given up."""
 
@@ -263,14 +273,20 @@
         self, stream: SocketStream, peer: PeerTables, scope: anyio.CancelScope
     ) -> None:
         told: dict[str, OwnerMap] = {}
+        told_totals: BackendLoads | None = None
         try:
             while True:
                 status = self._control.status()
+                totals = self._control.backend_totals()
+                if totals is not told_totals:
+                    status.backend_loads.CopyFrom(totals)
+                    told_totals = totals
                 status.observes = peer.node_id in self._observers
                 status.owners.extend(self._control.owners_since(told))
                 self._store_news.fill(status, peer, steady_clock())
                 with anyio.fail_after(SEND_TIMEOUT):
                     await stream.send(encode_frame(ControlMessage(status=status)))
+                await anyio.sleep(TELLING_TIME * self.node_count())
                 with anyio.move_on_after(self._timing.heartbeat_interval):
                     await self._news.wait()
         except ENDED:
--- a/src/limedeck/ownership/timing.py
+++ b/src/limedeck/ownership/timing.py
@@ -15,12 +15,6 @@
     ----------
     lease
         Time that a grant runs from its arrival.
-    outage_lease
-        The same while the store has not confirmed the leader lately. Keys cannot move then, since
-        their record cannot be written, and a leader that is lost cannot be replaced.
-    outage_silence
-        The store counts as away when it has not confirmed the leader for so long; above
-        `confirm_interval` and the time of a slow answer.
     clock_error
         Part by which a back end's clock may be slow.
     lease_slack
@@ -29,6 +23,12 @@
         Between two grants of the same keys.
     order_timeout
         An order without an answer for so long counts as lost.
+    refused_release_pause
+        A release that was refused is sent again after so long: most likely the back end has gone
+        and its address belongs to another process, and only the end of its lease will free keys.
+    weakness_delay
+        A machine without any processor would stand for election so much later than one with a
+        whole core: a leader does more the more nodes follow it.
     holder_silence
         A back end that answered no order for so long loses its keys.
     avoidance
@@ -54,12 +54,12 @@
     """
 
     lease: Seconds = 2.0
-    outage_lease: Seconds = 2.0
-    outage_silence: Seconds = 1.0
     clock_error: float = 0.02
     lease_slack: Seconds = 0.1
     renewal_interval: Seconds = 0.5
     order_timeout: Seconds = 0.25
+    refused_release_pause: Seconds = 1.0
+    weakness_delay: Seconds = 0.4
     holder_silence: Seconds = 1.1
     avoidance: Seconds = 3.0
     heartbeat_interval: Seconds = 0.3
@@ -74,16 +74,8 @@
 
     @property
     def longest_lease(self) -> Seconds:
-        """Time after which any grant has surely ended, if it was not taken late."""
-        return self.ended_after(max(self.lease, self.outage_lease))
-
-    def ended_after(self, lease: Seconds) -> Seconds:
-        """Time after which a grant of this length has surely ended, if it was not taken late."""
-        return lease * (1.0 + self.clock_error) + self.lease_slack
-
-    def lease_now(self, store_silence: Seconds) -> Seconds:
-        """How long a grant is to run when the store has not confirmed the leader for so long."""
-        return self.outage_lease if store_silence > self.outage_silence else self.lease
+        """Time after sending a grant when it has surely ended, if it was not taken late."""
+        return self.lease * (1.0 + self.clock_error) + self.lease_slack
 
 
 RENEWALS_IN_A_LEASE = 4
@@ -92,7 +84,6 @@
 def timing_within(longest_lease: Seconds) -> OwnershipTiming:
     """Return the times for back ends that take no lease above `longest_lease`, in seconds."""
     usual = OwnershipTiming()
-    usual = replace(usual, outage_lease=min(usual.outage_lease, longest_lease))
     if longest_lease >= usual.lease:
         return usual
     renewal = longest_lease / RENEWALS_IN_A_LEASE
