--- a/src/limedeck/forwarding/backends.py
+++ b/src/limedeck/forwarding/backends.py
@@ -1,35 +1,19 @@
-"""What a node knows of each back end: its entry, its load, how fast it answers."""
+"""All back ends that a node knows, and the choice of one for a request."""
 
 from __future__ import annotations
 
 import math
 from collections.abc import Collection, Sequence
-from dataclasses import dataclass
 
 import xxhash
 
-from limedeck.forwarding.protocol import LoadReport
+from limedeck.forwarding.backend_state import BackendState
 from limedeck.forwarding.stale_load import levelling_shares
 from limedeck.forwarding.work import ServiceWork
-from limedeck.identity import NEVER, Seconds
+from limedeck.identity import Seconds
 from limedeck.model import Backend
 
 DEFAULT_SERVICE_TIME: Seconds = 0.1
-LATENCY_SMOOTHING = 0.15
-"""Weight of one answer in a back end's service time; some seven answers show that it slowed."""
-LOAD_MEMORY: Seconds = 0.5
-"""After so long, a load that an answer told counts for a third only."""
-FLEET_LOAD_LIFE: Seconds = 1.5
-"""What other nodes have at a back end is believed for so long: several reports may be missed."""
-GROWTH_CERTAINTY = 2.0
-"""Requests added to both counts from which growth is told, since small counts change by chance."""
-LARGEST_GROWTH = 3.0
-"""Other nodes' requests are believed to have grown or shrunk so many times at most."""
-FAILURES_TO_EJECT = 2
-EJECTION_TIME: Seconds = 0.5
-LONGEST_EJECTION: Seconds = 4.0
-FULL_QUEUE = 4.0
-"""Requests for each slot that a back end is taken to hold when it turns one away, at least."""
 OTHER_ZONE_FACTOR = 1.6
 """A back end of another zone must be better by so much, if each tells its load."""
 OTHER_ZONE_LOAD = 1.5
@@ -41,179 +25,6 @@
 """While hardly anything is under way, the best back end gets all of it."""
 
 
-@dataclass(frozen=True, slots=True)
-class WorkSample:
-    """What one back end was seen to do since the last report.
-
-    Parameters
-    ----------
-    outstanding
-        Requests of this node that it has not answered.
-    answers
-        Whole answers.
-    service_time
-        Their mean time in seconds, queues left out; zero without answers.
-    """
-
-    backend_id: str
-    outstanding: int
-    answers: int
-    service_time: Seconds
-
-
-class BackendState:
-    """One back end as one node sees it.
-
-    Attributes
-    ----------
-    outstanding
-        Requests of this node that it has not answered.
-    service_time
-        Smoothed time to work on one request of the service's present mix, in seconds.
-    tells_load
-        Its answers tell how many requests it has.
-    """
-
-    def __init__(self, backend: Backend, work: ServiceWork, now: Seconds) -> None:
-        self.backend = backend
-        self.work = work
-        self.seen_at = now
-        self.outstanding = 0
-        self.service_time: Seconds | None = None
-        self.tells_load = False
-        self.failures = 0
-        self.ejections = 0
-        self.ejected_until: Seconds = NEVER
-        self._others = 0.0
-        self._reported_at: Seconds = NEVER
-        self._elsewhere = 0.0
-        self._elsewhere_at: Seconds = NEVER
-        self._outstanding_told = 0
-        self._answers = 0
-        self._work_time: Seconds = 0.0
-
-    def note_load(self, report: LoadReport, now: Seconds) -> None:
-        """Take in the load that an answer told."""
-        self.tells_load = True
-        self._others = max(report.running + report.waiting - self.outstanding, 0.0)
-        self._reported_at = now
-
-    def note_fleet(self, outstanding: int, service_time: Seconds, now: Seconds) -> None:
-        """Take in what the leader tells: all nodes' requests there, and its service time."""
-        self._elsewhere = float(max(outstanding - self._outstanding_told, 0))
-        self._elsewhere_at = now
-        if service_time > 0.0:
-            self.service_time = service_time
-
-    def note_answer(
-        self,
-        took: Seconds,
-        load: LoadReport | None,
-        now: Seconds,
-        route: str = "",
-        ahead: float = 0,
-    ) -> None:
-        """An attempt was answered whole.
-
-        Parameters
-        ----------
-        ahead
-            Requests that were believed to be there when it was sent; an answer's load is better.
-        """
-        self.failures = 0
-        self.ejections = 0
-        self.ejected_until = NEVER
-        waiting = load.waiting if load else max(ahead + 1.0 - self.backend.slots, 0.0)
-        without_queue = took / (1.0 + waiting / self.backend.slots)
-        sample = without_queue / self.work.relative(route)
-        if self.service_time is None:
-            self.service_time = sample
-        self.work.note(route, without_queue / self.service_time)
-        self.service_time += LATENCY_SMOOTHING * (sample - self.service_time)
-        self._answers += 1
-        self._work_time += sample
-
-    def take_sample(self) -> WorkSample | None:
-        """Return what there is to report since the last call; None if nothing."""
-        if not self._answers and not self.outstanding and not self._outstanding_told:
-            return None
-        mean = self._work_time / self._answers if self._answers else 0.0
-        sample = WorkSample(self.backend.backend_id, self.outstanding, self._answers, mean)
-        self._outstanding_told = self.outstanding
-        self._answers = 0
-        self._work_time = 0.0
-        return sample
-
-    def note_failure(self, now: Seconds) -> None:
-        """An attempt ended without an answer."""
-        self.failures += 1
-        if self.failures >= FAILURES_TO_EJECT:
-            span = EJECTION_TIME * 2.0 ** min(self.ejections, 10)
-            self.ejected_until = now + min(span, LONGEST_EJECTION)
-            self.ejections += 1
-
-    def note_full(self, now: Seconds) -> None:
-        """It turned a request away because its queue is full."""
-        least = FULL_QUEUE * self.backend.slots - self.outstanding
-        self._others = max(self._others if self._reported_at == now else 0.0, least, 0.0)
-        self._reported_at = now
-
-    def expected_load(self, now: Seconds) -> float:
-        """Requests that are expected to be there now."""
-        others = self._others
-        if others:
-            others *= math.exp(-(now - self._reported_at) / LOAD_MEMORY)
-        if not self.tells_load and now - self._elsewhere_at < FLEET_LOAD_LIFE:
-            others = max(others, self._elsewhere * self._growth())
-        return self.outstanding + others
-
-    def _growth(self) -> float:
-        """How much other nodes' requests there have probably grown since they were told.
-
-        A surge shows at all nodes alike, and first in this node's own requests.
-        """
-        now_here = self.outstanding + GROWTH_CERTAINTY
-        growth = now_here / (self._outstanding_told + GROWTH_CERTAINTY)
-        return min(max(growth, 1.0 / LARGEST_GROWTH), LARGEST_GROWTH)
-
-    def load_age(self, now: Seconds) -> Seconds:
-        """How long ago it was last heard what other nodes have there."""
-        return now - max(self._reported_at, self._elsewhere_at)
-
-    def is_full(self, now: Seconds) -> bool:
-        """Whether one more request may be reset, as those do that tell no load."""
-        return not self.tells_load and self.expected_load(now) >= FULL_QUEUE * self.backend.slots
-
-    def capacity(self, now: Seconds, typical: Seconds) -> float:
-        """Requests a second that it can work on."""
-        return self.backend.slots / ((self.service_time or typical) * self._warming(now))
-
-    def expected_time(self, now: Seconds, typical: Seconds, relative: float = 1.0) -> Seconds:
-        """Time that one more request is expected to take.
-
-        Parameters
-        ----------
-        relative
-            Its work, as a part of the mean over the service's requests.
-        """
-        work = self.service_time or typical
-        slots = self.backend.slots
-        ahead = self.expected_load(now)
-        queued = max(ahead + 1.0 - slots, 0.0) / slots
-        busy = min(ahead / slots, 1.0)
-        return work * (relative * (1.0 + 0.3 * busy) + queued) * self._warming(now)
-
-    def expected_time_of(self, route: str, now: Seconds) -> Seconds | None:
-        """Time that a request of this route is expected to take; None if too little is known."""
-        if self.service_time is None or not self.work.is_measured(route):
-            return None
-        return self.expected_time(now, self.service_time, self.work.relative(route))
-
-    def _warming(self, now: Seconds) -> float:
-        age = now - self.seen_at
-        return 2.0 if age < self.backend.warmup else 1.0
-
-
 class BackendDirectory:
     """All back ends that the listing names, by service.
 
--- a/src/limedeck/forwarding/request.py
+++ b/src/limedeck/forwarding/request.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass, field
 
 from limedeck.errors import InvariantViolation
-from limedeck.forwarding.backends import BackendDirectory, BackendState, spread_of
+from limedeck.forwarding.backend_state import BackendState
+from limedeck.forwarding.backends import BackendDirectory, spread_of
 from limedeck.forwarding.budget import RetryBudget
 from limedeck.forwarding.owners import OwnerMap
 from limedeck.identity import Seconds
--- a/tests/unit/test_backend_loads.py
+++ b/tests/unit/test_backend_loads.py
@@ -9,7 +9,7 @@
 
 from limedeck.api import control_pb2
 from limedeck.errors import PeerProtocolError
-from limedeck.forwarding import backends, budget, request, stale_load, work
+from limedeck.forwarding import backend_state, backends, budget, request, stale_load, work
 from limedeck.forwarding.protocol import LoadReport
 from limedeck.model import Backend, Route, Target
 from limedeck.node import backend_loads
@@ -26,7 +26,7 @@
     return directory
 
 
-def state_in(directory: backends.BackendDirectory, name: str) -> backends.BackendState:
+def state_in(directory: backends.BackendDirectory, name: str) -> backend_state.BackendState:
     state = directory.find(name)
     assert state is not None
     return state
@@ -91,7 +91,7 @@
     assert state.take_sample() is not None
     state.note_fleet(9, 0.0, 5.0)
     assert state.expected_load(5.1) == 9.0
-    assert state.expected_load(5.1 + backends.FLEET_LOAD_LIFE) == 2.0
+    assert state.expected_load(5.1 + backend_state.FLEET_LOAD_LIFE) == 2.0
 
 
 def test_a_back_end_that_tells_its_load_is_believed_before_the_leader() -> None:
@@ -222,7 +222,7 @@
 
 
 def test_nothing_is_sent_to_a_back_end_that_would_reset_it() -> None:
-    directory = busy_directory(int(backends.FULL_QUEUE) * SLOTS)
+    directory = busy_directory(int(backend_state.FULL_QUEUE) * SLOTS)
     core = core_for(directory, "r", 5.0, 10.0)
     core.returned = True
     command = core.next_command(10.0, 3)
