--- a/src/limedeck/forwarding/request.py
+++ b/src/limedeck/forwarding/request.py
@@ -78,6 +78,26 @@
     until: Seconds
 
 
+@dataclass(frozen=True, slots=True)
+class Belief:
+    """What a refusal rests on: one back end as it was believed to be, for the log.
+
+    Parameters
+    ----------
+    expected
+        Time that the request would take there, in seconds; None if too little is known.
+    load
+        Requests that are there.
+    load_age
+        How long ago the other nodes' part of them was heard, in seconds.
+    """
+
+    backend_id: str
+    expected: Seconds | None
+    load: float
+    load_age: Seconds
+
+
 @dataclass(frozen=True, slots=True)
 class Refuse:
     """Command: give the request up at once.
@@ -86,11 +106,14 @@
     ----------
     retry_after
         In seconds, when the caller should come back.
+    belief
+        What decided it, if that was what is believed of a back end.
     """
 
     outcome: Outcome
     reason: Reason
     retry_after: Seconds
+    belief: Belief | None = None
 
 
 Command = Attempt | Wait | Refuse
@@ -243,7 +266,7 @@
         """Refuse what a full back end would reset, after which nobody knows whether it has run."""
         if self.maybe_run or not state.is_full(now):
             return None
-        return self._refuse(Reason.OVERLOADED, self._time_until_room(state, now))
+        return self._overloaded(state, now)
 
     def _early_refusal(self, state: BackendState, now: Seconds) -> Refuse | None:
         """Refuse what would miss its objective, as long as a second try can meet it.
@@ -258,7 +281,15 @@
         is_last = self.returned and self.until - now < LAST_RETURN * objective
         if is_last or expected is None or not is_early or elapsed + expected <= objective:
             return None
-        return self._refuse(Reason.OVERLOADED, self._time_until_room(state, now))
+        return self._overloaded(state, now)
+
+    def _overloaded(self, state: BackendState, now: Seconds) -> Refuse:
+        expected = state.expected_time_of(self.route.name, now)
+        belief = Belief(
+            state.backend.backend_id, expected, state.expected_load(now), state.load_age(now)
+        )
+        retry_after = self._time_until_room(state, now)
+        return self._refuse(Reason.OVERLOADED, retry_after, belief)
 
     def _time_until_room(self, state: BackendState, now: Seconds) -> Seconds:
         """When a caller should come back: the longer the queue, the later, and not all at once."""
@@ -279,9 +310,9 @@
         self._in_flight = Attempt(state, self.until, state.expected_load(now))
         return self._in_flight
 
-    def _refuse(self, reason: Reason, retry_after: Seconds) -> Refuse:
+    def _refuse(self, reason: Reason, retry_after: Seconds, belief: Belief | None = None) -> Refuse:
         outcome = Outcome.UNKNOWN if self.maybe_run else Outcome.NOT_RUN
-        return Refuse(outcome, reason, retry_after)
+        return Refuse(outcome, reason, retry_after, belief)
 
 
 def _reason_for(phase: FailurePhase, time_left: bool) -> Reason:
--- a/src/limedeck/node/request_log.py
+++ b/src/limedeck/node/request_log.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import math
 import traceback
 
 import xxhash
 
-from limedeck.forwarding.request import Refuse, RequestCore
+from limedeck.forwarding.request import Belief, Refuse, RequestCore
 from limedeck.identity import Seconds
 from limedeck.model import Backend
 from limedeck.node.clock import steady_clock
@@ -48,6 +49,9 @@
                 took,
                 outcome=why.outcome.value,
                 reason=why.reason.value,
+                retry_after=round(why.retry_after, 3),
+                returned=core.returned,
+                **_told(why.belief),
             )
 
     def caller_left(self, request_id: bytes, core: RequestCore, since: Seconds) -> None:
@@ -105,3 +109,15 @@
             took=round(took, 4),
             **fields,
         )
+
+
+def _told(belief: Belief | None) -> dict[str, object]:
+    """What is logged of the belief that decided a refusal."""
+    if belief is None:
+        return {}
+    return {
+        "backend": belief.backend_id,
+        "expected": None if belief.expected is None else round(belief.expected, 4),
+        "load": round(belief.load, 1),
+        "load_age": round(belief.load_age, 3) if math.isfinite(belief.load_age) else None,
+    }
--- a/tests/unit/test_backend_loads.py
+++ b/tests/unit/test_backend_loads.py
@@ -214,6 +214,8 @@
     command = first.next_command(10.0, 3)
     assert isinstance(command, request.Refuse)
     assert command.outcome is outcomes.Outcome.NOT_RUN
+    assert command.belief is not None
+    assert (command.belief.backend_id, command.belief.load) == ("a", 3 * SLOTS)
     again = core_for(directory, "r", 0.2, 10.0)
     again.returned = True
     assert isinstance(again.next_command(10.0, 3), request.Refuse)
--- /dev/null
+++ b/tests/unit/test_counted_store.py
@@ -0,0 +1,70 @@
+"""Calls to the store are counted by kind, table and result."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import anyio
+import pytest
+
+from limedeck.identity import Seconds
+from limedeck.node.counted_store import CountedStore
+from limedeck.node.telemetry import Telemetry
+from limedeck.store.rows import (
+    HistoryGone,
+    RowCondition,
+    RowStore,
+    RowWrite,
+    StoreUnavailable,
+    TableChanges,
+    TableRead,
+    Written,
+)
+
+
+class BrokenStore(RowStore):
+    """Reads once, then is away; it has forgotten its history."""
+
+    def __init__(self) -> None:
+        self.reads = 0
+
+    async def read(self, table: str, part: str = "") -> TableRead:
+        self.reads += 1
+        if self.reads > 1:
+            raise StoreUnavailable("away")
+        return TableRead((), 1, 0.0)
+
+    async def transact(
+        self, conditions: Sequence[RowCondition], writes: Sequence[RowWrite]
+    ) -> Written:
+        raise StoreUnavailable("away")
+
+    async def changes(self, table: str, after: int, wait: Seconds) -> TableChanges:
+        raise HistoryGone
+
+    async def aclose(self) -> None:
+        return
+
+
+async def call_everything(store: RowStore) -> None:
+    await store.read("t")
+    with pytest.raises(StoreUnavailable):
+        await store.read("t")
+    with pytest.raises(StoreUnavailable):
+        await store.transact([], [])
+    with pytest.raises(HistoryGone):
+        await store.changes("t", 1, 2.0)
+
+
+def test_each_call_counts_once_and_its_failure_is_passed_on() -> None:
+    telemetry = Telemetry()
+    store = CountedStore(BrokenStore(), telemetry)
+    anyio.run(call_everything, store)
+    assert store.counts == {
+        "read t done": 1,
+        "read t StoreUnavailable": 1,
+        "transact  StoreUnavailable": 1,
+        "changes t HistoryGone": 1,
+    }
+    text = telemetry.exposition().decode()
+    assert 'limedeck_store_calls_total{kind="read",result="done",table="t"} 1.0' in text
