--- a/src/limedeck/forwarding/backends.py
+++ b/src/limedeck/forwarding/backends.py
@@ -1,109 +1,28 @@
-"""What a node knows of each back end: its entry, its load, how fast it answers."""
+"""All back ends that a node knows, and the choice of one for a request."""
 
 from __future__ import annotations
 
 import math
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 
 import xxhash
 
-from limedeck.forwarding.protocol import LoadReport
-from limedeck.identity import NEVER, Seconds
+from limedeck.forwarding.backend_state import BackendState
+from limedeck.forwarding.stale_load import levelling_shares
+from limedeck.forwarding.work import ServiceWork
+from limedeck.identity import Seconds
 from limedeck.model import Backend
 
 DEFAULT_SERVICE_TIME: Seconds = 0.1
-LATENCY_SMOOTHING = 0.15
-LOAD_MEMORY: Seconds = 0.5
-"""After so long, a reported load counts for a third only."""
-FAILURES_TO_EJECT = 2
-EJECTION_TIME: Seconds = 0.5
-LONGEST_EJECTION: Seconds = 4.0
-FULL_QUEUE = 4.0
-"""Requests for each slot that a back end is taken to hold when it turns one away, at least."""
 OTHER_ZONE_FACTOR = 1.6
-"""A back end of another zone must be better by so much."""
-
-
-class BackendState:
-    """One back end as one node sees it.
-
-    Attributes
-    ----------
-    outstanding
-        Requests of this node that it has not answered.
-    service_time
-        Smoothed time to work on one request, in seconds.
-    answers
-        Whole answers since they were last reported.
-    """
-
-    def __init__(self, backend: Backend, now: Seconds) -> None:
-        self.backend = backend
-        self.seen_at = now
-        self.outstanding = 0
-        self.service_time: Seconds | None = None
-        self.answers = 0
-        self.failures = 0
-        self.ejections = 0
-        self.ejected_until: Seconds = NEVER
-        self._others = 0.0
-        self._reported_at: Seconds = NEVER
-
-    def note_load(self, report: LoadReport, now: Seconds) -> None:
-        """Take in the load that an answer told."""
-        self._others = max(report.running + report.waiting - self.outstanding, 0.0)
-        self._reported_at = now
-
-    def note_answer(self, took: Seconds, load: LoadReport | None, now: Seconds) -> None:
-        """An attempt was answered whole."""
-        self.answers += 1
-        self.failures = 0
-        self.ejections = 0
-        self.ejected_until = NEVER
-        queued = (load.waiting if load else 0) / self.backend.slots
-        sample = took / (1.0 + queued)
-        if self.service_time is None:
-            self.service_time = sample
-        else:
-            self.service_time += LATENCY_SMOOTHING * (sample - self.service_time)
-
-    def note_failure(self, now: Seconds) -> None:
-        """An attempt ended without an answer."""
-        self.failures += 1
-        if self.failures >= FAILURES_TO_EJECT:
-            span = EJECTION_TIME * 2.0 ** min(self.ejections, 10)
-            self.ejected_until = now + min(span, LONGEST_EJECTION)
-            self.ejections += 1
-
-    def note_full(self, now: Seconds) -> None:
-        """It turned a request away because its queue is full."""
-        least = FULL_QUEUE * self.backend.slots - self.outstanding
-        self._others = max(self._others if self._reported_at == now else 0.0, least, 0.0)
-        self._reported_at = now
-
-    def expected_load(self, now: Seconds) -> float:
-        """Requests that are expected to be there now."""
-        memory = math.exp(-(now - self._reported_at) / LOAD_MEMORY)
-        return self.outstanding + self._others * memory
-
-    def expected_time(self, now: Seconds, typical: Seconds) -> Seconds:
-        """Time that one more request is expected to take."""
-        work = self.service_time or typical
-        slots = self.backend.slots
-        ahead = self.expected_load(now)
-        queued = max(ahead + 1.0 - slots, 0.0) / slots
-        busy = min(ahead / slots, 1.0)
-        return work * (1.0 + queued + 0.3 * busy) * self._warming(now)
-
-    def queueing_time(self, now: Seconds) -> Seconds | None:
-        """Time that one more request is expected to take; None if nothing was measured."""
-        if self.service_time is None:
-            return None
-        return self.expected_time(now, self.service_time)
-
-    def _warming(self, now: Seconds) -> float:
-        age = now - self.seen_at
-        return 2.0 if age < self.backend.warmup else 1.0
+"""A back end of another zone must be better by so much, if each tells its load."""
+OTHER_ZONE_LOAD = 1.5
+"""If loads are known late, a back end of another zone counts as having so many more a slot: it is
+used once the near ones are busy. At 0.25, bytes between zones cost 0.016 more of a day's worth."""
+REPORT_DELAY: Seconds = 0.3
+"""Age that loads told by the leader have when the next ones come; see `node.peers`."""
+FEWEST_ARRIVALS = 0.1
+"""While hardly anything is under way, the best back end gets all of it."""
 
 
 class BackendDirectory:
@@ -123,13 +42,15 @@
         self._states: dict[str, BackendState] = {}
         self._services: dict[str, dict[str, BackendState]] = {}
         self._addresses: dict[str, str] = {}
+        self._work: dict[str, ServiceWork] = {}
 
     def put(self, backend: Backend, now: Seconds) -> None:
         """A back end's entry is new or has changed."""
         self._addresses[backend.backend_id] = backend.address
         state = self._states.get(backend.backend_id)
         if state is None:
-            state = BackendState(backend, now)
+            work = self._work.setdefault(backend.service, ServiceWork())
+            state = BackendState(backend, work, now)
             self._states[backend.backend_id] = state
         else:
             self._services.get(state.backend.service, {}).pop(backend.backend_id, None)
@@ -154,6 +75,10 @@
         """Return where the listed back ends are."""
         return {state.backend.address for state in self._states.values()}
 
+    def all_states(self) -> Collection[BackendState]:
+        """Return all back ends that are listed."""
+        return self._states.values()
+
     def of_service(self, service: str) -> list[BackendState]:
         """Return a service's back ends."""
         return list(self._services.get(service, {}).values())
@@ -171,6 +96,14 @@
         candidates = healthy or usable
         if not candidates:
             return None
+        if any(state.tells_load for state in candidates):
+            return self._soonest(candidates, request_id, now)
+        return self._by_share(candidates, request_id, now)
+
+    def _soonest(
+        self, candidates: list[BackendState], request_id: bytes, now: Seconds
+    ) -> BackendState:
+        """The one that is expected to answer first: each answer tells its load of that moment."""
         typical = self._typical_time(candidates)
 
         def cost(state: BackendState) -> float:
@@ -181,11 +114,47 @@
 
         return min(candidates, key=cost)
 
+    def _by_share(
+        self, candidates: list[BackendState], request_id: bytes, now: Seconds
+    ) -> BackendState:
+        """The better of two drawn by shares that level a load which is known late.
+
+        Until loads are known anew, a part of the requests that are there will have been answered,
+        and as many others will have come.
+        """
+        typical = self._typical_time(candidates)
+        present = [state.expected_load(now) for state in candidates]
+        remaining = math.exp(-REPORT_DELAY / typical)
+        arrivals = max(sum(present) * (1.0 - remaining), FEWEST_ARRIVALS)
+        loads = [load * remaining for load in present]
+        weighed = [
+            load
+            if state.backend.zone == self._zone
+            else load + OTHER_ZONE_LOAD * state.backend.slots
+            for state, load in zip(candidates, loads, strict=True)
+        ]
+        capacities = [state.capacity(now, typical) for state in candidates]
+        shares = levelling_shares(weighed, capacities, arrivals)
+        drawn = [
+            candidates[drawn_index(shares, spread_of(mark + request_id))] for mark in (b"1", b"2")
+        ]
+        return min(drawn, key=lambda state: state.outstanding * (state.service_time or typical))
+
     def _typical_time(self, states: list[BackendState]) -> Seconds:
         known = [state.service_time for state in states if state.service_time is not None]
         return sum(known) / len(known) if known else DEFAULT_SERVICE_TIME
 
 
+def drawn_index(shares: Sequence[float], point: float) -> int:
+    """Return the index of the share that holds `point`, a part of all shares from 0 to 1."""
+    left = point * sum(shares)
+    for index, share in enumerate(shares):
+        left -= share
+        if left < 0.0:
+            return index
+    return max(range(len(shares)), key=shares.__getitem__)
+
+
 def spread_of(text: bytes) -> float:
     """A number from 0 to 1 that differs from text to text."""
     return xxhash.xxh32_intdigest(text) / float(1 << 32)
--- a/src/limedeck/forwarding/request.py
+++ b/src/limedeck/forwarding/request.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass, field
 
 from limedeck.errors import InvariantViolation
-from limedeck.forwarding.backends import BackendDirectory, BackendState, spread_of
+from limedeck.forwarding.backend_state import BackendState
+from limedeck.forwarding.backends import BackendDirectory, spread_of
 from limedeck.forwarding.budget import RetryBudget
 from limedeck.forwarding.owners import OwnerMap
 from limedeck.identity import Seconds
@@ -27,6 +28,12 @@
 """Before the same owner is asked again; about the time that frees a slot."""
 LONGEST_MOVE_WAIT: Seconds = 0.4
 """A request waits at most so long for its key to have an owner."""
+RETURN_PART = 0.85
+"""A caller that will wait less than this part of the longest wait seen on its route has been here
+before: what is left after a refusal is below it, and callers of a route wait equally long."""
+LAST_RETURN = 2.25
+"""Objectives: with less time left than this, a caller that waits a third of it and comes back once
+more would be left with one and a half objectives, too little to be served in time."""
 EARLY_PART = 0.25
 """A request may be refused for its objective's sake within this part of the objective."""
 RETRY_AFTER: Seconds = 0.1
@@ -55,10 +62,13 @@
     ----------
     until
         When the attempt is given up, on this node's clock.
+    ahead
+        Requests that the back end is believed to have.
     """
 
     state: BackendState
     until: Seconds
+    ahead: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +78,26 @@
     until: Seconds
 
 
+@dataclass(frozen=True, slots=True)
+class Belief:
+    """What a refusal rests on: one back end as it was believed to be, for the log.
+
+    Parameters
+    ----------
+    expected
+        Time that the request would take there, in seconds; None if too little is known.
+    load
+        Requests that are there.
+    load_age
+        How long ago the other nodes' part of them was heard, in seconds.
+    """
+
+    backend_id: str
+    expected: Seconds | None
+    load: float
+    load_age: Seconds
+
+
 @dataclass(frozen=True, slots=True)
 class Refuse:
     """Command: give the request up at once.
@@ -76,11 +106,14 @@
     ----------
     retry_after
         In seconds, when the caller should come back.
+    belief
+        What decided it, if that was what is believed of a back end.
     """
 
     outcome: Outcome
     reason: Reason
     retry_after: Seconds
+    belief: Belief | None = None
 
 
 Command = Attempt | Wait | Refuse
@@ -95,7 +128,9 @@
     keyed
         Each key has one owner.
     key_counts
-        Requests by key since they were last reported.
+        Requests by key since they were last reported; one that comes back counts once.
+    longest_waits
+        By route, the longest time that a caller was ready to wait, in seconds.
     """
 
     name: str
@@ -103,6 +138,13 @@
     budget: RetryBudget
     owners: OwnerMap = field(default_factory=OwnerMap)
     key_counts: Counter[int] = field(default_factory=Counter)
+    longest_waits: dict[str, Seconds] = field(default_factory=dict)
+
+    def note_wait(self, route: str, wait: Seconds) -> bool:
+        """A caller will wait so long; tell whether it was here before with the same request."""
+        longest = max(self.longest_waits.get(route, 0.0), wait)
+        self.longest_waits[route] = longest
+        return wait < RETURN_PART * longest
 
 
 class RequestCore:
@@ -114,6 +156,8 @@
         Of the request's key; None if it has none.
     deadline
         When the caller stops waiting, on this node's clock.
+    returned
+        The caller was here before with the same request and has come back.
     """
 
     def __init__(
@@ -125,7 +169,9 @@
         position: int | None,
         deadline: Seconds,
         now: Seconds,
+        returned: bool = False,
     ) -> None:
+        self.returned = returned
         self.request_id = request_id
         self.route = route
         self.service = service
@@ -212,23 +258,47 @@
         return self._attempt_in_time(state, now, node_count)
 
     def _attempt_in_time(self, state: BackendState, now: Seconds, node_count: int) -> Command:
-        """Send it, unless it is expected to miss its objective and may come back in time."""
-        return self._early_refusal(state, now) or self._attempt(state, now, node_count)
+        """Send it, unless it would be lost, or is expected to miss its objective."""
+        refusal = self._refusal_by_full(state, now) or self._early_refusal(state, now)
+        return refusal or self._attempt(state, now, node_count)
+
+    def _refusal_by_full(self, state: BackendState, now: Seconds) -> Refuse | None:
+        """Refuse what a full back end would reset, after which nobody knows whether it has run."""
+        if self.maybe_run or not state.is_full(now):
+            return None
+        return self._overloaded(state, now)
 
     def _early_refusal(self, state: BackendState, now: Seconds) -> Refuse | None:
         """Refuse what would miss its objective, as long as a second try can meet it.
 
-        The back end keeps a queue that is short enough for the requests it takes.
+        The back end keeps a queue that is short enough for the requests it takes. A caller that
+        has come back with too little time for another return is served, though late.
         """
         elapsed = now - self.arrived
         objective = self.route.objective
-        expected = state.queueing_time(now)
+        expected = state.expected_time_of(self.route.name, now)
         is_early = elapsed <= EARLY_PART * objective and not self.maybe_run
-        if expected is None or not is_early or elapsed + expected <= objective:
+        is_last = self.returned and self.until - now < LAST_RETURN * objective
+        if is_last or expected is None or not is_early or elapsed + expected <= objective:
             return None
-        too_long = elapsed + expected - EARLY_PART * objective
+        return self._overloaded(state, now)
+
+    def _overloaded(self, state: BackendState, now: Seconds) -> Refuse:
+        expected = state.expected_time_of(self.route.name, now)
+        belief = Belief(
+            state.backend.backend_id, expected, state.expected_load(now), state.load_age(now)
+        )
+        retry_after = self._time_until_room(state, now)
+        return self._refuse(Reason.OVERLOADED, retry_after, belief)
+
+    def _time_until_room(self, state: BackendState, now: Seconds) -> Seconds:
+        """When a caller should come back: the longer the queue, the later, and not all at once."""
+        expected = state.expected_time_of(self.route.name, now)
+        if expected is None:
+            return RETRY_AFTER
+        too_long = now - self.arrived + expected - EARLY_PART * self.route.objective
         spread = 1.0 + 0.5 * spread_of(self.request_id)
-        return self._refuse(Reason.OVERLOADED, min(too_long * spread, LONGEST_RETRY_AFTER))
+        return min(max(too_long * spread, RETRY_PAUSE), LONGEST_RETRY_AFTER)
 
     def _attempt(self, state: BackendState, now: Seconds, node_count: int) -> Command:
         if self.maybe_run and not self.route.repeatable:
@@ -237,12 +307,12 @@
             return self._refuse(Reason.REFUSED, RETRY_AFTER)
         self.attempts += 1
         self._waiting_since = None
-        self._in_flight = Attempt(state, self.until)
+        self._in_flight = Attempt(state, self.until, state.expected_load(now))
         return self._in_flight
 
-    def _refuse(self, reason: Reason, retry_after: Seconds) -> Refuse:
+    def _refuse(self, reason: Reason, retry_after: Seconds, belief: Belief | None = None) -> Refuse:
         outcome = Outcome.UNKNOWN if self.maybe_run else Outcome.NOT_RUN
-        return Refuse(outcome, reason, retry_after)
+        return Refuse(outcome, reason, retry_after, belief)
 
 
 def _reason_for(phase: FailurePhase, time_left: bool) -> Reason:
--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -12,6 +12,7 @@
 
 from limedeck.api.control_pb2 import (
     AssignmentRecord,
+    BackendLoads,
     LeaderConfirmation,
     LeaderRecord,
     ServiceLoad,
@@ -20,9 +21,10 @@
 )
 from limedeck.errors import PlatformProtocolError
 from limedeck.forwarding.owners import OwnerMap
-from limedeck.identity import Seconds
+from limedeck.identity import NEVER, Seconds
+from limedeck.node import backend_loads, order_sender
 from limedeck.node.clock import steady_clock
-from limedeck.node.http_client import AttemptFailed, BackendRequest, HttpClient
+from limedeck.node.http_client import HttpClient
 from limedeck.node.logs import get_logger
 from limedeck.node.owner_changes import PublishedOwners, read_owners
 from limedeck.node.state import NodeState
@@ -36,7 +38,8 @@
     ReadLeader,
     Role,
 )
-from limedeck.ownership.orders import Grant, OrderProtocol, Release
+from limedeck.ownership.fleet_load import FleetLoad
+from limedeck.ownership.orders import OrderProtocol
 from limedeck.ownership.service import (
     OwnershipCommand,
     SendGrant,
@@ -61,12 +64,14 @@
 ASSIGNMENT_TABLE = "limedeck_assignment"
 Record = TypeVar("Record", bound=Message)
 TICK: Seconds = 0.05
-RELEASE_TIMEOUT: Seconds = 1.0
+BALANCE_LOG_INTERVAL: Seconds = 1.0
+LOGGED_USES = 12
+"""The most used back ends that a log line names."""
 RECORD_RETRY: Seconds = 0.1
 OWN_LOADS_INTERVAL: Seconds = 0.5
+TOTALS_INTERVAL: Seconds = 0.25
+"""Between two sums of what all nodes have at back ends; nodes report as often."""
 VERSION_BITS = 32
-UNKNOWN_ADDRESS = "0.0.0.0:0"
-"""Of a recorded owner that was never listed while this process ran; no order reaches it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +89,8 @@
     ----------
     identity
         This node's record for elections.
+    processor
+        Cores that this node may use.
     """
 
     def __init__(
@@ -96,8 +103,9 @@
         client: HttpClient,
         timing: OwnershipTiming,
         telemetry: Telemetry,
+        processor: float = 1.0,
     ) -> None:
-        self.election = ElectionCore(identity, timing, steady_clock())
+        self.election = ElectionCore(identity, timing, steady_clock(), processor)
         self.node_count: Callable[[], int] = lambda: 1
         self.on_owners: Callable[[], None] = lambda: None
         self.on_store_back: Callable[[], None] = lambda: None
@@ -105,9 +113,10 @@
         self._identity = identity
         self._state = state
         self._store = store
-        self._orders = orders
         self._key_positions = key_positions
-        self._client = client
+        self._order_sender = order_sender.OrderSender(
+            state.directory, orders, client, timing.order_timeout, telemetry
+        )
         self._timing = timing
         self._telemetry = telemetry
         self._services: dict[str, _OwnedService] = {}
@@ -117,6 +126,10 @@
         self._log = get_logger("control")
         self._store_offset: Seconds = 0.0
         self._next_own_loads: Seconds = 0.0
+        self._fleet_load = FleetLoad()
+        self._backend_totals = BackendLoads()
+        self._next_totals: Seconds = 0.0
+        self._next_balance_log: dict[str, Seconds] = {}
         self._tasks: TaskGroup | None = None
 
     @property
@@ -145,6 +158,10 @@
             resigned=self.election.resigned,
         )
 
+    def backend_totals(self) -> BackendLoads:
+        """What all nodes have at back ends; another object each time that it was summed up."""
+        return self._backend_totals
+
     def owners_since(self, told: dict[str, OwnerMap]) -> list[ServiceOwners]:
         """What a node lacks of the owners of services that this node leads; `told` is updated."""
         return self._owners.since(told) if self.leads else []
@@ -155,9 +172,12 @@
         if not status.leads:
             self.election.handle_denial(leader.term, status.incarnation, status.resigned)
             return
-        self.election.handle_heartbeat(status.term, status.store_silence, now)
+        self.election.handle_heartbeat(status.term, status.store_silence, now, status.node_count)
         if status.term >= self.election.term:
+            self._state.note_leader(status.store_silence, now)
             self._state.node_count = max(status.node_count, 1)
+            if status.HasField("backend_loads"):
+                backend_loads.take_totals(status.backend_loads, self._state.directory, now)
         for owners in status.owners:
             known = self._state.service(owners.service).owners
             if owners.version > known.version:
@@ -175,8 +195,37 @@
             if owned is None:
                 continue
             owned.core.note_requests(((item.position, item.count) for item in load.keys), now)
-            for sample in load.backends:
-                owned.core.note_service_time(sample.backend_id, sample.service_time)
+
+    def backend_report(self) -> BackendLoads:
+        """What this node has to tell the leader of its requests at back ends."""
+        return backend_loads.write_report(self._state.directory)
+
+    def handle_backend_report(self, node: str, message: BackendLoads) -> None:
+        """A node told what it has at back ends."""
+        self._fleet_load.note(node, backend_loads.read_report(message))
+
+    def handle_follower_left(self, node: str) -> None:
+        """A node is not connected any more."""
+        self._fleet_load.forget(node)
+
+    def _refresh_loads(self, now: Seconds) -> None:
+        """Add up what all nodes told, and believe it on this node too."""
+        if now < self._next_totals:
+            return
+        if not self._next_totals:
+            self._fleet_load.begin_with(backend_loads.known_service_times(self._state.directory))
+        self._next_totals = now + TOTALS_INTERVAL
+        directory = self._state.directory
+        self.handle_backend_report(self._identity.node_id, self.backend_report())
+        marks = {backend_loads.mark_of(s.backend.backend_id): s for s in directory.all_states()}
+        totals = self._fleet_load.totals(marks)
+        self._backend_totals = backend_loads.write_totals(totals)
+        backend_loads.take_totals(self._backend_totals, directory, now)
+        for total in totals:
+            backend = marks[total.backend].backend
+            owned = self._services.get(backend.service)
+            if owned is not None and total.service_time > 0.0:
+                owned.core.set_service_time(backend.backend_id, total.service_time)
 
     def handle_report_term(self, term: int) -> None:
         """Another node told which term it knows."""
@@ -192,8 +241,10 @@
             self._leave_office()
             return
         self._state.node_count = self.node_count()
+        self._state.note_leader(self.election.store_silence(now), now)
         self._open_services()
         self._refresh_listing(now)
+        self._refresh_loads(now)
         if now >= self._next_own_loads:
             self._next_own_loads = now + OWN_LOADS_INTERVAL
             self.handle_loads(self._state.take_loads())
@@ -204,6 +255,7 @@
             for order in owned.core.handle_tick(may_renew, now):
                 self._start(self._run_ownership, name, owned, order)
             self._log_changes(name, owned.core)
+            self._log_balance(name, owned.core, now)
             self._publish(name, owned, now)
             if owned.core.fenced_off:
                 self._log.warning("fenced_off", service=name, term=owned.term)
@@ -215,6 +267,9 @@
             self._log.info("leadership_ended", term=self.election.term)
             self._services.clear()
             self._owners.clear()
+            self._fleet_load.clear()
+            self._backend_totals = BackendLoads()
+            self._next_totals = 0.0
             self._telemetry.leads.set(0)
 
     def _open_services(self) -> None:
@@ -241,6 +296,20 @@
         self._state.set_owners(name, owners)
         self.on_owners()
 
+    def _log_balance(self, name: str, core: ServiceOwnership, now: Seconds) -> None:
+        if now < self._next_balance_log.get(name, NEVER) or not core.uses:
+            return
+        self._next_balance_log[name] = now + BALANCE_LOG_INTERVAL
+        by_use = sorted(core.uses.items(), key=lambda item: -item[1])
+        self._log.info(
+            "balance",
+            service=name,
+            pieces=len(core.ranges),
+            mean=round(sum(core.uses.values()) / len(core.uses), 2),
+            service_time=round(core.typical_service_time(), 4),
+            uses={backend_id: round(use, 2) for backend_id, use in by_use[:LOGGED_USES]},
+        )
+
     def _log_changes(self, name: str, core: ServiceOwnership) -> None:
         for change in core.changes:
             self._telemetry.owner_changes.labels(change.cause.value).inc()
@@ -359,63 +428,12 @@
         self, name: str, owned: _OwnedService, command: OwnershipCommand
     ) -> None:
         if isinstance(command, SendGrant):
-            await self._send_grant(name, owned.core, command.order)
+            await self._order_sender.send_grant(name, owned.core, command.order)
         elif isinstance(command, SendRelease):
-            await self._send_release(name, owned.core, command.order)
+            await self._order_sender.send_release(name, owned.core, command.order)
         else:
             await self._write_record(name, owned, command)
 
-    async def _send_grant(self, name: str, core: ServiceOwnership, order: Grant) -> None:
-        sent_at = steady_clock()
-        request = self._order_request(order.backend_id, order)
-        try:
-            answer = await self._client.exchange(request, sent_at + self._timing.order_timeout)
-        except AttemptFailed as error:
-            self._note_lost(name, core, order, str(error))
-            return
-        done = self._orders.is_done(answer.status)
-        fenced_off = self._orders.is_fenced_off(answer.status)
-        self._telemetry.orders.labels("grant", str(answer.status)).inc()
-        if not done:
-            self._log.warning("grant_refused", service=name, status=answer.status, **_told(order))
-        core.handle_grant_answer(order, done, fenced_off, sent_at, steady_clock())
-
-    async def _send_release(self, name: str, core: ServiceOwnership, order: Release) -> None:
-        request = self._order_request(order.backend_id, order)
-        try:
-            answer = await self._client.exchange(request, steady_clock() + RELEASE_TIMEOUT)
-        except AttemptFailed as error:
-            self._note_lost(name, core, order, str(error))
-            return
-        done = self._orders.is_done(answer.status)
-        self._telemetry.orders.labels("release", str(answer.status)).inc()
-        handover = self._orders.handover(answer.headers)
-        self._log.info(
-            "released", service=name, status=answer.status, handover=bool(handover), **_told(order)
-        )
-        core.handle_release_answer(order, done, handover, steady_clock())
-
-    def _note_lost(
-        self, name: str, core: ServiceOwnership, order: Grant | Release, problem: str
-    ) -> None:
-        kind = "grant" if isinstance(order, Grant) else "release"
-        self._telemetry.orders.labels(kind, "lost").inc()
-        self._log.info("order_lost", service=name, kind=kind, problem=problem, **_told(order))
-        core.handle_order_lost(order, steady_clock())
-
-    def _order_request(self, backend_id: str, order: Grant | Release) -> BackendRequest:
-        address = self._state.directory.last_address(backend_id) or UNKNOWN_ADDRESS
-        if isinstance(order, Grant):
-            written = self._orders.grant(order)
-        else:
-            written = self._orders.release(order)
-        headers = [
-            (b"host", address.encode()),
-            *written.headers,
-            (b"content-length", b"%d" % len(written.body)),
-        ]
-        return BackendRequest(address, b"POST", written.path, headers, written.body)
-
     async def _write_record(self, name: str, owned: _OwnedService, command: WriteRecord) -> None:
         """Write until the store answers: then an earlier write is either done or dead."""
         row = RowKey(ASSIGNMENT_TABLE, "", name)
@@ -465,12 +483,3 @@
         return kind.FromString(row.value)
     except DecodeError as error:
         raise PlatformProtocolError(f"row {row.key}", str(error)) from error
-
-
-def _told(order: Grant | Release) -> dict[str, object]:
-    return {
-        "backend": order.backend_id,
-        "first": order.first,
-        "last": order.last,
-        "fence": order.fence,
-    }
--- a/src/limedeck/node/gateway.py
+++ b/src/limedeck/node/gateway.py
@@ -39,6 +39,9 @@
 LOST = 502
 TIMED_OUT = 504
 START_RETRY_AFTER: Seconds = 0.3
+"""A node that starts has read its configuration after about so long."""
+STOP_RETRY_AFTER: Seconds = 0.02
+"""Another node can take the request at once; spares a client that returns in the same instant."""
 LONGEST_DEADLINE: Seconds = 3600.0
 
 
@@ -84,7 +87,10 @@
         headers = dict(scope["headers"])
         routes = self._state.routes
         configuration = self._state.configuration
-        if routes is None or configuration is None or self._state.closing:
+        if self._state.closing:
+            await self._say(send, NOT_RUN, STOP_RETRY_AFTER)
+            return
+        if routes is None or configuration is None:
             await self._say(send, NOT_RUN, START_RETRY_AFTER)
             return
         path = scope["raw_path"].decode("latin-1").partition("?")[0]
@@ -123,10 +129,11 @@
         service = self._state.service(choose_service(route, request_id))
         service.budget.note_request(now)
         position = self._protocol.key_position(headers) if service.keyed else None
-        if position is not None:
+        returned = service.note_wait(route.name, deadline - now)
+        if position is not None and not returned:
             service.key_counts[position] += 1
         core = RequestCore(
-            request_id, route, service, self._state.directory, position, deadline, now
+            request_id, route, service, self._state.directory, position, deadline, now, returned
         )
         target = scope["raw_path"]
         if scope["query_string"]:
@@ -243,7 +250,8 @@
             problem = f"status {answer.status}"
             self._log.attempt_failed(call.request_id, backend, FailurePhase.REFUSED, problem)
             return FailurePhase.REFUSED, facts.wrong_instance
-        attempt.state.note_answer(now - started, facts.load, now)
+        took = now - started
+        attempt.state.note_answer(took, facts.load, now, call.route.name, attempt.ahead)
         return answer
 
     async def _pass_on(self, send: Send, answer: BackendAnswer) -> None:
@@ -269,7 +277,7 @@
         await self._send(send, status, headers, b"")
 
     async def _send(self, send: Send, status: int, headers: Headers, body: bytes) -> None:
-        if self._state.stopping:
+        if self._state.stopping or self._state.is_isolated(steady_clock()):
             headers.append((b"connection", b"close"))
         await send({"type": "http.response.start", "status": status, "headers": headers})
         await send({"type": "http.response.body", "body": body})
--- a/src/limedeck/node/peers.py
+++ b/src/limedeck/node/peers.py
@@ -5,7 +5,13 @@
 import anyio
 from anyio.abc import SocketStream
 
-from limedeck.api.control_pb2 import ControlMessage, FormerLeader, LeaderRecord, Report
+from limedeck.api.control_pb2 import (
+    BackendLoads,
+    ControlMessage,
+    FormerLeader,
+    LeaderRecord,
+    Report,
+)
 from limedeck.errors import PeerProtocolError
 from limedeck.forwarding.owners import OwnerMap
 from limedeck.identity import Seconds
@@ -17,12 +23,19 @@
 from limedeck.ownership.timing import OwnershipTiming
 from limedeck.store.feeds import FeedPolicy, choose_observers
 
-CONNECT_TIMEOUT: Seconds = 0.3
+CONNECT_TIMEOUT: Seconds = 0.7
+"""A new leader on a slow machine takes so long to accept all nodes of a large site at once."""
 SEND_TIMEOUT: Seconds = 1.0
-REPORT_INTERVAL: Seconds = 0.5
+REPORT_INTERVAL: Seconds = 0.25
+"""Back ends' loads are known so late; a shorter one costs bytes between zones."""
+KEY_REPORT_INTERVAL: Seconds = 0.5
+"""Requests by key are told less often: the leader's shortest memory of them is a second."""
 RECONNECT_PAUSE: Seconds = 0.15
 INQUIRY_PAUSE: Seconds = 0.2
 INQUIRY_TIMEOUT: Seconds = 0.8
+TELLING_TIME: Seconds = 0.0015
+"""About what it costs a leader on a slow machine to tell one node; it spends at most about all of
+its time on that, since what changes meanwhile goes into the next message."""
 SILENCE_LIMIT: Seconds = 1.5
 """A connection on which nothing came for so long is given up."""
 
@@ -55,6 +68,7 @@
         self._news = news
         self._policy = policy
         self._peer = PeerTables(steady_clock())
+        self._next_key_report: Seconds = 0.0
         self._log = get_logger("peers")
 
     async def run(self) -> None:
@@ -103,14 +117,20 @@
             return
 
     def _report(self) -> Report:
+        now = steady_clock()
+        loads = []
+        if now >= self._next_key_report:
+            self._next_key_report = now + KEY_REPORT_INTERVAL
+            loads = self._control.take_loads()
         report = Report(
             node_id=self._identity.node_id,
             incarnation=self._identity.incarnation,
             term=self._control.election.term,
-            loads=self._control.take_loads(),
+            loads=loads,
             zone=self._zone,
+            backend_loads=self._control.backend_report(),
         )
-        self._news.fill(report, self._peer, steady_clock())
+        self._news.fill(report, self._peer, now)
         return report
 
     async def _read_statuses(self, stream: SocketStream, leader: LeaderRecord) -> None:
@@ -122,7 +142,9 @@
             if not message.status.leads:
                 return
             status, now = message.status, steady_clock()
-            self._policy.handle_status(status.observes, status.store_silence, now)
+            self._policy.handle_status(
+                status.observes, status.store_silence, now, status.node_count
+            )
             self._news.take(status, self._peer, now)
 
 
@@ -223,6 +245,7 @@
                 node = message.report.node_id
                 self._control.handle_report_term(message.report.term)
                 self._control.handle_loads(message.report.loads)
+                self._control.handle_backend_report(node, message.report.backend_loads)
                 self._store_news.take(message.report, peer, steady_clock())
                 self._note_follower(message.report, stream, peer)
         except ENDED as error:
@@ -230,6 +253,7 @@
         finally:
             if self._nodes.get(node) is stream:
                 del self._nodes[node]
+                self._control.handle_follower_left(node)
                 del self._zones[node]
                 self._observers = choose_observers(self._zones, self._zone)
 
@@ -249,14 +273,20 @@
         self, stream: SocketStream, peer: PeerTables, scope: anyio.CancelScope
     ) -> None:
         told: dict[str, OwnerMap] = {}
+        told_totals: BackendLoads | None = None
         try:
             while True:
                 status = self._control.status()
+                totals = self._control.backend_totals()
+                if totals is not told_totals:
+                    status.backend_loads.CopyFrom(totals)
+                    told_totals = totals
                 status.observes = peer.node_id in self._observers
                 status.owners.extend(self._control.owners_since(told))
                 self._store_news.fill(status, peer, steady_clock())
                 with anyio.fail_after(SEND_TIMEOUT):
                     await stream.send(encode_frame(ControlMessage(status=status)))
+                await anyio.sleep(TELLING_TIME * self.node_count())
                 with anyio.move_on_after(self._timing.heartbeat_interval):
                     await self._news.wait()
         except ENDED:
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -6,6 +6,7 @@
 import secrets
 import signal
 import socket
+from collections import Counter
 from collections.abc import AsyncIterator
 
 import anyio
@@ -14,12 +15,14 @@
 from hypercorn.config import Config
 
 from limedeck.api.control_pb2 import LeaderRecord
+from limedeck.forwarding.backends import spread_of
 from limedeck.forwarding.budget import RetryAllowance
 from limedeck.identity import Seconds
 from limedeck.model import Configuration
 from limedeck.node.asgi import Application
 from limedeck.node.clock import steady_clock
 from limedeck.node.control import ControlHost
+from limedeck.node.counted_store import CountedStore
 from limedeck.node.gateway import CallerGateway
 from limedeck.node.http_client import HttpClient
 from limedeck.node.listener import OwnSocketConfig, close_to_newcomers, open_listener
@@ -51,6 +54,8 @@
 LARGEST_HEAD = 128 * 1024
 KEEP_ALIVE: Seconds = 60.0
 UPKEEP_INTERVAL: Seconds = 0.5
+STORE_CALLS_INTERVAL: Seconds = 5.0
+"""Between two log lines of calls to the store; as often as figures are fetched in an incident."""
 CONFIGURATION_JOINING: Seconds = 0.15
 BACKENDS_JOINING: Seconds = 0.15
 LAST_ANSWERS: Seconds = 0.2
@@ -101,7 +106,8 @@
         """Run until a planned stop is over."""
         settings = self._settings
         self._log.info("started", node=settings.node.id, zone=settings.node.zone)
-        store = PlatformStore(settings.store.address, settings.store.timeout)
+        platform_store = PlatformStore(settings.store.address, settings.store.timeout)
+        store = CountedStore(platform_store, self._telemetry)
         backend_client = HttpClient(settings.node.ip)
         control = ControlHost(
             self._identity,
@@ -112,12 +118,14 @@
             HttpClient(settings.node.ip),
             self._timing,
             self._telemetry,
+            settings.node.processor,
         )
         self._file.on_change = self._take_up
         gateway = CallerGateway(self._state, self._protocol, backend_client, self._request_log)
         async with anyio.create_task_group() as tasks:
             self._start_control(tasks, control, store)
             tasks.start_soon(self._upkeep, backend_client)
+            tasks.start_soon(self._log_store_calls, store)
             await self._serve_until_stopped(gateway, control)
             tasks.cancel_scope.cancel()
         self._log.info("stopped", node=settings.node.id)
@@ -129,13 +137,13 @@
         self._state.set_allowance(_allowance(settings))
         self._request_log.set_bounds(settings.log)
 
-    def _start_control(self, tasks: TaskGroup, control: ControlHost, store: PlatformStore) -> None:
+    def _start_control(self, tasks: TaskGroup, control: ControlHost, store: CountedStore) -> None:
         watchers = (
             TableWatcher(store, self._configuration_follower()),
             TableWatcher(store, self._backends_follower()),
         )
         news = StoreNews(watchers)
-        policy = FeedPolicy(steady_clock())
+        policy = FeedPolicy(steady_clock(), spread_of(self._identity.node_id.encode()))
         address = self._identity.peer_address
         zone = self._settings.node.zone
         followers = FollowerConnections(address, zone, control, news, self._timing)
@@ -180,10 +188,10 @@
         started = steady_clock()
         self._state.stopping = True
         control.election.resign()
-        await anyio.sleep(stop.grace * stop.serving)
+        await anyio.sleep(stop.serving_time)
         await close_to_newcomers(listener)
         self._state.closing = True
-        end = started + stop.grace * stop.finishing
+        end = started + stop.finishing_time
         while self._state.in_flight and steady_clock() < end:
             await self._state.wait_for_change(end - steady_clock())
 
@@ -209,6 +217,16 @@
                 else:
                     stop_requested.set()
 
+    async def _log_store_calls(self, store: CountedStore) -> None:
+        """Log now and then what was asked of the store; nothing is logged while that is nothing."""
+        told: Counter[str] = Counter()
+        while True:
+            await anyio.sleep(STORE_CALLS_INTERVAL)
+            new = store.counts - told
+            if new:
+                self._log.info("store_calls", seconds=STORE_CALLS_INTERVAL, calls=dict(new))
+            told = Counter(store.counts)
+
     async def _upkeep(self, client: HttpClient) -> None:
         while True:
             await anyio.sleep(UPKEEP_INTERVAL)
--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -19,7 +19,7 @@
 from limedeck.identity import NEVER, Seconds
 from limedeck.model import Backend
 from limedeck.ownership.fences import FenceCounter
-from limedeck.ownership.key_load import RECENT_MEMORY, KeyLoad
+from limedeck.ownership.key_load import LASTING_MEMORY, RECENT_MEMORY, KeyLoad
 from limedeck.ownership.orders import Grant, Release
 from limedeck.ownership.planning import (
     BalancePlan,
@@ -31,7 +31,6 @@
 from limedeck.ownership.ranges import NO_OWNER, Cause, Phase, RangeState
 from limedeck.ownership.timing import OwnershipTiming
 
-SERVICE_TIME_SMOOTHING = 0.2
 DEFAULT_SERVICE_TIME: Seconds = 0.1
 HOT_KEY_REST: Seconds = 4.0
 """A hot key that was moved by itself stays so long where it is."""
@@ -118,9 +117,11 @@
         self._commands: list[OwnershipCommand] = []
         self._published: tuple[OwnedRange, ...] = ()
         self.fenced_off = False
+        self.uses: dict[str, float] = {}
         self._alone = False
         self.load = KeyLoad(now)
         self.recent_load = KeyLoad(now, RECENT_MEMORY)
+        self.lasting_load = KeyLoad(now, LASTING_MEMORY)
         self._service_times: dict[str, Seconds] = {}
         self._next_balance = now + timing.balance_interval
         self._settled_until: dict[int, Seconds] = {}
@@ -167,7 +168,7 @@
         if found is None or found.phase is not Phase.RELEASING:
             return
         found.order_pending = False
-        found.next_order = now + self._timing.order_timeout
+        found.next_order = now + self._timing.refused_release_pause
         if done:
             found.phase = Phase.FREE
             found.held_until = now
@@ -256,13 +257,12 @@
     def note_requests(self, counts: Iterable[tuple[int, int]], now: Seconds) -> None:
         """A node tells how many requests it had by key."""
         counted = list(counts)
-        self.load.add(counted, now)
-        self.recent_load.add(counted, now)
+        for load in (self.recent_load, self.load, self.lasting_load):
+            load.add(counted, now)
 
-    def note_service_time(self, backend_id: str, sample: Seconds) -> None:
-        """A node tells how long a back end works on one request."""
-        known = self._service_times.get(backend_id, sample)
-        self._service_times[backend_id] = known + SERVICE_TIME_SMOOTHING * (sample - known)
+    def set_service_time(self, backend_id: str, service_time: Seconds) -> None:
+        """All nodes' answers tell how long a back end works on one request."""
+        self._service_times[backend_id] = service_time
 
     def published(self, now: Seconds) -> tuple[OwnedRange, ...]:
         """Owners that requests may be sent to; `version` rises when they change."""
@@ -287,8 +287,9 @@
             if item.phase is Phase.OWNED and item.confirmed_until > now
         ]
         capacities = self._capacities(now)
-        for load in (self.recent_load, self.load):
+        for load in (self.recent_load, self.load, self.lasting_load):
             plan = BalancePlan(pieces, capacities, load, now, CERTAINTY, self._settled_keys(now))
+            self.uses = plan.uses()
             moves = plan.moves()
             if moves:
                 self._settled_until.update(dict.fromkeys(plan.parted, now + HOT_KEY_REST))
@@ -315,12 +316,16 @@
             self._renew_pieces([last])
         self.ranges = merged
 
-    def _capacities(self, now: Seconds) -> dict[str, float]:
-        """Requests a second that each usable back end can work on."""
+    def typical_service_time(self) -> Seconds:
+        """Mean over the back ends that were measured."""
         known = [
             self._service_times[item] for item in self._backends if item in self._service_times
         ]
-        typical = sum(known) / len(known) if known else DEFAULT_SERVICE_TIME
+        return sum(known) / len(known) if known else DEFAULT_SERVICE_TIME
+
+    def _capacities(self, now: Seconds) -> dict[str, float]:
+        """Requests a second that each usable back end can work on."""
+        typical = self.typical_service_time()
         return {
             backend_id: self._backends[backend_id].slots
             / self._service_times.get(backend_id, typical)
