--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -219,7 +219,9 @@
         self.handle_backend_report(self._identity.node_id, self.backend_report())
         marks = {backend_loads.mark_of(s.backend.backend_id): s for s in directory.all_states()}
         totals = self._fleet_load.totals(marks)
-        self._backend_totals = backend_loads.write_totals(totals)
+        # Answers that tell a load are fresher than any sum, and large sites have many back ends.
+        untold = [total for total in totals if not marks[total.backend].tells_load]
+        self._backend_totals = backend_loads.write_totals(untold)
         backend_loads.take_totals(self._backend_totals, directory, now)
         for total in totals:
             backend = marks[total.backend].backend
--- a/src/limedeck/node/peers.py
+++ b/src/limedeck/node/peers.py
@@ -34,8 +34,8 @@
 INQUIRY_PAUSE: Seconds = 0.2
 INQUIRY_TIMEOUT: Seconds = 0.8
 TELLING_TIME: Seconds = 0.0015
-"""About what it costs a leader on a slow machine to tell one node; it spends at most about all of
-its time on that, since what changes meanwhile goes into the next message."""
+"""About what it costs a leader on a slow machine to tell one node: it lets that pass for each node
+between two messages, and what changes meanwhile goes into the next one."""
 SILENCE_LIMIT: Seconds = 1.5
 """A connection on which nothing came for so long is given up."""
 
@@ -269,6 +269,10 @@
         if not was_told:
             self._tell_all()
 
+    def _telling_pause(self) -> Seconds:
+        """Longer the more nodes there are, but no node may take the leader for lost."""
+        return min(TELLING_TIME * self.node_count(), self._timing.heartbeat_interval)
+
     async def _send_statuses(
         self, stream: SocketStream, peer: PeerTables, scope: anyio.CancelScope
     ) -> None:
@@ -286,7 +290,7 @@
                 self._store_news.fill(status, peer, steady_clock())
                 with anyio.fail_after(SEND_TIMEOUT):
                     await stream.send(encode_frame(ControlMessage(status=status)))
-                await anyio.sleep(TELLING_TIME * self.node_count())
+                await anyio.sleep(self._telling_pause())
                 with anyio.move_on_after(self._timing.heartbeat_interval):
                     await self._news.wait()
         except ENDED:
--- /dev/null
+++ b/tests/unit/test_telling.py
@@ -0,0 +1,56 @@
+"""What a leader tells nodes of back ends, and how often."""
+
+from __future__ import annotations
+
+import secrets
+
+import pytest
+
+from limedeck.api.control_pb2 import LeaderRecord
+from limedeck.forwarding import budget
+from limedeck.forwarding.protocol import LoadReport
+from limedeck.model import Backend
+from limedeck.node import backend_loads, control, http_client, news, peers, state, telemetry
+from limedeck.ownership.timing import OwnershipTiming
+from limedeck.platform.grants import PlatformOrders
+from tests.unit import test_watchers
+
+TIMING = OwnershipTiming()
+
+
+def leader() -> tuple[control.ControlHost, state.NodeState]:
+    node = state.NodeState("z1", "n", budget.RetryAllowance(0.2, 30.0, 10.0))
+    host = control.ControlHost(
+        LeaderRecord(node_id="n", incarnation=secrets.randbits(16), peer_address="127.0.0.1:1"),
+        node,
+        test_watchers.ScriptedStore(),
+        PlatformOrders(),
+        100,
+        http_client.HttpClient(),
+        TIMING,
+        telemetry.Telemetry(),
+    )
+    return host, node
+
+
+def test_loads_that_back_ends_tell_themselves_are_not_told_to_all_nodes() -> None:
+    host, node = leader()
+    for name in ("silent", "tells"):
+        node.directory.put(Backend(name, "s", "127.0.0.1:1", "z1", 4), 0.0)
+    tells = node.directory.find("tells")
+    assert tells is not None
+    tells.note_load(LoadReport(1, 0, 4), 0.0)
+    host._refresh_loads(1.0)
+    assert list(host.backend_totals().backends) == [backend_loads.mark_of("silent")]
+
+
+@pytest.mark.parametrize(("followers", "longest"), [(10, 0.02), (77, 0.12), (489, 0.3)])
+def test_no_node_waits_for_the_leaders_word_until_it_takes_it_for_lost(
+    followers: int, longest: float
+) -> None:
+    host, _ = leader()
+    connections = peers.FollowerConnections("127.0.0.1:1", "z1", host, news.StoreNews(()), TIMING)
+    connections.node_count = lambda: followers + 1  # type: ignore[method-assign]
+    pause = connections._telling_pause()
+    assert pause <= longest
+    assert pause + TIMING.heartbeat_interval < TIMING.leader_silence
