--- a/src/limedeck/node/news.py
+++ b/src/limedeck/node/news.py
@@ -26,7 +26,7 @@
 """A node that asks the store itself is told what it lacks this long after this one learned it;
 above the interval of reports, so that nodes which the store serves are told nothing."""
 SMALL_NEWS = 32_768
-"""Bytes that a node without feeds is told at once, before they are compressed to about a sixth.
+"""Bytes before compression that a node without feeds is told at once; an estimate, not measured.
 More would fill a leader's link of 10 Mbit/s for too long; it is read from the store."""
 LARGEST_NEWS = 64 << 20
 """Bytes after decompression; the store's rows are far smaller together."""
--- a/src/limedeck/node/peers.py
+++ b/src/limedeck/node/peers.py
@@ -34,8 +34,8 @@
 INQUIRY_PAUSE: Seconds = 0.2
 INQUIRY_TIMEOUT: Seconds = 0.8
 TELLING_TIME: Seconds = 0.0015
-"""About what it costs a leader on a slow machine to tell one node: it lets that pass for each node
-between two messages, and what changes meanwhile goes into the next one."""
+"""What it may cost a leader on a slow machine to tell one node; an estimate, not measured. It lets
+that pass for each node between two messages; what changes meanwhile goes into the next one."""
 SILENCE_LIMIT: Seconds = 1.5
 """A connection on which nothing came for so long is given up."""
 
