Nodes take the better of two drawn back ends, and are told the sums of all

The leader told its sums only of back ends whose answers it had not had itself; of these every node believed the same old sums over its own newer answers, and all took the same one.

Now the leader tells the sums of all back ends, one byte each for requests and service time; what is newer, an answer's load or the sum, is believed; and a node takes the better of two drawn, one of its zone and one of all others (Mitzenmacher 1997).

test_loads_that_back_ends_tell_themselves_are_not_told_to_all_nodes asserted the fault (what is told hung on which answers the leader had had); a test of all back ends and of followers replaces it.

--- a/src/limedeck/forwarding/backend_state.py
+++ b/src/limedeck/forwarding/backend_state.py
@@ -16,6 +16,9 @@
 """After so long, a load that an answer told counts for a third only."""
 FLEET_LOAD_LIFE: Seconds = 1.5
 """What other nodes have at a back end is believed for so long: several reports may be missed."""
+SUM_AGE: Seconds = 0.25
+"""Nodes' requests were counted so long before the leader tells their sum: the mean of the intervals
+at which nodes report and the leader adds up."""
 GROWTH_CERTAINTY = 2.0
 """Requests added to both counts from which growth is told, since small counts change by chance."""
 LARGEST_GROWTH = 3.0
@@ -149,12 +152,20 @@
 
     def expected_load(self, now: Seconds) -> float:
         """Requests that are expected to be there now."""
+        return self.outstanding + self._expected_others(now)
+
+    def _expected_others(self, now: Seconds) -> float:
+        """Other nodes' requests there: what the newest answer told, or the leader."""
         others = self._others
         if others:
             others *= math.exp(-(now - self._reported_at) / LOAD_MEMORY)
-        if not self.tells_load and now - self._elsewhere_at < FLEET_LOAD_LIFE:
-            others = max(others, self._elsewhere * self._growth())
-        return self.outstanding + others
+        if now - self._elsewhere_at >= FLEET_LOAD_LIFE:
+            return others
+        elsewhere = self._elsewhere * self._growth()
+        if not self.tells_load:
+            return max(others, elsewhere)
+        counted_at = self._elsewhere_at - SUM_AGE
+        return elsewhere if counted_at > self._reported_at else others
 
     def _growth(self) -> float:
         """How much other nodes' requests there have probably grown since they were told.
--- a/src/limedeck/forwarding/backends.py
+++ b/src/limedeck/forwarding/backends.py
@@ -16,6 +16,8 @@
 DEFAULT_SERVICE_TIME: Seconds = 0.1
 OTHER_ZONE_FACTOR = 1.6
 """A back end of another zone must be better by so much, if each tells its load."""
+NEARLY_EQUAL = 0.1
+"""Expected times that differ by less than this part are taken for equal at times; an estimate."""
 OTHER_ZONE_LOAD = 1.5
 """If loads are known late, a back end of another zone counts as having so many more a slot: it is
 used once the near ones are busy. At 0.25, bytes between zones cost 0.016 more of a day's worth."""
@@ -86,7 +88,7 @@
     def choose(
         self, service: str, excluded: Collection[str], request_id: bytes, now: Seconds
     ) -> BackendState | None:
-        """Choose the back end that is expected to answer first; None when there is none."""
+        """Choose a back end that is expected to answer soon; None when there is none."""
         usable = [
             state
             for state in self.of_service(service)
@@ -97,22 +99,30 @@
         if not candidates:
             return None
         if any(state.tells_load for state in candidates):
-            return self._soonest(candidates, request_id, now)
+            return self._better_of_two(candidates, request_id, now)
         return self._by_share(candidates, request_id, now)
 
-    def _soonest(
+    def _better_of_two(
         self, candidates: list[BackendState], request_id: bytes, now: Seconds
     ) -> BackendState:
-        """The one that is expected to answer first: each answer tells its load of that moment."""
+        """The better of two that are drawn: one of this zone, one of all others.
+
+        Many nodes know the same of a back end, and know it late. If each took the best one, that
+        one would get the requests of all of them until its load was known anew. See M.
+        Mitzenmacher, "How useful is old information?" (1997).
+        """
+        near = [state for state in candidates if state.backend.zone == self._zone] or candidates
+        first = near[int(spread_of(b"1" + request_id) * len(near))]
+        others = [state for state in candidates if state is not first] or [first]
+        second = others[int(spread_of(b"2" + request_id) * len(others))]
         typical = self._typical_time(candidates)
 
         def cost(state: BackendState) -> float:
-            near = state.backend.zone == self._zone
             spread = spread_of(state.backend.backend_id.encode() + request_id)
-            time = state.expected_time(now, typical) * (1.0 + 0.1 * spread)
-            return time if near else time * OTHER_ZONE_FACTOR
+            time = state.expected_time(now, typical) * (1.0 + NEARLY_EQUAL * spread)
+            return time if state.backend.zone == self._zone else time * OTHER_ZONE_FACTOR
 
-        return min(candidates, key=cost)
+        return min(first, second, key=cost)
 
     def _by_share(
         self, candidates: list[BackendState], request_id: bytes, now: Seconds
--- a/src/limedeck/node/backend_loads.py
+++ b/src/limedeck/node/backend_loads.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import dataclasses
 import functools
-from collections.abc import Iterable
+import math
+import zlib
+from collections.abc import Iterable, Sequence
 
 import xxhash
 
@@ -14,6 +17,11 @@
 from limedeck.ownership import fleet_load
 
 MICROSECONDS = 1e6
+LARGEST_BYTE = 255
+SHORTEST_TIME: Seconds = 0.001
+"""Service time that is written as 1; shorter ones are written as this one."""
+TIME_STEP = 1.05
+"""Ratio of two neighbouring service times as written; 255 stands for some four minutes."""
 MARKS_KEPT = 4096
 """Hashes that are remembered: more than the back ends of a large site."""
 
@@ -64,23 +72,98 @@
     ]
 
 
-def write_totals(totals: Iterable[fleet_load.BackendTotal]) -> control_pb2.BackendLoads:
-    """Write what the leader tells all nodes."""
-    message = control_pb2.BackendLoads()
-    for total in totals:
-        message.backends.append(total.backend)
-        message.outstanding.append(total.outstanding)
-        message.service_times.append(int(total.service_time * MICROSECONDS))
-    return message
+class TotalsWriter:
+    """What the leader tells all nodes, written once for all of them."""
+
+    def __init__(self) -> None:
+        self._marks: tuple[int, ...] = ()
+        self._columns = b""
+        self._listing = 0
+        self.sequence = 0
+
+    def write(self, totals: Sequence[fleet_load.BackendTotal]) -> None:
+        """Take in new totals; `sequence` rises."""
+        marks = tuple(total.backend for total in totals)
+        if marks != self._marks:
+            self._marks = marks
+            self._listing += 1
+        outstanding = bytes(min(total.outstanding, LARGEST_BYTE) for total in totals)
+        service_times = bytes(_time_code(total.service_time) for total in totals)
+        self._columns = zlib.compress(outstanding + service_times)
+        self.sequence += 1
+
+    def message_for(self, told: ToldTotals) -> control_pb2.BackendTotals | None:
+        """Write what a node lacks, and note that it was told; None if it lacks nothing."""
+        if told.sequence == self.sequence:
+            return None
+        message = control_pb2.BackendTotals(listing=self._listing, columns=self._columns)
+        if told.listing != self._listing:
+            message.backends.extend(self._marks)
+        told.sequence = self.sequence
+        told.listing = self._listing
+        return message
+
+
+@dataclasses.dataclass(slots=True)
+class ToldTotals:
+    """What was told on one connection; zeros if nothing yet."""
+
+    sequence: int = 0
+    listing: int = 0
+
+
+class TotalsReader:
+    """What a node was told by the leader on one connection."""
+
+    def __init__(self) -> None:
+        self._marks: Sequence[int] = ()
+        self._listing = 0
+
+    def read(self, message: control_pb2.BackendTotals) -> list[fleet_load.BackendTotal]:
+        """Read totals.
+
+        Raises
+        ------
+        PeerProtocolError
+            The message does not fit the list of back ends that it names.
+        """
+        if message.backends:
+            self._marks = tuple(message.backends)
+            self._listing = message.listing
+        if message.listing != self._listing:
+            raise PeerProtocolError("totals of back ends", "a list that was not told")
+        count = len(self._marks)
+        try:
+            columns = zlib.decompressobj().decompress(message.columns, 2 * count + 1)
+        except zlib.error as exc:
+            raise PeerProtocolError("totals of back ends", str(exc)) from exc
+        if len(columns) != 2 * count:
+            raise PeerProtocolError("totals of back ends", "lists of unequal length")
+        rows = zip(self._marks, columns[:count], columns[count:], strict=True)
+        return [
+            fleet_load.BackendTotal(mark, outstanding, _time_of(code))
+            for mark, outstanding, code in rows
+        ]
 
 
 def take_totals(
-    message: control_pb2.BackendLoads, directory: backends.BackendDirectory, now: Seconds
+    totals: Iterable[fleet_load.BackendTotal], directory: backends.BackendDirectory, now: Seconds
 ) -> None:
     """Let a node believe what the leader tells; back ends that it does not list are passed over."""
     marks = {mark_of(state.backend.backend_id): state for state in directory.all_states()}
-    told = zip(message.backends, message.outstanding, message.service_times, strict=False)
-    for mark, outstanding, micros in told:
-        state = marks.get(mark)
+    for total in totals:
+        state = marks.get(total.backend)
         if state is not None:
-            state.note_fleet(outstanding, micros / MICROSECONDS, now)
+            state.note_fleet(total.outstanding, total.service_time, now)
+
+
+def _time_code(time: Seconds) -> int:
+    """Write a time as one byte; zero stands for an unknown one."""
+    if time <= 0.0:
+        return 0
+    steps = round(math.log(time / SHORTEST_TIME, TIME_STEP))
+    return min(max(steps + 1, 1), LARGEST_BYTE)
+
+
+def _time_of(code: int) -> Seconds:
+    return SHORTEST_TIME * TIME_STEP ** (code - 1) if code else 0.0
--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -10,6 +10,7 @@
 from anyio.abc import TaskGroup
 from google.protobuf.message import DecodeError, Message
 
+from limedeck.api import control_pb2
 from limedeck.api.control_pb2 import (
     AssignmentRecord,
     BackendLoads,
@@ -127,7 +128,8 @@
         self._store_offset: Seconds = 0.0
         self._next_own_loads: Seconds = 0.0
         self._fleet_load = FleetLoad()
-        self._backend_totals = BackendLoads()
+        self._totals_writer = backend_loads.TotalsWriter()
+        self._totals_reader = backend_loads.TotalsReader()
         self._next_totals: Seconds = 0.0
         self._next_balance_log: dict[str, Seconds] = {}
         self._tasks: TaskGroup | None = None
@@ -158,9 +160,13 @@
             resigned=self.election.resigned,
         )
 
-    def backend_totals(self) -> BackendLoads:
-        """What all nodes have at back ends; another object each time that it was summed up."""
-        return self._backend_totals
+    def backend_totals(self, told: backend_loads.ToldTotals) -> control_pb2.BackendTotals | None:
+        """What a node lacks of all nodes' requests at back ends; `told` is updated."""
+        return self._totals_writer.message_for(told) if self.leads else None
+
+    def handle_leader_connected(self) -> None:
+        """A connection to a leader begins, on which nothing was told yet."""
+        self._totals_reader = backend_loads.TotalsReader()
 
     def owners_since(self, told: dict[str, OwnerMap]) -> list[ServiceOwners]:
         """What a node lacks of the owners of services that this node leads; `told` is updated."""
@@ -176,8 +182,9 @@
         if status.term >= self.election.term:
             self._state.note_leader(status.store_silence, now)
             self._state.node_count = max(status.node_count, 1)
-            if status.HasField("backend_loads"):
-                backend_loads.take_totals(status.backend_loads, self._state.directory, now)
+            if status.HasField("backend_totals"):
+                totals = self._totals_reader.read(status.backend_totals)
+                backend_loads.take_totals(totals, self._state.directory, now)
         for owners in status.owners:
             known = self._state.service(owners.service).owners
             if owners.version > known.version:
@@ -219,10 +226,8 @@
         self.handle_backend_report(self._identity.node_id, self.backend_report())
         marks = {backend_loads.mark_of(s.backend.backend_id): s for s in directory.all_states()}
         totals = self._fleet_load.totals(marks)
-        # Answers that tell a load are fresher than any sum, and large sites have many back ends.
-        untold = [total for total in totals if not marks[total.backend].tells_load]
-        self._backend_totals = backend_loads.write_totals(untold)
-        backend_loads.take_totals(self._backend_totals, directory, now)
+        self._totals_writer.write(totals)
+        backend_loads.take_totals(totals, directory, now)
         for total in totals:
             backend = marks[total.backend].backend
             owned = self._services.get(backend.service)
@@ -270,7 +275,6 @@
             self._services.clear()
             self._owners.clear()
             self._fleet_load.clear()
-            self._backend_totals = BackendLoads()
             self._next_totals = 0.0
             self._telemetry.leads.set(0)
 
--- a/src/limedeck/node/peers.py
+++ b/src/limedeck/node/peers.py
@@ -6,7 +6,6 @@
 from anyio.abc import SocketStream
 
 from limedeck.api.control_pb2 import (
-    BackendLoads,
     ControlMessage,
     FormerLeader,
     LeaderRecord,
@@ -15,6 +14,7 @@
 from limedeck.errors import PeerProtocolError
 from limedeck.forwarding.owners import OwnerMap
 from limedeck.identity import Seconds
+from limedeck.node import backend_loads
 from limedeck.node.clock import steady_clock
 from limedeck.node.control import ControlHost
 from limedeck.node.framing import FrameReader, encode_frame
@@ -94,6 +94,7 @@
         with anyio.fail_after(CONNECT_TIMEOUT):
             stream = await anyio.connect_tcp(host, int(port), local_host=own_host)
         self._peer = PeerTables(steady_clock())
+        self._control.handle_leader_connected()
         async with stream:
             failure: Exception | None = None
             async with anyio.create_task_group() as tasks:
@@ -277,14 +278,13 @@
         self, stream: SocketStream, peer: PeerTables, scope: anyio.CancelScope
     ) -> None:
         told: dict[str, OwnerMap] = {}
-        told_totals: BackendLoads | None = None
+        told_totals = backend_loads.ToldTotals()
         try:
             while True:
                 status = self._control.status()
-                totals = self._control.backend_totals()
-                if totals is not told_totals:
-                    status.backend_loads.CopyFrom(totals)
-                    told_totals = totals
+                totals = self._control.backend_totals(told_totals)
+                if totals is not None:
+                    status.backend_totals.CopyFrom(totals)
                 status.observes = peer.node_id in self._observers
                 status.owners.extend(self._control.owners_since(told))
                 self._store_news.fill(status, peer, steady_clock())
