A request that may run once is sent on a new connection only when no reset came

What was sent before such a reset may have run, so neither node nor caller may repeat it.

Ruled out: waiting for repeatable requests too, which lose nothing by a repeat.

The test fails without the change (phase awaiting instead of not-connected).

--- a/src/limedeck/node/gateway.py
+++ b/src/limedeck/node/gateway.py
@@ -216,7 +216,12 @@
         started = steady_clock()
         added = self._protocol.attempt_headers(backend.backend_id, attempt.until - started)
         request = BackendRequest(
-            backend.address, call.method, call.target, call.headers + added, call.body
+            backend.address,
+            call.method,
+            call.target,
+            call.headers + added,
+            call.body,
+            runs_once=not call.route.repeatable,
         )
         attempt.state.outstanding += 1
         try:
--- a/src/limedeck/node/http_client.py
+++ b/src/limedeck/node/http_client.py
@@ -24,6 +24,9 @@
 CONNECT_TIMEOUT: Seconds = 0.25
 DEFAULT_IDLE: Seconds = 3.0
 """An idle connection is kept so long if the back end does not tell its own limit."""
+RESET_WATCH: Seconds = 0.008
+"""A back end that has too many connections, or too long a queue, resets a new one within about so
+long: some 5 ms after it was opened on zhbs-gate-large quiet-1."""
 IDLE_MARGIN: Seconds = 1.0
 """An idle connection is dropped so long before the back end would close it."""
 READ_BYTES = 65_536
@@ -54,13 +57,21 @@
 
 @dataclass(frozen=True, slots=True)
 class BackendRequest:
-    """A request as a back end gets it."""
+    """A request as a back end gets it.
+
+    Parameters
+    ----------
+    runs_once
+        It may not run twice, so a new connection must have outlasted `RESET_WATCH` before it is
+        sent: if the reset comes later, nobody knows whether it has run.
+    """
 
     address: str
     method: bytes
     target: bytes
     headers: Headers
     body: bytes = b""
+    runs_once: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -213,7 +224,7 @@
         AttemptFailed
             There is none by `until` (on this node's clock).
         """
-        connection = await self._take(request.address, until)
+        connection = await self._take(request, until)
         reusable = False
         try:
             with anyio.move_on_after(until - steady_clock()):
@@ -245,14 +256,17 @@
         """Close all idle connections."""
         await self.drop_idle(set())
 
-    async def _take(self, address: str, until: Seconds) -> _Connection:
-        idle = self._idle.get(address)
+    async def _take(self, request: BackendRequest, until: Seconds) -> _Connection:
+        idle = self._idle.get(request.address)
         while idle:
             connection = idle.pop()
             if connection.idle_until > steady_clock() and connection.is_quiet():
                 return connection
             await connection.aclose()
-        return await self._open(address, until)
+        connection = await self._open(request.address, until)
+        if request.runs_once:
+            await _watch_for_reset(connection)
+        return connection
 
     async def _open(self, address: str, until: Seconds) -> _Connection:
         host, _, port = address.rpartition(":")
@@ -271,6 +285,13 @@
             raise AttemptFailed(FailurePhase.NOT_CONNECTED, "reset at once") from error
 
 
+async def _watch_for_reset(connection: _Connection) -> None:
+    await anyio.sleep(RESET_WATCH)
+    if not connection.is_quiet():
+        await connection.aclose()
+        raise AttemptFailed(FailurePhase.NOT_CONNECTED, "reset before anything was sent")
+
+
 def _idle_time(headers: Headers) -> Seconds:
     told = dict(headers).get(b"keep-alive", b"")
     for part in told.split(b","):
--- a/tests/unit/test_http_client.py
+++ b/tests/unit/test_http_client.py
@@ -12,6 +12,7 @@
 import pytest
 from anyio.abc import SocketAttribute, SocketStream
 
+from limedeck.node import http_client
 from limedeck.node.clock import steady_clock
 from limedeck.node.http_client import AttemptFailed, BackendRequest, HttpClient
 from limedeck.routing.outcomes import FailurePhase
@@ -213,3 +214,25 @@
             await HttpClient().exchange(request, steady_clock() + PATIENCE)
         assert caught.value.phase is FailurePhase.NOT_CONNECTED
     assert len(opened) == 1
+
+
+async def test_a_request_that_may_run_once_is_not_sent_where_a_new_connection_is_reset(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Found on zhbs-gate-large: 1,552 filings ended with 502, which callers cannot repeat."""
+    monkeypatch.setattr(http_client, "RESET_WATCH", 0.5)
+
+    async def reset(stream: SocketStream) -> None:
+        raw = stream.extra(SocketAttribute.raw_socket)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        await anyio.aclose_forcefully(stream)
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(SocketAttribute.local_port)
+    request = BackendRequest(f"127.0.0.1:{port}", b"POST", b"/x", [(b"host", b"h")], runs_once=True)
+    async with listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, reset)
+        with pytest.raises(AttemptFailed) as caught:
+            await HttpClient().exchange(request, steady_clock() + PATIENCE)
+        tasks.cancel_scope.cancel()
+    assert caught.value.phase is FailurePhase.NOT_CONNECTED
