--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -10,10 +10,8 @@
 from anyio.abc import TaskGroup
 from google.protobuf.message import DecodeError, Message
 
-from limedeck.api import control_pb2
 from limedeck.api.control_pb2 import (
     AssignmentRecord,
-    BackendLoads,
     LeaderConfirmation,
     LeaderRecord,
     ServiceLoad,
@@ -23,7 +21,7 @@
 from limedeck.errors import PlatformProtocolError
 from limedeck.forwarding.owners import OwnerMap
 from limedeck.identity import NEVER, Seconds
-from limedeck.node import backend_loads, order_sender
+from limedeck.node import load_exchange, order_sender
 from limedeck.node.clock import steady_clock
 from limedeck.node.http_client import HttpClient
 from limedeck.node.logs import get_logger
@@ -39,7 +37,6 @@
     ReadLeader,
     Role,
 )
-from limedeck.ownership.fleet_load import FleetLoad
 from limedeck.ownership.orders import OrderProtocol
 from limedeck.ownership.service import (
     OwnershipCommand,
@@ -70,8 +67,6 @@
 """The most used back ends that a log line names."""
 RECORD_RETRY: Seconds = 0.1
 OWN_LOADS_INTERVAL: Seconds = 0.5
-TOTALS_INTERVAL: Seconds = 0.25
-"""Between two sums of what all nodes have at back ends; nodes report as often."""
 VERSION_BITS = 32
 
 
@@ -107,6 +102,7 @@
         processor: float = 1.0,
     ) -> None:
         self.election = ElectionCore(identity, timing, steady_clock(), processor)
+        self.loads = load_exchange.LoadExchange(state.directory, identity.node_id)
         self.node_count: Callable[[], int] = lambda: 1
         self.on_owners: Callable[[], None] = lambda: None
         self.on_store_back: Callable[[], None] = lambda: None
@@ -127,10 +123,6 @@
         self._log = get_logger("control")
         self._store_offset: Seconds = 0.0
         self._next_own_loads: Seconds = 0.0
-        self._fleet_load = FleetLoad()
-        self._totals_writer = backend_loads.TotalsWriter()
-        self._totals_reader = backend_loads.TotalsReader()
-        self._next_totals: Seconds = 0.0
         self._next_balance_log: dict[str, Seconds] = {}
         self._tasks: TaskGroup | None = None
 
@@ -160,14 +152,6 @@
             resigned=self.election.resigned,
         )
 
-    def backend_totals(self, told: backend_loads.ToldTotals) -> control_pb2.BackendTotals | None:
-        """What a node lacks of all nodes' requests at back ends; `told` is updated."""
-        return self._totals_writer.message_for(told) if self.leads else None
-
-    def handle_leader_connected(self) -> None:
-        """A connection to a leader begins, on which nothing was told yet."""
-        self._totals_reader = backend_loads.TotalsReader()
-
     def owners_since(self, told: dict[str, OwnerMap]) -> list[ServiceOwners]:
         """What a node lacks of the owners of services that this node leads; `told` is updated."""
         return self._owners.since(told) if self.leads else []
@@ -183,8 +167,7 @@
             self._state.note_leader(status.store_silence, now)
             self._state.node_count = max(status.node_count, 1)
             if status.HasField("backend_totals"):
-                totals = self._totals_reader.read(status.backend_totals)
-                backend_loads.take_totals(totals, self._state.directory, now)
+                self.loads.handle_totals(status.backend_totals, now)
         for owners in status.owners:
             known = self._state.service(owners.service).owners
             if owners.version > known.version:
@@ -203,37 +186,6 @@
                 continue
             owned.core.note_requests(((item.position, item.count) for item in load.keys), now)
 
-    def backend_report(self) -> BackendLoads:
-        """What this node has to tell the leader of its requests at back ends."""
-        return backend_loads.write_report(self._state.directory)
-
-    def handle_backend_report(self, node: str, message: BackendLoads) -> None:
-        """A node told what it has at back ends."""
-        self._fleet_load.note(node, backend_loads.read_report(message))
-
-    def handle_follower_left(self, node: str) -> None:
-        """A node is not connected any more."""
-        self._fleet_load.forget(node)
-
-    def _refresh_loads(self, now: Seconds) -> None:
-        """Add up what all nodes told, and believe it on this node too."""
-        if now < self._next_totals:
-            return
-        if not self._next_totals:
-            self._fleet_load.begin_with(backend_loads.known_service_times(self._state.directory))
-        self._next_totals = now + TOTALS_INTERVAL
-        directory = self._state.directory
-        self.handle_backend_report(self._identity.node_id, self.backend_report())
-        marks = {backend_loads.mark_of(s.backend.backend_id): s for s in directory.all_states()}
-        totals = self._fleet_load.totals(marks)
-        self._totals_writer.write(totals)
-        backend_loads.take_totals(totals, directory, now)
-        for total in totals:
-            backend = marks[total.backend].backend
-            owned = self._services.get(backend.service)
-            if owned is not None and total.service_time > 0.0:
-                owned.core.set_service_time(backend.backend_id, total.service_time)
-
     def handle_report_term(self, term: int) -> None:
         """Another node told which term it knows."""
         self.election.handle_superseded(term)
@@ -251,7 +203,7 @@
         self._state.note_leader(self.election.store_silence(now), now)
         self._open_services()
         self._refresh_listing(now)
-        self._refresh_loads(now)
+        self._refresh_service_times(now)
         if now >= self._next_own_loads:
             self._next_own_loads = now + OWN_LOADS_INTERVAL
             self.handle_loads(self._state.take_loads())
@@ -274,8 +226,7 @@
             self._log.info("leadership_ended", term=self.election.term)
             self._services.clear()
             self._owners.clear()
-            self._fleet_load.clear()
-            self._next_totals = 0.0
+            self.loads.end()
             self._telemetry.leads.set(0)
 
     def _open_services(self) -> None:
@@ -292,6 +243,13 @@
             states = self._state.directory.of_service(name)
             owned.core.set_backends([state.backend for state in states], now)
 
+    def _refresh_service_times(self, now: Seconds) -> None:
+        for backend_id, total in self.loads.refresh(now).items():
+            state = self._state.directory.find(backend_id)
+            owned = self._services.get(state.backend.service) if state else None
+            if owned is not None and total.service_time > 0.0:
+                owned.core.set_service_time(backend_id, total.service_time)
+
     def _publish(self, name: str, owned: _OwnedService, now: Seconds) -> None:
         ranges = owned.core.published(now)
         version = owned.term << VERSION_BITS | owned.core.version
--- /dev/null
+++ b/src/limedeck/node/load_exchange.py
@@ -0,0 +1,80 @@
+"""What nodes tell the leader of back ends, and what it tells them of all requests there."""
+
+from __future__ import annotations
+
+from limedeck.api import control_pb2
+from limedeck.forwarding import backends
+from limedeck.identity import Seconds
+from limedeck.node import backend_loads
+from limedeck.ownership import fleet_load
+
+TOTALS_INTERVAL: Seconds = 0.25
+"""Between two sums of what all nodes have at back ends; nodes report as often."""
+
+
+class LoadExchange:
+    """One node's side of it: as a follower, and as the leader.
+
+    Parameters
+    ----------
+    node_id
+        This node's name among the reports that a leader adds up.
+    """
+
+    def __init__(self, directory: backends.BackendDirectory, node_id: str) -> None:
+        self._directory = directory
+        self._node_id = node_id
+        self._fleet_load = fleet_load.FleetLoad()
+        self._writer = backend_loads.TotalsWriter()
+        self._reader = backend_loads.TotalsReader()
+        self._next_totals: Seconds | None = None
+
+    # ------------------------------------------------------------------ as a follower
+
+    def report(self) -> control_pb2.BackendLoads:
+        """What this node has to tell of its requests at back ends since the last report."""
+        return backend_loads.write_report(self._directory)
+
+    def handle_connected(self) -> None:
+        """A connection to a leader begins, on which nothing was told yet."""
+        self._reader = backend_loads.TotalsReader()
+
+    def handle_totals(self, message: control_pb2.BackendTotals, now: Seconds) -> None:
+        """The leader told what all nodes have."""
+        backend_loads.take_totals(self._reader.read(message), self._directory, now)
+
+    # ------------------------------------------------------------------ as the leader
+
+    def handle_report(self, node: str, message: control_pb2.BackendLoads) -> None:
+        """A node told what it has."""
+        self._fleet_load.note(node, backend_loads.read_report(message))
+
+    def handle_follower_left(self, node: str) -> None:
+        """A node is not connected any more."""
+        self._fleet_load.forget(node)
+
+    def refresh(self, now: Seconds) -> dict[str, fleet_load.BackendTotal]:
+        """Add up what all nodes told, by back end, if that is due; this node believes it too."""
+        if self._next_totals is None:
+            self._fleet_load.begin_with(backend_loads.known_service_times(self._directory))
+        elif now < self._next_totals:
+            return {}
+        self._next_totals = now + TOTALS_INTERVAL
+        self.handle_report(self._node_id, self.report())
+        names = {
+            backend_loads.mark_of(state.backend.backend_id): state.backend.backend_id
+            for state in self._directory.all_states()
+        }
+        totals = self._fleet_load.totals(names)
+        self._writer.write(totals)
+        backend_loads.take_totals(totals, self._directory, now)
+        return {names[total.backend]: total for total in totals}
+
+    def totals_for(self, told: backend_loads.ToldTotals) -> control_pb2.BackendTotals | None:
+        """What a node lacks; `told` is updated."""
+        return None if self._next_totals is None else self._writer.message_for(told)
+
+    def end(self) -> None:
+        """This node leads no more."""
+        self._fleet_load.clear()
+        self._next_totals = None
--- a/src/limedeck/node/peers.py
+++ b/src/limedeck/node/peers.py
@@ -94,7 +94,7 @@
         with anyio.fail_after(CONNECT_TIMEOUT):
             stream = await anyio.connect_tcp(host, int(port), local_host=own_host)
         self._peer = PeerTables(steady_clock())
-        self._control.handle_leader_connected()
+        self._control.loads.handle_connected()
         async with stream:
             failure: Exception | None = None
             async with anyio.create_task_group() as tasks:
@@ -129,7 +129,7 @@
             term=self._control.election.term,
             loads=loads,
             zone=self._zone,
-            backend_loads=self._control.backend_report(),
+            backend_loads=self._control.loads.report(),
         )
         self._news.fill(report, self._peer, now)
         return report
@@ -246,7 +246,7 @@
                 node = message.report.node_id
                 self._control.handle_report_term(message.report.term)
                 self._control.handle_loads(message.report.loads)
-                self._control.handle_backend_report(node, message.report.backend_loads)
+                self._control.loads.handle_report(node, message.report.backend_loads)
                 self._store_news.take(message.report, peer, steady_clock())
                 self._note_follower(message.report, stream, peer)
         except ENDED as error:
@@ -254,7 +254,7 @@
         finally:
             if self._nodes.get(node) is stream:
                 del self._nodes[node]
-                self._control.handle_follower_left(node)
+                self._control.loads.handle_follower_left(node)
                 del self._zones[node]
                 self._observers = choose_observers(self._zones, self._zone)
 
@@ -282,7 +282,7 @@
         try:
             while True:
                 status = self._control.status()
-                totals = self._control.backend_totals(told_totals)
+                totals = self._control.loads.totals_for(told_totals)
                 if totals is not None:
                     status.backend_totals.CopyFrom(totals)
                 status.observes = peer.node_id in self._observers
--- a/tests/unit/test_telling.py
+++ b/tests/unit/test_telling.py
@@ -11,7 +11,6 @@
 from limedeck.forwarding.protocol import LoadReport
 from limedeck.model import Backend
 from limedeck.node import backend_loads, control, http_client, news, peers, state, telemetry
-from limedeck.ownership.election import Role
 from limedeck.ownership.timing import OwnershipTiming
 from limedeck.platform.grants import PlatformOrders
 from tests.unit import test_watchers
@@ -19,10 +18,6 @@
 TIMING = OwnershipTiming()
 
 
-def lead(host: control.ControlHost) -> None:
-    host.election.role = Role.LEADER
-
-
 def leader() -> tuple[control.ControlHost, state.NodeState]:
     node = state.NodeState("z1", "n", budget.RetryAllowance(0.2, 30.0, 10.0))
     host = control.ControlHost(
@@ -51,9 +46,8 @@
     assert tells is not None
     tells.note_load(LoadReport(1, 0, 4), 0.0)
     tells.outstanding = 2
-    lead(host)
-    host._refresh_loads(1.0)
-    message = host.backend_totals(backend_loads.ToldTotals())
+    host.loads.refresh(1.0)
+    message = host.loads.totals_for(backend_loads.ToldTotals())
     assert message is not None
     told = backend_loads.TotalsReader().read(message)
     assert {item.backend: item.outstanding for item in told} == {
@@ -64,7 +58,7 @@
 
 def test_a_follower_tells_nobody_of_back_ends() -> None:
     host, _ = leader()
-    assert host.backend_totals(backend_loads.ToldTotals()) is None
+    assert host.loads.totals_for(backend_loads.ToldTotals()) is None
 
 
 @pytest.mark.parametrize(("followers", "longest"), [(10, 0.02), (77, 0.12), (489, 0.3)])
