The leader finds back ends that fail, and tells all nodes to pass them over

Cause, by arithmetic: with 195 nodes and 61 back ends a node asks one of them once a minute, so two failures in a row at one node never come while a back end is sick for some seconds; every node learns it anew.

Nodes report failed attempts by back end; the leader compares each back end with the others of its service (outliers.py: a pure module) and marks outliers in the totals: nodes pass them over, and their keys go to others. Overload is no fault: a loss at a back end that was believed busy, a refusal, and the 504 of one that was still at work at the deadline don't count. At most 0.4 of a service is excluded, for 1.5 to 6 s.

--- a/src/limedeck/forwarding/backend_state.py
+++ b/src/limedeck/forwarding/backend_state.py
@@ -45,12 +45,15 @@
         Whole answers.
     service_time
         Their mean time in seconds, queues left out; zero without answers.
+    failures
+        Attempts that failed by its fault.
     """
 
     backend_id: str
     outstanding: int
     answers: int
     service_time: Seconds
+    failures: int = 0
 
 
 class BackendState:
@@ -82,7 +85,9 @@
         self._elsewhere_at: Seconds = NEVER
         self._outstanding_told = 0
         self._answers = 0
+        self._faults = 0
         self._work_time: Seconds = 0.0
+        self._excluded_until: Seconds = NEVER
 
     def note_load(self, report: LoadReport, now: Seconds) -> None:
         """Take in the load that an answer told."""
@@ -90,8 +95,17 @@
         self._others = max(report.running + report.waiting - self.outstanding, 0.0)
         self._reported_at = now
 
-    def note_fleet(self, outstanding: int, service_time: Seconds, now: Seconds) -> None:
-        """Take in what the leader tells: all nodes' requests there, and its service time."""
+    def note_fleet(
+        self, outstanding: int, service_time: Seconds, now: Seconds, excluded: bool = False
+    ) -> None:
+        """Take in what the leader tells: all nodes' requests there, and its service time.
+
+        Parameters
+        ----------
+        excluded
+            It fails more often than others and is to be passed over.
+        """
+        self._excluded_until = now + FLEET_LOAD_LIFE if excluded else NEVER
         self._elsewhere = float(max(outstanding - self._outstanding_told, 0))
         self._elsewhere_at = now
         if service_time > 0.0:
@@ -127,18 +141,33 @@
 
     def take_sample(self) -> WorkSample | None:
         """Return what there is to report since the last call; None if nothing."""
-        if not self._answers and not self.outstanding and not self._outstanding_told:
+        told = self._answers or self._faults or self.outstanding or self._outstanding_told
+        if not told:
             return None
         mean = self._work_time / self._answers if self._answers else 0.0
-        sample = WorkSample(self.backend.backend_id, self.outstanding, self._answers, mean)
+        sample = WorkSample(
+            self.backend.backend_id, self.outstanding, self._answers, mean, self._faults
+        )
         self._outstanding_told = self.outstanding
         self._answers = 0
+        self._faults = 0
         self._work_time = 0.0
         return sample
 
-    def note_failure(self, now: Seconds) -> None:
-        """An attempt ended without an answer."""
+    def is_passed_over(self, now: Seconds) -> bool:
+        """Whether it failed lately, at this node or at others."""
+        return now < self.ejected_until or now < self._excluded_until
+
+    def note_failure(self, now: Seconds, own_fault: bool = True) -> None:
+        """An attempt ended without an answer that can be used.
+
+        Parameters
+        ----------
+        own_fault
+            It is not known to have had too much to do; only such failures are told to others.
+        """
         self.failures += 1
+        self._faults += own_fault
         if self.failures >= FAILURES_TO_EJECT:
             span = EJECTION_TIME * 2.0 ** min(self.ejections, 10)
             self.ejected_until = now + min(span, LONGEST_EJECTION)
--- a/src/limedeck/forwarding/backends.py
+++ b/src/limedeck/forwarding/backends.py
@@ -98,7 +98,7 @@
             for state in self.of_service(service)
             if not state.backend.draining and state.backend.backend_id not in excluded
         ]
-        healthy = [state for state in usable if state.ejected_until <= now]
+        healthy = [state for state in usable if not state.is_passed_over(now)]
         candidates = healthy if len(healthy) >= LEAST_HEALTHY * len(usable) else usable
         if not candidates:
             return None
--- a/src/limedeck/node/backend_loads.py
+++ b/src/limedeck/node/backend_loads.py
@@ -17,6 +17,8 @@
 from limedeck.ownership import fleet_load
 
 MICROSECONDS = 1e6
+COLUMNS = 2
+"""Bytes for each back end in the totals."""
 LARGEST_BYTE = 255
 SHORTEST_TIME: Seconds = 0.001
 """Service time that is written as 1; shorter ones are written as this one."""
@@ -52,6 +54,7 @@
         message.outstanding.append(sample.outstanding)
         message.answers.append(sample.answers)
         message.service_times.append(int(sample.service_time * MICROSECONDS))
+        message.failures.append(sample.failures)
     return message
 
 
@@ -63,12 +66,18 @@
     PeerProtocolError
         The lists are not of equal length.
     """
-    columns = (message.backends, message.outstanding, message.answers, message.service_times)
+    columns = (
+        message.backends,
+        message.outstanding,
+        message.answers,
+        message.service_times,
+        message.failures,
+    )
     if len({len(column) for column in columns}) > 1:
         raise PeerProtocolError("back ends' loads", "lists of unequal length")
     return [
-        fleet_load.BackendReport(mark, outstanding, answers, micros / MICROSECONDS)
-        for mark, outstanding, answers, micros in zip(*columns, strict=True)
+        fleet_load.BackendReport(mark, outstanding, answers, micros / MICROSECONDS, failures)
+        for mark, outstanding, answers, micros, failures in zip(*columns, strict=True)
     ]
 
 
@@ -78,6 +87,7 @@
     def __init__(self) -> None:
         self._marks: tuple[int, ...] = ()
         self._columns = b""
+        self._excluded: list[int] = []
         self._listing = 0
         self.sequence = 0
 
@@ -90,13 +100,16 @@
         outstanding = bytes(min(total.outstanding, LARGEST_BYTE) for total in totals)
         service_times = bytes(_time_code(total.service_time) for total in totals)
         self._columns = zlib.compress(outstanding + service_times)
+        self._excluded = [index for index, total in enumerate(totals) if total.excluded]
         self.sequence += 1
 
     def message_for(self, told: ToldTotals) -> control_pb2.BackendTotals | None:
         """Write what a node lacks, and note that it was told; None if it lacks nothing."""
         if told.sequence == self.sequence:
             return None
-        message = control_pb2.BackendTotals(listing=self._listing, columns=self._columns)
+        message = control_pb2.BackendTotals(
+            listing=self._listing, columns=self._columns, excluded=self._excluded
+        )
         if told.listing != self._listing:
             message.backends.extend(self._marks)
         told.sequence = self.sequence
@@ -134,15 +147,16 @@
             raise PeerProtocolError("totals of back ends", "a list that was not told")
         count = len(self._marks)
         try:
-            columns = zlib.decompressobj().decompress(message.columns, 2 * count + 1)
+            columns = zlib.decompressobj().decompress(message.columns, COLUMNS * count + 1)
         except zlib.error as exc:
             raise PeerProtocolError("totals of back ends", str(exc)) from exc
-        if len(columns) != 2 * count:
+        if len(columns) != COLUMNS * count:
             raise PeerProtocolError("totals of back ends", "lists of unequal length")
         rows = zip(self._marks, columns[:count], columns[count:], strict=True)
+        excluded = set(message.excluded)
         return [
-            fleet_load.BackendTotal(mark, outstanding, _time_of(code))
-            for mark, outstanding, code in rows
+            fleet_load.BackendTotal(mark, outstanding, _time_of(code), index in excluded)
+            for index, (mark, outstanding, code) in enumerate(rows)
         ]
 
 
@@ -154,7 +168,7 @@
     for total in totals:
         state = marks.get(total.backend)
         if state is not None:
-            state.note_fleet(total.outstanding, total.service_time, now)
+            state.note_fleet(total.outstanding, total.service_time, now, total.excluded)
 
 
 def _time_code(time: Seconds) -> int:
--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -203,7 +203,7 @@
         self._state.note_leader(self.election.store_silence(now), now)
         self._open_services()
         self._refresh_listing(now)
-        self._refresh_service_times(now)
+        self._refresh_totals(now)
         if now >= self._next_own_loads:
             self._next_own_loads = now + OWN_LOADS_INTERVAL
             self.handle_loads(self._state.take_loads())
@@ -243,12 +243,19 @@
             states = self._state.directory.of_service(name)
             owned.core.set_backends([state.backend for state in states], now)
 
-    def _refresh_service_times(self, now: Seconds) -> None:
-        for backend_id, total in self.loads.refresh(now).items():
-            state = self._state.directory.find(backend_id)
-            owned = self._services.get(state.backend.service) if state else None
-            if owned is not None and total.service_time > 0.0:
-                owned.core.set_service_time(backend_id, total.service_time)
+    def _refresh_totals(self, now: Seconds) -> None:
+        totals = self.loads.refresh(now)
+        if not totals:
+            return
+        for name, owned in self._services.items():
+            states = self._state.directory.of_service(name)
+            known = {
+                item.backend.backend_id: totals.get(item.backend.backend_id) for item in states
+            }
+            owned.core.set_failing(key for key, total in known.items() if total and total.excluded)
+            for backend_id, total in known.items():
+                if total is not None and total.service_time > 0.0:
+                    owned.core.set_service_time(backend_id, total.service_time)
 
     def _publish(self, name: str, owned: _OwnedService, now: Seconds) -> None:
         ranges = owned.core.published(now)
--- a/src/limedeck/node/gateway.py
+++ b/src/limedeck/node/gateway.py
@@ -33,6 +33,8 @@
 )
 """Headers that concern only one connection."""
 NO_SUCH_ROUTE = 404
+DEADLINE_PASSED = 504
+"""A back end was still at work at the deadline: it is slow or has much to do, but does not fail."""
 SERVER_ERROR = 500
 """The lowest status by which a back end tells that it failed."""
 BAD_REQUEST = 400
@@ -240,7 +242,8 @@
         except AttemptFailed as error:
             now = steady_clock()
             if now < attempt.until:
-                attempt.state.note_failure(now)
+                has_room = attempt.ahead < backend.slots
+                attempt.state.note_failure(now, own_fault=has_room)
             self._log.attempt_failed(call.request_id, backend, error.phase, error.problem)
             return error.phase, False
         finally:
@@ -267,7 +270,8 @@
             self._log.attempt_failed(call.request_id, backend, FailurePhase.REFUSED, problem)
             return FailurePhase.REFUSED, facts.wrong_instance
         if answer.status >= SERVER_ERROR:
-            attempt.state.note_failure(now)
+            if answer.status != DEADLINE_PASSED:
+                attempt.state.note_failure(now)
             call.error_answer = answer
             problem = f"status {answer.status}"
             self._log.attempt_failed(call.request_id, backend, FailurePhase.ERROR_ANSWER, problem)
--- a/src/limedeck/node/load_exchange.py
+++ b/src/limedeck/node/load_exchange.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from limedeck.api import control_pb2
 from limedeck.forwarding import backends
 from limedeck.identity import Seconds
-from limedeck.node import backend_loads
-from limedeck.ownership import fleet_load
+from limedeck.node import backend_loads, logs
+from limedeck.ownership import fleet_load, outliers
 
 TOTALS_INTERVAL: Seconds = 0.25
 """Between two sums of what all nodes have at back ends; nodes report as often."""
@@ -25,6 +27,9 @@
         self._directory = directory
         self._node_id = node_id
         self._fleet_load = fleet_load.FleetLoad()
+        self._outliers = outliers.OutlierDetector()
+        self._excluded: set[str] = set()
+        self._log = logs.get_logger("loads")
         self._writer = backend_loads.TotalsWriter()
         self._reader = backend_loads.TotalsReader()
         self._next_totals: Seconds | None = None
@@ -45,9 +50,12 @@
 
     # ------------------------------------------------------------------ as the leader
 
-    def handle_report(self, node: str, message: control_pb2.BackendLoads) -> None:
+    def handle_report(self, node: str, message: control_pb2.BackendLoads, now: Seconds) -> None:
         """A node told what it has."""
-        self._fleet_load.note(node, backend_loads.read_report(message))
+        reports = backend_loads.read_report(message)
+        self._fleet_load.note(node, reports)
+        for report in reports:
+            self._outliers.note(report.backend, report.answers, report.failures, now)
 
     def handle_follower_left(self, node: str) -> None:
         """A node is not connected any more."""
@@ -60,15 +68,21 @@
         elif now < self._next_totals:
             return {}
         self._next_totals = now + TOTALS_INTERVAL
-        self.handle_report(self._node_id, self.report())
-        names = {
-            backend_loads.mark_of(state.backend.backend_id): state.backend.backend_id
+        self.handle_report(self._node_id, self.report(), now)
+        listed = {
+            backend_loads.mark_of(state.backend.backend_id): state.backend
             for state in self._directory.all_states()
         }
-        totals = self._fleet_load.totals(names)
+        services = {mark: backend.service for mark, backend in listed.items()}
+        excluded = self._outliers.excluded(services, now)
+        self._log_excluded({listed[mark].backend_id for mark in excluded})
+        totals = [
+            dataclasses.replace(total, excluded=total.backend in excluded)
+            for total in self._fleet_load.totals(listed)
+        ]
         self._writer.write(totals)
         backend_loads.take_totals(totals, self._directory, now)
-        return {names[total.backend]: total for total in totals}
+        return {listed[total.backend].backend_id: total for total in totals}
 
     def totals_for(self, told: backend_loads.ToldTotals) -> control_pb2.BackendTotals | None:
         """What a node lacks; `told` is updated."""
@@ -77,4 +91,12 @@
     def end(self) -> None:
         """This node leads no more."""
         self._fleet_load.clear()
+        self._outliers.clear()
         self._next_totals = None
+
+    def _log_excluded(self, excluded: set[str]) -> None:
+        for backend_id in excluded - self._excluded:
+            self._log.info("backend_excluded", backend=backend_id)
+        for backend_id in self._excluded - excluded:
+            self._log.info("backend_taken_back", backend=backend_id)
+        self._excluded = excluded
--- a/src/limedeck/node/peers.py
+++ b/src/limedeck/node/peers.py
@@ -246,7 +246,9 @@
                 node = message.report.node_id
                 self._control.handle_report_term(message.report.term)
                 self._control.handle_loads(message.report.loads)
-                self._control.loads.handle_report(node, message.report.backend_loads)
+                self._control.loads.handle_report(
+                    node, message.report.backend_loads, steady_clock()
+                )
                 self._store_news.take(message.report, peer, steady_clock())
                 self._note_follower(message.report, stream, peer)
         except ENDED as error:
--- a/src/limedeck/ownership/fleet_load.py
+++ b/src/limedeck/ownership/fleet_load.py
@@ -25,21 +25,31 @@
         Whole answers since the last report.
     service_time
         Their mean time in seconds, queues left out.
+    failures
+        Attempts that failed by its fault since the last report.
     """
 
     backend: int
     outstanding: int
     answers: int
     service_time: Seconds
+    failures: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class BackendTotal:
-    """What all nodes know of one back end; a service time of zero is not known."""
+    """What all nodes know of one back end; a service time of zero is not known.
+
+    Parameters
+    ----------
+    excluded
+        It is to be passed over because it fails.
+    """
 
     backend: int
     outstanding: int
     service_time: Seconds
+    excluded: bool = False
 
 
 class FleetLoad:
--- /dev/null
+++ b/src/limedeck/ownership/outliers.py
@@ -0,0 +1,122 @@
+"""Which back ends fail more often than the others of their service, as all nodes see it together.
+
+A node of a large fleet sends one back end a request a minute and would learn too late that it
+fails. What is taken from Envoy's published outlier detection: the comparison with the others of
+the same service, exclusion for a time that grows, and a bound on how many are excluded. What is
+not: its intervals of 10 s, since callers here wait for seconds only, and its probes, since real
+requests show enough.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import defaultdict
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from limedeck.identity import NEVER, Seconds
+
+MEMORY: Seconds = 2.0
+"""After so long, an attempt counts for a third; an estimate."""
+FEWEST_ATTEMPTS = 8.0
+"""Fewer tell chance: where two in a hundred fail everywhere, three of eight is one in 2,300."""
+EXCESS = 0.3
+"""An outlier's share of failures is above that of the others by so much; an application's own
+errors come from all back ends alike."""
+MOST_EXCLUDED = 0.4
+"""Part of a service's back ends that is excluded at most: the others must be able to do the work.
+Back ends are used to half of their capacity at the known sites."""
+EXCLUSION: Seconds = 1.5
+"""The first exclusion; each further one is twice as long."""
+LONGEST_EXCLUSION: Seconds = 6.0
+"""Faults of back ends that were seen last for some 5 s; longer ones keep sound back ends idle."""
+FORGIVEN: Seconds = 10.0
+"""An exclusion so long ago does not make the next one longer."""
+
+
+@dataclass(slots=True)
+class _History:
+    """One back end's attempts, fading, and its exclusions."""
+
+    attempts: float = 0.0
+    failures: float = 0.0
+    faded_at: Seconds = NEVER
+    exclusions: int = 0
+    excluded_until: Seconds = NEVER
+
+    def fade(self, now: Seconds) -> None:
+        factor = math.exp(-(now - self.faded_at) / MEMORY)
+        self.attempts *= factor
+        self.failures *= factor
+        self.faded_at = now
+
+    def exclude(self, now: Seconds) -> None:
+        if now - self.excluded_until > FORGIVEN:
+            self.exclusions = 0
+        span = min(EXCLUSION * 2.0**self.exclusions, LONGEST_EXCLUSION)
+        self.excluded_until = now + span
+        self.exclusions += 1
+        self.attempts = 0.0
+        self.failures = 0.0
+
+
+class OutlierDetector:
+    """Finds outliers from nodes' reports."""
+
+    def __init__(self) -> None:
+        self._histories: dict[int, _History] = {}
+
+    def note(self, backend: int, answers: int, failures: int, now: Seconds) -> None:
+        """A node reports answers and failed attempts of a back end, named by its hash."""
+        history = self._histories.setdefault(backend, _History(faded_at=now))
+        if now < history.excluded_until:
+            return
+        history.fade(now)
+        history.attempts += answers + failures
+        history.failures += failures
+
+    def clear(self) -> None:
+        """Forget everything: this node leads no more."""
+        self._histories.clear()
+
+    def excluded(self, services: Mapping[int, str], now: Seconds) -> frozenset[int]:
+        """Return the back ends that are passed over now; ones that are not listed are forgotten.
+
+        Parameters
+        ----------
+        services
+            The service of each listed back end, by the hash of its id.
+        """
+        self._histories = {key: item for key, item in self._histories.items() if key in services}
+        members: defaultdict[str, list[int]] = defaultdict(list)
+        for backend, service in services.items():
+            members[service].append(backend)
+        for listed in members.values():
+            self._exclude_outliers(listed, now)
+        return frozenset(
+            key for key, history in self._histories.items() if now < history.excluded_until
+        )
+
+    def _exclude_outliers(self, listed: list[int], now: Seconds) -> None:
+        histories = [self._histories[key] for key in listed if key in self._histories]
+        for history in histories:
+            history.fade(now)
+        excluded = sum(now < history.excluded_until for history in histories)
+        allowed = int(MOST_EXCLUDED * len(listed)) - excluded
+        if allowed <= 0:
+            return
+        attempts = sum(history.attempts for history in histories)
+        failures = sum(history.failures for history in histories)
+        outliers = [history for history in histories if _is_outlier(history, attempts, failures)]
+        outliers.sort(key=lambda history: history.failures / history.attempts, reverse=True)
+        for history in outliers[:allowed]:
+            history.exclude(now)
+
+
+def _is_outlier(history: _History, attempts: float, failures: float) -> bool:
+    """Compare one with the others of its service, whose sums are given with it."""
+    others = attempts - history.attempts
+    if history.attempts < FEWEST_ATTEMPTS or others < FEWEST_ATTEMPTS:
+        return False
+    usual = (failures - history.failures) / others
+    return history.failures / history.attempts >= usual + EXCESS
--- a/src/limedeck/ownership/ranges.py
+++ b/src/limedeck/ownership/ranges.py
@@ -32,6 +32,7 @@
     FIRST = "first"
     LEAVING = "leaving"
     SILENT = "silent"
+    FAILING = "failing"
     BALANCE = "balance"
 
 
--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -123,6 +123,7 @@
         self.recent_load = KeyLoad(now, RECENT_MEMORY)
         self.lasting_load = KeyLoad(now, LASTING_MEMORY)
         self._service_times: dict[str, Seconds] = {}
+        self._failing: frozenset[str] = frozenset()
         self._next_balance = now + timing.balance_interval
         self._settled_until: dict[int, Seconds] = {}
         if record is not None:
@@ -264,6 +265,10 @@
         """All nodes' answers tell how long a back end works on one request."""
         self._service_times[backend_id] = service_time
 
+    def set_failing(self, backend_ids: Iterable[str]) -> None:
+        """These fail more often than the others; their keys go to others as long as there are."""
+        self._failing = frozenset(backend_ids)
+
     def published(self, now: Seconds) -> tuple[OwnedRange, ...]:
         """Owners that requests may be sent to; `version` rises when they change."""
         ranges = joined(
@@ -350,6 +355,8 @@
         if asked_at is not None and now - asked_at > self._timing.holder_silence:
             self._avoided_until[found.owner] = now + self._timing.avoidance
             return Cause.SILENT
+        if found.owner in self._failing and found.owner not in self._candidates(now):
+            return Cause.FAILING
         return None
 
     def _renew(self, found: RangeState, now: Seconds) -> None:
@@ -455,12 +462,13 @@
             self.ranges.append(state)
 
     def _candidates(self, now: Seconds) -> list[str]:
-        """Back ends that may get keys; silent ones only if there are no others."""
+        """Back ends that may get keys; silent and failing ones only if there are no others."""
         for backend_id in [key for key, until in self._avoided_until.items() if until <= now]:
             del self._avoided_until[backend_id]
             self._asked_at.pop(backend_id, None)
         usable = sorted(key for key, item in self._backends.items() if not item.draining)
-        return [key for key in usable if key not in self._avoided_until] or usable
+        heard = [key for key in usable if key not in self._avoided_until] or usable
+        return [key for key in heard if key not in self._failing] or heard
 
     def _note_heard(self, backend_id: str) -> None:
         self._asked_at.pop(backend_id, None)
--- a/tests/unit/test_backend_loads.py
+++ b/tests/unit/test_backend_loads.py
@@ -115,7 +115,7 @@
     told = backend_loads.ToldTotals()
     listed = [
         fleet_load.BackendTotal(7, 0, 0.0),
-        fleet_load.BackendTotal(3, 12, 0.26),
+        fleet_load.BackendTotal(3, 12, 0.26, excluded=True),
         fleet_load.BackendTotal(9, 4000, 0.0001),
     ]
     writer.write(listed)
@@ -123,7 +123,7 @@
     assert message is not None
     first, second, third = reader.read(message)
     assert first == listed[0]
-    assert (second.backend, second.outstanding) == (3, 12)
+    assert (second.backend, second.outstanding, second.excluded) == (3, 12, True)
     assert second.service_time == pytest.approx(0.26, rel=0.025)
     assert (third.outstanding, third.service_time) == (255, backend_loads.SHORTEST_TIME)
     assert writer.message_for(told) is None
@@ -211,6 +211,25 @@
     assert not backend_loads.write_report(directory).backends
 
 
+def test_failures_are_reported_once() -> None:
+    directory = directory_of("a")
+    state_in(directory, "a").note_failure(1.0)
+    state_in(directory, "a").note_failure(1.0, own_fault=False)
+    (report,) = backend_loads.read_report(backend_loads.write_report(directory))
+    assert (report.answers, report.failures) == (0, 1)
+    assert not backend_loads.write_report(directory).backends
+
+
+def test_one_that_all_nodes_are_told_to_pass_over_is_passed_over_until_the_word_is_old() -> None:
+    directory = directory_of("a", "b")
+    state_in(directory, "a").note_fleet(0, 0.1, 5.0, excluded=True)
+    picks = {directory.choose("s", (), b"%d" % number, 5.1) for number in range(40)}
+    assert picks == {state_in(directory, "b")}
+    assert not state_in(directory, "a").is_passed_over(5.0 + backend_state.FLEET_LOAD_LIFE)
+    state_in(directory, "a").note_fleet(0, 0.1, 5.2)
+    assert not state_in(directory, "a").is_passed_over(5.2)
+
+
 def test_a_report_with_lists_of_unequal_length_is_refused() -> None:
     message = control_pb2.BackendLoads(backends=[1, 2], outstanding=[1])
     with pytest.raises(PeerProtocolError):
--- a/tests/unit/test_service_ownership.py
+++ b/tests/unit/test_service_ownership.py
@@ -287,3 +287,27 @@
         now += 0.5 * TIMING.settling
     core.handle_tick(True, TIMING.longest_settling)
     assert core.ranges
+
+
+def test_a_failing_owners_keys_go_to_others_and_it_gets_none() -> None:
+    core = ServiceOwnership("service", KEYS, 1, None, 0, TIMING, 0.0)
+    core.set_backends([backend("a"), backend("b"), backend("c")], 0.0)
+    play = Play(core)
+    play.run(3.0)
+    assert "a" in {item.owner for item in core.ranges}
+    core.set_failing(["a"])
+    play.run(4.0)
+    assert {item.owner for item in core.ranges} == {"b", "c"}
+    released = [order for _, order in play.orders if isinstance(order, Release)]
+    assert {order.backend_id for order in released} == {"a"}
+
+
+def test_keys_stay_where_they_are_while_all_back_ends_fail() -> None:
+    core = ServiceOwnership("service", KEYS, 1, None, 0, TIMING, 0.0)
+    core.set_backends([backend("a"), backend("b")], 0.0)
+    play = Play(core)
+    play.run(3.0)
+    before = [(item.first, item.last, item.owner) for item in core.ranges]
+    core.set_failing(["a", "b"])
+    play.run(4.0)
+    assert [(item.first, item.last, item.owner) for item in core.ranges] == before
