A hot spot is cut into as many pieces as there are back ends, released in one order

Each move was a release of its own to the swamped owner, which resets new connections while its queue is long.

Now a plan has a move for each back end at most (twelve at least), and ranges side by side of one owner are released in one order.

test_with_a_grant_before_the_release sabotaged a method that is gone; it now does the same to the one that took its place.

--- a/src/limedeck/ownership/planning.py
+++ b/src/limedeck/ownership/planning.py
@@ -19,7 +19,9 @@
 """Cuts that move this part of the largest amount are as good; the one with fewest keys is made."""
 LEAST_USE = 0.25
 """A back end with less of its capacity in use than this gives nothing up."""
-MOVES_AT_ONCE = 12
+FEWEST_MOVES_AT_ONCE = 12
+"""So many moves are planned at a time, and one for each back end where there are more: a hot spot
+is more than many of them can work on together, and each takes a small part."""
 WORTHWHILE = 0.9
 """A very hot key is moved if its next owner is then used less than this part of the present one."""
 MUCH_FASTER = 1.3
@@ -132,7 +134,8 @@
         """Plan what to move now."""
         planned: list[PlannedMove] = []
         stuck: set[str] = set()
-        while len(planned) < MOVES_AT_ONCE:
+        most = max(FEWEST_MOVES_AT_ONCE, len(self._capacities))
+        while len(planned) < most:
             heavy = self._pick(max, stuck)
             if heavy is None:
                 break
--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -165,29 +165,27 @@
     ) -> None:
         """A back end answered a release."""
         self._note_heard(order.backend_id)
-        found = self._range_of(order.first, order.last, order.fence)
-        if found is None or found.phase is not Phase.RELEASING:
-            return
-        found.order_pending = False
-        found.next_order = now + self._timing.refused_release_pause
-        if done:
-            found.phase = Phase.FREE
-            found.held_until = now
-            found.handover = handover
+        for found in self._ranges_within(order):
+            if found.phase is not Phase.RELEASING:
+                continue
+            found.order_pending = False
+            found.next_order = now + self._timing.refused_release_pause
+            if done:
+                found.phase = Phase.FREE
+                found.held_until = now
+                found.handover = handover
 
     def handle_order_lost(self, order: Grant | Release, now: Seconds) -> None:
         """An order had no answer; it may be taken yet."""
         if order.backend_id in self._avoided_until:
             self._avoided_until[order.backend_id] = now + self._timing.avoidance
-        found = self._range_of(order.first, order.last, order.fence)
-        if found is None:
-            return
-        found.order_pending = False
-        found.next_order = now
-        if found.phase is Phase.RELEASING and found.cause is Cause.BALANCE:
-            found.cause = Cause.SILENT
-            found.target = NO_OWNER
-            self._avoided_until[order.backend_id] = now + self._timing.avoidance
+        for found in self._ranges_within(order):
+            found.order_pending = False
+            found.next_order = now
+            if found.phase is Phase.RELEASING and found.cause is Cause.BALANCE:
+                found.cause = Cause.SILENT
+                found.target = NO_OWNER
+                self._avoided_until[order.backend_id] = now + self._timing.avoidance
 
     def handle_record_written(self, row_version: int) -> None:
         """The store took the record."""
@@ -241,6 +239,7 @@
             self._assign_first(now)
         for found in self.ranges:
             self._tick_range(found, may_renew, now)
+        self._send_releases(now)
         self._record_free_ranges(now)
         self._balance(now)
         self._check()
@@ -344,8 +343,8 @@
                 self._begin_release(found, cause, NO_OWNER)
         if found.phase is Phase.OWNED and may_renew:
             self._renew(found, now)
-        elif found.phase is Phase.RELEASING:
-            self._release(found, now)
+        elif found.phase is Phase.RELEASING and now >= found.held_until:
+            found.phase = Phase.FREE
 
     def _reason_to_move(self, found: RangeState, now: Seconds) -> Cause | None:
         owner = self._backends.get(found.owner)
@@ -384,14 +383,31 @@
         found.order_pending = False
         found.next_order = NEVER
 
-    def _release(self, found: RangeState, now: Seconds) -> None:
-        if now >= found.held_until:
-            found.phase = Phase.FREE
-            return
-        if found.order_pending or now < found.next_order:
-            return
-        found.order_pending = True
-        order = Release(found.owner, found.first, found.last, found.fence)
+    def _send_releases(self, now: Seconds) -> None:
+        """Ask owners to give ranges up; one order for those side by side.
+
+        A hot spot is cut into dozens of ranges at once, and its owner, which has a long queue,
+        resets most of as many new connections.
+        """
+        group: list[RangeState] = []
+        for item in self.ranges:
+            due = item.phase is Phase.RELEASING and not item.order_pending
+            if not due or now < item.next_order:
+                continue
+            last = group[-1] if group else None
+            if last and (last.owner != item.owner or last.last + 1 != item.first):
+                self._send_release(group)
+                group = []
+            group.append(item)
+        if group:
+            self._send_release(group)
+
+    def _send_release(self, group: list[RangeState]) -> None:
+        fence = group[0].fence if len(group) == 1 else self._fences.next()
+        for item in group:
+            item.fence = fence
+            item.order_pending = True
+        order = Release(group[0].owner, group[0].first, group[-1].last, fence)
         self._commands.append(SendRelease(order))
 
     def _record_free_ranges(self, now: Seconds) -> None:
@@ -503,6 +519,14 @@
                 return item
         return None
 
+    def _ranges_within(self, order: Grant | Release) -> list[RangeState]:
+        """Find the ranges that an order was for, but those that have changed since."""
+        return [
+            item
+            for item in self.ranges
+            if item.fence == order.fence and order.first <= item.first <= item.last <= order.last
+        ]
+
     def _visible_owner(self, item: RangeState) -> str:
         if item.phase is Phase.RELEASING and item.cause is not Cause.SILENT:
             return NO_OWNER
--- a/tests/unit/test_ownership_world.py
+++ b/tests/unit/test_ownership_world.py
@@ -8,7 +8,7 @@
 
 from limedeck.ownership import service
 from limedeck.ownership.fences import SEQUENCE_BITS, FenceCounter
-from limedeck.ownership.ranges import Phase, RangeState
+from limedeck.ownership.ranges import Phase
 from limedeck.ownership.timing import OwnershipTiming
 from limedeck_lab.ownership.world import World
 
@@ -72,9 +72,11 @@
 def test_with_a_grant_before_the_release_two_owners_are_seen_in_each_seed(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    def careless(self: service.ServiceOwnership, found: RangeState, now: float) -> None:
-        found.phase = Phase.FREE
-        found.held_until = now
+    def careless(self: service.ServiceOwnership, now: float) -> None:
+        for found in self.ranges:
+            if found.phase is Phase.RELEASING:
+                found.phase = Phase.FREE
+                found.held_until = now
 
-    monkeypatch.setattr(service.ServiceOwnership, "_release", careless)
+    monkeypatch.setattr(service.ServiceOwnership, "_send_releases", careless)
     assert caught() == list(SABOTAGE_SEEDS)
--- a/tests/unit/test_service_ownership.py
+++ b/tests/unit/test_service_ownership.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import random
+from collections import Counter
+
 import pytest
 
 from limedeck.api.control_pb2 import AssignmentRecord, OwnedKeys
@@ -311,3 +314,56 @@
     core.set_failing(["a", "b"])
     play.run(4.0)
     assert [(item.first, item.last, item.owner) for item in core.ranges] == before
+
+
+def test_ranges_side_by_side_are_released_in_one_order() -> None:
+    """A swamped owner resets most of many new connections, and its keys wait for their leases."""
+    core = ServiceOwnership("service", KEYS, 1, None, 0, TIMING, 0.0)
+    core.set_backends([backend(name) for name in ("a", "b", "c", "d")], 0.0)
+    play = Play(core)
+    play.run(3.0)
+    highest = max(item.fence for item in core.ranges)
+    core.move([PlannedMove(0, 4, "b"), PlannedMove(5, 9, "c"), PlannedMove(20, 24, "d")])
+    play.run(4.0)
+    released = [order for _, order in play.orders if isinstance(order, Release)]
+    assert [(order.first, order.last) for order in released] == [(0, 9), (20, 24)]
+    assert all(order.fence > highest for order in released)
+    owners = {(item.first, item.last): item.owner for item in core.ranges}
+    assert (owners[0, 4], owners[5, 9], owners[20, 24]) == ("b", "c", "d")
+
+
+def test_a_lost_release_of_several_ranges_is_waited_out_for_each() -> None:
+    core = ServiceOwnership("service", KEYS, 1, None, 0, TIMING, 0.0)
+    core.set_backends([backend(name) for name in ("a", "b", "c", "d")], 0.0)
+    play = Play(core)
+    play.run(3.0)
+    play.silent = {"a"}
+    core.move([PlannedMove(0, 4, "b"), PlannedMove(5, 9, "c")])
+    held_until = max(item.held_until for item in core.ranges if item.last <= 9)
+    play.run(held_until - 0.1)
+    assert {item.owner for item in core.ranges if item.last <= 9} == {"a"}
+    play.run(held_until + 0.5)
+    assert "a" not in {item.owner for item in core.ranges if item.last <= 9}
+
+
+def test_a_hot_spot_is_spread_over_many_back_ends_within_two_looks() -> None:
+    """Found on zhbs-gate-large quiet-1: twelve moves a look took as long as the spot was hot."""
+    names = [f"b{number:03d}" for number in range(128)]
+    core = ServiceOwnership("service", 65_536, 1, None, 0, TIMING, 0.0)
+    core.set_backends([backend(name) for name in names], 0.0)
+    for name in names:
+        core.set_service_time(name, 0.2)
+    play = Play(core)
+    luck = random.Random(5)
+    begin = 4.0
+    while play.now < begin + 2.0:
+        keys = Counter(luck.randrange(65_536) for _ in range(100))
+        if play.now > begin:
+            keys.update(30_000 + luck.randrange(200) for _ in range(66))
+        core.note_requests(keys.items(), play.now)
+        play.run(play.now + 0.25)
+    hot = Counter[str]()
+    for item in core.ranges:
+        first, last = max(item.first, 30_000), min(item.last, 30_199)
+        hot[item.owner] += max(last - first + 1, 0)
+    assert max(hot.values()) <= 20
