--- a/src/limedeck/node/http_client.py
+++ b/src/limedeck/http_client.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 towards back ends: h11 as the codec, connections kept and checked here.
+"""HTTP/1.1 towards back ends and the store: h11 as the codec, connections kept and checked here.
 
 A library's pool does not tell whether a byte was sent, takes an answer without a length as whole
 when its connection was reset, and may read a late second answer as the next one's. Each of these
@@ -9,18 +9,20 @@
 
 import select
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 import anyio
 import h11
 from anyio.abc import SocketAttribute, SocketStream
 
+from limedeck.clock import steady_clock
 from limedeck.errors import BackendError
 from limedeck.forwarding.protocol import Headers
 from limedeck.identity import Seconds
-from limedeck.node.clock import steady_clock
 from limedeck.routing.outcomes import FailurePhase
 
+SocketOption = tuple[int, int, int]
 CONNECT_TIMEOUT: Seconds = 0.25
 DEFAULT_IDLE: Seconds = 3.0
 """An idle connection is kept so long if the back end does not tell its own limit."""
@@ -203,16 +205,27 @@
 
 
 class HttpClient:
-    """Connections to back ends, found by address.
+    """Connections to servers, found by address.
 
     Parameters
     ----------
     local_host
         IP number that connections come from, or None for any.
+    connect_timeout
+        Longest time to wait for a connection, in seconds.
+    socket_options
+        Of each connection: level, name, value, as `socket.setsockopt` takes them.
     """
 
-    def __init__(self, local_host: str | None = None) -> None:
+    def __init__(
+        self,
+        local_host: str | None = None,
+        connect_timeout: Seconds = CONNECT_TIMEOUT,
+        socket_options: Sequence[SocketOption] = (),
+    ) -> None:
         self._local_host = local_host
+        self._connect_timeout = connect_timeout
+        self._socket_options = socket_options
         self._idle: dict[str, deque[_Connection]] = {}
         self.connections_opened = 0
 
@@ -270,7 +283,7 @@
 
     async def _open(self, address: str, until: Seconds) -> _Connection:
         host, _, port = address.rpartition(":")
-        time_left = min(CONNECT_TIMEOUT, until - steady_clock())
+        time_left = min(self._connect_timeout, until - steady_clock())
         try:
             with anyio.fail_after(time_left):
                 stream = await anyio.connect_tcp(host, int(port), local_host=self._local_host)
@@ -278,6 +291,8 @@
             raise AttemptFailed(FailurePhase.NOT_CONNECTED, type(error).__name__) from error
         self.connections_opened += 1
         try:
+            for option in self._socket_options:
+                stream.extra(SocketAttribute.raw_socket).setsockopt(*option)
             return _Connection(stream)
         except (AttributeError, OSError, ValueError) as error:
             # A stream that was reset at once has no socket any more.
--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -18,12 +18,12 @@
     ServiceOwners,
     Status,
 )
+from limedeck.clock import steady_clock
 from limedeck.errors import PlatformProtocolError
 from limedeck.forwarding.owners import OwnerMap
+from limedeck.http_client import HttpClient
 from limedeck.identity import NEVER, Seconds
 from limedeck.node import load_exchange, order_sender
-from limedeck.node.clock import steady_clock
-from limedeck.node.http_client import HttpClient
 from limedeck.node.logs import get_logger
 from limedeck.node.owner_changes import PublishedOwners, read_owners
 from limedeck.node.state import NodeState
--- a/src/limedeck/node/logs.py
+++ b/src/limedeck/node/logs.py
@@ -10,8 +10,8 @@
 
 import structlog
 
+from limedeck.clock import steady_clock
 from limedeck.identity import Seconds
-from limedeck.node.clock import steady_clock
 
 Logger = structlog.typing.FilteringBoundLogger
 LONGEST_BACKLOG = 512 * 1024
--- a/src/limedeck/node/main.py
+++ b/src/limedeck/node/main.py
@@ -1,4 +1,4 @@
-"""The node's command: ``python3 -m limedeck.node.main --settings FILE``.
+"""The node's command: ``python3 -m limedeck.node --settings FILE``.
 
 Its two options are read by the standard library: cleo and what it imports are a sixteenth of the
 time that a node takes to start, and hundreds of nodes may start at once (docs/LIBRARIES.md).
--- a/src/limedeck/node/news.py
+++ b/src/limedeck/node/news.py
@@ -9,9 +9,8 @@
 import anyio
 from google.protobuf import message
 
-from limedeck import errors
+from limedeck import clock, errors
 from limedeck.api import control_pb2
-from limedeck.node import clock
 from limedeck.store import replica
 
 if TYPE_CHECKING:
--- a/src/limedeck/node/order_sender.py
+++ b/src/limedeck/node/order_sender.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
+from limedeck.clock import steady_clock
 from limedeck.forwarding.backends import BackendDirectory
+from limedeck.http_client import AttemptFailed, BackendRequest, HttpClient
 from limedeck.identity import Seconds
-from limedeck.node.clock import steady_clock
-from limedeck.node.http_client import AttemptFailed, BackendRequest, HttpClient
 from limedeck.node.logs import get_logger
 from limedeck.node.telemetry import Telemetry
 from limedeck.ownership.orders import Grant, OrderProtocol, Release
--- a/src/limedeck/node/peers.py
+++ b/src/limedeck/node/peers.py
@@ -11,11 +11,11 @@
     LeaderRecord,
     Report,
 )
+from limedeck.clock import steady_clock
 from limedeck.errors import PeerProtocolError
 from limedeck.forwarding.owners import OwnerMap
 from limedeck.identity import Seconds
 from limedeck.node import backend_loads
-from limedeck.node.clock import steady_clock
 from limedeck.node.control import ControlHost
 from limedeck.node.framing import FrameReader, encode_frame
 from limedeck.node.logs import get_logger
--- a/src/limedeck/node/readiness.py
+++ b/src/limedeck/node/readiness.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+from limedeck.clock import steady_clock
 from limedeck.node.asgi import Receive, Scope, Send
-from limedeck.node.clock import steady_clock
 from limedeck.node.state import NodeState
 from limedeck.node.telemetry import Telemetry
 
--- a/src/limedeck/node/request_log.py
+++ b/src/limedeck/node/request_log.py
@@ -7,10 +7,10 @@
 
 import xxhash
 
+from limedeck.clock import steady_clock
 from limedeck.forwarding.request import Belief, Refuse, RequestCore
 from limedeck.identity import Seconds
 from limedeck.model import Backend
-from limedeck.node.clock import steady_clock
 from limedeck.node.logs import RateLimit, get_logger
 from limedeck.node.settings import LogSection
 from limedeck.node.telemetry import Telemetry
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -15,16 +15,16 @@
 from hypercorn.config import Config
 
 from limedeck.api.control_pb2 import LeaderRecord
+from limedeck.clock import steady_clock
 from limedeck.forwarding.backends import spread_of
 from limedeck.forwarding.budget import RetryAllowance
+from limedeck.http_client import HttpClient
 from limedeck.identity import Seconds
 from limedeck.model import Configuration
 from limedeck.node.asgi import Application
-from limedeck.node.clock import steady_clock
 from limedeck.node.control import ControlHost
 from limedeck.node.counted_store import CountedStore
 from limedeck.node.gateway import CallerGateway
-from limedeck.node.http_client import HttpClient
 from limedeck.node.listener import OwnSocketConfig, close_to_newcomers, open_listener
 from limedeck.node.logs import BoundedWriter, get_logger
 from limedeck.node.news import FeedKeeper, StoreNews
--- a/src/limedeck/node/watchers.py
+++ b/src/limedeck/node/watchers.py
@@ -7,8 +7,8 @@
 
 import anyio
 
-from limedeck import errors
-from limedeck.node import clock, logs
+from limedeck import clock, errors
+from limedeck.node import logs
 from limedeck.store import feeds, replica, rows
 
 if TYPE_CHECKING:
--- a/src/limedeck/platform/store.py
+++ b/src/limedeck/platform/store.py
@@ -5,10 +5,11 @@
 import socket
 from collections.abc import Sequence
 from typing import TypeVar
+from urllib.parse import urlencode
 
-import httpx
 import msgspec
 
+from limedeck import clock, http_client
 from limedeck.identity import Seconds
 from limedeck.store.rows import (
     ConditionFailed,
@@ -72,12 +73,10 @@
     """
 
     def __init__(self, address: str, timeout: Seconds) -> None:
+        self._address = address
         self._timeout = timeout
-        self._client = httpx.AsyncClient(
-            base_url=f"http://{address}",
-            timeout=timeout,
-            trust_env=False,
-            transport=httpx.AsyncHTTPTransport(socket_options=DEAD_PEER_OPTIONS),
+        self._client = http_client.HttpClient(
+            connect_timeout=timeout, socket_options=DEAD_PEER_OPTIONS
         )
 
     async def read(self, table: str, part: str = "") -> TableRead:
@@ -100,14 +99,14 @@
         }
         answer = await self._call("POST", "/v1/rows-tx", {}, msgspec.json.encode(body))
         found = _decoded(answer)
-        if answer.status_code == CONDITION_FAILED:
+        if answer.status == CONDITION_FAILED:
             raise ConditionFailed(tuple(_stored(row) for row in found.rows if row.ver))
         return Written(found.ver, found.now_s)
 
     async def changes(self, table: str, after: int, wait: Seconds) -> TableChanges:
         query = {"table": table, "after": str(after), "wait_ms": str(int(wait * MILLISECONDS))}
         answer = await self._call("GET", "/v1/rows-feed", query, timeout=wait + self._timeout)
-        if answer.status_code == HISTORY_GONE:
+        if answer.status == HISTORY_GONE:
             raise HistoryGone
         found = _decoded(answer)
         return TableChanges(
@@ -126,21 +125,22 @@
         query: dict[str, str],
         body: bytes | None = None,
         timeout: Seconds | None = None,
-    ) -> httpx.Response:
-        headers = {"content-type": "application/json"} if body is not None else {}
+    ) -> http_client.BackendAnswer:
+        headers = [(b"host", self._address.encode())]
+        if body is not None:
+            headers.append((b"content-type", b"application/json"))
+            headers.append((b"content-length", b"%d" % len(body)))
+        target = f"{path}?{urlencode(query)}" if query else path
+        request = http_client.BackendRequest(
+            self._address, method.encode(), target.encode(), headers, body or b""
+        )
+        until = clock.steady_clock() + (timeout or self._timeout)
         try:
-            answer = await self._client.request(
-                method,
-                path,
-                params=query,
-                content=body,
-                headers=headers,
-                timeout=httpx.Timeout(timeout or self._timeout, connect=self._timeout),
-            )
-        except httpx.HTTPError as error:
-            raise StoreUnavailable(type(error).__name__) from error
-        if answer.status_code not in (OK, HISTORY_GONE, CONDITION_FAILED):
-            raise StoreRefused(answer.status_code)
+            answer = await self._client.exchange(request, until)
+        except http_client.AttemptFailed as error:
+            raise StoreUnavailable(str(error)) from error
+        if answer.status not in (OK, HISTORY_GONE, CONDITION_FAILED):
+            raise StoreRefused(answer.status)
         return answer
 
 
@@ -152,8 +152,8 @@
     return StoredRow(row.table, row.part, row.key_file, row.value, row.ver)
 
 
-def _decoded(answer: httpx.Response) -> _Rows:
+def _decoded(answer: http_client.BackendAnswer) -> _Rows:
     try:
-        return msgspec.json.decode(answer.content, type=_Rows)
+        return msgspec.json.decode(answer.body, type=_Rows)
     except msgspec.DecodeError as error:
         raise StoreProtocolError(str(error)) from error
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -9,10 +9,11 @@
 import anyio
 import pytest
 
+from limedeck import http_client
 from limedeck.forwarding import budget
 from limedeck.identity import Seconds
 from limedeck.model import Backend, Configuration, Route, Service, Target
-from limedeck.node import gateway, http_client, request_log, settings, state, telemetry
+from limedeck.node import gateway, request_log, settings, state, telemetry
 from limedeck.platform import headers
 
 pytestmark = pytest.mark.anyio
--- a/tests/unit/test_http_client.py
+++ b/tests/unit/test_http_client.py
@@ -12,9 +12,9 @@
 import pytest
 from anyio.abc import SocketAttribute, SocketStream
 
-from limedeck.node import http_client
-from limedeck.node.clock import steady_clock
-from limedeck.node.http_client import AttemptFailed, BackendRequest, HttpClient
+from limedeck import http_client
+from limedeck.clock import steady_clock
+from limedeck.http_client import AttemptFailed, BackendRequest, HttpClient
 from limedeck.routing.outcomes import FailurePhase
 
 pytestmark = pytest.mark.anyio
@@ -216,6 +216,18 @@
     assert len(opened) == 1
 
 
+async def test_connections_have_the_options_that_were_asked_for() -> None:
+    """The store's connections end soon after their other end has gone, also while they wait."""
+    option = (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    async with backend(Script([OK])) as request:
+        client = HttpClient(socket_options=[option])
+        await client.exchange(request, steady_clock() + PATIENCE)
+        (connection,) = client._idle[request.address]
+        raw = connection.stream.extra(SocketAttribute.raw_socket)
+        assert raw.getsockopt(*option[:2]) == 1
+        await client.aclose()
+
+
 async def test_a_request_that_may_run_once_is_not_sent_where_a_new_connection_is_reset(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/unit/test_node_command.py
+++ b/tests/unit/test_node_command.py
@@ -28,7 +28,7 @@
     assert line.startswith("limedeck-node: ")
 
 
-@pytest.mark.parametrize("unused", ["cleo", "grpc", "pydantic"])
+@pytest.mark.parametrize("unused", ["cleo", "grpc", "httpcore", "httpx", "pydantic"])
 def test_a_node_imports_no_library_that_it_does_not_use(unused: str) -> None:
     """Hundreds of nodes start at once after a loss of power, each with half of a core."""
     code = f"import sys, limedeck.node.main; sys.exit({unused!r} in sys.modules)"
--- a/tests/unit/test_telling.py
+++ b/tests/unit/test_telling.py
@@ -6,11 +6,12 @@
 
 import pytest
 
+from limedeck import http_client
 from limedeck.api.control_pb2 import LeaderRecord
 from limedeck.forwarding import budget
 from limedeck.forwarding.protocol import LoadReport
 from limedeck.model import Backend
-from limedeck.node import backend_loads, control, http_client, news, peers, state, telemetry
+from limedeck.node import backend_loads, control, news, peers, state, telemetry
 from limedeck.ownership.timing import OwnershipTiming
 from limedeck.platform.grants import PlatformOrders
 from tests.unit import test_watchers
