--- a/src/limedeck/daemon/aiohttp_client.py
+++ b/src/limedeck/daemon/aiohttp_client.py
@@ -12,13 +12,12 @@
     KEEPALIVE_SECONDS,
     LONGEST_CONNECT,
     REFUSAL_HEADER,
-    AttemptFailed,
     AttemptRefused,
     BackendAnswer,
     BackendClient,
     BackendRequest,
 )
-from limedeck.routing.outcomes import FailurePhase
+from limedeck.routing.outcomes import AttemptFailed, FailurePhase
 
 PART_BYTES = 64 * 1024
 AUTOMATIC_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
--- a/src/limedeck/daemon/backend_client.py
+++ b/src/limedeck/daemon/backend_client.py
@@ -7,7 +7,6 @@
 from dataclasses import dataclass
 
 from limedeck.errors import BackendError
-from limedeck.routing.outcomes import FailurePhase
 
 LONGEST_CONNECT = 1.0
 KEEPALIVE_SECONDS = 2.0
@@ -16,25 +15,6 @@
 NOT_OWNER = "not-owner"
 
 
-@dataclass
-class AttemptFailed(BackendError):
-    """An attempt had no whole answer.
-
-    Parameters
-    ----------
-    phase
-        Where it failed.
-    reason
-        Type of the library's error, for the log.
-    """
-
-    phase: FailurePhase
-    reason: str
-
-    def __str__(self) -> str:
-        return f"{self.phase.value}: {self.reason}"
-
-
 @dataclass
 class AttemptRefused(BackendError):
     """The back end said that it does not run the request.
--- a/src/limedeck/daemon/callers.py
+++ b/src/limedeck/daemon/callers.py
@@ -10,7 +10,6 @@
 
 from limedeck.daemon.backend_client import (
     NOT_OWNER,
-    AttemptFailed,
     AttemptRefused,
     BackendAnswer,
     BackendClient,
@@ -38,7 +37,7 @@
 from limedeck.identity import Seconds
 from limedeck.node.asgi import Receive, Scope, Send
 from limedeck.routing.backends import BackendStates
-from limedeck.routing.outcomes import FailurePhase, Outcome
+from limedeck.routing.outcomes import AttemptFailed, FailurePhase, Outcome
 from limedeck.routing.request import (
     Attempt,
     RefusalReason,
@@ -223,7 +222,7 @@
                 request_id=request.request_id,
                 backend=attempt.backend.backend_id,
                 phase=error.phase.value,
-                reason=error.reason,
+                reason=error.problem,
             )
             return core.handle_failure(error.phase, boot_clock())
         finally:
--- a/src/limedeck/daemon/httpx_client.py
+++ b/src/limedeck/daemon/httpx_client.py
@@ -11,13 +11,12 @@
     KEEPALIVE_SECONDS,
     LONGEST_CONNECT,
     REFUSAL_HEADER,
-    AttemptFailed,
     AttemptRefused,
     BackendAnswer,
     BackendClient,
     BackendRequest,
 )
-from limedeck.routing.outcomes import FailurePhase
+from limedeck.routing.outcomes import AttemptFailed, FailurePhase
 
 
 class HttpxAnswer(BackendAnswer):
--- a/src/limedeck/http_client.py
+++ b/src/limedeck/http_client.py
@@ -17,10 +17,9 @@
 from anyio.abc import SocketAttribute, SocketStream
 
 from limedeck.clock import steady_clock
-from limedeck.errors import BackendError
 from limedeck.forwarding.protocol import Headers
 from limedeck.identity import Seconds
-from limedeck.routing.outcomes import FailurePhase
+from limedeck.routing.outcomes import AttemptFailed, FailurePhase
 
 SocketOption = tuple[int, int, int]
 CONNECT_TIMEOUT: Seconds = 0.25
@@ -38,25 +37,6 @@
 LARGEST_HEAD = 65_536
 
 
-@dataclass
-class AttemptFailed(BackendError):
-    """There is no whole answer.
-
-    Parameters
-    ----------
-    phase
-        Where it failed.
-    problem
-        For the log.
-    """
-
-    phase: FailurePhase
-    problem: str
-
-    def __str__(self) -> str:
-        return f"{self.phase.value}: {self.problem}"
-
-
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
     """A request as a server gets it.
--- a/src/limedeck/node/gateway.py
+++ b/src/limedeck/node/gateway.py
@@ -11,13 +11,13 @@
 from limedeck.forwarding.protocol import AnswerFacts, CallerProtocol, Headers
 from limedeck.forwarding.request import Attempt, Reason, Refuse, RequestCore, Wait
 from limedeck.forwarding.routes import choose_service
-from limedeck.http_client import AttemptFailed, HttpAnswer, HttpClient, HttpRequest
+from limedeck.http_client import HttpAnswer, HttpClient, HttpRequest
 from limedeck.identity import Seconds
 from limedeck.model import Route
 from limedeck.node.asgi import Receive, Scope, Send
 from limedeck.node.request_log import RequestLog
 from limedeck.node.state import NodeState
-from limedeck.routing.outcomes import FailurePhase, Outcome
+from limedeck.routing.outcomes import AttemptFailed, FailurePhase, Outcome
 
 CONNECTION_HEADERS = frozenset(
     {
--- a/src/limedeck/node/order_sender.py
+++ b/src/limedeck/node/order_sender.py
@@ -4,12 +4,13 @@
 
 from limedeck.clock import steady_clock
 from limedeck.forwarding.backends import BackendDirectory
-from limedeck.http_client import AttemptFailed, HttpClient, HttpRequest
+from limedeck.http_client import HttpClient, HttpRequest
 from limedeck.identity import Seconds
 from limedeck.node.logs import get_logger
 from limedeck.node.telemetry import Telemetry
 from limedeck.ownership.orders import Grant, OrderProtocol, Release
 from limedeck.ownership.service import ServiceOwnership
+from limedeck.routing.outcomes import AttemptFailed
 
 RELEASE_TIMEOUT: Seconds = 1.0
 """A release is answered when the requests that run on its keys have ended."""
--- a/src/limedeck/platform/store.py
+++ b/src/limedeck/platform/store.py
@@ -11,6 +11,7 @@
 
 from limedeck import clock, http_client
 from limedeck.identity import Seconds
+from limedeck.routing.outcomes import AttemptFailed
 from limedeck.store.rows import (
     ConditionFailed,
     DroppedRow,
@@ -137,7 +138,7 @@
         until = clock.steady_clock() + (timeout or self._timeout)
         try:
             answer = await self._client.exchange(request, until)
-        except http_client.AttemptFailed as error:
+        except AttemptFailed as error:
             raise StoreUnavailable(str(error)) from error
         if answer.status not in (OK, HISTORY_GONE, CONDITION_FAILED):
             raise StoreRefused(answer.status)
--- a/src/limedeck/routing/outcomes.py
+++ b/src/limedeck/routing/outcomes.py
@@ -9,6 +9,8 @@
 import enum
 from dataclasses import dataclass
 
+from limedeck.errors import BackendError
+
 
 class Outcome(enum.Enum):
     """What a caller is told, as the value of the answer's ``limedeck-outcome`` header.
@@ -62,6 +64,25 @@
     ANSWER_UNKNOWN = "answer-unknown"
 
 
+@dataclass
+class AttemptFailed(BackendError):
+    """An attempt had no whole answer.
+
+    Parameters
+    ----------
+    phase
+        Where it failed.
+    problem
+        Type of the library's error or what was wrong, for the log.
+    """
+
+    phase: FailurePhase
+    problem: str
+
+    def __str__(self) -> str:
+        return f"{self.phase.value}: {self.problem}"
+
+
 SURELY_NOT_RUN = frozenset(
     {FailurePhase.NOT_CONNECTED, FailurePhase.NOT_SENT, FailurePhase.REFUSED}
 )
--- a/tests/unit/test_http_client.py
+++ b/tests/unit/test_http_client.py
@@ -14,8 +14,8 @@
 
 from limedeck import http_client
 from limedeck.clock import steady_clock
-from limedeck.http_client import AttemptFailed, HttpClient, HttpRequest
-from limedeck.routing.outcomes import FailurePhase
+from limedeck.http_client import HttpClient, HttpRequest
+from limedeck.routing.outcomes import AttemptFailed, FailurePhase
 
 pytestmark = pytest.mark.anyio
 PATIENCE = 5.0
