--- a/src/limedeck_lab/cluster.py
+++ b/src/limedeck_lab/cluster.py
@@ -16,6 +16,7 @@
 from limedeck.cli.client import OperatorCallFailed, OperatorClient
 from limedeck_lab.cuttable_network import CuttableNetwork
 from limedeck_lab.processes import (
+    ConditionNotMet,
     ManagedProcess,
     ProcessGroup,
     answers,
@@ -154,7 +155,11 @@
             self.start_node(addresses)
         for addresses in self.addresses:
             url = f"http://{addresses.admin}/healthz"
-            wait_until(lambda url=url: answers(url), "nodes answer", READY_TIMEOUT)  # type: ignore[misc]
+            node = self.nodes[addresses.node_id]
+            try:
+                wait_until(lambda url=url: answers(url), "nodes answer", READY_TIMEOUT)  # type: ignore[misc]
+            except ConditionNotMet as error:
+                raise ConditionNotMet(f"{error}: {node.describe()}") from error
 
     def _settings(self, addresses: NodeAddresses) -> str:
         seeds = json.dumps([item.peer for item in self.addresses])
--- a/src/limedeck_lab/processes.py
+++ b/src/limedeck_lab/processes.py
@@ -93,6 +93,10 @@
     return pages * os.sysconf("SC_PAGE_SIZE")
 
 
+LOG_END = 2_000
+"""Bytes of a process's log that an error carries."""
+
+
 @dataclass
 class ManagedProcess:
     """A process that this run has started.
@@ -112,6 +116,11 @@
         """Whether it has not ended."""
         return self.process.poll() is None
 
+    def describe(self) -> str:
+        """Tell whether it runs, and the end of its log, for the error of a failed wait."""
+        state = "runs" if self.is_running else f"ended with code {self.process.returncode}"
+        return f"{self.name} {state}; its log ends with {self.log.read_bytes()[-LOG_END:]!r}"
+
     def signal(self, number: signal.Signals) -> None:
         """Send it a signal."""
         self.process.send_signal(number)
