--- a/src/limedeck/http_client.py
+++ b/src/limedeck/http_client.py
@@ -27,7 +27,7 @@
 """An idle connection is kept so long if the back end does not tell its own limit."""
 RESET_WATCH: Seconds = 0.008
 """A back end that has too many connections, or too long a queue, resets a new one within about so
-long: some 5 ms after it was opened on zhbs-gate-large quiet-1."""
+long: a node's log had such resets 5 ms after opening (docs/policy/large-fleets.md)."""
 IDLE_MARGIN: Seconds = 1.0
 """An idle connection is dropped so long before the back end would close it."""
 READ_BYTES = 65_536
--- a/src/limedeck/node/__main__.py
+++ b/src/limedeck/node/__main__.py
@@ -1,7 +1,8 @@
 """``python3 -m limedeck.node``: the node's command, started with little processor time.
 
-Loading modules makes some 100,000 objects that stay. The garbage collector would look through them
-again and again meanwhile, and at each full collection later: a twelfth of the time to start.
+The objects that loading modules makes stay. The garbage collector would look through them again and
+again meanwhile, an eighth of the processor time to start (docs/LIBRARIES.md), and at each full
+collection later.
 """
 
 from __future__ import annotations
