What fails at an overloaded back end is not counted as its fault

Cause: back ends reset new connections while their queue is long. Nodes told these resets to the leader as failures wherever they believed, from what they were told 0.3 s before, that there was room.

Now: the leader judges no back end with two requests and more for each slot, as long as it answers some; one that answers nothing for a second is judged all the same.

What hid behind it: moves for failures were also what relieved owners of hot keys; balancing alone lets one get 13.6 times the mean for seconds, since it waits for each slow release.

--- a/src/limedeck/node/load_exchange.py
+++ b/src/limedeck/node/load_exchange.py
@@ -73,13 +73,16 @@
             backend_loads.mark_of(state.backend.backend_id): state.backend
             for state in self._directory.all_states()
         }
+        sums = self._fleet_load.totals(listed)
+        overloaded = [
+            total.backend
+            for total in sums
+            if total.outstanding >= outliers.QUEUE_FOR_EACH_SLOT * listed[total.backend].slots
+        ]
         services = {mark: backend.service for mark, backend in listed.items()}
-        excluded = self._outliers.excluded(services, now)
+        excluded = self._outliers.excluded(services, now, overloaded)
         self._log_excluded({listed[mark].backend_id for mark in excluded})
-        totals = [
-            dataclasses.replace(total, excluded=total.backend in excluded)
-            for total in self._fleet_load.totals(listed)
-        ]
+        totals = [dataclasses.replace(total, excluded=total.backend in excluded) for total in sums]
         self._writer.write(totals)
         backend_loads.take_totals(totals, self._directory, now)
         return {listed[total.backend].backend_id: total for total in totals}
--- a/src/limedeck/ownership/outliers.py
+++ b/src/limedeck/ownership/outliers.py
@@ -11,7 +11,7 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
 from limedeck.identity import NEVER, Seconds
@@ -30,17 +30,33 @@
 """The first exclusion; each further one is twice as long."""
 LONGEST_EXCLUSION: Seconds = 6.0
 """Faults of back ends that were seen last for some 5 s; longer ones keep sound back ends idle."""
+QUEUE_FOR_EACH_SLOT = 2.0
+"""Requests for each slot from which a back end is overloaded: as many wait as it works on. A hot
+spot's owner has five for each slot and resets what comes beyond (zhbs-gate-large, scale-1)."""
+LONGEST_SILENCE: Seconds = 1.0
+"""A back end that is overloaded still answers some requests; one that answers none for so long
+hangs. An estimate, above the times that single requests take at the known sites."""
 FORGIVEN: Seconds = 10.0
 """An exclusion so long ago does not make the next one longer."""
 
 
 @dataclass(slots=True)
 class _History:
-    """One back end's attempts, fading, and its exclusions."""
+    """One back end's attempts, fading, and its exclusions.
+
+    Parameters
+    ----------
+    silent_since
+        When it answered last, or when requests began to end after none had for a while.
+    noted_at
+        When a request ended there last, answered or failed.
+    """
 
     attempts: float = 0.0
     failures: float = 0.0
     faded_at: Seconds = NEVER
+    silent_since: Seconds = NEVER
+    noted_at: Seconds = NEVER
     exclusions: int = 0
     excluded_until: Seconds = NEVER
 
@@ -50,14 +66,27 @@
         self.failures *= factor
         self.faded_at = now
 
+    def note(self, answers: int, failures: int, now: Seconds) -> None:
+        if not answers and not failures:
+            return
+        if answers or now - self.noted_at > LONGEST_SILENCE:
+            self.silent_since = now
+        self.noted_at = now
+        self.fade(now)
+        self.attempts += answers + failures
+        self.failures += failures
+
+    def forget_attempts(self) -> None:
+        self.attempts = 0.0
+        self.failures = 0.0
+
     def exclude(self, now: Seconds) -> None:
         if now - self.excluded_until > FORGIVEN:
             self.exclusions = 0
         span = min(EXCLUSION * 2.0**self.exclusions, LONGEST_EXCLUSION)
         self.excluded_until = now + span
         self.exclusions += 1
-        self.attempts = 0.0
-        self.failures = 0.0
+        self.forget_attempts()
 
 
 class OutlierDetector:
@@ -71,23 +100,30 @@
         history = self._histories.setdefault(backend, _History(faded_at=now))
         if now < history.excluded_until:
             return
-        history.fade(now)
-        history.attempts += answers + failures
-        history.failures += failures
+        history.note(answers, failures, now)
 
     def clear(self) -> None:
         """Forget everything: this node leads no more."""
         self._histories.clear()
 
-    def excluded(self, services: Mapping[int, str], now: Seconds) -> frozenset[int]:
+    def excluded(
+        self, services: Mapping[int, str], now: Seconds, overloaded: Collection[int] = ()
+    ) -> frozenset[int]:
         """Return the back ends that are passed over now; ones that are not listed are forgotten.
 
         Parameters
         ----------
         services
             The service of each listed back end, by the hash of its id.
+        overloaded
+            Back ends with a long queue. As long as they answer, what fails there tells of too many
+            requests: excluding them would only give their requests, and so the overload, to others.
         """
         self._histories = {key: item for key, item in self._histories.items() if key in services}
+        for backend in overloaded:
+            history = self._histories.get(backend)
+            if history is not None and now - history.silent_since <= LONGEST_SILENCE:
+                history.forget_attempts()
         members: defaultdict[str, list[int]] = defaultdict(list)
         for backend, service in services.items():
             members[service].append(backend)
