Grants that follow one without an answer end no later than that one

Cause: keys of an owner that is gone are free once every grant that it may have taken has ended.

Now: a grant after an unanswered one runs so long that it ends with it; an owner that answers again gets whole leases. The end of a lease is never moved back by a shorter grant.

--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -150,8 +150,10 @@
             return
         found.order_pending = False
         if done:
-            found.confirmed_until = sent_at + self._timing.lease
-            found.held_until = now + self._timing.longest_lease
+            found.confirmed_until = sent_at + order.duration
+            # An earlier grant without an answer may run longer than this one.
+            end = now + self._timing.end_of(order.duration)
+            found.held_until = max(found.held_until, end)
             found.handover = ""
             found.next_order = sent_at + self._timing.renewal_interval
         elif fenced_off:
@@ -362,19 +364,26 @@
         if found.order_pending or now < found.next_order:
             return
         found.order_pending = True
-        longest = now + self._timing.longest_lease + self._timing.order_timeout
-        found.held_until = max(found.held_until, longest)
+        duration = self._grant_duration(found.owner, now)
+        end = now + self._timing.end_of(duration) + self._timing.order_timeout
+        found.held_until = max(found.held_until, end)
         self._asked_at.setdefault(found.owner, now)
         order = Grant(
-            found.owner,
-            found.first,
-            found.last,
-            found.fence,
-            self._timing.lease,
-            found.handover,
+            found.owner, found.first, found.last, found.fence, duration, found.handover
         )
         self._commands.append(SendGrant(order))
 
+    def _grant_duration(self, owner: str, now: Seconds) -> Seconds:
+        """How long a grant runs: one that follows an order without an answer ends no later.
+
+        Keys of an owner that is gone wait for the end of every grant that it may have taken.
+        """
+        asked_at = self._asked_at.get(owner)
+        if asked_at is None:
+            return self._timing.lease
+        time_left = asked_at + self._timing.longest_lease - now
+        return max(self._timing.duration_within(time_left), self._timing.shortest_grant)
+
     def _begin_release(self, found: RangeState, cause: Cause, target: str) -> None:
         found.phase = Phase.RELEASING
         found.cause = cause
--- a/src/limedeck/ownership/timing.py
+++ b/src/limedeck/ownership/timing.py
@@ -15,6 +15,8 @@
     ----------
     lease
         Time that a grant runs from its arrival.
+    shortest_grant
+        The shortest time that a grant runs: above the time in which its renewal is answered.
     clock_error
         Part by which a back end's clock may be slow.
     lease_slack
@@ -54,6 +56,7 @@
     """
 
     lease: Seconds = 2.0
+    shortest_grant: Seconds = 0.5
     clock_error: float = 0.02
     lease_slack: Seconds = 0.1
     renewal_interval: Seconds = 0.5
@@ -75,7 +78,15 @@
     @property
     def longest_lease(self) -> Seconds:
         """Time after sending a grant when it has surely ended, if it was not taken late."""
-        return self.lease * (1.0 + self.clock_error) + self.lease_slack
+        return self.end_of(self.lease)
+
+    def end_of(self, duration: Seconds) -> Seconds:
+        """Time after which a grant that runs for `duration` has surely ended."""
+        return duration * (1.0 + self.clock_error) + self.lease_slack
+
+    def duration_within(self, time: Seconds) -> Seconds:
+        """How long a grant may run that is to have ended surely after `time`, as `end_of` tells."""
+        return (time - self.lease_slack) / (1.0 + self.clock_error)
 
 
 RENEWALS_IN_A_LEASE = 4
