Keys of a lost owner are refused at once, and callers are told when they are free

Cause: when back ends went dark, requests for their keys were still sent there, or waited 0.4 s for another owner, and were told to come back after 0.1 s or 0.25 s.

Ruled out: a shorter lease (more orders than a leader with 0.43 of a core can send).

Now: the leader shows an owner as lost once it has answered no order for 0.6 s and no node tells of an answer from it, and tells until when its lease may run. A node refuses requests for such keys at once, with the time until the next owner is known; what is free within 0.4 s is waited for as before. A node that does not reach an owner, and has not been told, says one second.

Tests: playbooks of the leader's core (lost, answered by other nodes, just elected), of the request's core, and of the message on the reader's clock.

--- a/src/limedeck/forwarding/owners.py
+++ b/src/limedeck/forwarding/owners.py
@@ -7,15 +7,33 @@
 from dataclasses import dataclass
 
 from limedeck.errors import InvariantViolation
+from limedeck.identity import Seconds
 
 
 @dataclass(frozen=True, slots=True)
 class OwnedRange:
-    """Keys from `first` to `last`, both inside, and their owner; empty while they move."""
+    """Keys from `first` to `last`, both inside, and their owner.
+
+    Parameters
+    ----------
+    owner
+        Empty while the keys move, or after their owner was lost.
+    free_at
+        If the owner was lost: when its lease has surely ended and there can be another one.
+    """
 
     first: int
     last: int
     owner: str
+    free_at: Seconds | None = None
+
+    def part(self, first: int, last: int) -> OwnedRange:
+        """Return the same for a part of these keys."""
+        return OwnedRange(first, last, self.owner, self.free_at)
+
+    def is_alike(self, other: OwnedRange) -> bool:
+        """Whether the same holds for the other one's keys."""
+        return (self.owner, self.free_at) == (other.owner, other.free_at)
 
 
 class OwnerMap:
@@ -40,12 +58,12 @@
             expected = item.last + 1
 
     def changes_to(self, later: OwnerMap) -> tuple[OwnedRange, ...]:
-        """Ranges of a later map whose owner is another one there."""
+        """Ranges of a later map for which something else holds there."""
         changed: list[OwnedRange] = []
         for item in later.ranges:
             for former in self._between(item.first, item.last):
-                if former.owner != item.owner:
-                    changed.append(OwnedRange(former.first, former.last, item.owner))
+                if not former.is_alike(item):
+                    changed.append(item.part(former.first, former.last))
         return joined(changed)
 
     def changed(self, version: int, changes: tuple[OwnedRange, ...]) -> OwnerMap:
@@ -70,24 +88,33 @@
             if item.first > last:
                 break
             if item.last >= first:
-                parts.append(OwnedRange(max(item.first, first), min(item.last, last), item.owner))
+                parts.append(item.part(max(item.first, first), min(item.last, last)))
         return parts
 
     def owner(self, position: int) -> str:
         """Owner of a key, or empty if it has none now."""
+        found = self._range_of(position)
+        return found.owner if found is not None else ""
+
+    def free_at(self, position: int) -> Seconds | None:
+        """When a key whose owner was lost can have another one; None if none was lost."""
+        found = self._range_of(position)
+        return found.free_at if found is not None else None
+
+    def _range_of(self, position: int) -> OwnedRange | None:
         index = bisect_right(self._firsts, position) - 1
         if index < 0 or position > self.ranges[index].last:
-            return ""
-        return self.ranges[index].owner
+            return None
+        return self.ranges[index]
 
 
 def joined(ranges: Iterable[OwnedRange]) -> tuple[OwnedRange, ...]:
-    """Join ranges side by side that have the same owner."""
+    """Join ranges side by side for which the same holds."""
     result: list[OwnedRange] = []
     for item in ranges:
         last = result[-1] if result else None
-        if last is not None and last.owner == item.owner and last.last + 1 == item.first:
-            result[-1] = OwnedRange(last.first, item.last, item.owner)
+        if last is not None and last.is_alike(item) and last.last + 1 == item.first:
+            result[-1] = last.part(last.first, item.last)
         else:
             result.append(item)
     return tuple(result)
--- a/src/limedeck/forwarding/request.py
+++ b/src/limedeck/forwarding/request.py
@@ -39,6 +39,17 @@
 RETRY_AFTER: Seconds = 0.1
 LONGEST_RETRY_AFTER: Seconds = 1.0
 NO_OWNER_RETRY_AFTER: Seconds = 0.25
+LOST_OWNER_RETRY_AFTER: Seconds = 1.0
+"""For keys whose owner this node does not reach, while the leader has not told when they are free:
+about half of the time that it takes."""
+RETURN_DELAY: Seconds = 0.3
+"""From the end of a lost owner's lease until nodes know the next one: the record in the store, a
+grant, and the interval at which a large fleet is told; from logs of zhbs-gate-large."""
+RETURN_SPREAD: Seconds = 0.3
+"""Callers that were told to come back return within so long of each other: an estimate of the time
+in which the next owner works off what has gathered."""
+LONGEST_OWNER_RETRY_AFTER: Seconds = 4.0
+"""Above the longest lease; what a leader tells is not believed beyond it."""
 
 
 class Reason(enum.Enum):
@@ -220,7 +231,8 @@
         decision = decide(phase, history)
         self.maybe_run = self.maybe_run or phase not in SURELY_NOT_RUN
         if decision is not Decision.RETRY:
-            return self._refuse(_reason_for(phase, history.time_left), RETRY_AFTER)
+            reason = _reason_for(phase, history.time_left)
+            return self._refuse(reason, self._retry_after(reason))
         backend_id = attempt.state.backend.backend_id
         self._excluded.add(backend_id)
         if phase is FailurePhase.REFUSED and not wrong_owner:
@@ -238,9 +250,21 @@
         state = self._directory.find(owner) if owner else None
         stale = owners.version == self._stale_version and now < self._not_before
         if state is None or stale:
-            return self._wait_for_owner(now)
+            return self._refusal_by_lost_owner(position, now) or self._wait_for_owner(now)
         return self._attempt_in_time(state, now, node_count)
 
+    def _refusal_by_lost_owner(self, position: int, now: Seconds) -> Refuse | None:
+        """Refuse at once what cannot be served before a lost owner's lease has ended.
+
+        A caller has few returns, and would have used them up by then.
+        """
+        free_at = self.service.owners.free_at(position)
+        if free_at is None or free_at - now <= LONGEST_MOVE_WAIT:
+            return None
+        spread = RETURN_SPREAD * spread_of(self.request_id)
+        retry_after = free_at - now + RETURN_DELAY + spread
+        return self._refuse(Reason.NO_OWNER, min(retry_after, LONGEST_OWNER_RETRY_AFTER))
+
     def _wait_for_owner(self, now: Seconds) -> Command:
         if self._waiting_since is None:
             self._waiting_since = now
@@ -310,6 +334,12 @@
         self._in_flight = Attempt(state, self.until, state.expected_load(now))
         return self._in_flight
 
+    def _retry_after(self, reason: Reason) -> Seconds:
+        """When a caller should come back after a failed attempt."""
+        if reason is Reason.UNREACHABLE and self.service.keyed:
+            return LOST_OWNER_RETRY_AFTER
+        return RETRY_AFTER
+
     def _refuse(self, reason: Reason, retry_after: Seconds, belief: Belief | None = None) -> Refuse:
         outcome = Outcome.UNKNOWN if self.maybe_run else Outcome.NOT_RUN
         return Refuse(outcome, reason, retry_after, belief)
--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -150,6 +150,7 @@
             store_silence=silence,
             incarnation=self._identity.incarnation,
             resigned=self.election.resigned,
+            clock=now,
         )
 
     def owners_since(self, told: dict[str, OwnerMap]) -> list[ServiceOwners]:
@@ -171,7 +172,8 @@
         for owners in status.owners:
             known = self._state.service(owners.service).owners
             if owners.version > known.version:
-                self._state.set_owners(owners.service, read_owners(owners, known))
+                clock_lead = now - status.clock
+                self._state.set_owners(owners.service, read_owners(owners, known, clock_lead))
 
     def take_loads(self) -> list[ServiceLoad]:
         """What this node has to tell the leader of its requests."""
@@ -254,7 +256,10 @@
             }
             owned.core.set_failing(key for key, total in known.items() if total and total.excluded)
             for backend_id, total in known.items():
-                if total is not None and total.service_time > 0.0:
+                if total is None:
+                    continue
+                owned.core.note_answered(backend_id, total.answered_at)
+                if total.service_time > 0.0:
                     owned.core.set_service_time(backend_id, total.service_time)
 
     def _publish(self, name: str, owned: _OwnedService, now: Seconds) -> None:
--- a/src/limedeck/node/load_exchange.py
+++ b/src/limedeck/node/load_exchange.py
@@ -53,7 +53,7 @@
     def handle_report(self, node: str, message: control_pb2.BackendLoads, now: Seconds) -> None:
         """A node told what it has."""
         reports = backend_loads.read_report(message)
-        self._fleet_load.note(node, reports)
+        self._fleet_load.note(node, reports, now)
         for report in reports:
             self._outliers.note(report.backend, report.answers, report.failures, now)
 
--- a/src/limedeck/node/owner_changes.py
+++ b/src/limedeck/node/owner_changes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from limedeck import errors
+from limedeck import errors, identity
 from limedeck.api import control_pb2
 from limedeck.forwarding import owners
 
@@ -56,20 +56,26 @@
         return message
 
 
-def read_owners(message: control_pb2.ServiceOwners, known: owners.OwnerMap) -> owners.OwnerMap:
+def read_owners(
+    message: control_pb2.ServiceOwners,
+    known: owners.OwnerMap,
+    clock_lead: identity.Seconds = 0.0,
+) -> owners.OwnerMap:
     """Read a leader's message.
 
     Parameters
     ----------
     known
         The owners that this node knows.
+    clock_lead
+        By how much this node's clock is ahead of the leader's, in seconds.
 
     Raises
     ------
     PeerProtocolError
         The message builds on owners that this node does not know.
     """
-    ranges = tuple(owners.OwnedRange(item.first, item.last, item.owner) for item in message.ranges)
+    ranges = tuple(_read_range(item, clock_lead) for item in message.ranges)
     if not message.base_version:
         return owners.OwnerMap(message.version, ranges)
     if message.base_version != known.version:
@@ -79,6 +85,11 @@
     return known.changed(message.version, ranges)
 
 
+def _read_range(item: control_pb2.OwnedKeys, clock_lead: identity.Seconds) -> owners.OwnedRange:
+    free_at = item.free_at + clock_lead if item.HasField("free_at") else None
+    return owners.OwnedRange(item.first, item.last, item.owner, free_at)
+
+
 def _written(
     service: str, base: owners.OwnerMap | None, newest: owners.OwnerMap
 ) -> control_pb2.ServiceOwners:
@@ -89,7 +100,10 @@
         if len(changes) < len(ranges):
             ranges, base_version = changes, base.version
     keys = [
-        control_pb2.OwnedKeys(first=item.first, last=item.last, owner=item.owner) for item in ranges
+        control_pb2.OwnedKeys(
+            first=item.first, last=item.last, owner=item.owner, free_at=item.free_at
+        )
+        for item in ranges
     ]
     return control_pb2.ServiceOwners(
         service=service, version=newest.version, ranges=keys, base_version=base_version
--- a/src/limedeck/ownership/fleet_load.py
+++ b/src/limedeck/ownership/fleet_load.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from limedeck.identity import Seconds
+from limedeck.identity import NEVER, Seconds
 
 SMOOTHING = 0.05
 """Weight of one answer in a back end's service time; some 20 tell the mean of uneven work."""
@@ -44,12 +44,15 @@
     ----------
     excluded
         It is to be passed over because it fails.
+    answered_at
+        When a node last told of an answer from it, on the leader's clock; only the leader knows.
     """
 
     backend: int
     outstanding: int
     service_time: Seconds
     excluded: bool = False
+    answered_at: Seconds = NEVER
 
 
 class FleetLoad:
@@ -58,19 +61,21 @@
     def __init__(self) -> None:
         self._by_node: dict[str, dict[int, int]] = {}
         self._service_times: dict[int, Seconds] = {}
+        self._answered_at: dict[int, Seconds] = {}
 
     def begin_with(self, service_times: Mapping[int, Seconds]) -> None:
         """Go on from what this node was told by the leader before it, or has seen itself."""
         for backend, known in service_times.items():
             self._service_times.setdefault(backend, known)
 
-    def note(self, node: str, reports: Iterable[BackendReport]) -> None:
+    def note(self, node: str, reports: Iterable[BackendReport], now: Seconds = NEVER) -> None:
         """Take in a node's report, which names every back end that has requests of it."""
         outstanding: dict[int, int] = {}
         for report in reports:
             if report.outstanding:
                 outstanding[report.backend] = report.outstanding
             if report.answers:
+                self._answered_at[report.backend] = now
                 self._note_answers(report)
         self._by_node[node] = outstanding
 
@@ -82,6 +87,7 @@
         """Forget everything: this node leads no more."""
         self._by_node.clear()
         self._service_times.clear()
+        self._answered_at.clear()
 
     def service_time(self, backend: int) -> Seconds | None:
         """Return a back end's service time, if it is known."""
@@ -97,7 +103,12 @@
                     sums[backend] += count
         kept = {item: self._service_times[item] for item in wanted if item in self._service_times}
         self._service_times = kept
-        return [BackendTotal(item, sums[item], kept.get(item, 0.0)) for item in wanted]
+        answered = {item: self._answered_at.get(item, NEVER) for item in wanted}
+        self._answered_at = answered
+        return [
+            BackendTotal(item, sums[item], kept.get(item, 0.0), answered_at=answered[item])
+            for item in wanted
+        ]
 
     def _note_answers(self, report: BackendReport) -> None:
         known = self._service_times.get(report.backend)
--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -109,9 +109,11 @@
         self._row_version = row_version
         self._sequence = 0
         self._backends: dict[str, Backend] = {}
+        self._opened_at = now
         self._first_seen_at: Seconds | None = None
         self._newest_seen_at: Seconds = now
         self._asked_at: dict[str, Seconds] = {}
+        self._answered_at: dict[str, Seconds] = {}
         self._avoided_until: dict[str, Seconds] = {}
         self._pending_record: list[tuple[RangeState, str]] | None = None
         self._commands: list[OwnershipCommand] = []
@@ -266,15 +268,17 @@
         """All nodes' answers tell how long a back end works on one request."""
         self._service_times[backend_id] = service_time
 
+    def note_answered(self, backend_id: str, answered_at: Seconds) -> None:
+        """A node told at this time that the back end had answered a request."""
+        self._answered_at[backend_id] = answered_at
+
     def set_failing(self, backend_ids: Iterable[str]) -> None:
         """These fail more often than the others; their keys go to others as long as there are."""
         self._failing = frozenset(backend_ids)
 
     def published(self, now: Seconds) -> tuple[OwnedRange, ...]:
         """Owners that requests may be sent to; `version` rises when they change."""
-        ranges = joined(
-            OwnedRange(item.first, item.last, self._visible_owner(item)) for item in self.ranges
-        )
+        ranges = joined(self._visible_range(item, now) for item in self.ranges)
         if ranges != self._published:
             self._published = ranges
             self.version += 1
@@ -368,9 +372,7 @@
         end = now + self._timing.end_of(duration) + self._timing.order_timeout
         found.held_until = max(found.held_until, end)
         self._asked_at.setdefault(found.owner, now)
-        order = Grant(
-            found.owner, found.first, found.last, found.fence, duration, found.handover
-        )
+        order = Grant(found.owner, found.first, found.last, found.fence, duration, found.handover)
         self._commands.append(SendGrant(order))
 
     def _grant_duration(self, owner: str, now: Seconds) -> Seconds:
@@ -536,6 +538,24 @@
             if item.fence == order.fence and order.first <= item.first <= item.last <= order.last
         ]
 
+    def _visible_range(self, item: RangeState, now: Seconds) -> OwnedRange:
+        owner = self._visible_owner(item)
+        if owner and self._is_lost(owner, now):
+            return OwnedRange(item.first, item.last, NO_OWNER, item.held_until)
+        return OwnedRange(item.first, item.last, owner)
+
+    def _is_lost(self, owner: str, now: Seconds) -> bool:
+        """Whether neither this node nor, as far as it heard, any other one is answered there."""
+        asked_at = self._asked_at.get(owner)
+        if asked_at is None:
+            return False
+        # Nodes that have not connected to a new leader yet tell it nothing.
+        since = max(asked_at, self._opened_at + self._timing.following)
+        if now - since < self._timing.loss_silence:
+            return False
+        answered_at = self._answered_at.get(owner, NEVER)
+        return answered_at < since + self._timing.report_delay
+
     def _visible_owner(self, item: RangeState) -> str:
         if item.phase is Phase.RELEASING and item.cause is not Cause.SILENT:
             return NO_OWNER
--- a/src/limedeck/ownership/timing.py
+++ b/src/limedeck/ownership/timing.py
@@ -33,6 +33,13 @@
         whole core: a leader does more the more nodes follow it.
     holder_silence
         A back end that answered no order for so long loses its keys.
+    loss_silence
+        Requests are not sent any more to an owner that has answered neither orders nor, as other
+        nodes tell, requests for so long: above two orders without an answer.
+    following
+        Nodes follow a new leader after so long.
+    report_delay
+        Nodes tell of an answer so much later at most.
     avoidance
         A back end that lost its keys because it was silent gets none for so long.
     heartbeat_interval
@@ -64,6 +71,9 @@
     refused_release_pause: Seconds = 1.0
     weakness_delay: Seconds = 0.4
     holder_silence: Seconds = 1.1
+    loss_silence: Seconds = 0.6
+    following: Seconds = 1.0
+    report_delay: Seconds = 0.3
     avoidance: Seconds = 3.0
     heartbeat_interval: Seconds = 0.3
     leader_silence: Seconds = 0.9
--- a/tests/unit/test_forwarding.py
+++ b/tests/unit/test_forwarding.py
@@ -291,6 +291,44 @@
     assert isinstance(play.core.next_command(waiting.until, 1), Attempt)
 
 
+def test_a_request_for_a_lost_owners_keys_is_told_at_once_when_they_are_free() -> None:
+    """Found on zhbs-gate-large scale-1: callers used up their returns before a lease had ended."""
+    play = Play(keyed=True)
+    play.view.owners = OwnerMap(1, (OwnedRange(0, 9, "", free_at=12.0),))
+    refused = play.start(10.0)
+    assert isinstance(refused, Refuse)
+    assert (refused.outcome, refused.reason) == (Outcome.NOT_RUN, Reason.NO_OWNER)
+    assert 2.0 < refused.retry_after < 3.0
+    assert isinstance(play.start(11.9), Refuse)
+
+
+def test_a_request_waits_for_a_lost_owners_keys_that_are_free_soon() -> None:
+    play = Play(keyed=True)
+    play.view.owners = OwnerMap(1, (OwnedRange(0, 9, "", free_at=10.2),))
+    assert isinstance(play.start(10.0), Wait)
+
+
+def test_callers_are_not_told_to_return_long_after_a_lease_has_ended() -> None:
+    play = Play(keyed=True)
+    play.view.owners = OwnerMap(1, (OwnedRange(0, 9, "", free_at=1e9),))
+    refused = play.start(10.0)
+    assert isinstance(refused, Refuse)
+    assert refused.retry_after <= 4.0
+
+
+def test_an_owner_that_is_not_reached_is_not_asked_for_again_at_once() -> None:
+    play = Play(keyed=True)
+    play.view.owners = OwnerMap(1, (OwnedRange(0, 9, "b"),))
+    play.start()
+    waiting = play.fail(FailurePhase.NOT_CONNECTED, 10.05)
+    assert isinstance(waiting, Wait)
+    assert isinstance(play.core.next_command(waiting.until, 1), Attempt)
+    refused = play.fail(FailurePhase.NOT_CONNECTED, 10.2)
+    assert isinstance(refused, Refuse)
+    assert (refused.outcome, refused.reason) == (Outcome.NOT_RUN, Reason.UNREACHABLE)
+    assert refused.retry_after >= 0.5
+
+
 def test_a_keyed_request_without_an_owner_is_refused_soon() -> None:
     play = Play(keyed=True)
     command = play.start()
--- a/tests/unit/test_owner_changes.py
+++ b/tests/unit/test_owner_changes.py
@@ -50,6 +50,20 @@
     assert published.since(told)[0].base_version == 0
 
 
+def test_the_end_of_a_lost_owners_lease_is_told_on_the_readers_clock() -> None:
+    published = owner_changes.PublishedOwners()
+    told: dict[str, owners.OwnerMap] = {}
+    published.publish("s", map_of(1, (0, 99, "a"), (100, 199, "b")))
+    known = owner_changes.read_owners(published.since(told)[0], owners.OwnerMap(), 5.0)
+    lost = owners.OwnedRange(0, 99, "", free_at=50.0)
+    published.publish("s", owners.OwnerMap(2, (lost, owners.OwnedRange(100, 199, "b"))))
+    message = published.since(told)[0]
+    assert len(message.ranges) == 1
+    found = owner_changes.read_owners(message, known, 5.0)
+    assert (found.owner(7), found.free_at(7)) == ("", 55.0)
+    assert (found.owner(107), found.free_at(107)) == ("b", None)
+
+
 def random_map(source: random.Random, version: int) -> owners.OwnerMap:
     edges = sorted(source.sample(range(1, KEYS), source.randrange(0, 12)))
     firsts = [0, *edges]
--- a/tests/unit/test_service_ownership.py
+++ b/tests/unit/test_service_ownership.py
@@ -9,8 +9,9 @@
 
 from limedeck.api.control_pb2 import AssignmentRecord, OwnedKeys
 from limedeck.model import Backend
+from limedeck.ownership.key_load import KeyLoad
 from limedeck.ownership.orders import Grant, Release
-from limedeck.ownership.planning import PlannedMove
+from limedeck.ownership.planning import BalancePlan, OwnedPiece, PlannedMove
 from limedeck.ownership.service import (
     OwnershipCommand,
     SendGrant,
@@ -155,6 +156,46 @@
     assert moved <= first_lost + TIMING.longest_lease + TIMING.order_timeout + 0.1
 
 
+def lost_ranges(play: Play) -> list[tuple[int, int, float | None]]:
+    return [
+        (item.first, item.last, item.free_at)
+        for item in play.core.published(play.now)
+        if item.free_at is not None
+    ]
+
+
+def test_an_owner_that_answers_nobody_is_shown_as_lost_until_its_lease_is_over() -> None:
+    play = fresh()
+    play.run(3.0)
+    play.core.note_answered("b", 3.0)
+    play.silent = {"b"}
+    play.run(3.5 + TIMING.loss_silence + 0.1)
+    [(first, last, free_at)] = lost_ranges(play)
+    assert (first, last) == (50, 99)
+    play.run(9.0)
+    moved = next(at for at, record in play.records if at > 3.0)
+    assert free_at == pytest.approx(moved, abs=0.1)
+    assert lost_ranges(play) == []
+
+
+def test_an_owner_that_answers_other_nodes_stays_visible() -> None:
+    play = fresh()
+    play.run(3.0)
+    play.silent = {"b"}
+    while play.now < 5.0:
+        play.core.note_answered("b", play.now)
+        play.run(play.now + 0.25)
+        assert lost_ranges(play) == []
+    assert (50, 99, "b") in play.owners()
+
+
+def test_a_new_leader_waits_for_what_nodes_tell_before_it_takes_an_owner_for_lost() -> None:
+    play = taken_over({"b"})
+    play.run(TIMING.following)
+    play.core.note_answered("b", play.now)
+    assert lost_ranges(play) == []
+
+
 def test_an_owner_that_answers_again_gets_whole_leases() -> None:
     play = fresh()
     play.run(3.0)
