A node that starts is told the tables by the leader, and reads them only if it is not told

Cause: a node without feeds read a table from the store as soon as the leader told it of a version that it lacked. The leader's first message came before the node's first report, so it held no rows; and 300 back ends were above the 32 KB, before compression, that were told at all.

Ruled out: paging (a table of 300 rows takes two calls), feeds (none is kept while a leader tells).

Now: a node waits 0.6 s to be told before it reads; the bound is 32 KB after compression; what most nodes lack is encoded once; a leader spends half of its link at most on telling tables whole, so that one with a narrow link tells nodes one after the other, and those that wait read from the store.

--- a/src/limedeck/node/news.py
+++ b/src/limedeck/node/news.py
@@ -24,9 +24,16 @@
 PATIENCE: identity.Seconds = 0.6
 """A node that asks the store itself is told what it lacks this long after this one learned it;
 above the interval of reports, so that nodes which the store serves are told nothing."""
-SMALL_NEWS = 32_768
-"""Bytes before compression that a node without feeds is told at once; an estimate, not measured.
-More would fill a leader's link of 10 Mbit/s for too long; it is read from the store."""
+LARGEST_TOLD = 32_768
+"""Compressed bytes that a node without feeds is told at once; an estimate, not measured. More is
+read from the store: hundreds of nodes that are told it would fill a leader's link for seconds."""
+TOLD_SHARE = 0.5
+"""Part of its link that a leader spends at most on telling tables whole; the rest is left for
+heartbeats, orders and requests. An estimate."""
+ENCODED_KEPT = 64
+"""Encoded news that are remembered: most nodes lack the same."""
+DEFAULT_LINK = 1.25e6
+"""Bytes a second, 10 Mbit/s: the slowest machine of the known sites."""
 LARGEST_NEWS = 64 << 20
 """Bytes after decompression; the store's rows are far smaller together."""
 TICK: identity.Seconds = 0.1
@@ -56,10 +63,18 @@
 
 
 class StoreNews:
-    """Exchanges, with the leader or with all that follow it, what replicas of tables lack."""
+    """Exchanges, with the leader or with all that follow it, what replicas of tables lack.
 
-    def __init__(self, tables: Sequence[watchers.TableWatcher]) -> None:
+    Parameters
+    ----------
+    link
+        Bytes a second that this node can send.
+    """
+
+    def __init__(self, tables: Sequence[watchers.TableWatcher], link: float = DEFAULT_LINK) -> None:
         self._watchers = {watcher.table: watcher for watcher in tables}
+        self._whole_tables = ByteAllowance(link * TOLD_SHARE)
+        self._encoded: dict[tuple[str, int, int, bool], control_pb2.TableNews] = {}
 
     def set_on_change(self, handler: Callable[[], None]) -> None:
         """Call a function whenever a replica has changed."""
@@ -77,9 +92,9 @@
             told.tables.append(
                 control_pb2.TableVersion(table=watcher.table, version=watcher.newest)
             )
-            news = _news_for(watcher.replica, peer, now)
+            news = self._news_for(watcher.replica, peer, now)
             if news is not None:
-                told.news.append(_encoded(news))
+                told.news.append(news)
 
     def take(
         self,
@@ -96,6 +111,59 @@
         for watcher in self._watchers.values():
             watcher.handle_told(peer.newest.get(watcher.table, 0), now)
 
+    def _news_for(
+        self, table: replica.TableReplica, peer: PeerTables, now: identity.Seconds
+    ) -> control_pb2.TableNews | None:
+        if peer.newest is None:
+            return None
+        told = peer.newest.get(table.table, 0)
+        if not peer.keeps_feeds:
+            news = table.news_for(told, now)
+            if news is None:
+                return None
+            encoded = self._encode(news, told)
+            if self._may_tell(encoded, now):
+                return encoded
+        if now - peer.since < PATIENCE:
+            return None
+        news = table.news_for(told, now - PATIENCE)
+        return self._encode(news, told) if news is not None else None
+
+    def _may_tell(self, encoded: control_pb2.TableNews, now: identity.Seconds) -> bool:
+        size = len(encoded.entries)
+        if size > LARGEST_TOLD:
+            return False
+        return not encoded.whole or self._whole_tables.try_take(size, now)
+
+    def _encode(self, news: replica.TableNews, told: int) -> control_pb2.TableNews:
+        key = (news.table, told, news.newest, news.whole)
+        encoded = self._encoded.get(key)
+        if encoded is None:
+            if len(self._encoded) >= ENCODED_KEPT:
+                self._encoded.clear()
+            encoded = _encoded(news)
+            self._encoded[key] = encoded
+        return encoded
+
+
+class ByteAllowance:
+    """Bytes that may be sent: so many a second, and what was not sent in the last second."""
+
+    def __init__(self, rate: float) -> None:
+        self._rate = rate
+        self._left = rate
+        self._filled_at: identity.Seconds | None = None
+
+    def try_take(self, size: int, now: identity.Seconds) -> bool:
+        """Take so many bytes, or none if there are too few."""
+        if self._filled_at is not None:
+            self._left = min(self._left + self._rate * (now - self._filled_at), self._rate)
+        self._filled_at = now
+        if size > self._left:
+            return False
+        self._left -= size
+        return True
+
 
 class FeedKeeper:
     """Lets this node's watchers keep feeds, or be told."""
@@ -124,21 +192,6 @@
             await anyio.sleep(TICK)
 
 
-def _news_for(
-    table: replica.TableReplica, peer: PeerTables, now: identity.Seconds
-) -> replica.TableNews | None:
-    if peer.newest is None:
-        return None
-    told = peer.newest.get(table.table, 0)
-    if not peer.keeps_feeds:
-        news = table.news_for(told, now)
-        if news is None or news.size <= SMALL_NEWS:
-            return news
-    if now - peer.since < PATIENCE:
-        return None
-    return table.news_for(told, now - PATIENCE)
-
-
 def _encoded(news: replica.TableNews) -> control_pb2.TableNews:
     entries = control_pb2.TableEntries(
         entries=[
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -142,7 +142,7 @@
             TableWatcher(store, self._configuration_follower()),
             TableWatcher(store, self._backends_follower()),
         )
-        news = StoreNews(watchers)
+        news = StoreNews(watchers, self._settings.node.link)
         policy = FeedPolicy(steady_clock(), spread_of(self._identity.node_id.encode()))
         address = self._identity.peer_address
         zone = self._settings.node.zone
--- a/src/limedeck/node/settings.py
+++ b/src/limedeck/node/settings.py
@@ -17,6 +17,9 @@
     """A table of the settings file; keys it does not know are passed over."""
 
 
+BYTES_IN_A_MEGABIT = 125_000
+
+
 class NodeSection(Section, frozen=True):
     """Who this node is and where it listens.
 
@@ -24,6 +27,8 @@
     ----------
     cpu_share, cpus
         It may use this share of a core that is as fast as so many.
+    link_mbps
+        Megabits a second that its link carries.
     """
 
     id: str
@@ -35,12 +40,18 @@
     metrics_port: int = 0
     cpu_share: Positive = 1.0
     cpus: Positive = 1.0
+    link_mbps: Positive = 10.0
 
     @property
     def processor(self) -> float:
         """Cores that this node may use."""
         return self.cpu_share * self.cpus
 
+    @property
+    def link(self) -> float:
+        """Bytes a second that its link carries."""
+        return self.link_mbps * BYTES_IN_A_MEGABIT
+
 
 class StoreSection(Section, frozen=True):
     """Where the store answers; the time-out is in seconds."""
--- a/src/limedeck/node/watchers.py
+++ b/src/limedeck/node/watchers.py
@@ -20,6 +20,8 @@
 SHORTEST_PAUSE: identity.Seconds = 0.2
 LONGEST_PAUSE: identity.Seconds = 1.0
 LAG_PATIENCE: identity.Seconds = 0.6
+"""Who is behind another node for so long does not wait any more to be told, or for its feed: two
+intervals at which a leader tells."""
 BRIEF_WAIT: identity.Seconds = 2.0
 """Longest time that a call waits for a change when nobody would show that the feed is dead."""
 
@@ -134,25 +136,32 @@
     def handle_told(self, newest: int, now: identity.Seconds) -> None:
         """Another node has seen a change of this version.
 
-        Without a feed the table is read at once. A feed that waits and one that is dead look alike
-        from here: it is given up if it is behind for long.
+        Without a feed that node tells what is new, and only if it does not the table is read. A
+        feed that waits and one that is dead look alike from here: it is given up if it is behind
+        for long.
         """
-        if self._feeds is feeds.Feeds.NONE:
-            self._wanted = newest > self.replica.newest or not self.replica.is_complete
-            if self._wanted:
-                self._after = None
-                self._awake()
-            return
-        if self._after is None or newest <= self._after:
+        if not self._is_behind(newest):
             self._behind_since = None
+            self._wanted = False
         elif self._behind_since is None:
             self._behind_since = now
         elif now - self._behind_since > LAG_PATIENCE:
-            self._log.warning("feed_behind", table=self.table, after=self._after, told=newest)
+            self._log.warning("behind", table=self.table, after=self._after, told=newest)
             self._behind_since = None
-            self._after = None
-            if self._waiting is not None:
-                self._waiting.cancel()
+            self._read_again()
+
+    def _is_behind(self, newest: int) -> bool:
+        if self._feeds is feeds.Feeds.NONE:
+            return newest > self.replica.newest or not self.replica.is_complete
+        return self._after is not None and newest > self._after
+
+    def _read_again(self) -> None:
+        self._after = None
+        if self._feeds is feeds.Feeds.NONE:
+            self._wanted = True
+            self._awake()
+        elif self._waiting is not None:
+            self._waiting.cancel()
 
     def handle_news(self, news: replica.TableNews, now: identity.Seconds) -> None:
         """Another node tells what this one's replica lacks."""
--- a/tests/unit/test_store_news.py
+++ b/tests/unit/test_store_news.py
@@ -130,6 +130,53 @@
     assert not status.news
 
 
+def told_whole(leader: Node, now: float, followers: int) -> int:
+    """So many nodes without feeds connect at the same time; return how many are told."""
+    told = 0
+    for _ in range(followers):
+        peer = news.PeerTables(now, {"t": 0}, keeps_feeds=False)
+        status = control_pb2.Status()
+        leader.news.fill(status, peer, now)
+        told += len(status.news)
+    return told
+
+
+def large_table(rows_count: int) -> list[replica.Entry]:
+    """Rows as back ends write them: most of each is alike."""
+    text = (
+        b'{"address":"10.1.64.%d:8648","info":{"backend":"s","version":"v1","slots":2,"zone":"z"}}'
+    )
+    return [
+        entry(f"i-{number * 7919 % 65_536:x}", number + 1, text % number)
+        for number in range(rows_count)
+    ]
+
+
+def test_a_fleet_that_starts_is_told_the_tables_by_its_leader() -> None:
+    """Found on zhbs-gate-large: 195 nodes read 300 rows from the store each time they started."""
+    leader = Node()
+    leader.news = news.StoreNews([leader.watcher], link=12.5e6)
+    leader.reads(1.0, 300, *large_table(300))
+    assert leader.replica.news_for(0, 1.0) is not None
+    assert told_whole(leader, 1.2, 195) == 195
+
+
+def test_a_leader_with_a_narrow_link_tells_them_one_after_the_other() -> None:
+    leader = Node()
+    leader.news = news.StoreNews([leader.watcher], link=0.25e6)
+    leader.reads(1.0, 300, *large_table(300))
+    at_once = told_whole(leader, 1.2, 195)
+    assert 0 < at_once < 100
+    assert 0 < told_whole(leader, 1.7, 195) <= at_once
+
+
+def test_a_table_that_is_too_large_is_left_to_the_store(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(news, "LARGEST_TOLD", 1_000)
+    leader = Node()
+    leader.reads(1.0, 300, *large_table(300))
+    assert told_whole(leader, 1.2, 3) == 0
+
+
 def test_an_older_answer_of_the_store_takes_nothing_back() -> None:
     node = Node()
     node.reads(1.0, 2, entry("a", 1), entry("b", 2))
