Keys are balanced while others are still on the move

Cause: the next look at the balance waited until every move of the last one had ended.

Now: keys on their way count as load of their next owner and stay as they are; all others may move.

Tests: a release that takes long does not stop other moves (failed before); load on its way counts.

--- a/src/limedeck/ownership/planning.py
+++ b/src/limedeck/ownership/planning.py
@@ -101,6 +101,8 @@
         Requests a second that each back end can work on.
     settled
         Hot keys that have moved lately, and stay where they are.
+    moving
+        Keys on their way to an owner: they are part of its load, and stay as they are.
     certainty
         Standard deviations by which a load must be above what is tolerated; a load that is too
         high by chance only is left where it is.
@@ -114,6 +116,7 @@
         now: Seconds,
         certainty: float = 0.0,
         settled: Collection[int] = (),
+        moving: Sequence[OwnedPiece] = (),
     ) -> None:
         self.parted: list[int] = []
         self._capacities = capacities
@@ -129,6 +132,9 @@
         self._load = dict.fromkeys(capacities, 0.0)
         for piece, rates in self._rates.items():
             self._load[piece.owner] += sum(rate for _, rate in rates)
+        for piece in moving:
+            if piece.owner in self._load:
+                self._load[piece.owner] += load.total(piece.first, piece.last, now)
 
     def moves(self) -> list[PlannedMove]:
         """Plan what to move now."""
--- a/src/limedeck/ownership/ranges.py
+++ b/src/limedeck/ownership/ranges.py
@@ -83,10 +83,6 @@
         """Whether its owner has confirmed it, and nothing is to be handed over."""
         return self.phase is Phase.OWNED and self.confirmed_until != NEVER and not self.handover
 
-    def is_moving_for(self, cause: Cause) -> bool:
-        """Whether it is between two owners for this reason."""
-        return self.phase is not Phase.OWNED and self.cause is cause
-
     def cut(self, position: int) -> RangeState:
         """Keep the keys below a position, and return the rest as a range like this one."""
         rest = RangeState(
--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -288,17 +288,18 @@
         if now < self._next_balance:
             return
         self._next_balance = now + self._timing.balance_interval
-        if any(item.is_moving_for(Cause.BALANCE) for item in self.ranges):
-            return
         self._merge_neighbours(now)
         pieces = [
             OwnedPiece(item.first, item.last, item.owner)
             for item in self.ranges
             if item.phase is Phase.OWNED and item.confirmed_until > now
         ]
+        moving = self._pieces_on_the_move(now)
         capacities = self._capacities(now)
         for load in (self.recent_load, self.load, self.lasting_load):
-            plan = BalancePlan(pieces, capacities, load, now, CERTAINTY, self._settled_keys(now))
+            plan = BalancePlan(
+                pieces, capacities, load, now, CERTAINTY, self._settled_keys(now), moving
+            )
             self.uses = plan.uses()
             moves = plan.moves()
             if moves:
@@ -306,6 +307,14 @@
                 self.move(moves)
                 return
 
+    def _pieces_on_the_move(self, now: Seconds) -> list[OwnedPiece]:
+        """Keys on their way to another owner, which will have their load."""
+        return [
+            OwnedPiece(item.first, item.last, item.target or item.owner)
+            for item in self.ranges
+            if item.phase is not Phase.OWNED or item.confirmed_until <= now
+        ]
+
     def _settled_keys(self, now: Seconds) -> set[int]:
         """Hot keys that have moved lately."""
         for key in [key for key, until in self._settled_until.items() if until <= now]:
--- a/tests/unit/test_service_ownership.py
+++ b/tests/unit/test_service_ownership.py
@@ -30,11 +30,12 @@
 
 
 class Play:
-    """Drives a core; back ends answer unless they are silent."""
+    """Drives a core; back ends answer unless they are silent, or slow to answer releases."""
 
     def __init__(self, core: ServiceOwnership, silent: set[str] | None = None) -> None:
         self.core = core
         self.silent = silent or set()
+        self.slow: set[str] = set()
         self.now = 0.0
         self.version = 10
         self.records: list[tuple[float, AssignmentRecord]] = []
@@ -55,6 +56,8 @@
             return
         order = command.order
         self.orders.append((self.now, order))
+        if order.backend_id in self.slow and isinstance(command, SendRelease):
+            return
         if order.backend_id in self.silent:
             self.core.handle_order_lost(order, self.now + TIMING.order_timeout)
         elif isinstance(command, SendGrant):
@@ -276,6 +279,34 @@
     assert {play_owner(play, key) for key in range(10)} == {"a", "b"}
 
 
+def test_a_release_that_takes_long_does_not_stop_other_moves() -> None:
+    """Found on zhbs-gate-large scale-1: a hot key's owner answers after a second, and 127 wait."""
+    core = ServiceOwnership("service", 150, 1, None, 0, TIMING, 0.0)
+    core.set_backends([backend("a"), backend("b"), backend("c")], 0.0)
+    play = Play(core)
+    play.run(3.0)
+    play.slow = {"c"}
+    core.move([PlannedMove(120, 149, "b")])
+    play.run(3.2)
+    for key in range(10):
+        core.load.add([(key, 30)], play.now)
+    play.run(4.2)
+    assert play_owner(play, 130) == ""
+    assert {play_owner(play, key) for key in range(10)} >= {"b"}
+
+
+def test_keys_on_their_way_count_as_load_of_their_next_owner() -> None:
+    load = KeyLoad(0.0)
+    load.add([(5, 30), (15, 30), (25, 30)], 1.0)
+    pieces = [OwnedPiece(0, 9, "a"), OwnedPiece(10, 19, "a")]
+    capacities = {"a": 10.0, "b": 10.0}
+    alone = BalancePlan(pieces, capacities, load, 1.0)
+    beside = BalancePlan(pieces, capacities, load, 1.0, moving=[OwnedPiece(20, 29, "b")])
+    assert len(alone.moves()) == 1
+    assert beside.uses()["b"] == pytest.approx(beside.uses()["a"] / 2)
+    assert beside.moves() == []
+
+
 def test_a_lost_owners_keys_go_to_the_one_with_the_least_load() -> None:
     core = ServiceOwnership("service", 150, 1, None, 0, TIMING, 0.0)
     core.set_backends([backend("a"), backend("b"), backend("c")], 0.0)
