Slow back ends are meant to be used less, and small lasting differences are levelled

Back ends differ in speed by 0.6 to 1.4, and all were meant to be used to the same part of their capacity: a queue of one costs most at the slow ones. And a load had to be 2.5 standard deviations too high also where it had been measured for eight seconds.

Now: spare capacity is shared by the square root rule (Kleinrock 1964); 1.5 deviations for the load over eight seconds.

--- a/src/limedeck/ownership/planning.py
+++ b/src/limedeck/ownership/planning.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass
 
@@ -22,6 +23,9 @@
 FEWEST_MOVES_AT_ONCE = 12
 """So many moves are planned at a time, and one for each back end where there are more: a hot spot
 is more than many of them can work on together, and each takes a small part."""
+LEAST_TARGET = 0.3
+"""A back end is meant to have at least this part of its capacity as load: with little load in all,
+the rule would leave slow ones without any, and a surge would find too few."""
 WORTHWHILE = 0.9
 """A very hot key is moved if its next owner is then used less than this part of the present one."""
 MUCH_FASTER = 1.3
@@ -85,6 +89,33 @@
     return min(loads, key=lambda backend_id: (loads[backend_id], backend_id))
 
 
+def balanced_capacities(
+    capacities: Mapping[str, float], loads: Mapping[str, float]
+) -> dict[str, float]:
+    """Return the capacities by which load is to be shared, so that requests take least time.
+
+    If all back ends are used to the same part, requests at the slow ones wait longest: there a
+    queue of one costs more. The mean time is least where the spare capacity of each is
+    proportional to the square root of its speed (L. Kleinrock, "Communication Nets", 1964).
+
+    Parameters
+    ----------
+    capacities
+        Requests a second that each back end can work on.
+    loads
+        Requests a second that each has; what one cannot work on is left out.
+    """
+    total = sum(capacities.values())
+    spare = total - sum(min(loads[name], capacity) for name, capacity in capacities.items())
+    roots = sum(math.sqrt(capacity) for capacity in capacities.values())
+    targets = {
+        name: max(capacity - spare * math.sqrt(capacity) / roots, LEAST_TARGET * capacity)
+        for name, capacity in capacities.items()
+    }
+    scale = total / sum(targets.values())
+    return {name: target * scale for name, target in targets.items()}
+
+
 class BalancePlan:
     """Greedy moves from the most to the least used back end.
 
@@ -135,6 +166,7 @@
         for piece in moving:
             if piece.owner in self._load:
                 self._load[piece.owner] += load.total(piece.first, piece.last, now)
+        self._balanced = balanced_capacities(capacities, self._load) if capacities else {}
 
     def moves(self) -> list[PlannedMove]:
         """Plan what to move now."""
@@ -154,13 +186,14 @@
 
     def uses(self) -> dict[str, float]:
         """Part of each back end's capacity that its keys' requests need."""
-        return {backend_id: self._use(backend_id) for backend_id in self._load}
+        return {name: load / self._capacities[name] for name, load in self._load.items()}
 
     def _use(self, backend_id: str) -> float:
-        return self._load[backend_id] / self._capacities[backend_id]
+        """Load as a part of what it is meant to have when all are fully used."""
+        return self._load[backend_id] / self._balanced[backend_id]
 
     def _mean_use(self) -> float:
-        return sum(self._load.values()) / sum(self._capacities.values())
+        return sum(self._load.values()) / sum(self._balanced.values())
 
     def _pick(self, best: Callable[..., str], stuck: set[str]) -> str | None:
         left = [backend_id for backend_id in self._load if backend_id not in stuck]
@@ -170,16 +203,16 @@
         use = self._use(heavy)
         doubt = self._certainty * self._key_load.deviation(self._load[heavy], self._now)
         excess = TOLERATED_HIGH_EXCESS if use >= HIGH_USE else TOLERATED_EXCESS
-        tolerated = excess * self._mean_use() + doubt / self._capacities[heavy]
-        if use < LEAST_USE or use < tolerated:
+        tolerated = excess * self._mean_use() + doubt / self._balanced[heavy]
+        if self._load[heavy] < LEAST_USE * self._capacities[heavy] or use < tolerated:
             return None
         return heavy
 
     def _relieve(self, heavy: str) -> PlannedMove | None:
         light = min(self._load, key=self._use)
         mean = self._mean_use()
-        excess = self._load[heavy] - mean * self._capacities[heavy]
-        room = mean * self._capacities[light] - self._load[light]
+        excess = self._load[heavy] - mean * self._balanced[heavy]
+        room = mean * self._balanced[light] - self._load[light]
         wanted = min(excess, room)
         if wanted < SMALLEST_MOVE * self._capacities[light]:
             return self._part_hot_key(heavy)
@@ -215,7 +248,7 @@
         return None
 
     def _use_with(self, backend_id: str, amount: float) -> float:
-        return (self._load[backend_id] + amount) / self._capacities[backend_id]
+        return (self._load[backend_id] + amount) / self._balanced[backend_id]
 
     def _single_keys(self, heavy: str) -> list[Cut]:
         cuts = []
--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -36,6 +36,10 @@
 """A hot key that was moved by itself stays so long where it is."""
 CERTAINTY = 2.5
 """Standard deviations by which a load must be too high before keys move."""
+LASTING_CERTAINTY = 1.5
+"""The same for the load over `LASTING_MEMORY`, which has less of chance left. By `limedeck-lab
+experiment keys` (seeds 1 and 2), 3.7 in 100 answers are late; at 0.7 they are 3.3, but the keys are
+in a third more ranges, each of which costs the leader two orders a second."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -296,10 +300,13 @@
         ]
         moving = self._pieces_on_the_move(now)
         capacities = self._capacities(now)
-        for load in (self.recent_load, self.load, self.lasting_load):
-            plan = BalancePlan(
-                pieces, capacities, load, now, CERTAINTY, self._settled_keys(now), moving
-            )
+        for load, certainty in (
+            (self.recent_load, CERTAINTY),
+            (self.load, CERTAINTY),
+            (self.lasting_load, LASTING_CERTAINTY),
+        ):
+            settled = self._settled_keys(now)
+            plan = BalancePlan(pieces, capacities, load, now, certainty, settled, moving)
             self.uses = plan.uses()
             moves = plan.moves()
             if moves:
--- a/src/limedeck_lab/application.py
+++ b/src/limedeck_lab/application.py
@@ -7,7 +7,11 @@
 from cleo.application import Application
 
 from limedeck_lab.commands.bench import BenchControlCommand, BenchRouterCommand
-from limedeck_lab.commands.experiment import ExperimentBalanceCommand, ExperimentChoiceCommand
+from limedeck_lab.commands.experiment import (
+    ExperimentBalanceCommand,
+    ExperimentChoiceCommand,
+    ExperimentKeysCommand,
+)
 from limedeck_lab.commands.load import DemoCommand, LoadCommand
 from limedeck_lab.commands.report import ReportCommand
 from limedeck_lab.commands.simulate import SimulateCommand
@@ -23,6 +27,7 @@
     BenchRouterCommand,
     ExperimentBalanceCommand,
     ExperimentChoiceCommand,
+    ExperimentKeysCommand,
     ReportCommand,
 )
 
--- a/src/limedeck_lab/commands/experiment.py
+++ b/src/limedeck_lab/commands/experiment.py
@@ -8,7 +8,7 @@
 from cleo.helpers import option
 from cleo.ui.table import Rows
 
-from limedeck_lab import experiment_choice
+from limedeck_lab import experiment_choice, experiment_keys
 from limedeck_lab.experiment_balance import run_experiment
 
 
@@ -33,6 +33,26 @@
         return 0
 
 
+class ExperimentKeysCommand(Command):
+    """Shows how soon keyed requests are answered while keys are balanced."""
+
+    name = "experiment keys"
+    description = "Simulate how soon keyed requests are answered while keys are balanced"
+    options = [  # noqa: RUF012
+        option("backends", None, "Back ends of the service", flag=False, default="128"),
+        option("rate", None, "Requests a second", flag=False, default="771"),
+        option("seeds", None, "Runs, with seeds from 1 on", flag=False, default="3"),
+    ]
+
+    def handle(self) -> int:
+        """Print one JSON line for each seed, and one for the mean."""
+        fleet = experiment_keys.KeyedFleet(int(self.option("backends")), float(self.option("rate")))
+        results = experiment_keys.run_keys(fleet, range(1, int(self.option("seeds")) + 1))
+        for result in [*results, experiment_keys.mean_of(results)]:
+            self.line(json.dumps(result.to_dict()))
+        return 0
+
+
 class ExperimentChoiceCommand(Command):
     """Shows how evenly many nodes use the back ends of a service."""
 
--- a/tests/unit/test_planning_moves.py
+++ b/tests/unit/test_planning_moves.py
@@ -8,15 +8,22 @@
 
 import pytest
 
-from limedeck.ownership.key_load import FIRST_SPAN, MEMORY, RECENT_MEMORY, KeyLoad
+from limedeck.ownership.key_load import (
+    FIRST_SPAN,
+    LASTING_MEMORY,
+    MEMORY,
+    RECENT_MEMORY,
+    KeyLoad,
+)
 from limedeck.ownership.planning import (
     TOLERATED_EXCESS,
     BalancePlan,
     OwnedPiece,
     PlannedMove,
+    balanced_capacities,
     first_assignment,
 )
-from limedeck.ownership.service import CERTAINTY
+from limedeck.ownership.service import CERTAINTY, LASTING_CERTAINTY
 
 NOW = 100.0
 
@@ -124,6 +131,33 @@
     assert loads["a"] > 1.8 * max(loads["b"], loads["c"])
 
 
+def mean_time(capacities: dict[str, float], loads: dict[str, float]) -> float:
+    """Mean time of a request where each back end is a queue with one server."""
+    total = sum(loads.values())
+    return sum(
+        load / total / (capacities[name] - load) for name, load in loads.items() if load > 0.0
+    )
+
+
+@pytest.mark.parametrize("use", [0.3, 0.6, 0.9])
+def test_slow_back_ends_are_meant_to_be_used_less(use: float) -> None:
+    """Found on zhbs-gate-large scale-1: a fifth of the answers came late, from the slow ones."""
+    capacities = {"slow": 6.0, "usual": 10.0, "fast": 14.0}
+    even = {name: use * capacity for name, capacity in capacities.items()}
+    balanced = balanced_capacities(capacities, even)
+    assert sum(balanced.values()) == pytest.approx(30.0)
+    loads = {name: use * capacity for name, capacity in balanced.items()}
+    assert loads["slow"] / 6.0 < loads["usual"] / 10.0 < loads["fast"] / 14.0 < 1.0
+    assert mean_time(capacities, loads) < mean_time(capacities, even)
+
+
+def test_a_key_that_is_too_much_leaves_the_others_shares_as_they_were() -> None:
+    capacities = {"slow": 6.0, "usual": 10.0, "fast": 14.0}
+    loads = {"slow": 3.0, "usual": 10.0, "fast": 7.0}
+    flooded = {**loads, "usual": 500.0}
+    assert balanced_capacities(capacities, flooded) == balanced_capacities(capacities, loads)
+
+
 def test_a_lightly_used_service_is_left_alone() -> None:
     rates = dict.fromkeys(range(0, 30), 0.1)
     assert BalancePlan(PIECES, EVEN, load_of(rates), NOW).moves() == []
@@ -165,6 +199,24 @@
     assert moves <= 6
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_small_differences_by_chance_move_few_keys(seed: int) -> None:
+    """What is measured over seconds has some chance left; it must not keep keys on the move."""
+    source = random.Random(seed)
+    lasting = KeyLoad(0.0, LASTING_MEMORY)
+    pieces = [OwnedPiece(i * 20, i * 20 + 19, f"b{i}") for i in range(14)]
+    capacities = dict.fromkeys((piece.owner for piece in pieces), 16.0)
+    moved = 0
+    for step in range(120):
+        now = step * FIRST_SPAN
+        counts = Counter(source.randrange(280) for _ in range(source.randrange(50, 63)))
+        lasting.add(counts.items(), now)
+        moves = BalancePlan(pieces, capacities, lasting, now, LASTING_CERTAINTY).moves()
+        moved += sum(move.last - move.first + 1 for move in moves)
+        pieces = current(pieces, moves)
+    assert moved <= 280 * 0.35
+
+
 def test_a_surge_shows_within_a_second() -> None:
     load = KeyLoad(0.0, RECENT_MEMORY)
     pieces = [OwnedPiece(i * 20, i * 20 + 19, f"b{i}") for i in range(14)]
