A leader that has resigned tells its followers who follows it

Ruled out: longer patience before feeds are kept (a lost leader would show later, near the bound for configurations).

Now: a leader that resigns says so at once, looks every 0.1 s who was elected, and tells the nodes that are still connected, with the row's version. Weak machines wait a little longer with their reading, so that most are told. A record that is told is taken up only if its term and its row are newer.

--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -105,6 +105,7 @@
         self.loads = load_exchange.LoadExchange(state.directory, identity.node_id)
         self.node_count: Callable[[], int] = lambda: 1
         self.on_owners: Callable[[], None] = lambda: None
+        self.on_leader: Callable[[], None] = lambda: None
         self.on_store_back: Callable[[], None] = lambda: None
         self._store_missed = False
         self._identity = identity
@@ -143,6 +144,7 @@
         """What this node tells those that follow it, without any owners."""
         now = steady_clock()
         silence = self.election.store_silence(now) if self.leads else 0.0
+        record = self.election.record if not self.leads else None
         return Status(
             term=self.election.term,
             leads=self.leads,
@@ -151,6 +153,8 @@
             incarnation=self._identity.incarnation,
             resigned=self.election.resigned,
             clock=now,
+            leader=record,
+            leader_row_version=self.election.row_version if record is not None else 0,
         )
 
     def owners_since(self, told: dict[str, OwnerMap]) -> list[ServiceOwners]:
@@ -162,6 +166,8 @@
         now = steady_clock()
         if not status.leads:
             self.election.handle_denial(leader.term, status.incarnation, status.resigned)
+            if status.HasField("leader"):
+                self.election.handle_told(status.leader, status.leader_row_version, now)
             return
         self.election.handle_heartbeat(status.term, status.store_silence, now, status.node_count)
         if status.term >= self.election.term:
@@ -175,6 +181,11 @@
                 clock_lead = now - status.clock
                 self._state.set_owners(owners.service, read_owners(owners, known, clock_lead))
 
+    def resign(self) -> None:
+        """Lead no more, and tell all that follow this node: its process is about to stop."""
+        self.election.resign()
+        self.on_leader()
+
     def take_loads(self) -> list[ServiceLoad]:
         """What this node has to tell the leader of its requests."""
         return self._state.take_loads()
@@ -336,8 +347,11 @@
             leader=seen.record.node_id if seen.record else "",
             confirmation_age=seen.confirmation_age,
         )
+        known = self.election.term
         self.election.handle_seen(seen, steady_clock())
         self._telemetry.term.set(self.election.term)
+        if self.election.term > known:
+            self.on_leader()
 
     async def _campaign(self, command: Campaign) -> None:
         condition = RowCondition(LEADER_ROW, command.row_version)
--- a/src/limedeck/node/peers.py
+++ b/src/limedeck/node/peers.py
@@ -140,6 +140,9 @@
             with anyio.fail_after(SILENCE_LIMIT):
                 message, _ = await reader.read()
             self._control.handle_status(message.status, leader)
+            if message.status.resigned:
+                # It is still connected, and tells who follows it as soon as it knows.
+                continue
             if not message.status.leads:
                 return
             status, now = message.status, steady_clock()
@@ -213,6 +216,7 @@
         self._log = get_logger("peers")
         control.node_count = self.node_count
         control.on_owners = self._tell_all
+        control.on_leader = self._tell_all
         news.set_on_change(self._tell_all)
 
     def node_count(self) -> int:
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -187,7 +187,7 @@
         stop = self._settings.stop
         started = steady_clock()
         self._state.stopping = True
-        control.election.resign()
+        control.resign()
         await anyio.sleep(stop.serving_time)
         await close_to_newcomers(listener)
         self._state.closing = True
--- a/src/limedeck/ownership/election.py
+++ b/src/limedeck/ownership/election.py
@@ -20,6 +20,8 @@
 RETRY_INTERVAL: Seconds = 0.25
 LONGEST_RETRY_INTERVAL: Seconds = 1.0
 """Calls that fail are repeated more and more slowly: all nodes make them at the same time."""
+RESIGNED_WAIT: Seconds = 0.1
+"""A leader that has resigned looks so often who follows it; above the time of an election."""
 FRESH_READING: Seconds = 0.5
 """A campaign rests on rows that were read at most so long ago."""
 
@@ -166,6 +168,15 @@
         if resigned or incarnation != self.record.incarnation:
             self._denied = True
 
+    def handle_told(self, record: LeaderRecord, row_version: int, now: Seconds) -> None:
+        """Another node told which record it has read."""
+        if record.term <= self.term or row_version <= self.row_version:
+            return
+        self.record = record
+        self.row_version = row_version
+        self._note_new_term(now)
+        self._settle_role(now)
+
     def handle_seen(self, seen: LeaderSeen, now: Seconds) -> None:
         """The leader's rows were read, or a write showed them."""
         self._busy = False
@@ -175,14 +186,18 @@
             self.record = seen.record
             self.row_version = seen.row_version
         if self.term > known:
-            self._heard_at = now
-            self._denied = False
-            self._leader_misses_store = False
+            self._note_new_term(now)
         self._age = seen.confirmation_age
         self._age_read_at = now
         self._next_call = now
         self._settle_role(now)
 
+    def _note_new_term(self, now: Seconds) -> None:
+        """There is a later leader than the one that was heard or denied."""
+        self._heard_at = now
+        self._denied = False
+        self._leader_misses_store = False
+
     def handle_won(self, record: LeaderRecord, row_version: int, now: Seconds) -> None:
         """The store took this node's record."""
         self._busy = False
@@ -256,7 +271,8 @@
             self._denied_since = None
         if why is None or not self._may_stand(why, now):
             return None
-        if now - self._age_read_at > FRESH_READING:
+        freshness = RESIGNED_WAIT if self.resigned else FRESH_READING
+        if now - self._age_read_at > freshness:
             self._next_call = now + RETRY_INTERVAL
             return ReadLeader(why)
         if not self.resigned and self._may_replace(why, now):
@@ -280,13 +296,15 @@
 
         All followers hear at the same time that their leader has resigned, and a weak machine is
         as quick as a strong one. What was read before says nothing of those whose turn came first.
+        The one that resigned looks soon who follows it, and tells the others.
         """
         if why is not Suspicion.DENIED:
             return True
         if self._denied_since is None:
             self._denied_since = now
             self._age_read_at = NEVER
-        return now >= self._denied_since + self._spread()
+        wait = RESIGNED_WAIT if self.resigned else self._spread() + self._handicap
+        return now >= self._denied_since + wait
 
     def _may_replace(self, why: Suspicion, now: Seconds) -> bool:
         if why in (Suspicion.NO_RECORD, Suspicion.DENIED):
--- a/tests/unit/test_election.py
+++ b/tests/unit/test_election.py
@@ -248,14 +248,24 @@
     for core in cores.values():
         core.handle_seen(row, 0.0)
         core.handle_denial(OTHER.term, OTHER.incarnation, True)
+    resigned = ElectionCore(OTHER, TIMING, 0.0)
+    resigned.handle_seen(row, 0.0)
+    resigned.resign()
     campaigns = 0
+    readings = 0
     for step in range(20):
         now = step * 0.05
+        if isinstance(resigned.handle_tick(now), ReadLeader):
+            resigned.handle_seen(row, now)
+        if resigned.term > OTHER.term and resigned.record is not None:
+            for core in cores.values():
+                core.handle_told(resigned.record, resigned.row_version, now)
         asked = {name: core.handle_tick(now) for name, core in cores.items()}
         candidacies = {
             name: command for name, command in asked.items() if isinstance(command, Campaign)
         }
         campaigns += len(candidacies)
+        readings += sum(isinstance(command, ReadLeader) for command in asked.values())
         for name, command in asked.items():
             if isinstance(command, Campaign) and command.row_version == row.row_version:
                 row = LeaderSeen(command.record, row.row_version + 1, 0.0)
@@ -266,3 +276,26 @@
     assert len(leaders) == 1
     assert int(leaders[0].removeprefix("node-")) % 13 == 0
     assert campaigns <= 10
+    assert readings <= 40
+    followed = {core.record.node_id for core in cores.values() if core.record is not None}
+    assert followed == {leaders[0]}
+
+
+def test_an_older_record_that_another_node_tells_is_not_taken_up() -> None:
+    core = follower_of_other()
+    core.handle_told(LeaderRecord(term=3, node_id="node-c", incarnation=9), 39, 100.1)
+    core.handle_told(LeaderRecord(term=5, node_id="node-c", incarnation=9), 40, 100.1)
+    assert core.record == OTHER
+    core.handle_told(LeaderRecord(term=5, node_id="node-c", incarnation=9), 41, 100.1)
+    assert core.record is not None
+    assert core.record.node_id == "node-c"
+
+
+def test_a_record_that_names_this_node_makes_it_lead() -> None:
+    """Its answer from the store was lost; another node has read what was written."""
+    core = follower_of_other()
+    mine = LeaderRecord()
+    mine.CopyFrom(ME)
+    mine.term = 5
+    core.handle_told(mine, 41, 100.1)
+    assert core.role is Role.LEADER
