News that come while the leader pauses are told at once

Cause, found by reading: between two messages to a node the leader pauses, 0.29 s with 195 nodes, and then waited for news; those that had come during the pause were not among them, and were told with the next heartbeat 0.3 s later. A node sent requests to a former owner, or had none, for so long.

Test: test_notice.py.

--- a/src/limedeck/node/peers.py
+++ b/src/limedeck/node/peers.py
@@ -212,7 +212,7 @@
         self._observers: frozenset[str] = frozenset()
         self._zone = zone
         self._store_news = news
-        self._news = anyio.Event()
+        self._news = Notice()
         self._log = get_logger("peers")
         control.node_count = self.node_count
         control.on_owners = self._tell_all
@@ -230,8 +230,7 @@
             await listener.serve(self._serve_one)
 
     def _tell_all(self) -> None:
-        self._news.set()
-        self._news = anyio.Event()
+        self._news.give()
 
     async def _serve_one(self, stream: SocketStream) -> None:
         async with stream, anyio.create_task_group() as tasks:
@@ -287,6 +286,7 @@
         told_totals = backend_loads.ToldTotals()
         try:
             while True:
+                known = self._news.count
                 status = self._control.status()
                 totals = self._control.loads.totals_for(told_totals)
                 if totals is not None:
@@ -297,7 +297,34 @@
                 with anyio.fail_after(SEND_TIMEOUT):
                     await stream.send(encode_frame(ControlMessage(status=status)))
                 await anyio.sleep(self._telling_pause())
-                with anyio.move_on_after(self._timing.heartbeat_interval):
-                    await self._news.wait()
+                await self._news.wait_beyond(known, self._timing.heartbeat_interval)
         except ENDED:
             scope.cancel()
+
+
+class Notice:
+    """Wakes all that wait for news, and whoever did not wait when they came.
+
+    Attributes
+    ----------
+    count
+        How often news came.
+    """
+
+    def __init__(self) -> None:
+        self.count = 0
+        self._event = anyio.Event()
+
+    def give(self) -> None:
+        """There are news."""
+        self.count += 1
+        self._event.set()
+        self._event = anyio.Event()
+
+    async def wait_beyond(self, known: int, longest: Seconds) -> None:
+        """Wait until news came after those that are known, for at most so long."""
+        if self.count > known:
+            return
+        event = self._event
+        with anyio.move_on_after(longest):
+            await event.wait()
