Strong machines stand first also when the leader misses the store

Cause: a leader that the store does not confirm is replaced after a time that grew with a node's place only.

Ruled out: the store (it served all others), the telling pause (the strong leader before kept it).

Now: nodes tell the leader how many cores they may use; it tells all how strong the strongest is and how many are about as strong. These stand first, in turn; weaker ones after all of them. Weakness is relative: in a fleet of equal machines nobody waits.

--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -28,6 +28,7 @@
 from limedeck.node.owner_changes import PublishedOwners, read_owners
 from limedeck.node.state import NodeState
 from limedeck.node.telemetry import Telemetry
+from limedeck.ownership import standing
 from limedeck.ownership.election import (
     Campaign,
     Confirm,
@@ -103,7 +104,8 @@
     ) -> None:
         self.election = ElectionCore(identity, timing, steady_clock(), processor)
         self.loads = load_exchange.LoadExchange(state.directory, identity.node_id)
-        self.node_count: Callable[[], int] = lambda: 1
+        self.processor = processor
+        self.fleet: Callable[[], standing.Fleet] = lambda: standing.fleet_of([processor])
         self.on_owners: Callable[[], None] = lambda: None
         self.on_leader: Callable[[], None] = lambda: None
         self.on_store_back: Callable[[], None] = lambda: None
@@ -145,10 +147,13 @@
         now = steady_clock()
         silence = self.election.store_silence(now) if self.leads else 0.0
         record = self.election.record if not self.leads else None
+        fleet = self.fleet()
         return Status(
             term=self.election.term,
             leads=self.leads,
-            node_count=self.node_count(),
+            node_count=fleet.node_count,
+            strongest=fleet.strongest,
+            strong_count=fleet.strong_count,
             store_silence=silence,
             incarnation=self._identity.incarnation,
             resigned=self.election.resigned,
@@ -169,7 +174,8 @@
             if status.HasField("leader"):
                 self.election.handle_told(status.leader, status.leader_row_version, now)
             return
-        self.election.handle_heartbeat(status.term, status.store_silence, now, status.node_count)
+        fleet = standing.Fleet(status.node_count, status.strongest, status.strong_count)
+        self.election.handle_heartbeat(status.term, status.store_silence, now, fleet)
         if status.term >= self.election.term:
             self._state.note_leader(status.store_silence, now)
             self._state.node_count = max(status.node_count, 1)
@@ -212,7 +218,7 @@
         if not self.leads:
             self._leave_office()
             return
-        self._state.node_count = self.node_count()
+        self._state.node_count = self.fleet().node_count
         self._state.note_leader(self.election.store_silence(now), now)
         self._open_services()
         self._refresh_listing(now)
--- a/src/limedeck/node/peers.py
+++ b/src/limedeck/node/peers.py
@@ -20,6 +20,7 @@
 from limedeck.node.framing import FrameReader, encode_frame
 from limedeck.node.logs import get_logger
 from limedeck.node.news import PeerTables, StoreNews
+from limedeck.ownership import standing
 from limedeck.ownership.timing import OwnershipTiming
 from limedeck.store.feeds import FeedPolicy, choose_observers
 
@@ -130,6 +131,7 @@
             loads=loads,
             zone=self._zone,
             backend_loads=self._control.loads.report(),
+            processor=self._control.processor,
         )
         self._news.fill(report, self._peer, now)
         return report
@@ -209,12 +211,14 @@
         self._timing = timing
         self._nodes: dict[str, SocketStream] = {}
         self._zones: dict[str, str] = {}
+        self._processors: dict[str, float] = {}
         self._observers: frozenset[str] = frozenset()
+        self._fleet = standing.fleet_of([control.processor])
         self._zone = zone
         self._store_news = news
         self._news = Notice()
         self._log = get_logger("peers")
-        control.node_count = self.node_count
+        control.fleet = self.fleet
         control.on_owners = self._tell_all
         control.on_leader = self._tell_all
         news.set_on_change(self._tell_all)
@@ -223,6 +227,15 @@
         """Nodes that follow this one, and itself."""
         return len(self._nodes) + 1
 
+    def fleet(self) -> standing.Fleet:
+        """Describe the nodes that follow this one, and itself."""
+        return self._fleet
+
+    def _note_membership(self) -> None:
+        """A node has begun to follow this one, or has left."""
+        self._observers = choose_observers(self._zones, self._zone)
+        self._fleet = standing.fleet_of([self._control.processor, *self._processors.values()])
+
     async def serve(self) -> None:
         """Listen until cancelled."""
         listener = await anyio.create_tcp_listener(local_host=self._host, local_port=self._port)
@@ -261,14 +274,16 @@
                 del self._nodes[node]
                 self._control.loads.handle_follower_left(node)
                 del self._zones[node]
-                self._observers = choose_observers(self._zones, self._zone)
+                del self._processors[node]
+                self._note_membership()
 
     def _note_follower(self, report: Report, stream: SocketStream, peer: PeerTables) -> None:
         node = report.node_id
         if self._nodes.get(node) is not stream:
             self._nodes[node] = stream
             self._zones[node] = report.zone
-            self._observers = choose_observers(self._zones, self._zone)
+            self._processors[node] = report.processor
+            self._note_membership()
         was_told = peer.node_id is not None
         peer.node_id = node
         peer.keeps_feeds = node in self._observers
--- a/src/limedeck/ownership/election.py
+++ b/src/limedeck/ownership/election.py
@@ -10,13 +10,11 @@
 
 import xxhash
 
-from limedeck import staggering
 from limedeck.api.control_pb2 import FormerLeader, LeaderRecord
 from limedeck.identity import NEVER, Seconds
+from limedeck.ownership import standing
 from limedeck.ownership.timing import OwnershipTiming
 
-SPREAD: Seconds = 0.25
-"""Candidates begin within so long of each other, so that mostly one writes."""
 RETRY_INTERVAL: Seconds = 0.25
 LONGEST_RETRY_INTERVAL: Seconds = 1.0
 """Calls that fail are repeated more and more slowly: all nodes make them at the same time."""
@@ -106,7 +104,7 @@
         now: Seconds,
         processor: float = 1.0,
     ) -> None:
-        self._handicap = timing.weakness_delay * max(1.0 - processor, 0.0)
+        self._standing = standing.Standing(processor, timing.weakness_delay)
         self.role = Role.FOLLOWER
         self.record: LeaderRecord | None = None
         self.row_version = 0
@@ -141,14 +139,20 @@
         return leads and self.store_silence(now) < self._timing.leader_patience
 
     def handle_heartbeat(
-        self, term: int, store_silence: Seconds, now: Seconds, node_count: int = 1
+        self,
+        term: int,
+        store_silence: Seconds,
+        now: Seconds,
+        fleet: standing.Fleet | None = None,
     ) -> None:
         """The leader was heard; it tells how long the store has not confirmed it."""
         if term < self.term:
             return
         self._heard_at = now
         self._denied = False
-        patience = self._timing.cut_leader_patience + staggering.delay(self._place(), node_count)
+        if fleet is not None:
+            self._standing.fleet = fleet
+        patience = self._timing.cut_leader_patience + self._standing.turn(self._place())
         self._leader_misses_store = store_silence > patience
 
     def handle_denial(self, term: int, incarnation: int, resigned: bool) -> None:
@@ -303,7 +307,7 @@
         if self._denied_since is None:
             self._denied_since = now
             self._age_read_at = NEVER
-        wait = RESIGNED_WAIT if self.resigned else self._spread() + self._handicap
+        wait = RESIGNED_WAIT if self.resigned else self._spread() + self._standing.handicap
         return now >= self._denied_since + wait
 
     def _may_replace(self, why: Suspicion, now: Seconds) -> bool:
@@ -339,7 +343,7 @@
                 self._denied_since = NEVER
 
     def _spread(self) -> Seconds:
-        return self._place() * SPREAD + self._handicap
+        return self._standing.spread(self._place())
 
     def _place(self) -> float:
         """Where this node stands among the candidates, from 0 to 1; another in each term."""
--- a/tests/unit/test_election.py
+++ b/tests/unit/test_election.py
@@ -4,7 +4,9 @@
 
 import pytest
 
+from limedeck import staggering
 from limedeck.api.control_pb2 import LeaderRecord
+from limedeck.ownership import standing
 from limedeck.ownership.election import (
     Campaign,
     Confirm,
@@ -161,6 +163,41 @@
     assert core.may_renew(TIMING.leader_patience + 5.0)
 
 
+def test_a_leader_that_misses_the_store_is_followed_by_a_strong_machine() -> None:
+    """Found on zhbs-gate-large trouble-1: two weak machines led in turn, for three seconds each."""
+    processors = [2.15 if number % 13 == 0 else 0.43 for number in range(195)]
+    fleet = standing.fleet_of(processors)
+    row = LeaderSeen(OTHER, 40, 5.0)
+    stood: list[tuple[float, int]] = []
+    for number, processor in enumerate(processors):
+        identity = LeaderRecord(node_id=f"node-{number}", incarnation=number + 100)
+        core = ElectionCore(identity, TIMING, 0.0, processor)
+        core.handle_seen(row, 0.0)
+        silence = 1.0
+        while not isinstance(command := core.handle_tick(silence), Campaign):
+            core.handle_heartbeat(OTHER.term, silence, silence, fleet)
+            if command is not None:
+                core.handle_seen(row, silence)
+            silence = round(silence + 0.05, 2)
+            assert silence < 15.0
+        stood.append((silence, number))
+    stood.sort()
+    in_half_a_second = [number for at, number in stood if at < stood[0][0] + 0.5]
+    assert len(in_half_a_second) <= 8
+    assert all(number % 13 == 0 for number in in_half_a_second)
+    assert stood[0][0] < TIMING.cut_leader_patience + 2.0
+
+
+def test_machines_that_are_all_weak_do_not_wait_for_strong_ones() -> None:
+    equal = standing.Standing(0.43, TIMING.weakness_delay)
+    equal.fleet = standing.fleet_of([0.43] * 78)
+    assert equal.handicap == 0.0
+    assert equal.turn(0.0) == 0.0
+    weak = standing.Standing(0.43, TIMING.weakness_delay)
+    weak.fleet = standing.fleet_of([0.43, 2.15, 2.15])
+    assert weak.turn(0.0) > max(staggering.delay(1.0, 2), 0.0)
+
+
 def test_a_leader_that_misses_the_store_is_replaced_if_its_confirmation_is_old() -> None:
     core = follower_of_other()
     core.handle_heartbeat(4, TIMING.cut_leader_patience + 0.1, 100.2)
