Ranges of one owner are renewed half as often if it has several

The owner is still asked as often as before.

Tests: orders of an owner with 20 ranges; a renewal that is lost once costs no lease.

--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -117,6 +118,7 @@
         self._first_seen_at: Seconds | None = None
         self._newest_seen_at: Seconds = now
         self._asked_at: dict[str, Seconds] = {}
+        self._range_counts: Counter[str] = Counter()
         self._answered_at: dict[str, Seconds] = {}
         self._avoided_until: dict[str, Seconds] = {}
         self._pending_record: list[tuple[RangeState, str]] | None = None
@@ -161,7 +163,7 @@
             end = now + self._timing.end_of(order.duration)
             found.held_until = max(found.held_until, end)
             found.handover = ""
-            found.next_order = sent_at + self._timing.renewal_interval
+            found.next_order = sent_at + self._renewal_interval(found.owner)
         elif fenced_off:
             self.fenced_off = True
             found.next_order = now + self._timing.renewal_interval
@@ -245,6 +247,7 @@
         """Do what is due; see the module's documentation."""
         if not self.ranges:
             self._assign_first(now)
+        self._range_counts = Counter(item.owner for item in self.ranges)
         for found in self.ranges:
             self._tick_range(found, may_renew, now)
         self._send_releases(now)
@@ -391,6 +394,15 @@
         order = Grant(found.owner, found.first, found.last, found.fence, duration, found.handover)
         self._commands.append(SendGrant(order))
 
+    def _renewal_interval(self, owner: str) -> Seconds:
+        """Time until a range is granted again: longer if its owner has others.
+
+        An owner is to be asked often enough to find soon that it is gone. With one order for each
+        of its ranges, a leader of hundreds of ranges would send more than it can.
+        """
+        ranges = min(self._range_counts[owner], self._timing.most_renewal_intervals)
+        return self._timing.renewal_interval * max(ranges, 1)
+
     def _grant_duration(self, owner: str, now: Seconds) -> Seconds:
         """How long a grant runs: one that follows an order without an answer ends no later.
 
--- a/src/limedeck/ownership/timing.py
+++ b/src/limedeck/ownership/timing.py
@@ -23,6 +23,9 @@
         Added to every wait for the end of a lease.
     renewal_interval
         Between two grants of the same keys.
+    most_renewal_intervals
+        A range of an owner with several is renewed after so many intervals at most; what is left of
+        its lease allows several more orders.
     order_timeout
         An order without an answer for so long counts as lost.
     refused_release_pause
@@ -67,6 +70,7 @@
     clock_error: float = 0.02
     lease_slack: Seconds = 0.1
     renewal_interval: Seconds = 0.5
+    most_renewal_intervals: int = 2
     order_timeout: Seconds = 0.25
     refused_release_pause: Seconds = 1.0
     weakness_delay: Seconds = 0.4
--- a/tests/unit/test_service_ownership.py
+++ b/tests/unit/test_service_ownership.py
@@ -159,6 +159,36 @@
     assert moved <= first_lost + TIMING.longest_lease + TIMING.order_timeout + 0.1
 
 
+def test_an_owner_of_many_ranges_is_not_sent_an_order_for_each_so_often() -> None:
+    """Found on zhbs-gate-large scale-1: a leader renewed 410 ranges twice a second."""
+    play = fresh()
+    play.run(3.0)
+    play.core.move([PlannedMove(first, first, "b") for first in range(1, 40, 4)])
+    play.run(4.0)
+    ranges = len(play.core.ranges)
+    assert ranges > 15
+    begin = len(play.orders)
+    play.run(8.0)
+    renewals = [order for _, order in play.orders[begin:] if isinstance(order, Grant)]
+    assert len(renewals) <= ranges * 4 + ranges
+    spans = {(order.first, order.last) for order in renewals}
+    assert spans == {(item.first, item.last) for item in play.core.ranges}
+    assert all(item.confirmed_until > play.now for item in play.core.ranges)
+
+
+def test_a_range_whose_renewal_is_lost_once_keeps_its_lease() -> None:
+    play = fresh()
+    play.run(3.0)
+    play.core.move([PlannedMove(first, first, "b") for first in range(1, 40, 4)])
+    play.run(5.0)
+    play.silent = {"a"}
+    play.run(5.0 + TIMING.order_timeout)
+    play.silent = set()
+    while play.now < 8.0:
+        play.run(play.now + 0.05)
+        assert all(item.confirmed_until > play.now for item in play.core.ranges)
+
+
 def lost_ranges(play: Play) -> list[tuple[int, int, float | None]]:
     return [
         (item.first, item.last, item.free_at)
