Two faults of the leader's core: keys without an owner for good, and too long a wait after takeover

The record was written twenty times a second, and no key was ever served again until another node led. An owner's silence now counts from its first order as an owner.

Grants of this leader are now remembered by themselves; once the owner has answered one, its fence keeps out the others. Test: playbook (failed before).

--- a/src/limedeck/ownership/ranges.py
+++ b/src/limedeck/ownership/ranges.py
@@ -48,6 +48,9 @@
         Of the newest order for these keys.
     held_until
         No grant that was sent can be in force after this, unless it is taken late.
+    sent_until
+        The same for the grants of this leader only: once the owner has answered one, its fence
+        keeps out those of earlier leaders.
     confirmed_until
         The owner surely holds the keys until then.
     next_order
@@ -66,6 +69,7 @@
     phase: Phase = Phase.FREE
     fence: int = 0
     held_until: Seconds = NEVER
+    sent_until: Seconds = NEVER
     confirmed_until: Seconds = NEVER
     next_order: Seconds = NEVER
     order_pending: bool = False
@@ -92,6 +96,7 @@
             self.phase,
             self.fence,
             self.held_until,
+            self.sent_until,
             self.confirmed_until,
             NEVER,
             False,
--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -159,9 +159,8 @@
         found.order_pending = False
         if done:
             found.confirmed_until = sent_at + order.duration
-            # An earlier grant without an answer may run longer than this one.
-            end = now + self._timing.end_of(order.duration)
-            found.held_until = max(found.held_until, end)
+            # A grant that was sent before, and had no answer, may run longer than this one.
+            found.held_until = max(found.sent_until, now + self._timing.end_of(order.duration))
             found.handover = ""
             found.next_order = sent_at + self._renewal_interval(found.owner)
         elif fenced_off:
@@ -208,6 +207,9 @@
             change = OwnerChange(found.first, found.last, found.owner, owner, found.cause)
             self.changes.append(change)
             found.owner = owner
+            # Its silence counts from the first order that it gets as an owner.
+            self._asked_at.pop(owner, None)
+            found.sent_until = NEVER
             found.target = NO_OWNER
             found.phase = Phase.OWNED
             found.fence = self._fences.next()
@@ -341,6 +343,7 @@
                 continue
             last.last = item.last
             last.held_until = max(last.held_until, item.held_until)
+            last.sent_until = max(last.sent_until, item.sent_until)
             last.confirmed_until = min(last.confirmed_until, item.confirmed_until)
             self._renew_pieces([last])
         self.ranges = merged
@@ -389,6 +392,7 @@
         found.order_pending = True
         duration = self._grant_duration(found.owner, now)
         end = now + self._timing.end_of(duration) + self._timing.order_timeout
+        found.sent_until = max(found.sent_until, end)
         found.held_until = max(found.held_until, end)
         self._asked_at.setdefault(found.owner, now)
         order = Grant(found.owner, found.first, found.last, found.fence, duration, found.handover)
--- a/tests/unit/test_service_ownership.py
+++ b/tests/unit/test_service_ownership.py
@@ -127,6 +127,33 @@
     assert [item.owner for item in play.records[-1][1].ranges] == ["a", "a"]
 
 
+def test_keys_are_owned_again_after_no_back_end_was_reached_for_long() -> None:
+    """Found by the simulation, seed 7: each new owner was taken for silent before it was asked."""
+    play = fresh()
+    play.run(3.0)
+    play.silent = {"a", "b"}
+    play.run(13.0)
+    play.silent = set()
+    records = len(play.records)
+    play.run(20.0)
+    assert all(item.confirmed_until > play.now for item in play.core.ranges)
+    assert len(play.records) - records <= 4
+
+
+def test_an_owner_that_has_answered_this_leader_is_not_waited_for_on_behalf_of_an_earlier_one() -> (
+    None
+):
+    """Found by reading: its fence keeps out what an earlier leader may still send."""
+    play = taken_over(set())
+    play.run(3.0)
+    play.silent = {"b"}
+    play.run(9.0)
+    first_lost = next(at for at, order in play.orders if at >= 3.0 and order.backend_id == "b")
+    moved = next(at for at, record in play.records if at > 3.0)
+    assert last_end_of_grants(play, "b") <= moved
+    assert moved <= first_lost + TIMING.longest_lease + TIMING.order_timeout + 0.1
+
+
 def test_a_silent_owner_of_this_leader_loses_its_keys_when_its_lease_is_over() -> None:
     play = fresh()
     play.run(3.0)
