--- a/src/limedeck/forwarding/request.py
+++ b/src/limedeck/forwarding/request.py
@@ -45,7 +45,7 @@
 about half of the time that it takes."""
 RETURN_DELAY: Seconds = 0.3
 """From the end of a lost owner's lease until nodes know the next one: the record in the store, a
-grant, and the interval at which a large fleet is told; from logs of zhbs-gate-large."""
+grant, and the interval at which a large fleet is told; an estimate from logs of 195 nodes."""
 RETURN_SPREAD: Seconds = 0.3
 """Callers that were told to come back return within so long of each other: an estimate of the time
 in which the next owner works off what has gathered."""
--- a/src/limedeck/ownership/outliers.py
+++ b/src/limedeck/ownership/outliers.py
@@ -32,7 +32,7 @@
 """Faults of back ends that were seen last for some 5 s; longer ones keep sound back ends idle."""
 QUEUE_FOR_EACH_SLOT = 2.0
 """Requests for each slot from which a back end is overloaded: as many wait as it works on. A hot
-spot's owner has five for each slot and resets what comes beyond (zhbs-gate-large, scale-1)."""
+spot's owner has five for each slot and resets what comes beyond (docs/policy/large-fleets.md)."""
 LONGEST_SILENCE: Seconds = 1.0
 """A back end that is overloaded still answers some requests; one that answers none for so long
 hangs. An estimate, above the times that single requests take at the known sites."""
