A connection on which nothing is acknowledged is given up after half a second

Cause: open connections may go silent without a reset while new ones work. A request sent on a kept connection to a back end then waited until its caller's deadline, and each further kept connection to that address cost another request. Nothing but the time shows it.

Change: the system's own bound on unacknowledged bytes (TCP_USER_TIMEOUT), and the other idle connections to the same address are dropped with it. An answer that is merely slow is waited for as before: its request was acknowledged.

Ruled out: keep-alive probes on all idle connections (each costs bytes between zones every second, for connections that rest 9 s at most); an own timer on answers (it would give up requests that run).

Test: test_silent_connections.py, on real sockets whose other end drops all that comes; on the code before the first test failed with "out of time" after its whole 20 s.

--- a/src/limedeck/http_client.py
+++ b/src/limedeck/http_client.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import select
+import socket
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -30,6 +31,12 @@
 long: a node's log had such resets 5 ms after opening (docs/policy/large-fleets.md)."""
 IDLE_MARGIN: Seconds = 1.0
 """An idle connection is dropped so long before the back end would close it."""
+UNACKNOWLEDGED_LIMIT: Seconds = 0.5
+"""Bytes that the other end's machine has not acknowledged for so long: the connection is dead. Kept
+connections may go silent without a reset, and a request sent on one would wait for its caller's
+deadline. Above the first repetition of a lost segment (0.2 s). Linux 6.18 ends such a connection
+0.92 s after sending, by a loopback connection whose other end drops all that comes; without it, a
+request with 20 s left failed after 20 s (test_silent_connections.py)."""
 READ_BYTES = 65_536
 LARGEST_ANSWER = 64 << 20
 SMALL_BODY = 16_384
@@ -37,6 +44,11 @@
 LARGEST_HEAD = 65_536
 
 
+DEAD_CONNECTION_OPTIONS: Sequence[SocketOption] = (
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(UNACKNOWLEDGED_LIMIT * 1000)),
+)
+
+
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
     """A request as a server gets it.
@@ -201,7 +213,7 @@
         self,
         local_host: str | None = None,
         connect_timeout: Seconds = CONNECT_TIMEOUT,
-        socket_options: Sequence[SocketOption] = (),
+        socket_options: Sequence[SocketOption] = DEAD_CONNECTION_OPTIONS,
     ) -> None:
         self._local_host = local_host
         self._connect_timeout = connect_timeout
@@ -226,6 +238,10 @@
                 reusable = connection.can_be_reused(answer, sent_whole, steady_clock())
                 return answer
             raise AttemptFailed(FailurePhase.AWAITING, "out of time")
+        except AttemptFailed as error:
+            if _is_silence(error):
+                await self._drop_address(request.address)
+            raise
         finally:
             if reusable:
                 self._idle.setdefault(request.address, deque()).append(connection)
@@ -245,6 +261,11 @@
             for connection in dropped:
                 await connection.aclose()
 
+    async def _drop_address(self, address: str) -> None:
+        """Close idle connections to an address: one went silent, and the others most likely did."""
+        for connection in self._idle.pop(address, ()):
+            await connection.aclose()
+
     async def aclose(self) -> None:
         """Close all idle connections."""
         await self.drop_idle(set())
@@ -280,6 +301,14 @@
             raise AttemptFailed(FailurePhase.TURNED_AWAY, "reset at once") from error
 
 
+def _is_silence(error: AttemptFailed) -> bool:
+    """Whether the system gave the connection up because nothing was acknowledged on it."""
+    cause: BaseException | None = error.__cause__
+    while cause is not None and not isinstance(cause, OSError):
+        cause = cause.__cause__
+    return isinstance(cause, TimeoutError)
+
+
 async def _watch_for_reset(connection: _Connection) -> None:
     await anyio.sleep(RESET_WATCH)
     if not connection.is_quiet():
