A leader that many sound owners do not answer yields, and takes no keys from them

Cause: one observer's own lateness was taken for the silence of all that it observes. A leader that has more orders to send than time to do it gives up connections and answers that come too late, counts each owner as silent after 1.1 s, takes its keys, and gives them to another owner that it reaches no better.

Change: owners that answer other nodes' requests (which nodes report every 0.25 s) but not this leader's orders for 0.6 s speak for it being at fault. With more than a third of all owners like that it yields: it stands aside for 5 s, tells its followers at once as at a planned stop, and its successor grants the same keys to the same owners. Not within the first 2.5 s of its term, so that two nodes which fare alike do not hand leadership to and fro: the successor then moves the keys as before. Owners that nobody is answered by lose theirs as before, however many they are.

Ruled out: measuring how late the process's own ticks are (the weak leader of the trial ticked at most 0.07 s late; opening a connection takes several turns); longer time-outs of orders (a lost owner is found later); longer renewal intervals while late (fewer orders, and a lease lapses at the next loss).

Which owners are silent is a module of its own, out of ownership/service.py.

--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -159,7 +159,7 @@
             strong_count=fleet.strong_count,
             store_silence=silence,
             incarnation=self._identity.incarnation,
-            resigned=self.election.resigned,
+            resigned=self.election.stands_aside(now),
             clock=now,
             leader=record,
             leader_row_version=self.election.row_version if record is not None else 0,
@@ -230,10 +230,11 @@
             self._next_own_loads = now + OWN_LOADS_INTERVAL
             self.handle_loads(self._state.take_loads())
         may_renew = self.election.may_renew(now)
+        may_yield = self.election.may_yield(now) and self._state.node_count > 1
         for name, owned in list(self._services.items()):
             if not self.election.former_leaders():
                 owned.core.handle_former_leaders_over(now)
-            for order in owned.core.handle_tick(may_renew, now):
+            for order in owned.core.handle_tick(may_renew, now, may_yield):
                 self._start(self._run_ownership, name, owned, order)
             self._log_changes(name, owned.core)
             self._log_balance(name, owned.core, now)
@@ -241,8 +242,16 @@
             if owned.core.fenced_off:
                 self._log.warning("fenced_off", service=name, term=owned.term)
                 self.election.step_down()
+            elif owned.core.doubts_itself:
+                self._yield_office(name, owned, now)
         self._telemetry.leads.set(1)
 
+    def _yield_office(self, name: str, owned: _OwnedService, now: Seconds) -> None:
+        """Let another node lead, and tell all that follow this one."""
+        self._log.warning("leadership_yielded", service=name, term=owned.term)
+        self.election.yield_office(now)
+        self.on_leader()
+
     def _leave_office(self) -> None:
         if self._services:
             self._log.info("leadership_ended", term=self.election.term)
--- a/src/limedeck/ownership/election.py
+++ b/src/limedeck/ownership/election.py
@@ -124,7 +124,9 @@
         self._confirmed_at: Seconds = NEVER
         self._busy = False
         self._failures = 0
-        self.resigned = False
+        self._stops = False
+        self._leads_since: Seconds = NEVER
+        self._rests_until: Seconds = NEVER
         self._over: set[tuple[int, int]] = set()
         self._heard_term = 0
 
@@ -137,6 +139,15 @@
         """How long the store has not confirmed this leader."""
         return now - self._confirmed_at
 
+    def may_yield(self, now: Seconds) -> bool:
+        """Whether this leader has been in office long enough to give it up to another."""
+        in_office = now - self._leads_since
+        return self.role is Role.LEADER and in_office >= self._timing.yield_after
+
+    def stands_aside(self, now: Seconds) -> bool:
+        """Whether this node has given up leading: for a while, or because it is about to stop."""
+        return self._stops or now < self._rests_until
+
     def may_renew(self, now: Seconds) -> bool:
         """Whether this node may go on renewing grants."""
         leads = self.role is Role.LEADER
@@ -258,9 +269,15 @@
         """Lead no more, and never again: this process is about to stop."""
         if self.role is Role.LEADER:
             self._denied = True
-        self.resigned = True
+        self._stops = True
         self.role = Role.FOLLOWER
 
+    def yield_office(self, now: Seconds) -> None:
+        """Lead no more, and let others stand first: they may reach what this node does not."""
+        self.role = Role.FOLLOWER
+        self._denied = True
+        self._rests_until = now + self._timing.yield_rest
+
     def handle_tick(self, now: Seconds) -> ElectionCommand | None:
         """Decide what to ask of the store now."""
         if self._busy or now < self._next_call:
@@ -279,11 +296,11 @@
             self._denied_since = None
         if why is None or not self._may_stand(why, now):
             return None
-        freshness = RESIGNED_WAIT if self.resigned else FRESH_READING
+        freshness = RESIGNED_WAIT if self.stands_aside(now) else FRESH_READING
         if now - self._age_read_at > freshness:
             self._next_call = now + RETRY_INTERVAL
             return ReadLeader(why)
-        if not self.resigned and self._may_replace(why, now):
+        if not self.stands_aside(now) and self._may_replace(why, now):
             self._age_read_at = NEVER
             return Campaign(self._candidacy(), self.row_version, why)
         return None
@@ -311,7 +328,8 @@
         if self._denied_since is None:
             self._denied_since = now
             self._age_read_at = NEVER
-        wait = RESIGNED_WAIT if self.resigned else self._spread() + self._standing.handicap
+        own_turn = self._spread() + self._standing.handicap
+        wait = RESIGNED_WAIT if self.stands_aside(now) else own_turn
         return now >= self._denied_since + wait
 
     def _may_replace(self, why: Suspicion, now: Seconds) -> bool:
@@ -334,9 +352,11 @@
             self.record.node_id == self._identity.node_id
             and self.record.incarnation == self._identity.incarnation
         )
-        may_lead = not self._denied and not self.resigned and self.term >= self._heard_term
+        is_willing = not self._denied and not self.stands_aside(now)
+        may_lead = is_willing and self.term >= self._heard_term
         if mine and may_lead and self.role is Role.FOLLOWER:
             self.role = Role.LEADER
+            self._leads_since = now
             self._confirmed_at = max(self._confirmed_at, now)
             self._next_call = now
         elif not mine:
--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -30,6 +30,7 @@
     least_loaded,
 )
 from limedeck.ownership.ranges import NO_OWNER, Cause, Phase, RangeState
+from limedeck.ownership.silence import OwnerSilence
 from limedeck.ownership.timing import OwnershipTiming
 
 DEFAULT_SERVICE_TIME: Seconds = 0.1
@@ -117,14 +118,13 @@
         self._opened_at = now
         self._first_seen_at: Seconds | None = None
         self._newest_seen_at: Seconds = now
-        self._asked_at: dict[str, Seconds] = {}
+        self._silence = OwnerSilence(timing, now)
         self._range_counts: Counter[str] = Counter()
-        self._answered_at: dict[str, Seconds] = {}
-        self._avoided_until: dict[str, Seconds] = {}
         self._pending_record: list[tuple[RangeState, str]] | None = None
         self._commands: list[OwnershipCommand] = []
         self._published: tuple[OwnedRange, ...] = ()
         self.fenced_off = False
+        self.doubts_itself = False
         self.uses: dict[str, float] = {}
         self._alone = False
         self.load = KeyLoad(now)
@@ -152,7 +152,7 @@
         self, order: Grant, done: bool, fenced_off: bool, sent_at: Seconds, now: Seconds
     ) -> None:
         """A back end answered a grant."""
-        self._note_heard(order.backend_id)
+        self._silence.note_heard(order.backend_id)
         found = self._range_of(order.first, order.last, order.fence)
         if found is None:
             return
@@ -173,7 +173,7 @@
         self, order: Release, done: bool, handover: str, now: Seconds
     ) -> None:
         """A back end answered a release."""
-        self._note_heard(order.backend_id)
+        self._silence.note_heard(order.backend_id)
         for found in self._ranges_within(order):
             if found.phase is not Phase.RELEASING:
                 continue
@@ -186,15 +186,14 @@
 
     def handle_order_lost(self, order: Grant | Release, now: Seconds) -> None:
         """An order had no answer; it may be taken yet."""
-        if order.backend_id in self._avoided_until:
-            self._avoided_until[order.backend_id] = now + self._timing.avoidance
+        self._silence.avoid_longer(order.backend_id, now)
         for found in self._ranges_within(order):
             found.order_pending = False
             found.next_order = now
             if found.phase is Phase.RELEASING and found.cause is Cause.BALANCE:
                 found.cause = Cause.SILENT
                 found.target = NO_OWNER
-                self._avoided_until[order.backend_id] = now + self._timing.avoidance
+                self._silence.avoid(order.backend_id, now)
 
     def handle_record_written(self, row_version: int) -> None:
         """The store took the record."""
@@ -207,8 +206,7 @@
             change = OwnerChange(found.first, found.last, found.owner, owner, found.cause)
             self.changes.append(change)
             found.owner = owner
-            # Its silence counts from the first order that it gets as an owner.
-            self._asked_at.pop(owner, None)
+            self._silence.note_new_owner(owner)
             found.sent_until = NEVER
             found.target = NO_OWNER
             found.phase = Phase.OWNED
@@ -245,11 +243,22 @@
 
     # ------------------------------------------------------------------ the loop
 
-    def handle_tick(self, may_renew: bool, now: Seconds) -> list[OwnershipCommand]:
-        """Do what is due; see the module's documentation."""
+    def handle_tick(
+        self, may_renew: bool, now: Seconds, may_yield: bool = False
+    ) -> list[OwnershipCommand]:
+        """Do what is due; see the module's documentation.
+
+        Parameters
+        ----------
+        may_yield
+            Another node could lead. If `doubts_itself` is set by this call it should: this one is
+            not heard by owners that are sound, and takes no keys from them for that.
+        """
         if not self.ranges:
             self._assign_first(now)
         self._range_counts = Counter(item.owner for item in self.ranges)
+        owners = self._range_counts.keys() - {NO_OWNER}
+        self.doubts_itself = may_yield and self._silence.is_own_fault(owners, now)
         for found in self.ranges:
             self._tick_range(found, may_renew, now)
         self._send_releases(now)
@@ -279,7 +288,7 @@
 
     def note_answered(self, backend_id: str, answered_at: Seconds) -> None:
         """A node told at this time that the back end had answered a request."""
-        self._answered_at[backend_id] = answered_at
+        self._silence.note_answered(backend_id, answered_at)
 
     def set_failing(self, backend_ids: Iterable[str]) -> None:
         """These fail more often than the others; their keys go to others as long as there are."""
@@ -378,9 +387,8 @@
         owner = self._backends.get(found.owner)
         if owner is None or owner.draining:
             return Cause.LEAVING if self._candidates(now) else None
-        asked_at = self._asked_at.get(found.owner)
-        if asked_at is not None and now - asked_at > self._timing.holder_silence:
-            self._avoided_until[found.owner] = now + self._timing.avoidance
+        if self._silence.is_silent(found.owner, now) and not self.doubts_itself:
+            self._silence.avoid(found.owner, now)
             return Cause.SILENT
         if found.owner in self._failing and found.owner not in self._candidates(now):
             return Cause.FAILING
@@ -394,7 +402,7 @@
         end = now + self._timing.end_of(duration) + self._timing.order_timeout
         found.sent_until = max(found.sent_until, end)
         found.held_until = max(found.held_until, end)
-        self._asked_at.setdefault(found.owner, now)
+        self._silence.note_asked(found.owner, now)
         order = Grant(found.owner, found.first, found.last, found.fence, duration, found.handover)
         self._commands.append(SendGrant(order))
 
@@ -412,7 +420,7 @@
 
         Keys of an owner that is gone wait for the end of every grant that it may have taken.
         """
-        asked_at = self._asked_at.get(owner)
+        asked_at = self._silence.asked_at(owner)
         if asked_at is None:
             return self._timing.lease
         time_left = asked_at + self._timing.longest_lease - now
@@ -522,17 +530,11 @@
 
     def _candidates(self, now: Seconds) -> list[str]:
         """Back ends that may get keys; silent and failing ones only if there are no others."""
-        for backend_id in [key for key, until in self._avoided_until.items() if until <= now]:
-            del self._avoided_until[backend_id]
-            self._asked_at.pop(backend_id, None)
+        self._silence.end_avoidance(now)
         usable = sorted(key for key, item in self._backends.items() if not item.draining)
-        heard = [key for key in usable if key not in self._avoided_until] or usable
+        heard = [key for key in usable if not self._silence.is_avoided(key)] or usable
         return [key for key in heard if key not in self._failing] or heard
 
-    def _note_heard(self, backend_id: str) -> None:
-        self._asked_at.pop(backend_id, None)
-        self._avoided_until.pop(backend_id, None)
-
     def _isolate(self, first: int, last: int) -> RangeState | None:
         """Cut ranges so that one of them holds just these keys."""
         for index, item in enumerate(self.ranges):
@@ -572,22 +574,10 @@
 
     def _visible_range(self, item: RangeState, now: Seconds) -> OwnedRange:
         owner = self._visible_owner(item)
-        if owner and self._is_lost(owner, now):
+        if owner and self._silence.is_lost(owner, now):
             return OwnedRange(item.first, item.last, NO_OWNER, item.held_until)
         return OwnedRange(item.first, item.last, owner)
 
-    def _is_lost(self, owner: str, now: Seconds) -> bool:
-        """Whether neither this node nor, as far as it heard, any other one is answered there."""
-        asked_at = self._asked_at.get(owner)
-        if asked_at is None:
-            return False
-        # Nodes that have not connected to a new leader yet tell it nothing.
-        since = max(asked_at, self._opened_at + self._timing.following)
-        if now - since < self._timing.loss_silence:
-            return False
-        answered_at = self._answered_at.get(owner, NEVER)
-        return answered_at < since + self._timing.report_delay
-
     def _visible_owner(self, item: RangeState) -> str:
         if item.phase is Phase.RELEASING and item.cause is not Cause.SILENT:
             return NO_OWNER
--- /dev/null
+++ b/src/limedeck/ownership/silence.py
@@ -0,0 +1,107 @@
+"""Which owners answer a leader's orders, and whether it is the leader that can't hear them.
+
+One observer cannot tell its own lateness from the silence of all that it observes. Other nodes
+report which back ends answer their requests: an owner that answers them and not the leader is
+sound, and if there are many such owners the leader is at fault.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+from limedeck.identity import NEVER, Seconds
+from limedeck.ownership.timing import OwnershipTiming
+
+UNHEARD_PART = 1 / 3
+"""More owners than this part that answer others and not the leader: it is at fault. An estimate:
+single back ends are out of one node's reach for reasons of their own. In simulated time, with a
+leader whose orders take 40 times their work, all of 24 owners are unheard after 0.6 s; taking their
+keys left 48 of 48 keys without an owner for 4 s, and yielding none (test_slow_leader.py)."""
+
+
+class OwnerSilence:
+    """One leader's view of the back ends of one service.
+
+    Parameters
+    ----------
+    opened_at
+        When this leader took the service over.
+    """
+
+    def __init__(self, timing: OwnershipTiming, opened_at: Seconds) -> None:
+        self._timing = timing
+        self._opened_at = opened_at
+        self._asked_at: dict[str, Seconds] = {}
+        self._answered_at: dict[str, Seconds] = {}
+        self._avoided_until: dict[str, Seconds] = {}
+
+    def note_asked(self, backend_id: str, now: Seconds) -> None:
+        """An order is sent; silence counts from the first one without an answer."""
+        self._asked_at.setdefault(backend_id, now)
+
+    def note_heard(self, backend_id: str) -> None:
+        """It has answered an order."""
+        self._asked_at.pop(backend_id, None)
+        self._avoided_until.pop(backend_id, None)
+
+    def note_new_owner(self, backend_id: str) -> None:
+        """It gets keys: its silence counts from the first order that it gets as their owner."""
+        self._asked_at.pop(backend_id, None)
+
+    def note_answered(self, backend_id: str, answered_at: Seconds) -> None:
+        """A node told at this time that the back end had answered a request."""
+        self._answered_at[backend_id] = answered_at
+
+    def asked_at(self, backend_id: str) -> Seconds | None:
+        """When the first order without an answer was sent; None if there is none."""
+        return self._asked_at.get(backend_id)
+
+    def is_silent(self, backend_id: str, now: Seconds) -> bool:
+        """Whether it has answered no order for so long that it loses its keys."""
+        asked_at = self._asked_at.get(backend_id)
+        return asked_at is not None and now - asked_at > self._timing.holder_silence
+
+    def is_lost(self, backend_id: str, now: Seconds) -> bool:
+        """Whether neither this node nor, as far as it heard, any other one is answered there."""
+        asked_at = self._asked_at.get(backend_id)
+        if asked_at is None:
+            return False
+        # Nodes that have not connected to a new leader yet tell it nothing.
+        since = max(asked_at, self._opened_at + self._timing.following)
+        if now - since < self._timing.loss_silence:
+            return False
+        return not self._answers_others(backend_id, since)
+
+    def is_own_fault(self, owners: Collection[str], now: Seconds) -> bool:
+        """Whether so many owners answer others and not this node that the fault is here."""
+        unheard = sum(self._answers_only_others(owner, now) for owner in owners)
+        return unheard > UNHEARD_PART * len(owners)
+
+    def avoid(self, backend_id: str, now: Seconds) -> None:
+        """Give it no keys for a while."""
+        self._avoided_until[backend_id] = now + self._timing.avoidance
+
+    def avoid_longer(self, backend_id: str, now: Seconds) -> None:
+        """One more order was lost; if it is avoided, it is for longer."""
+        if backend_id in self._avoided_until:
+            self.avoid(backend_id, now)
+
+    def is_avoided(self, backend_id: str) -> bool:
+        """Whether it is to get no keys, as of the last `end_avoidance`."""
+        return backend_id in self._avoided_until
+
+    def end_avoidance(self, now: Seconds) -> None:
+        """Back ends that were avoided long enough are judged anew."""
+        for backend_id in [key for key, until in self._avoided_until.items() if until <= now]:
+            del self._avoided_until[backend_id]
+            self._asked_at.pop(backend_id, None)
+
+    def _answers_only_others(self, backend_id: str, now: Seconds) -> bool:
+        asked_at = self._asked_at.get(backend_id)
+        if asked_at is None or now - asked_at < self._timing.loss_silence:
+            return False
+        return self._answers_others(backend_id, asked_at)
+
+    def _answers_others(self, backend_id: str, since: Seconds) -> bool:
+        """Whether a node was surely answered there after this moment."""
+        return self._answered_at.get(backend_id, NEVER) >= since + self._timing.report_delay
--- a/src/limedeck/ownership/timing.py
+++ b/src/limedeck/ownership/timing.py
@@ -57,6 +57,12 @@
         A leader that the store has not confirmed for so long renews nothing more.
     cut_leader_patience
         A leader that says it misses the store for so long may be replaced by one that does not.
+    yield_after
+        A leader has been in office so long before it yields to another: its successor, if it fares
+        no better, finds silent owners and frees their keys before it may yield in turn.
+    yield_rest
+        A leader that has yielded does not stand for election for so long; an estimate, above the
+        time in which another is elected and has granted all keys anew.
     settling
         Keys are assigned for the first time once no new back end was seen for so long.
     longest_settling
@@ -85,6 +91,8 @@
     stale_confirmation: Seconds = 1.4
     leader_patience: Seconds = 20.0
     cut_leader_patience: Seconds = 2.0
+    yield_after: Seconds = 2.5
+    yield_rest: Seconds = 5.0
     settling: Seconds = 0.8
     longest_settling: Seconds = 5.0
     balance_interval: Seconds = 0.5
--- a/src/limedeck_lab/ownership/node.py
+++ b/src/limedeck_lab/ownership/node.py
@@ -101,7 +101,8 @@
             self._backends_seen = self.world.listing()
         core.set_backends(self._backends_seen.values(), now)
         self._hear_answers(core, now)
-        for command in core.handle_tick(self.election.may_renew(now), now):
+        may_yield = self.election.may_yield(now) and len(self.world.nodes) > 1
+        for command in core.handle_tick(self.election.may_renew(now), now, may_yield):
             if isinstance(command, SendGrant):
                 self._start(self._grant(core, command.order))
             elif isinstance(command, SendRelease):
@@ -111,6 +112,8 @@
         core.published(now)
         if core.fenced_off:
             self.election.step_down()
+        elif core.doubts_itself:
+            self.election.yield_office(now)
 
     def _hear_answers(self, core: ServiceOwnership, now: Seconds) -> None:
         """Other nodes tell of answers to their requests."""
@@ -148,7 +151,7 @@
             self.election.handle_heartbeat(leader.election.term, silence, now)
         else:
             incarnation = leader.identity.incarnation
-            self.election.handle_denial(record.term, incarnation, leader.election.resigned)
+            self.election.handle_denial(record.term, incarnation, leader.election.stands_aside(now))
 
     # ------------------------------------------------------------------ store
 
--- a/tests/unit/test_election.py
+++ b/tests/unit/test_election.py
@@ -345,3 +345,49 @@
     mine.term = 5
     core.handle_told(mine, 41, 100.1)
     assert core.role is Role.LEADER
+
+
+def leader_at(now: float) -> ElectionCore:
+    """A node that has just been elected in its first term."""
+    core = ElectionCore(ME, TIMING, now)
+    record = LeaderRecord()
+    record.CopyFrom(ME)
+    record.term = 1
+    core.handle_won(record, 50, now)
+    assert core.role is Role.LEADER
+    return core
+
+
+def test_a_leader_yields_only_after_some_time_in_office() -> None:
+    """Two nodes that fare alike would otherwise hand leadership to and fro."""
+    core = leader_at(10.0)
+    assert not core.may_yield(10.0 + TIMING.yield_after - 0.1)
+    assert core.may_yield(10.0 + TIMING.yield_after)
+
+
+def test_a_leader_that_has_yielded_lets_others_stand_first() -> None:
+    core = leader_at(10.0)
+    core.yield_office(15.0)
+    assert core.role is Role.FOLLOWER
+    assert core.stands_aside(15.0)
+    now = 15.0
+    while now < 15.0 + TIMING.yield_rest:
+        command = core.handle_tick(now)
+        assert not isinstance(command, Campaign)
+        if isinstance(command, ReadLeader):
+            core.handle_seen(LeaderSeen(core.record, 50, 0.1), now)
+            assert core.role is Role.FOLLOWER
+        now += 0.05
+    core.handle_seen(LeaderSeen(OTHER, 60, 0.1), now)
+    assert core.role is Role.FOLLOWER
+    assert core.term == OTHER.term
+
+
+def test_a_leader_that_has_yielded_leads_again_if_nobody_else_does() -> None:
+    core = leader_at(10.0)
+    core.yield_office(15.0)
+    seen = LeaderSeen(core.record, 50, 0.1)
+    command, now = campaign_of(core, seen, 15.0 + TIMING.yield_rest)
+    core.handle_won(command.record, 51, now)
+    assert core.role is Role.LEADER
+    assert not core.stands_aside(now)
--- a/tests/unit/test_slow_leader.py
+++ b/tests/unit/test_slow_leader.py
@@ -16,7 +16,10 @@
 
 from __future__ import annotations
 
-from limedeck.api.control_pb2 import AssignmentRecord
+from limedeck.api.control_pb2 import AssignmentRecord, OwnedKeys
+from limedeck.model import Backend
+from limedeck.ownership.ranges import Cause
+from limedeck.ownership.service import SendGrant, ServiceOwnership, WriteRecord
 from limedeck.ownership.timing import OwnershipTiming
 from limedeck_lab.ownership.node import RECORD
 from limedeck_lab.ownership.world import World
@@ -57,3 +60,71 @@
         world.environment.run(until=world.environment.now + 0.1)
         most = max(most, len(world.unserved()))
     return most
+
+
+def core_of(owners: int) -> ServiceOwnership:
+    """A leader's core some seconds after its takeover; every owner has answered."""
+    names = [f"b{number}" for number in range(owners)]
+    ranges = [OwnedKeys(first=i, last=i, owner=name) for i, name in enumerate(names)]
+    record = AssignmentRecord(term=1, sequence=1, ranges=ranges)
+    core = ServiceOwnership("service", owners, 2, record, 1, OwnershipTiming(), 0.0)
+    core.set_backends([Backend(name, "service", "127.0.0.1:1", "z", 2) for name in names], 0.0)
+    run(core, 0.0, 4.0, unheard=0, answering=owners)
+    return core
+
+
+def run(
+    core: ServiceOwnership,
+    start: float,
+    end: float,
+    unheard: int,
+    answering: int,
+    may_yield: bool = True,
+) -> bool:
+    """Tick; the first owners answer no order. Return whether the core has doubted itself."""
+    silent = {f"b{number}" for number in range(unheard)}
+    now, doubted = start, False
+    while now < end:
+        for number in range(answering):
+            core.note_answered(f"b{number}", now)
+        for command in core.handle_tick(True, now, may_yield):
+            if isinstance(command, WriteRecord):
+                core.handle_record_written(core._row_version + 1)
+            elif command.order.backend_id in silent:
+                core.handle_order_lost(command.order, now)
+            elif isinstance(command, SendGrant):
+                core.handle_grant_answer(command.order, True, False, now, now)
+            else:
+                core.handle_release_answer(command.order, True, "", now)
+        doubted = doubted or core.doubts_itself
+        now = round(now + 0.05, 3)
+    return doubted
+
+
+def causes(core: ServiceOwnership) -> set[Cause]:
+    return {change.cause for change in core.changes}
+
+
+def test_owners_that_nobody_is_answered_by_lose_their_keys_however_many_they_are() -> None:
+    core = core_of(12)
+    # Answers of before the loss are no sign of life.
+    assert not run(core, 4.0, 9.0, unheard=8, answering=0)
+    assert causes(core) == {Cause.SILENT}
+
+
+def test_a_few_owners_that_only_this_leader_misses_lose_their_keys() -> None:
+    core = core_of(12)
+    assert not run(core, 4.0, 9.0, unheard=4, answering=12)
+    assert causes(core) == {Cause.SILENT}
+
+
+def test_many_owners_that_only_this_leader_misses_keep_their_keys() -> None:
+    core = core_of(12)
+    assert run(core, 4.0, 9.0, unheard=5, answering=12)
+    assert causes(core) == set()
+
+
+def test_a_leader_that_nobody_could_follow_does_not_doubt_itself() -> None:
+    core = core_of(12)
+    assert not run(core, 4.0, 9.0, unheard=8, answering=12, may_yield=False)
+    assert causes(core) == {Cause.SILENT}
