What tells a leader that can't keep up from back ends that fail: figures in the leader's line each second

The record of the incident could not tell a leader that is late from back ends that are silent: both show as `order_lost` and as keys without an owner.

--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -130,6 +130,7 @@
         self._store_offset: Seconds = 0.0
         self._next_own_loads: Seconds = 0.0
         self._next_balance_log: dict[str, Seconds] = {}
+        self._longest_delay: Seconds = 0.0
         self._tasks: TaskGroup | None = None
 
     @property
@@ -142,8 +143,10 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             while True:
+                due = steady_clock() + TICK
                 self._tick(steady_clock())
                 await anyio.sleep(TICK)
+                self._longest_delay = max(self._longest_delay, steady_clock() - due)
 
     def status(self) -> Status:
         """What this node tells those that follow it, without any owners."""
@@ -312,8 +315,12 @@
             pieces=len(core.ranges),
             mean=round(sum(core.uses.values()) / len(core.uses), 2),
             service_time=round(core.typical_service_time(), 4),
+            owners=len(core.uses),
+            unheard=core.unheard_owners(now),
+            tick_delay=round(self._longest_delay, 3),
             uses={backend_id: round(use, 2) for backend_id, use in by_use[:LOGGED_USES]},
         )
+        self._longest_delay = 0.0
 
     def _log_changes(self, name: str, core: ServiceOwnership) -> None:
         for change in core.changes:
--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -357,6 +357,11 @@
             self._renew_pieces([last])
         self.ranges = merged
 
+    def unheard_owners(self, now: Seconds) -> int:
+        """Owners that have left an order unanswered for a while, for logs."""
+        owners = {item.owner for item in self.ranges if item.owner}
+        return sum(self._silence.is_unheard(owner, now) for owner in owners)
+
     def typical_service_time(self) -> Seconds:
         """Mean over the back ends that were measured."""
         known = [
--- a/src/limedeck/ownership/silence.py
+++ b/src/limedeck/ownership/silence.py
@@ -61,6 +61,11 @@
         asked_at = self._asked_at.get(backend_id)
         return asked_at is not None and now - asked_at > self._timing.holder_silence
 
+    def is_unheard(self, backend_id: str, now: Seconds) -> bool:
+        """Whether two orders and more to it are without an answer."""
+        asked_at = self._asked_at.get(backend_id)
+        return asked_at is not None and now - asked_at >= self._timing.loss_silence
+
     def is_lost(self, backend_id: str, now: Seconds) -> bool:
         """Whether neither this node nor, as far as it heard, any other one is answered there."""
         asked_at = self._asked_at.get(backend_id)
@@ -97,10 +102,8 @@
             self._asked_at.pop(backend_id, None)
 
     def _answers_only_others(self, backend_id: str, now: Seconds) -> bool:
-        asked_at = self._asked_at.get(backend_id)
-        if asked_at is None or now - asked_at < self._timing.loss_silence:
-            return False
-        return self._answers_others(backend_id, asked_at)
+        asked_at = self._asked_at.get(backend_id, NEVER)
+        return self.is_unheard(backend_id, now) and self._answers_others(backend_id, asked_at)
 
     def _answers_others(self, backend_id: str, since: Seconds) -> bool:
         """Whether a node was surely answered there after this moment."""
