--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,212 @@
+"""The steps of a soak's series, on real processes, proxies and a stand-in store."""
+
+from __future__ import annotations
+
+import random
+import signal
+import threading
+import time
+from typing import TYPE_CHECKING
+
+from limedeck_lab.standins import row_store
+from tests.soak import proxy
+from tests.soak.series import Kind, Series
+from tests.system import platform_site
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    import anyio.from_thread
+
+    from tests.soak import judging
+
+MOST_KILLED_AT_ONCE = 3
+FAULT_SECONDS = (0.3, 3.0)
+PAUSE_SECONDS = (0.5, 4.0)
+
+
+class Nodes:
+    """The nodes' processes; one that has ended is replaced by a new life.
+
+    Parameters
+    ----------
+    start
+        Starts a life of a node.
+    """
+
+    def __init__(
+        self, site: judging.JudgedSite, start: Callable[[int], platform_site.NodeProcess]
+    ) -> None:
+        self._site = site
+        self._start = start
+        self._locks: list[threading.Lock] = []
+
+    def start_all(self, count: int) -> None:
+        """Start the first life of each."""
+        self._locks = [threading.Lock() for _ in range(count)]
+        for number in range(count):
+            self._site.nodes.append(self._start(number))
+
+    def end(self, number: int, how: signal.Signals) -> None:
+        """End a node's process by a signal, wait for that, and start its next life."""
+        with self._locks[number]:
+            process = self._site.nodes[number].process
+            process.signal(how)
+            process.wait()
+            self._site.nodes[number] = self._start(number)
+
+    def signal(self, number: int, which: signal.Signals) -> None:
+        """Send a signal to whichever life runs; it may be about to stop."""
+        self._site.nodes[number].process.signal(which)
+
+
+class Faults:
+    """Carries out the steps of series; several series run at the same time.
+
+    Parameters
+    ----------
+    proxies
+        In front of back ends and of the store.
+    """
+
+    def __init__(
+        self,
+        site: judging.JudgedSite,
+        judge: judging.Judge,
+        nodes: Nodes,
+        proxies: list[proxy.FaultyProxy],
+        portal: anyio.from_thread.BlockingPortal,
+    ) -> None:
+        self._site = site
+        self._judge = judge
+        self._nodes = nodes
+        self._proxies = proxies
+        self._portal = portal
+        self._version = 0
+        self._lock = threading.Lock()
+
+    def run(self, drawn: Series, ended: threading.Event) -> int:
+        """Carry out a series; return how many steps there were time for."""
+        source = random.Random(drawn.seed)
+        step = {
+            Kind.STOP: self._stop,
+            Kind.HANG_UP: self._hang_up,
+            Kind.CONFIGURE: self._configure,
+            Kind.DRAIN: self._drain,
+            Kind.KILL: self._kill,
+            Kind.PAUSE: self._pause,
+            Kind.SPOIL: self._spoil,
+            Kind.RESET: self._reset,
+            Kind.SILENCE: self._silence,
+            Kind.STORE_FAULTS: self._spoil_store,
+            Kind.FORGET: self._forget,
+        }[drawn.kind]
+        for number in range(drawn.steps):
+            if ended.wait(drawn.gap):
+                return number
+            step(source)
+        return drawn.steps
+
+    def configure(self) -> None:
+        """Write a new configuration, which has a route that no other one has."""
+        with self._lock:
+            self._version += 1
+            own = platform_site.route(f"/only-{self._version}/", "plain")
+            self._site.configure(self._version, [*platform_site.ROUTES, own])
+            self._judge.note_version(self._version)
+
+    def heal(self) -> None:
+        """End what would last."""
+        self._site.store.faults.clear()
+        for upstream in self._site.upstreams:
+            upstream.draining = False
+            self._site.list_upstream(upstream)
+
+    def _any_node(self, source: random.Random) -> int:
+        return source.randrange(len(self._site.nodes))
+
+    # ------------------------------------------------------------------ planned
+
+    def _stop(self, source: random.Random) -> None:
+        self._nodes.end(self._any_node(source), signal.SIGTERM)
+
+    def _hang_up(self, source: random.Random) -> None:
+        self._nodes.signal(self._any_node(source), signal.SIGHUP)
+
+    def _configure(self, source: random.Random) -> None:
+        self.configure()
+
+    def _drain(self, source: random.Random) -> None:
+        """A back end begins to leave, or stays after all; one of its service is left."""
+        upstream = source.choice(self._site.upstreams)
+        with self._lock:
+            others = [
+                item
+                for item in self._site.upstreams
+                if item.service == upstream.service and item is not upstream and not item.draining
+            ]
+            upstream.draining = bool(others) and not upstream.draining
+        self._site.list_upstream(upstream)
+
+    # ------------------------------------------------------------------ unplanned
+
+    def _kill(self, source: random.Random) -> None:
+        self._judge.note_unplanned()
+        count = source.choice([1, 1, 1, MOST_KILLED_AT_ONCE])
+        for number in source.sample(range(len(self._site.nodes)), count):
+            self._nodes.end(number, signal.SIGKILL)
+        self._judge.note_unplanned()
+
+    def _pause(self, source: random.Random) -> None:
+        seconds = source.uniform(*PAUSE_SECONDS)
+        node = self._any_node(source)
+        process = self._site.nodes[node].process
+        self._note_held_up(seconds)
+        process.signal(signal.SIGSTOP)
+        time.sleep(seconds)
+        process.signal(signal.SIGCONT)
+        self._judge.note_unplanned()
+
+    def _spoil(self, source: random.Random) -> None:
+        modes = [proxy.Mode.DELAY, proxy.Mode.CUT_REPLIES, proxy.Mode.SILENT]
+        chosen = self._some_proxies(source)
+        seconds = source.uniform(*FAULT_SECONDS)
+        self._note_held_up(seconds)
+        for item in chosen:
+            item.mode = source.choice(modes)
+        time.sleep(seconds)
+        for item in chosen:
+            item.mode = proxy.Mode.PASS
+        self._judge.note_unplanned()
+
+    def _reset(self, source: random.Random) -> None:
+        self._judge.note_unplanned()
+        for item in self._some_proxies(source):
+            self._portal.call(item.reset_all)
+
+    def _silence(self, source: random.Random) -> None:
+        """Open connections go silent for good, and new ones work."""
+        self._note_held_up(0.0)
+        for item in self._some_proxies(source):
+            self._portal.call(item.silence_all)
+
+    def _spoil_store(self, source: random.Random) -> None:
+        kinds = [
+            row_store.Fault.REFUSE,
+            row_store.Fault.OVER_RATE,
+            row_store.Fault.LOSE_ANSWER,
+            row_store.Fault.NONSENSE,
+        ]
+        self._judge.note_unplanned()
+        self._site.store.faults.extend(source.choices(kinds, k=source.choice([3, 10, 40])))
+
+    def _forget(self, source: random.Random) -> None:
+        self._judge.note_unplanned()
+        self._site.store.forgotten = self._site.store.version
+
+    def _note_held_up(self, seconds: float) -> None:
+        self._site.excuse(seconds)
+        self._judge.note_unplanned(seconds)
+
+    def _some_proxies(self, source: random.Random) -> list[proxy.FaultyProxy]:
+        return source.sample(self._proxies, source.choice([1, 1, 2, 4]))
