What its time cannot suffice for is refused at once, also if its caller has come back

Cause: a caller that has come back too late for another return is served late rather than refused. That held also where the owner's queue was far longer than the time left: the request was held to its deadline and ended with 504, and took a place in the queue.

Change: what is expected to take more than 1.5 times what is left is not sent, if it surely has not run. Late answers within the time left are given as before.

Besides, an attempt whose connection was given up by the bound on unacknowledged bytes says so in the log.

Tests: test_forwarding.py (one failed before); test_silent_connections.py.

--- a/src/limedeck/forwarding/request.py
+++ b/src/limedeck/forwarding/request.py
@@ -35,6 +35,10 @@
 LAST_RETURN = 2.25
 """Objectives: with less time left than this, a caller that waits a third of it and comes back once
 more would be left with one and a half objectives, too little to be served in time."""
+HOPELESS = 1.5
+"""A request that is expected to take so many times what is left to it is not sent: its caller would
+wait to its deadline for nothing. An estimate: the work of one route varies, so that one which is
+expected to take just what is left is answered in about half of the cases."""
 EARLY_PART = 0.25
 """A request may be refused for its objective's sake within this part of the objective."""
 RETRY_AFTER: Seconds = 0.1
@@ -285,7 +289,11 @@
 
     def _attempt_in_time(self, state: BackendState, now: Seconds, node_count: int) -> Command:
         """Send it, unless it would be lost, or is expected to miss its objective."""
-        refusal = self._refusal_by_full(state, now) or self._early_refusal(state, now)
+        refusal = (
+            self._refusal_by_full(state, now)
+            or self._refusal_by_deadline(state, now)
+            or self._early_refusal(state, now)
+        )
         return refusal or self._attempt(state, now, node_count)
 
     def _refusal_by_full(self, state: BackendState, now: Seconds) -> Refuse | None:
@@ -294,6 +302,13 @@
             return None
         return self._overloaded(state, now)
 
+    def _refusal_by_deadline(self, state: BackendState, now: Seconds) -> Refuse | None:
+        """Refuse at once what its time cannot suffice for, also if the caller has come back."""
+        expected = state.expected_time_of(self.route.name, now)
+        if self.maybe_run or expected is None or expected <= HOPELESS * (self.until - now):
+            return None
+        return self._overloaded(state, now)
+
     def _early_refusal(self, state: BackendState, now: Seconds) -> Refuse | None:
         """Refuse what would miss its objective, as long as a second try can meet it.
 
--- a/src/limedeck/http_client.py
+++ b/src/limedeck/http_client.py
@@ -37,6 +37,8 @@
 deadline. Above the first repetition of a lost segment (0.2 s). Linux 6.18 ends such a connection
 0.92 s after sending, by a loopback connection whose other end drops all that comes; without it, a
 request with 20 s left failed after 20 s (test_silent_connections.py)."""
+UNACKNOWLEDGED = "unacknowledged"
+"""Problem of an attempt whose connection was given up by that bound."""
 READ_BYTES = 65_536
 LARGEST_ANSWER = 64 << 20
 SMALL_BODY = 16_384
@@ -131,7 +133,7 @@
         try:
             await self.stream.send(data)
         except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
-            raise AttemptFailed(FailurePhase.SENDING, type(error).__name__) from error
+            raise AttemptFailed(FailurePhase.SENDING, _problem(error)) from error
 
     async def _send_quietly(self, data: bytes) -> None:
         # What went wrong shows in the answer, which may have come before the body was read.
@@ -173,9 +175,9 @@
                 except anyio.EndOfStream:
                     codec.receive_data(b"")
         except (h11.RemoteProtocolError, OSError) as error:
-            raise AttemptFailed(phase, type(error).__name__) from error
+            raise AttemptFailed(phase, _problem(error)) from error
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
-            raise AttemptFailed(phase, type(error).__name__) from error
+            raise AttemptFailed(phase, _problem(error)) from error
 
     def can_be_reused(self, answer: HttpAnswer, sent_whole: bool, now: Seconds) -> bool:
         """Prepare for the next request; False when the connection must not be used again."""
@@ -239,7 +241,7 @@
                 return answer
             raise AttemptFailed(FailurePhase.AWAITING, "out of time")
         except AttemptFailed as error:
-            if _is_silence(error):
+            if error.problem == UNACKNOWLEDGED:
                 await self._drop_address(request.address)
             raise
         finally:
@@ -301,12 +303,12 @@
             raise AttemptFailed(FailurePhase.TURNED_AWAY, "reset at once") from error
 
 
-def _is_silence(error: AttemptFailed) -> bool:
-    """Whether the system gave the connection up because nothing was acknowledged on it."""
-    cause: BaseException | None = error.__cause__
+def _problem(error: Exception) -> str:
+    """Name an error of a connection; the system's own bound on silence by what it means."""
+    cause: BaseException | None = error
     while cause is not None and not isinstance(cause, OSError):
         cause = cause.__cause__
-    return isinstance(cause, TimeoutError)
+    return UNACKNOWLEDGED if isinstance(cause, TimeoutError) else type(error).__name__
 
 
 async def _watch_for_reset(connection: _Connection) -> None:
--- a/tests/unit/test_forwarding.py
+++ b/tests/unit/test_forwarding.py
@@ -429,3 +429,30 @@
 def test_past_the_early_part_a_late_answer_is_better_than_none() -> None:
     core = busy_owner(2, 8, 10.0)
     assert isinstance(core.next_command(10.0 + 0.06, 3), Attempt)
+
+
+def returned_with(left: float, waiting: int) -> Command:
+    """What a caller gets that has come back with so much time left, at an owner with a queue."""
+    core = busy_owner(2, waiting, 10.0)
+    core.returned = True
+    core.until = 10.0 + left
+    return core.next_command(10.0, 3)
+
+
+def test_who_came_back_is_served_late_if_the_time_suffices() -> None:
+    assert isinstance(returned_with(0.4, 8), Attempt)
+
+
+def test_who_came_back_is_refused_at_once_if_the_time_cannot_suffice() -> None:
+    """Otherwise the caller waits to its deadline for an answer that will not come."""
+    command = returned_with(0.15, 8)
+    assert isinstance(command, Refuse)
+    assert (command.outcome, command.reason) == (Outcome.NOT_RUN, Reason.OVERLOADED)
+
+
+def test_a_request_that_may_have_run_is_tried_whatever_time_is_left() -> None:
+    """A refusal would promise that it has not run."""
+    core = busy_owner(2, 8, 10.0)
+    core.until = 10.15
+    core.maybe_run = True
+    assert isinstance(core.next_command(10.0, 3), Attempt)
--- a/tests/unit/test_silent_connections.py
+++ b/tests/unit/test_silent_connections.py
@@ -15,7 +15,7 @@
 from anyio.abc import SocketAttribute, SocketStream
 
 from limedeck.clock import steady_clock
-from limedeck.http_client import HttpClient, HttpRequest
+from limedeck.http_client import UNACKNOWLEDGED, HttpClient, HttpRequest
 from limedeck.routing.outcomes import AttemptFailed, FailurePhase
 from limedeck_lab.standins.silent_socket import make_deaf
 
@@ -86,7 +86,7 @@
         with pytest.raises(AttemptFailed) as caught:
             await exchange(client, request)
         assert caught.value.phase is FailurePhase.AWAITING
-        assert caught.value.problem != "out of time"
+        assert caught.value.problem == UNACKNOWLEDGED
 
 
 async def test_the_next_request_gets_a_new_connection() -> None:
