A node that is still loading its modules ignores the signal of changed settings

By default SIGHUP ends a process, and the node handled it only once its servers started: half a second of processor time later, more than a second on a small machine. The settings are read after the modules, so an early signal has nothing to tell.

--- a/src/limedeck/forwarding/backends.py
+++ b/src/limedeck/forwarding/backends.py
@@ -14,6 +14,7 @@
 from limedeck.model import Backend
 
 DEFAULT_SERVICE_TIME: Seconds = 0.1
+"""Of a service that no answer has come from yet; an estimate."""
 OTHER_ZONE_FACTOR = 1.6
 """A back end of another zone must be better by so much, if each tells its load."""
 NEARLY_EQUAL = 0.1
--- a/src/limedeck/forwarding/request.py
+++ b/src/limedeck/forwarding/request.py
@@ -42,8 +42,11 @@
 EARLY_PART = 0.25
 """A request may be refused for its objective's sake within this part of the objective."""
 RETRY_AFTER: Seconds = 0.1
+"""If nothing is known of when there is room; about the time of one request. An estimate."""
 LONGEST_RETRY_AFTER: Seconds = 1.0
+"""What is believed of a queue is older than it is long by then; an estimate."""
 NO_OWNER_RETRY_AFTER: Seconds = 0.25
+"""For keys on the move: a planned move takes a few calls of the store; an estimate."""
 LOST_OWNER_RETRY_AFTER: Seconds = 1.0
 """For keys whose owner this node does not reach, while the leader has not told when they are free:
 about half of the time that it takes."""
--- a/src/limedeck/http_client.py
+++ b/src/limedeck/http_client.py
@@ -24,6 +24,7 @@
 
 SocketOption = tuple[int, int, int]
 CONNECT_TIMEOUT: Seconds = 0.25
+"""A caller then still has time for another back end; an estimate."""
 DEFAULT_IDLE: Seconds = 3.0
 """An idle connection is kept so long if the back end does not tell its own limit."""
 RESET_WATCH: Seconds = 0.008
--- a/src/limedeck/node/__main__.py
+++ b/src/limedeck/node/__main__.py
@@ -9,10 +9,16 @@
 
 import gc
 import importlib
+import signal
 
 
 def start() -> None:
-    """Load the node's modules without collections, then run its command."""
+    """Load the node's modules without collections, then run its command.
+
+    By default a signal that tells of changed settings ends a process. They are read after the
+    modules, which take half a second of processor time; from then on the node handles it.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     gc.disable()
     command = importlib.import_module("limedeck.node.main")
     gc.freeze()
--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -63,11 +63,15 @@
 ASSIGNMENT_TABLE = "limedeck_assignment"
 Record = TypeVar("Record", bound=Message)
 TICK: Seconds = 0.05
+"""Between two looks at what is due: a tenth of the interval of renewals."""
 BALANCE_LOG_INTERVAL: Seconds = 1.0
+"""Between two log lines of one service; on-call reads them by the second."""
 LOGGED_USES = 12
 """The most used back ends that a log line names."""
 RECORD_RETRY: Seconds = 0.1
+"""Keys wait for the record meanwhile, and a call costs the store little; an estimate."""
 OWN_LOADS_INTERVAL: Seconds = 0.5
+"""As often as other nodes report requests by key."""
 VERSION_BITS = 32
 
 
--- a/src/limedeck/node/listener.py
+++ b/src/limedeck/node/listener.py
@@ -11,6 +11,7 @@
 from limedeck.identity import Seconds
 
 LISTEN_BACKLOG = 512
+"""Connections that wait to be accepted: all callers of a node that return at once; an estimate."""
 QUIET_TIME: Seconds = 0.25
 """After the listener is shut, so long for requests on connections taken just before."""
 
--- a/src/limedeck/node/peers.py
+++ b/src/limedeck/node/peers.py
@@ -27,13 +27,17 @@
 CONNECT_TIMEOUT: Seconds = 0.7
 """A new leader on a slow machine takes so long to accept all nodes of a large site at once."""
 SEND_TIMEOUT: Seconds = 1.0
+"""A node that takes nothing for so long is gone; below `SILENCE_LIMIT`, an estimate."""
 REPORT_INTERVAL: Seconds = 0.25
 """Back ends' loads are known so late; a shorter one costs bytes between zones."""
 KEY_REPORT_INTERVAL: Seconds = 0.5
 """Requests by key are told less often: the leader's shortest memory of them is a second."""
 RECONNECT_PAUSE: Seconds = 0.15
+"""Below the spread of an election, so that a new leader is found soon; an estimate."""
 INQUIRY_PAUSE: Seconds = 0.2
+"""Keys of silent owners wait for the answer; an estimate."""
 INQUIRY_TIMEOUT: Seconds = 0.8
+"""Above `CONNECT_TIMEOUT`; a former leader that is cut off answers nothing."""
 TELLING_TIME: Seconds = 0.0015
 """What it may cost a leader on a slow machine to tell one node; an estimate, not measured. It lets
 that pass for each node between two messages; what changes meanwhile goes into the next one."""
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -53,11 +53,15 @@
 
 LARGEST_HEAD = 128 * 1024
 KEEP_ALIVE: Seconds = 60.0
+"""An idle connection of a caller is kept so long; an estimate."""
 UPKEEP_INTERVAL: Seconds = 0.5
+"""Between two looks at idle connections and at the settings file, which binds within a second."""
 STORE_CALLS_INTERVAL: Seconds = 5.0
 """Between two log lines of calls to the store; as often as figures are fetched in an incident."""
 CONFIGURATION_JOINING: Seconds = 0.15
+"""Changes so close together come in one call of the store; far below the 2 s in which they bind."""
 BACKENDS_JOINING: Seconds = 0.15
+"""The same for back ends."""
 LAST_ANSWERS: Seconds = 0.2
 """Time for the last answers to be written once no request is under way."""
 
--- a/src/limedeck/ownership/election.py
+++ b/src/limedeck/ownership/election.py
@@ -16,6 +16,7 @@
 from limedeck.ownership.timing import OwnershipTiming
 
 RETRY_INTERVAL: Seconds = 0.25
+"""Between two readings of the leader's rows, and after the first call that failed; an estimate."""
 LONGEST_RETRY_INTERVAL: Seconds = 1.0
 """Calls that fail are repeated more and more slowly: all nodes make them at the same time."""
 RESIGNED_WAIT: Seconds = 0.1
--- a/src/limedeck/ownership/key_load.py
+++ b/src/limedeck/ownership/key_load.py
@@ -21,6 +21,7 @@
 NEGLIGIBLE = 0.02
 """A key with less than this is forgotten."""
 PRUNE_INTERVAL: Seconds = 2.0
+"""Between two looks for such keys, which cost a pass over all; an estimate."""
 
 
 class KeyLoad:
--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -16,6 +16,7 @@
 
 from limedeck.api.control_pb2 import AssignmentRecord, OwnedKeys
 from limedeck.errors import InvariantViolation
+from limedeck.forwarding.backends import DEFAULT_SERVICE_TIME
 from limedeck.forwarding.owners import OwnedRange, joined
 from limedeck.identity import NEVER, Seconds
 from limedeck.model import Backend
@@ -33,7 +34,6 @@
 from limedeck.ownership.silence import OwnerSilence
 from limedeck.ownership.timing import OwnershipTiming
 
-DEFAULT_SERVICE_TIME: Seconds = 0.1
 HOT_KEY_REST: Seconds = 4.0
 """A hot key that was moved by itself stays so long where it is."""
 CERTAINTY = 2.5
@@ -91,8 +91,6 @@
         Of this leader.
     record, row_version
         What the store holds; None and zero if nothing yet.
-    first_term
-        No leader came before this one, so that no grant can be in force.
     """
 
     def __init__(
--- a/tests/unit/test_soak_parts.py
+++ b/tests/unit/test_soak_parts.py
@@ -162,7 +162,9 @@
     judged.note_reply("r", "n", reply(status=404, at=10.0), new)
     judged.note_reply("r", "m", reply(status=200, at=10.0), old)
     judged.note_reply("r", "n", reply(status=200), new)
+    # It was sent before the newer one was seen in force.
     judged.note_reply("r", "n", reply(status=200), old)
+    judged.note_reply("r", "n", reply(status=200, at=1.0), old)
     assert result.violations == [
         "configuration 2 not in force at n",
         "route of configuration 1 still served at m",
