What is under way when a process ends is answered by what is known of it

Found by the fault soak: one caller got 500, and no log line had its request. A request that was still open when a stop's time was over was cancelled with the server, whose library answers 500 then.

Change: the stop ends open requests itself: 503 if they surely have not run, else 502, and logs them as given up with reason `stopped`.

--- a/src/limedeck/forwarding/request.py
+++ b/src/limedeck/forwarding/request.py
@@ -70,6 +70,7 @@
     UNREACHABLE = "back-end-unreachable"
     ANSWER_LOST = "answer-lost"
     TIMED_OUT = "timed-out"
+    STOPPED = "stopped"
     BAD_KEY = "bad-key"
 
 
@@ -216,6 +217,11 @@
             return self._refuse(Reason.BAD_KEY, RETRY_AFTER)
         return self._try_owner(self.position, now, node_count)
 
+    def give_up(self) -> Refuse:
+        """Refuse it now, whatever is under way: this process is about to end."""
+        self.maybe_run = self.maybe_run or self._in_flight is not None
+        return self._refuse(Reason.STOPPED, RETRY_AFTER)
+
     def handle_failure(
         self, phase: FailurePhase, now: Seconds, node_count: int, wrong_owner: bool = False
     ) -> Command:
--- a/src/limedeck/node/gateway.py
+++ b/src/limedeck/node/gateway.py
@@ -57,7 +57,7 @@
     """The request's body is above the limit."""
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class _Call:
     """One request as it came in.
 
@@ -65,6 +65,10 @@
     ----------
     left
         The caller has closed its connection.
+    ended
+        This process is about to end.
+    scope
+        Cancels what is under way for it.
     error_answer
         The last answer by which a back end told that it failed: passed on if no other comes.
     """
@@ -78,7 +82,9 @@
     body: bytes
     arrived: Seconds
     left: bool = False
+    ended: bool = False
     error_answer: HttpAnswer | None = None
+    scope: anyio.CancelScope | None = None
 
 
 class CallerGateway:
@@ -91,6 +97,18 @@
         self._protocol = protocol
         self._client = client
         self._log = log
+        self._open: set[_Call] = set()
+
+    def end_open(self) -> None:
+        """Answer what is under way by what is known of it: this process is about to end.
+
+        A request that is cut off with its task would be answered 500 by the server's library, which
+        says neither whether it may have run nor, in a log line, which one it was.
+        """
+        for call in self._open:
+            call.ended = True
+            if call.scope is not None:
+                call.scope.cancel()
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Handle one request."""
@@ -170,9 +188,11 @@
 
     async def _serve(self, call: _Call, receive: Receive, send: Send) -> None:
         self._state.in_flight += 1
+        self._open.add(call)
         try:
             await self._serve_watched(call, receive, send)
         finally:
+            self._open.discard(call)
             self._state.in_flight -= 1
             if self._state.stopping:
                 self._state.notify()
@@ -181,6 +201,7 @@
         """Run a request; a repeatable one is cancelled when its caller leaves."""
         result: HttpAnswer | Refuse | None = None
         async with anyio.create_task_group() as tasks:
+            call.scope = tasks.cancel_scope
 
             async def watch() -> None:
                 while (await receive())["type"] != "http.disconnect":
@@ -192,6 +213,8 @@
             tasks.start_soon(watch)
             result = await self._run(call)
             tasks.cancel_scope.cancel()
+        if result is None and call.ended:
+            result = call.core.give_up()
         if result is None or call.left:
             self._log.caller_left(call.request_id, call.core, call.arrived)
             return
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -162,7 +162,7 @@
         for watcher in watchers:
             tasks.start_soon(watcher.run)
 
-    async def _serve_until_stopped(self, gateway: Application, control: ControlHost) -> None:
+    async def _serve_until_stopped(self, gateway: CallerGateway, control: ControlHost) -> None:
         node = self._settings.node
         readiness_stop = anyio.Event()
         callers_stop = anyio.Event()
@@ -180,6 +180,7 @@
             await stop_requested.wait()
             self._log.info("stopping", node=node.id)
             await self._wind_down(control, listener)
+            gateway.end_open()
             callers_stop.set()
             readiness_stop.set()
 
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -52,14 +52,21 @@
     return node
 
 
-async def answer_of(node: state.NodeState, client: ScriptedClient) -> int:
-    """Send one request and return the status that its caller gets."""
-    served = gateway.CallerGateway(
+def gateway_of(node: state.NodeState, client: http_client.HttpClient) -> gateway.CallerGateway:
+    return gateway.CallerGateway(
         node,
         headers.PlatformProtocol(),
         client,
         request_log.RequestLog(settings.LogSection(), telemetry.Telemetry()),
     )
+
+
+async def answer_of(node: state.NodeState, client: ScriptedClient) -> int:
+    """Send one request and return the status that its caller gets."""
+    return await status_of(gateway_of(node, client))
+
+
+async def status_of(served: gateway.CallerGateway) -> int:
     scope: dict[str, Any] = {
         "type": "http",
         "method": "GET",
@@ -151,3 +158,33 @@
     client = client_of(200)
     await answer_of(node, client)
     assert client.watched == [watched]
+
+
+class SilentClient(http_client.HttpClient):
+    """Its back ends take requests and answer none."""
+
+    async def exchange(
+        self, request: http_client.HttpRequest, until: Seconds
+    ) -> http_client.HttpAnswer:
+        await anyio.sleep_forever()
+        raise AssertionError
+
+
+@pytest.mark.parametrize("repeatable", [True, False])
+async def test_what_is_under_way_when_the_process_ends_is_answered(repeatable: bool) -> None:
+    """Found by the fault soak, seed 290009: the server's library answered 500, without a log."""
+    node = node_with({"b1": 200}, repeatable, attempts=1)
+    served = gateway_of(node, SilentClient())
+    statuses: list[int] = []
+    async with anyio.create_task_group() as tasks:
+
+        async def call() -> None:
+            statuses.append(await status_of(served))
+
+        tasks.start_soon(call)
+        await anyio.wait_all_tasks_blocked()
+        assert node.in_flight == 1
+        served.end_open()
+    # It was sent: nobody knows whether it has run.
+    assert statuses == [gateway.LOST]
+    assert node.in_flight == 0
