--- a/src/limedeck/ownership/election.py
+++ b/src/limedeck/ownership/election.py
@@ -141,9 +141,13 @@
         return now - self._confirmed_at
 
     def may_yield(self, now: Seconds) -> bool:
-        """Whether this leader has been in office long enough to give it up to another."""
-        in_office = now - self._leads_since
-        return self.role is Role.LEADER and in_office >= self._timing.yield_after
+        """Whether this leader has been in office long enough to give it up to another.
+
+        It takes the store to elect one: without, all leases would end before there is a leader.
+        """
+        long_enough = now - self._leads_since >= self._timing.yield_after
+        is_confirmed = self.store_silence(now) < self._timing.stale_confirmation
+        return self.role is Role.LEADER and long_enough and is_confirmed
 
     def stands_aside(self, now: Seconds) -> bool:
         """Whether this node has given up leading: for a while, or because it is about to stop."""
--- a/tests/unit/test_election.py
+++ b/tests/unit/test_election.py
@@ -361,10 +361,19 @@
 def test_a_leader_yields_only_after_some_time_in_office() -> None:
     """Two nodes that fare alike would otherwise hand leadership to and fro."""
     core = leader_at(10.0)
+    core.handle_confirmed(10.0 + TIMING.yield_after - 0.2)
     assert not core.may_yield(10.0 + TIMING.yield_after - 0.1)
     assert core.may_yield(10.0 + TIMING.yield_after)
 
 
+def test_a_leader_does_not_yield_while_the_store_does_not_confirm_it() -> None:
+    """Nobody could be elected, and all leases would end."""
+    core = leader_at(10.0)
+    core.handle_confirmed(20.0)
+    assert core.may_yield(20.0 + TIMING.stale_confirmation - 0.1)
+    assert not core.may_yield(20.0 + TIMING.stale_confirmation)
+
+
 def test_a_leader_that_has_yielded_lets_others_stand_first() -> None:
     core = leader_at(10.0)
     core.yield_office(15.0)
