Ports for processes of a run are not those that the system gives out at random

Ports were looked for among those that the system also gives to every outgoing connection and to other runs, and told before anyone listened there.

Change: they are drawn from 10,240 to 19,999, and none is told twice by a process.

--- a/src/limedeck_lab/processes.py
+++ b/src/limedeck_lab/processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -27,27 +28,35 @@
     """A condition did not come about in the time allowed."""
 
 
+FIRST_PORT, LAST_PORT = 10_240, 19_999
+"""Below those that the system gives to outgoing connections (from 32,768 on) and those of
+`free_port_range`: another process could take one between the look and the start of its user."""
+_told: set[int] = set()
+
+
 def free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
-    """Find ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind((host, 0))
-        return [int(item.getsockname()[1]) for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
+    """Find ports that are free now, and were not told before in this process."""
+    found: list[int] = []
+    # Other runs on this machine begin elsewhere, whatever seeds they have.
+    source = random.SystemRandom()
+    while len(found) < count:
+        port = source.randint(FIRST_PORT, LAST_PORT)
+        if port not in _told and is_free(host, port):
+            _told.add(port)
+            found.append(port)
+    return found
 
 
 def free_port_range(count: int, host: str = "127.0.0.1", first: int = 20_000) -> int:
     """Find the first of so many consecutive free ports, below those given out at random."""
     start = first + os.getpid() % 50 * 200
-    while not all(_is_free(host, start + offset) for offset in range(count)):
+    while not all(is_free(host, start + offset) for offset in range(count)):
         start += count
     return start
 
 
-def _is_free(host: str, port: int) -> bool:
+def is_free(host: str, port: int) -> bool:
+    """Whether a process could listen there now."""
     with socket.socket() as item:
         item.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
