Sight: a failed attempt that may have run tells by which content its request is known again

An attempt's id is its own, so that no two log lines could be seen to be about one request. Lines of attempts that may have run now tell caller, target and a fingerprint of method, host, target, caller and body.

--- a/src/limedeck/node/gateway.py
+++ b/src/limedeck/node/gateway.py
@@ -8,6 +8,7 @@
 import anyio
 
 from limedeck.clock import steady_clock
+from limedeck.forwarding.content import RequestContent
 from limedeck.forwarding.protocol import AnswerFacts, CallerProtocol, Headers
 from limedeck.forwarding.request import Attempt, Reason, Refuse, RequestCore, Wait
 from limedeck.forwarding.routes import choose_service
@@ -74,12 +75,10 @@
     """
 
     request_id: bytes
-    method: bytes
-    target: bytes
+    content: RequestContent
     headers: Headers
     route: Route
     core: RequestCore
-    body: bytes
     arrived: Seconds
     left: bool = False
     ended: bool = False
@@ -166,12 +165,9 @@
         core = RequestCore(
             request_id, route, service, self._state.directory, position, deadline, now, returned
         )
-        target = scope["raw_path"]
-        if scope["query_string"]:
-            target += b"?" + scope["query_string"]
-        method = scope["method"].encode()
         passed = self._passed_headers(scope["headers"], body)
-        return _Call(request_id, method, target, passed, route, core, body, now)
+        content = _content(scope, route.host, body)
+        return _Call(request_id, content, passed, route, core, now)
 
     def _passed_headers(self, headers: Headers, body: bytes) -> Headers:
         named = _named_by_connection(headers)
@@ -253,10 +249,10 @@
         added = self._protocol.attempt_headers(backend.backend_id, attempt.until - started)
         request = HttpRequest(
             backend.address,
-            call.method,
-            call.target,
+            call.content.method,
+            call.content.target,
             call.headers + added,
-            call.body,
+            call.content.body,
             # A busy back end resets some new connections; the caller is then told the truth.
             watched=not call.route.repeatable or attempt.ahead >= backend.slots,
         )
@@ -268,7 +264,9 @@
             if now < attempt.until:
                 has_room = attempt.ahead < backend.slots
                 attempt.state.note_failure(now, own_fault=has_room)
-            self._log.attempt_failed(call.request_id, backend, error.phase, error.problem)
+            self._log.attempt_lost(
+                call.request_id, call.content, backend, error.phase, error.problem
+            )
             return error.phase, False
         finally:
             attempt.state.outstanding -= 1
@@ -333,6 +331,15 @@
         await send({"type": "http.response.body", "body": body})
 
 
+def _content(scope: Scope, host: str, body: bytes) -> RequestContent:
+    target = scope["raw_path"]
+    if scope["query_string"]:
+        target += b"?" + scope["query_string"]
+    client = scope.get("client")
+    caller = client[0] if client else ""
+    return RequestContent(scope["method"].encode(), host, target, caller, body)
+
+
 async def _read_body(receive: Receive, limit: int) -> bytes:
     parts: list[bytes] = []
     size = 0
--- a/src/limedeck/node/request_log.py
+++ b/src/limedeck/node/request_log.py
@@ -8,13 +8,17 @@
 import xxhash
 
 from limedeck.clock import steady_clock
+from limedeck.forwarding import content
 from limedeck.forwarding.request import Belief, Refuse, RequestCore
 from limedeck.identity import Seconds
 from limedeck.model import Backend
 from limedeck.node.logs import RateLimit, get_logger
 from limedeck.node.settings import LogSection
 from limedeck.node.telemetry import Telemetry
-from limedeck.routing.outcomes import FailurePhase
+from limedeck.routing.outcomes import SURELY_NOT_RUN, FailurePhase
+
+LONGEST_TARGET = 200
+"""Characters of a path and query that a line holds."""
 
 
 class RequestLog:
@@ -58,8 +62,35 @@
         """The caller closed its connection before the answer."""
         self._count(core, "caller-left", steady_clock() - since)
 
+    def attempt_lost(
+        self,
+        request_id: bytes,
+        asked: content.RequestContent,
+        backend: Backend,
+        phase: FailurePhase,
+        problem: str,
+    ) -> None:
+        """An attempt had no answer.
+
+        If it may have run, the line tells by which content the same request is known again: its
+        next attempts have other ids.
+        """
+        told: dict[str, object] = {}
+        if phase not in SURELY_NOT_RUN:
+            told = {
+                "fingerprint": content.shown(asked.fingerprint),
+                "caller": asked.caller,
+                "target": asked.target.decode("latin-1")[:LONGEST_TARGET],
+            }
+        self.attempt_failed(request_id, backend, phase, problem, **told)
+
     def attempt_failed(
-        self, request_id: bytes, backend: Backend, phase: FailurePhase, problem: str
+        self,
+        request_id: bytes,
+        backend: Backend,
+        phase: FailurePhase,
+        problem: str,
+        **told: object,
     ) -> None:
         """An attempt had no answer that can be passed on."""
         self._telemetry.attempts.labels(backend.service, phase.value).inc()
@@ -70,6 +101,7 @@
                 backend=backend.backend_id,
                 phase=phase.value,
                 problem=problem,
+                **told,
             )
 
     def unroutable(self, host: str, path: str, version: int, request_id: bytes | None) -> None:
