Failing test: a request that has ended three back ends goes on ending them

Three real nodes, six back ends of a service behind proxies that can end their processes; one request comes again every 0.3 s, at one node after the other. Later than 3 s after the third back end has ended, it ends more than three others in 8 s.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -37,16 +37,31 @@
     target: str
     mode: Mode = Mode.PASS
     _streams: set[anyio.abc.SocketStream] = dataclasses.field(default_factory=set)
+    _down: float = 0.0
+    _life: anyio.CancelScope | None = None
 
     async def serve(self, ended: anyio.Event) -> None:
         """Listen until the event is set."""
-        host, _, port = self.address.rpartition(":")
-        listener = await anyio.create_tcp_listener(local_host=host, local_port=int(port))
-        async with listener, anyio.create_task_group() as tasks:
-            tasks.start_soon(listener.serve, self._serve_one)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._serve_lives)
             await ended.wait()
             tasks.cancel_scope.cancel()
 
+    def crash(self, seconds: float) -> None:
+        """End all connections, and refuse new ones for so long, as if the process had ended."""
+        self._down = seconds
+        if self._life is not None:
+            self._life.cancel()
+
+    async def _serve_lives(self) -> None:
+        host, _, port = self.address.rpartition(":")
+        while True:
+            listener = await anyio.create_tcp_listener(local_host=host, local_port=int(port))
+            async with listener:
+                with anyio.CancelScope() as self._life:
+                    await listener.serve(self._serve_one)
+            await anyio.sleep(self._down)
+
     async def reset_all(self) -> None:
         """Drop all connections at once."""
         for stream in list(self._streams):
--- a/tests/system/platform_site.py
+++ b/tests/system/platform_site.py
@@ -20,6 +20,7 @@
 
 from limedeck_lab.processes import ManagedProcess, ProcessGroup, free_ports, wait_until
 from limedeck_lab.standins.row_store import RowStoreStandIn, StoreWords
+from tests.soak.proxy import FaultyProxy
 
 WORDS = StoreWords(
     read="/v1/rows-get",
@@ -32,6 +33,10 @@
 )
 KEYS = 65_536
 WORK_TIME = 0.02
+CRASHING = b"crash"
+"""In the body of a request that ends each upstream which runs it."""
+DOWN_TIME = 2.0
+"""Seconds until an upstream that has crashed is back."""
 Application = Callable[[dict[str, Any], Any, Any], Awaitable[None]]
 
 
@@ -45,6 +50,10 @@
         Ranges with their fence and end, on the test's clock.
     released
         Ranges and the fences of their releases; no grant below one of these is taken.
+    proxy
+        Stands before it; it can crash only with one.
+    life
+        Counts its starts after the first.
     """
 
     name: str
@@ -52,6 +61,8 @@
     keyed: bool
     address: str
     site: Site
+    proxy: FaultyProxy | None = None
+    life: int = 0
     draining: bool = False
     silent: bool = False
     held: dict[tuple[int, int], tuple[int, float]] = field(default_factory=dict)
@@ -114,9 +125,26 @@
             return
         self.site.runs.append((request_id.decode(), self.name))
         await anyio.sleep(WORK_TIME)
+        if CRASHING in body and self.proxy is not None:
+            self.site.crashes.append(Crash(time.monotonic(), body, self.name))
+            await self._crash(self.proxy)
+            return
         signed = [*echo, (b"x-upstream-signature", self.name.encode())]
         await _answer(send, 200, signed, request_id + b":" + body)
 
+    async def _crash(self, proxy: FaultyProxy) -> None:
+        """End, and come back some time later under another id and without any keys."""
+        proxy.crash(DOWN_TIME)
+        self.held = {}
+        self.released = []
+        former = self.name
+        self.life += 1
+        self.name = f"{former.partition('.')[0]}.{self.life}"
+        with anyio.CancelScope(shield=True):
+            await anyio.sleep(DOWN_TIME)
+        self.site.store.drop("servers", "", former)
+        self.site.list_upstream(self)
+
     def holds(self, key: int) -> bool:
         """Whether it would run a request for a key now."""
         now = time.monotonic()
@@ -155,6 +183,23 @@
     await send({"type": "http.response.body", "body": body})
 
 
+@dataclass(frozen=True)
+class Crash:
+    """An upstream ended under a request.
+
+    Parameters
+    ----------
+    at
+        On the test's clock, in seconds.
+    body
+        Of the request.
+    """
+
+    at: float
+    body: bytes
+    upstream: str
+
+
 @dataclass
 class NodeProcess:
     """One node."""
@@ -189,6 +234,7 @@
     nodes: list[NodeProcess] = field(default_factory=list)
     runs: list[tuple[str, str]] = field(default_factory=list)
     two_owners: list[tuple[str, str]] = field(default_factory=list)
+    crashes: list[Crash] = field(default_factory=list)
     sent: int = 0
 
     def judge(self) -> None:
@@ -226,14 +272,21 @@
 
     def send(self, client: httpx.Client, node: NodeProcess, path: str, key: int) -> httpx.Response:
         """Send one request with an id of its own."""
+        return client.get(f"http://{node.callers}{path}", headers=self._headers(key))
+
+    def post(self, client: httpx.Client, node: NodeProcess, path: str, body: bytes) -> int:
+        """Send one request with an id of its own and a body; return the answer's status."""
+        url = f"http://{node.callers}{path}"
+        return client.post(url, headers=self._headers(0), content=body).status_code
+
+    def _headers(self, key: int) -> dict[str, str]:
         self.sent += 1
-        headers = {
+        return {
             "host": "h.example",
             "x-attempt-id": f"{self.sent:016x}",
             "x-deadline-ms": "2000",
             "x-shard-key": str(key),
         }
-        return client.get(f"http://{node.callers}{path}", headers=headers)
 
     def everything_is_held(self) -> bool:
         """Whether each key of a sample has an owner."""
@@ -298,12 +351,14 @@
 def running_site(folder: Path, keyed: int = 3, plain: int = 2, nodes: int = 3) -> Iterator[Site]:
     """Run a whole site until the block ends."""
     site = Site()
-    ports = free_ports(keyed + plain + 1)
-    store_address = f"127.0.0.1:{ports[-1]}"
-    for number, port in enumerate(ports[:-1]):
+    count = keyed + plain
+    addresses = [f"127.0.0.1:{port}" for port in free_ports(2 * count + 1)]
+    store_address = addresses.pop()
+    proxies = [FaultyProxy(addresses.pop(), addresses.pop()) for _ in range(count)]
+    for number, proxy in enumerate(proxies):
         service = "keyed" if number < keyed else "plain"
-        address = f"127.0.0.1:{port}"
-        upstream = Upstream(f"i-{number}", service, service == "keyed", address, site)
+        is_keyed = service == "keyed"
+        upstream = Upstream(f"i-{number}", service, is_keyed, proxy.address, site, proxy)
         site.upstreams.append(upstream)
         site.list_upstream(upstream)
     site.configure(1, ROUTES)
@@ -313,9 +368,10 @@
         ended = portal.call(stop)
         served: list[tuple[Application, str]] = [
             (site.store.application(), store_address),
-            *((upstream, upstream.address) for upstream in site.upstreams),
+            *((up, proxy.target) for up, proxy in zip(site.upstreams, proxies, strict=True)),
         ]
         futures = [portal.start_task_soon(serve_until, app, where, ended) for app, where in served]
+        futures += [portal.start_task_soon(proxy.serve, ended) for proxy in proxies]
         try:
             for number in range(nodes):
                 site.nodes.append(start_node(processes, folder, store_address, number))
--- /dev/null
+++ b/tests/system/test_crashing_requests.py
@@ -0,0 +1,86 @@
+"""A request that ends each back end which runs it.
+
+What users saw: look-ups of one service failed for a second or two, again and again, and a tenth of
+them at a time. In order: one caller's request came to some node; the back end that ran it ended;
+the caller sent the same request again, to another node, under another id; the next back end ended.
+All other requests that these back ends were at work on were lost as well, and attempts at their
+closed ports used up the retries of others. The cause: nothing of a request was remembered beyond
+its answer, and nodes told each other nothing of requests. The evidence: back ends of one service
+ended every few seconds, in the middle of their work, never two at once and none twice.
+"""
+
+from __future__ import annotations
+
+import itertools
+import time
+from collections import Counter
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import httpx
+import pytest
+
+from limedeck_lab.processes import wait_until
+from tests.system.platform_site import CRASHING, ROUTES, Site, route, running_site
+
+NODES = 3
+PLAIN = 6
+RETRY_PAUSE = 0.3
+"""Seconds between two tries of the caller whose request ends back ends."""
+KNOWN_WITHIN = 3.0
+"""Seconds after the third back end has ended until all nodes know the request."""
+WATCHED_FOR = 8.0
+"""Seconds from then on."""
+MOST_LATER_RUNS = 3
+PATH = "/read/x"
+
+
+@pytest.fixture
+def site(tmp_path: Path) -> Iterator[Site]:
+    with running_site(tmp_path, plain=PLAIN, nodes=NODES) as running:
+        running.configure(2, [*ROUTES, route("/read/", "plain", "safe")])
+        with httpx.Client(timeout=5.0) as client:
+            wait_until(lambda: _is_served_everywhere(running, client), "the route is served")
+        yield running
+
+
+def _is_served_everywhere(site: Site, client: httpx.Client) -> bool:
+    return all(site.post(client, node, PATH, b"") == 200 for node in site.nodes)
+
+
+@pytest.fixture
+def client() -> Iterator[httpx.Client]:
+    with httpx.Client(timeout=5.0) as opened:
+        yield opened
+
+
+def repeat(site: Site, client: httpx.Client, goes_on: Callable[[], bool]) -> Counter[int]:
+    """Send the request that ends back ends to one node after the other; count its answers."""
+    statuses: Counter[int] = Counter()
+    for node in itertools.cycle(site.nodes):
+        if not goes_on():
+            return statuses
+        statuses[site.post(client, node, PATH, CRASHING)] += 1
+        time.sleep(RETRY_PAUSE)
+    raise AssertionError
+
+
+def become_known(site: Site, client: httpx.Client) -> None:
+    """Repeat the request until the time is over in which nodes may learn of it."""
+
+    def is_known() -> bool:
+        if len(site.crashes) < 3:
+            return False
+        return time.monotonic() > site.crashes[2].at + KNOWN_WITHIN
+
+    repeat(site, client, lambda: not is_known())
+
+
+def test_a_request_that_has_ended_three_back_ends_reaches_hardly_any_more(
+    site: Site, client: httpx.Client
+) -> None:
+    become_known(site, client)
+    before = len(site.crashes)
+    until = time.monotonic() + WATCHED_FOR
+    repeat(site, client, lambda: time.monotonic() < until)
+    assert len(site.crashes) - before <= MOST_LATER_RUNS
