A request that ends each back end that runs it is known, told to all nodes, and refused

Cause: nothing of a request was remembered beyond its answer, and nodes told each other nothing of requests; what came again under another id was run again, by any node, at the next back end. Class: a failure is booked on the one that fails (the back end), never on what made it fail.

- A connection that a back end drops is followed by a look at its port: only a closed port shows that the process has ended.
The requests that were under way are remembered by a fingerprint of method, host, target, caller and body.
- Nodes tell each other what they saw, through the leader, or directly while there is none; each judges by itself.
The leader keeps quarantines in the store, for nodes that start.
- An attempt that reached no back end uses none of the retry budget, and a closed port takes a back end out of the choice at once: closed ports had used up the retries of others.

--- a/src/limedeck/forwarding/backend_state.py
+++ b/src/limedeck/forwarding/backend_state.py
@@ -173,6 +173,11 @@
             self.ejected_until = now + min(span, LONGEST_EJECTION)
             self.ejections += 1
 
+    def note_ended(self, now: Seconds) -> None:
+        """No process listens at its address, or nodes saw it end: no second failure is needed."""
+        self.failures = max(self.failures, FAILURES_TO_EJECT - 1)
+        self.note_failure(now)
+
     def note_full(self, now: Seconds) -> None:
         """It turned a request away because its queue is full."""
         least = FULL_QUEUE * self.backend.slots - self.outstanding
--- a/src/limedeck/forwarding/request.py
+++ b/src/limedeck/forwarding/request.py
@@ -11,11 +11,13 @@
 from limedeck.forwarding.backends import BackendDirectory, spread_of
 from limedeck.forwarding.budget import RetryBudget
 from limedeck.forwarding.owners import OwnerMap
+from limedeck.forwarding.quarantine import RequestGuard
 from limedeck.identity import Seconds
 from limedeck.model import Route
 from limedeck.routing.outcomes import (
     FULL,
     SURELY_NOT_RUN,
+    UNREACHED,
     AttemptHistory,
     Decision,
     FailurePhase,
@@ -72,6 +74,7 @@
     TIMED_OUT = "timed-out"
     STOPPED = "stopped"
     BAD_KEY = "bad-key"
+    QUARANTINED = "quarantined"
 
 
 @dataclass(frozen=True, slots=True)
@@ -178,6 +181,8 @@
         When the caller stops waiting, on this node's clock.
     returned
         The caller was here before with the same request and has come back.
+    guard
+        Tells whether the request is known to end back ends.
     """
 
     def __init__(
@@ -190,8 +195,10 @@
         deadline: Seconds,
         now: Seconds,
         returned: bool = False,
+        guard: RequestGuard | None = None,
     ) -> None:
         self.returned = returned
+        self.guard = guard
         self.request_id = request_id
         self.route = route
         self.service = service
@@ -200,6 +207,7 @@
         self.until = min(deadline, now + route.timeout)
         self.attempts = 0
         self.maybe_run = False
+        self._reached = False
         self._directory = directory
         self._waiting_since: Seconds | None = None
         self._excluded: set[str] = set()
@@ -211,6 +219,9 @@
         """Decide what to do: at the start, after a `Wait`, and after a failure."""
         if now + SHORTEST_ATTEMPT >= self.until:
             return self._refuse(Reason.TIMED_OUT, RETRY_AFTER)
+        refused_for = self.guard.refused_for(now) if self.guard else None
+        if refused_for is not None:
+            return self._refuse(Reason.QUARANTINED, refused_for)
         if not self.service.keyed:
             return self._try_any(now, node_count)
         if self.position is None:
@@ -236,6 +247,7 @@
         if attempt is None:
             raise InvariantViolation("failure-follows-attempt", self.request_id.decode("latin-1"))
         self._in_flight = None
+        self._reached = self._reached or phase not in UNREACHED
         history = AttemptHistory(
             repeatable=self.route.repeatable,
             maybe_run=self.maybe_run,
@@ -353,8 +365,13 @@
     def _attempt(self, state: BackendState, now: Seconds, node_count: int) -> Command:
         if self.maybe_run and not self.route.repeatable:
             raise InvariantViolation("runs-at-most-once", self.request_id.decode("latin-1"))
-        if self.attempts and not self.service.budget.try_take(now, node_count):
+        # The budget bounds what back ends get more than callers send. An attempt that reached none
+        # is no part of that: with one back end after the other ending, closed ports used up the
+        # retries of requests that other back ends would have served.
+        if self._reached and not self.service.budget.try_take(now, node_count):
             return self._refuse(Reason.REFUSED, RETRY_AFTER)
+        if self.guard is not None:
+            self.guard.note_sent(now)
         self.attempts += 1
         self._waiting_since = None
         self._in_flight = Attempt(state, self.until, state.expected_load(now))
--- a/src/limedeck/http_client.py
+++ b/src/limedeck/http_client.py
@@ -40,6 +40,8 @@
 request with 20 s left failed after 20 s (test_silent_connections.py)."""
 UNACKNOWLEDGED = "unacknowledged"
 """Problem of an attempt whose connection was given up by that bound."""
+CONNECTION_REFUSED = "connection refused"
+"""Problem of an attempt: the machine answers, and no process listens at the port."""
 READ_BYTES = 65_536
 LARGEST_ANSWER = 64 << 20
 SMALL_BODY = 16_384
@@ -134,7 +136,7 @@
         try:
             await self.stream.send(data)
         except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
-            raise AttemptFailed(FailurePhase.SENDING, _problem(error)) from error
+            raise AttemptFailed(FailurePhase.SENDING, _problem(error), True) from error
 
     async def _send_quietly(self, data: bytes) -> None:
         # What went wrong shows in the answer, which may have come before the body was read.
@@ -162,7 +164,7 @@
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 return HttpAnswer(head.status_code, list(head.headers), b"".join(parts))
             elif not isinstance(event, h11.InformationalResponse):
-                raise AttemptFailed(phase, "connection ended")
+                raise AttemptFailed(phase, "connection ended", by_other_end=True)
 
     async def _next_event(self, phase: FailurePhase) -> object:
         codec = self.codec
@@ -175,10 +177,13 @@
                     codec.receive_data(await self.stream.receive(READ_BYTES))
                 except anyio.EndOfStream:
                     codec.receive_data(b"")
-        except (h11.RemoteProtocolError, OSError) as error:
-            raise AttemptFailed(phase, _problem(error)) from error
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
-            raise AttemptFailed(phase, _problem(error)) from error
+        except (
+            h11.RemoteProtocolError,
+            OSError,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        ) as error:
+            raise AttemptFailed(phase, _problem(error), by_other_end=True) from error
 
     def can_be_reused(self, answer: HttpAnswer, sent_whole: bool, now: Seconds) -> bool:
         """Prepare for the next request; False when the connection must not be used again."""
@@ -252,6 +257,17 @@
                 with anyio.CancelScope(shield=True):
                     await connection.aclose()
 
+    async def try_connect(self, address: str, until: Seconds) -> None:
+        """Open a connection and close it: whether somebody listens there.
+
+        Raises
+        ------
+        AttemptFailed
+            Nobody does, or there is no answer by `until` (on this node's clock).
+        """
+        connection = await self._open(address, until)
+        await connection.aclose()
+
     async def drop_idle(self, addresses: set[str]) -> None:
         """Close idle connections that are old, and all to other addresses than these."""
         now = steady_clock()
@@ -292,7 +308,9 @@
             with anyio.fail_after(time_left):
                 stream = await anyio.connect_tcp(host, int(port), local_host=self._local_host)
         except (OSError, TimeoutError, ValueError) as error:
-            raise AttemptFailed(FailurePhase.NOT_CONNECTED, type(error).__name__) from error
+            refused = _is_refused(error)
+            problem = CONNECTION_REFUSED if refused else type(error).__name__
+            raise AttemptFailed(FailurePhase.NOT_CONNECTED, problem, refused) from error
         self.connections_opened += 1
         try:
             for option in self._socket_options:
@@ -312,6 +330,13 @@
     return UNACKNOWLEDGED if isinstance(cause, TimeoutError) else type(error).__name__
 
 
+def _is_refused(error: BaseException | None) -> bool:
+    """Whether the other machine said that nobody listens; the library wraps what it was told."""
+    while error is not None and not isinstance(error, ConnectionRefusedError):
+        error = error.__cause__
+    return error is not None
+
+
 async def _watch_for_reset(connection: _Connection) -> None:
     await anyio.sleep(RESET_WATCH)
     if not connection.is_quiet():
--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -21,6 +21,7 @@
 from limedeck.clock import steady_clock
 from limedeck.errors import PlatformProtocolError
 from limedeck.forwarding.owners import OwnerMap
+from limedeck.forwarding.quarantine import QuarantineLedger
 from limedeck.http_client import HttpClient
 from limedeck.identity import NEVER, Seconds
 from limedeck.node import load_exchange, order_sender
@@ -142,6 +143,20 @@
         """Whether this node leads, as far as it knows."""
         return self.election.role is Role.LEADER
 
+    @property
+    def quarantine(self) -> QuarantineLedger:
+        """This node's ledger of requests that end back ends."""
+        return self._state.quarantine
+
+    @property
+    def store_offset(self) -> Seconds:
+        """The store's clock less this node's."""
+        return self._store_offset
+
+    def leader_condition(self) -> RowCondition:
+        """What holds in the store as long as this node leads."""
+        return RowCondition(LEADER_ROW, self.election.row_version)
+
     async def run(self) -> None:
         """Tick until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -191,6 +206,9 @@
             self._state.node_count = max(status.node_count, 1)
             if status.HasField("backend_totals"):
                 self.loads.handle_totals(status.backend_totals, now)
+            if status.peers:
+                own = self._identity.peer_address
+                self._state.peers = tuple(peer for peer in status.peers if peer != own)
         for owners in status.owners:
             known = self._state.service(owners.service).owners
             if owners.version > known.version:
--- /dev/null
+++ b/src/limedeck/node/crash_news.py
@@ -0,0 +1,87 @@
+"""What nodes tell each other of back ends that ended, and of requests that ended them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from limedeck.api import control_pb2
+from limedeck.forwarding import quarantine
+from limedeck.identity import Seconds
+
+MILLISECONDS = 1000
+LONGEST_AGE: Seconds = 1_000_000.0
+"""What a message can hold; far above what is remembered."""
+
+
+class CrashNewsPeer:
+    """How far the node at the other end of a connection was told."""
+
+    def __init__(self, ledger: quarantine.QuarantineLedger) -> None:
+        self._ledger = ledger
+        self._told = 0
+
+    def fill(self, message: control_pb2.Report | control_pb2.Status, now: Seconds) -> None:
+        """Add what the other node lacks, or a part of it if that is much."""
+        news = self.news(now)
+        if news is not None:
+            message.crash_news.CopyFrom(news)
+
+    def news(self, now: Seconds) -> control_pb2.CrashNews | None:
+        """Return what the other node lacks, and note that it was told; None if nothing."""
+        news, self._told = self._ledger.news_since(self._told, self)
+        return encoded(news, now) if news else None
+
+    def take(self, message: control_pb2.CrashNews, now: Seconds) -> None:
+        """Take in what the other node tells."""
+        self._ledger.take(decoded(message, now), self, now)
+
+
+def encoded(news: Iterable[quarantine.News], now: Seconds) -> control_pb2.CrashNews:
+    """Write news; ages instead of times, since nodes' clocks have nothing in common."""
+    message = control_pb2.CrashNews()
+    for item in news:
+        match item:
+            case quarantine.CrashNews():
+                message.crashes.add(
+                    backend=item.backend_id,
+                    age=_age(item.at, now),
+                    requests=sorted(item.requests),
+                )
+            case quarantine.ServedNews():
+                message.served.add(request=item.request, age=_age(item.at, now))
+            case quarantine.Quarantine():
+                message.quarantined.add(
+                    request=item.request,
+                    level=item.level,
+                    age=_age(item.began, now),
+                    ends_in=round((item.ends - now) * MILLISECONDS),
+                )
+    return message
+
+
+def decoded(message: control_pb2.CrashNews, now: Seconds) -> list[quarantine.News]:
+    """Read news: what was served last, so that it clears what is told beside it."""
+    news: list[quarantine.News] = [
+        quarantine.CrashNews(
+            crash.backend,
+            _time(crash.age, now),
+            frozenset(crash.requests[: quarantine.MOST_LOSSES]),
+        )
+        for crash in message.crashes
+    ]
+    news += [
+        quarantine.Quarantine(
+            item.request, item.level, _time(item.age, now), now + item.ends_in / MILLISECONDS
+        )
+        for item in message.quarantined
+    ]
+    news += [quarantine.ServedNews(item.request, _time(item.age, now)) for item in message.served]
+    return news
+
+
+def _age(at: Seconds, now: Seconds) -> int:
+    return round(min(max(now - at, 0.0), LONGEST_AGE) * MILLISECONDS)
+
+
+def _time(age: int, now: Seconds) -> Seconds:
+    return now - age / MILLISECONDS
--- a/src/limedeck/node/gateway.py
+++ b/src/limedeck/node/gateway.py
@@ -10,15 +10,17 @@
 from limedeck.clock import steady_clock
 from limedeck.forwarding.content import RequestContent
 from limedeck.forwarding.protocol import AnswerFacts, CallerProtocol, Headers
+from limedeck.forwarding.quarantine import RequestGuard
 from limedeck.forwarding.request import Attempt, Reason, Refuse, RequestCore, Wait
 from limedeck.forwarding.routes import choose_service
 from limedeck.http_client import HttpAnswer, HttpClient, HttpRequest
 from limedeck.identity import Seconds
 from limedeck.model import Route
 from limedeck.node.asgi import Receive, Scope, Send
+from limedeck.node.crash_watch import CrashWatch
 from limedeck.node.request_log import RequestLog
 from limedeck.node.state import NodeState
-from limedeck.routing.outcomes import AttemptFailed, FailurePhase, Outcome
+from limedeck.routing.outcomes import SURELY_NOT_RUN, AttemptFailed, FailurePhase, Outcome
 
 CONNECTION_HEADERS = frozenset(
     {
@@ -90,8 +92,14 @@
     """ASGI application for callers' requests."""
 
     def __init__(
-        self, state: NodeState, protocol: CallerProtocol, client: HttpClient, log: RequestLog
+        self,
+        state: NodeState,
+        protocol: CallerProtocol,
+        client: HttpClient,
+        log: RequestLog,
+        watch: CrashWatch,
     ) -> None:
+        self._watch = watch
         self._state = state
         self._protocol = protocol
         self._client = client
@@ -162,11 +170,19 @@
         returned = service.note_wait(route.name, deadline - now)
         if position is not None and not returned:
             service.key_counts[position] += 1
+        content = _content(scope, route.host, body)
         core = RequestCore(
-            request_id, route, service, self._state.directory, position, deadline, now, returned
+            request_id,
+            route,
+            service,
+            self._state.directory,
+            position,
+            deadline,
+            now,
+            returned,
+            RequestGuard(self._state.quarantine, content),
         )
         passed = self._passed_headers(scope["headers"], body)
-        content = _content(scope, route.host, body)
         return _Call(request_id, content, passed, route, core, now)
 
     def _passed_headers(self, headers: Headers, body: bytes) -> Headers:
@@ -260,10 +276,7 @@
         try:
             answer = await self._client.exchange(request, attempt.until)
         except AttemptFailed as error:
-            now = steady_clock()
-            if now < attempt.until:
-                has_room = attempt.ahead < backend.slots
-                attempt.state.note_failure(now, own_fault=has_room)
+            self._note_failed(call, attempt, error)
             self._log.attempt_lost(
                 call.request_id, call.content, backend, error.phase, error.problem
             )
@@ -272,6 +285,19 @@
             attempt.state.outstanding -= 1
         return self._judge(call, attempt, answer, started)
 
+    def _note_failed(self, call: _Call, attempt: Attempt, error: AttemptFailed) -> None:
+        """Take in what a failed attempt says of the back end, and of the request."""
+        backend = attempt.state.backend
+        now = steady_clock()
+        if error.by_other_end and error.phase is FailurePhase.NOT_CONNECTED:
+            attempt.state.note_ended(now)
+            self._watch.note_refused(backend)
+            return
+        if error.by_other_end and error.phase not in SURELY_NOT_RUN:
+            self._watch.note_lost(backend, call.content)
+        if now < attempt.until:
+            attempt.state.note_failure(now, own_fault=attempt.ahead < backend.slots)
+
     def _judge(
         self, call: _Call, attempt: Attempt, answer: HttpAnswer, started: Seconds
     ) -> HttpAnswer | tuple[FailurePhase, bool]:
@@ -299,6 +325,8 @@
             self._log.attempt_failed(call.request_id, backend, FailurePhase.ERROR_ANSWER, problem)
             return FailurePhase.ERROR_ANSWER, False
         took = now - started
+        if call.core.guard is not None:
+            call.core.guard.note_served(now)
         attempt.state.note_answer(took, facts.load, now, call.route.name, attempt.ahead)
         return answer
 
--- a/src/limedeck/node/peers.py
+++ b/src/limedeck/node/peers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import anyio
 from anyio.abc import SocketStream
 
@@ -14,9 +16,11 @@
 from limedeck.clock import steady_clock
 from limedeck.errors import PeerProtocolError
 from limedeck.forwarding.owners import OwnerMap
-from limedeck.identity import Seconds
+from limedeck.identity import NEVER, Seconds
 from limedeck.node import backend_loads
 from limedeck.node.control import ControlHost
+from limedeck.node.crash_gossip import some_peers
+from limedeck.node.crash_news import CrashNewsPeer
 from limedeck.node.framing import FrameReader, encode_frame
 from limedeck.node.logs import get_logger
 from limedeck.node.news import PeerTables, StoreNews
@@ -28,6 +32,8 @@
 """A new leader on a slow machine takes so long to accept all nodes of a large site at once."""
 SEND_TIMEOUT: Seconds = 1.0
 """A node that takes nothing for so long is gone; below `SILENCE_LIMIT`, an estimate."""
+LEADER_HEARD: Seconds = 0.9
+"""A leader tells something at least each 0.3 s; one that missed two is taken for lost."""
 REPORT_INTERVAL: Seconds = 0.25
 """Back ends' loads are known so late; a shorter one costs bytes between zones."""
 KEY_REPORT_INTERVAL: Seconds = 0.5
@@ -41,6 +47,8 @@
 TELLING_TIME: Seconds = 0.0015
 """What it may cost a leader on a slow machine to tell one node; an estimate, not measured. It lets
 that pass for each node between two messages; what changes meanwhile goes into the next one."""
+PEERS_INTERVAL: Seconds = 5.0
+"""Between two times that a node is told of others: hundreds join at once when a site starts."""
 SILENCE_LIMIT: Seconds = 1.5
 """A connection on which nothing came for so long is given up."""
 
@@ -73,9 +81,16 @@
         self._news = news
         self._policy = policy
         self._peer = PeerTables(steady_clock())
+        self._crash_peer = CrashNewsPeer(control.quarantine)
         self._next_key_report: Seconds = 0.0
+        self._heard_at: Seconds = NEVER
         self._log = get_logger("peers")
 
+    @property
+    def hears_leader(self) -> bool:
+        """Whether a leader was heard lately on the connection that is open."""
+        return steady_clock() - self._heard_at < LEADER_HEARD
+
     async def run(self) -> None:
         """Keep a connection to whichever node leads, until cancelled."""
         while True:
@@ -86,6 +101,7 @@
             try:
                 await self._follow(leader)
             except ENDED as error:
+                self._heard_at = NEVER
                 problem = type(error).__name__
                 self._log.info("leader_link_ended", leader=leader.node_id, problem=problem)
             await anyio.sleep(RECONNECT_PAUSE)
@@ -99,6 +115,7 @@
         with anyio.fail_after(CONNECT_TIMEOUT):
             stream = await anyio.connect_tcp(host, int(port), local_host=own_host)
         self._peer = PeerTables(steady_clock())
+        self._crash_peer = CrashNewsPeer(self._control.quarantine)
         self._control.loads.handle_connected()
         async with stream:
             failure: Exception | None = None
@@ -114,8 +131,11 @@
 
     async def _send_reports(self, stream: SocketStream) -> None:
         try:
+            address = self._identity.peer_address
             while True:
                 message = ControlMessage(report=self._report())
+                message.report.peer_address = address
+                address = ""
                 with anyio.fail_after(SEND_TIMEOUT):
                     await stream.send(encode_frame(message))
                 await anyio.sleep(REPORT_INTERVAL)
@@ -138,6 +158,7 @@
             processor=self._control.processor,
         )
         self._news.fill(report, self._peer, now)
+        self._crash_peer.fill(report, now)
         return report
 
     async def _read_statuses(self, stream: SocketStream, leader: LeaderRecord) -> None:
@@ -156,6 +177,8 @@
                 status.observes, status.store_silence, now, status.node_count
             )
             self._news.take(status, self._peer, now)
+            self._crash_peer.take(status.crash_news, now)
+            self._heard_at = now
 
 
 class FormerLeaderInquiry:
@@ -216,6 +239,8 @@
         self._nodes: dict[str, SocketStream] = {}
         self._zones: dict[str, str] = {}
         self._processors: dict[str, float] = {}
+        self._addresses: dict[str, str] = {}
+        self._random = random.Random(control.processor)
         self._observers: frozenset[str] = frozenset()
         self._fleet = standing.fleet_of([control.processor])
         self._zone = zone
@@ -252,18 +277,25 @@
     async def _serve_one(self, stream: SocketStream) -> None:
         async with stream, anyio.create_task_group() as tasks:
             peer = PeerTables(steady_clock())
-            tasks.start_soon(self._send_statuses, stream, peer, tasks.cancel_scope)
-            await self._read_reports(stream, peer)
+            crash_peer = CrashNewsPeer(self._control.quarantine)
+            tasks.start_soon(self._send_statuses, stream, peer, crash_peer, tasks.cancel_scope)
+            await self._read_reports(stream, peer, crash_peer)
             tasks.cancel_scope.cancel()
 
-    async def _read_reports(self, stream: SocketStream, peer: PeerTables) -> None:
+    async def _read_reports(
+        self, stream: SocketStream, peer: PeerTables, crash_peer: CrashNewsPeer
+    ) -> None:
         reader = FrameReader(stream, ControlMessage)
         node = ""
         try:
             while True:
                 with anyio.fail_after(SILENCE_LIMIT):
                     message, _ = await reader.read()
+                if message.HasField("crash_news"):
+                    crash_peer.take(message.crash_news, steady_clock())
+                    continue
                 node = message.report.node_id
+                crash_peer.take(message.report.crash_news, steady_clock())
                 self._control.handle_report_term(message.report.term)
                 self._control.handle_loads(message.report.loads)
                 self._control.loads.handle_report(
@@ -279,6 +311,7 @@
                 self._control.loads.handle_follower_left(node)
                 del self._zones[node]
                 del self._processors[node]
+                self._addresses.pop(node, None)
                 self._note_membership()
 
     def _note_follower(self, report: Report, stream: SocketStream, peer: PeerTables) -> None:
@@ -288,6 +321,8 @@
             self._zones[node] = report.zone
             self._processors[node] = report.processor
             self._note_membership()
+        if report.peer_address:
+            self._addresses[node] = report.peer_address
         was_told = peer.node_id is not None
         peer.node_id = node
         peer.keeps_feeds = node in self._observers
@@ -299,8 +334,13 @@
         return min(TELLING_TIME * self.node_count(), self._timing.heartbeat_interval)
 
     async def _send_statuses(
-        self, stream: SocketStream, peer: PeerTables, scope: anyio.CancelScope
+        self,
+        stream: SocketStream,
+        peer: PeerTables,
+        crash_peer: CrashNewsPeer,
+        scope: anyio.CancelScope,
     ) -> None:
+        next_peers = steady_clock() + REPORT_INTERVAL
         told: dict[str, OwnerMap] = {}
         told_totals = backend_loads.ToldTotals()
         try:
@@ -313,6 +353,10 @@
                 status.observes = peer.node_id in self._observers
                 status.owners.extend(self._control.owners_since(told))
                 self._store_news.fill(status, peer, steady_clock())
+                crash_peer.fill(status, steady_clock())
+                if steady_clock() >= next_peers:
+                    next_peers = steady_clock() + PEERS_INTERVAL
+                    status.peers.extend(some_peers(list(self._addresses.values()), self._random))
                 with anyio.fail_after(SEND_TIMEOUT):
                     await stream.send(encode_frame(ControlMessage(status=status)))
                 await anyio.sleep(self._telling_pause())
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -24,11 +24,14 @@
 from limedeck.node.asgi import Application
 from limedeck.node.control import ControlHost
 from limedeck.node.counted_store import CountedStore
+from limedeck.node.crash_gossip import CrashGossip
+from limedeck.node.crash_watch import CrashWatch
 from limedeck.node.gateway import CallerGateway
 from limedeck.node.listener import OwnSocketConfig, close_to_newcomers, open_listener
 from limedeck.node.logs import BoundedWriter, get_logger
 from limedeck.node.news import FeedKeeper, StoreNews
 from limedeck.node.peers import FollowerConnections, FormerLeaderInquiry, LeaderLink
+from limedeck.node.quarantine_record import QuarantineRecordKeeper
 from limedeck.node.readiness import ReadinessApplication
 from limedeck.node.reload import SettingsFile
 from limedeck.node.request_log import RequestLog
@@ -126,9 +129,13 @@
             settings.node.first_start,
         )
         self._file.on_change = self._take_up
-        gateway = CallerGateway(self._state, self._protocol, backend_client, self._request_log)
+        watch = CrashWatch(self._state, backend_client, self._telemetry)
+        gateway = CallerGateway(
+            self._state, self._protocol, backend_client, self._request_log, watch
+        )
         async with anyio.create_task_group() as tasks:
             self._start_control(tasks, control, store)
+            tasks.start_soon(watch.run)
             tasks.start_soon(self._upkeep, backend_client)
             tasks.start_soon(self._log_store_calls, store)
             await self._serve_until_stopped(gateway, control)
@@ -153,7 +160,9 @@
         zone = self._settings.node.zone
         followers = FollowerConnections(address, zone, control, news, self._timing)
         tasks.start_soon(followers.serve)
-        tasks.start_soon(LeaderLink(self._identity, zone, control, news, policy).run)
+        link = LeaderLink(self._identity, zone, control, news, policy)
+        tasks.start_soon(link.run)
+        self._start_quarantine(tasks, control, store, link)
         keeper = FeedKeeper(policy, watchers, lambda: control.leads)
         control.on_store_back = keeper.handle_store_back
         tasks.start_soon(keeper.run)
@@ -162,6 +171,17 @@
         for watcher in watchers:
             tasks.start_soon(watcher.run)
 
+    def _start_quarantine(
+        self, tasks: TaskGroup, control: ControlHost, store: CountedStore, link: LeaderLink
+    ) -> None:
+        keeper = QuarantineRecordKeeper(self._state.quarantine, store, control)
+        tasks.start_soon(keeper.run)
+
+        def has_leader() -> bool:
+            return control.leads or link.hears_leader
+
+        tasks.start_soon(CrashGossip(self._state, has_leader, self._settings.node.ip).run)
+
     async def _serve_until_stopped(self, gateway: CallerGateway, control: ControlHost) -> None:
         node = self._settings.node
         readiness_stop = anyio.Event()
--- a/src/limedeck/node/state.py
+++ b/src/limedeck/node/state.py
@@ -8,6 +8,7 @@
 from limedeck.forwarding.backends import BackendDirectory
 from limedeck.forwarding.budget import RetryAllowance, RetryBudget
 from limedeck.forwarding.owners import OwnerMap
+from limedeck.forwarding.quarantine import QuarantineLedger
 from limedeck.forwarding.request import ServiceView
 from limedeck.forwarding.routes import RouteIndex
 from limedeck.identity import Seconds
@@ -31,6 +32,8 @@
         The newest that this process has seen; it never goes back.
     node_count
         Nodes that share retry budgets, as the leader counts them.
+    peers
+        Where some other nodes are reached, as the leader told last.
     stopping
         A planned stop has begun.
     in_flight
@@ -39,14 +42,18 @@
         When a leader that is in touch with the store was heard, or this node was one; None before.
     closing
         The stop is so far that no more requests are passed on.
+    quarantine
+        Requests that end back ends.
     """
 
     def __init__(self, zone: str, node_id: str, allowance: RetryAllowance) -> None:
         self.directory = BackendDirectory(zone, node_id)
+        self.quarantine = QuarantineLedger(node_id)
         self.configuration: Configuration | None = None
         self.routes: RouteIndex | None = None
         self.services: dict[str, ServiceView] = {}
         self.node_count = 3
+        self.peers: tuple[str, ...] = ()
         self.backends_listed = False
         self.stopping = False
         self.closing = False
--- a/src/limedeck/node/telemetry.py
+++ b/src/limedeck/node/telemetry.py
@@ -29,6 +29,22 @@
             ["service", "phase"],
             registry=registry,
         )
+        self.backend_crashes = Counter(
+            "limedeck_backend_crashes",
+            "Back ends that ended while they were at work on requests, as this node knows",
+            registry=registry,
+        )
+        self.quarantines = Counter(
+            "limedeck_quarantines",
+            "Quarantines of requests that end back ends, by whether they began or ended",
+            ["change"],
+            registry=registry,
+        )
+        self.quarantined = Gauge(
+            "limedeck_quarantined_requests",
+            "Requests that are refused because they end back ends, or on probation",
+            registry=registry,
+        )
         self.orders = Counter(
             "limedeck_orders", "Grants and releases", ["kind", "result"], registry=registry
         )
--- a/src/limedeck/routing/outcomes.py
+++ b/src/limedeck/routing/outcomes.py
@@ -78,10 +78,13 @@
         Where it failed.
     problem
         Type of the library's error or what was wrong, for the log.
+    by_other_end
+        The other end closed the connection, or its system refused one.
     """
 
     phase: FailurePhase
     problem: str
+    by_other_end: bool = False
 
     def __str__(self) -> str:
         return f"{self.phase.value}: {self.problem}"
@@ -89,7 +92,9 @@
 
 FULL = frozenset({FailurePhase.TURNED_AWAY, FailurePhase.REFUSED})
 """The back end is there and took nothing more."""
-SURELY_NOT_RUN = FULL | {FailurePhase.NOT_CONNECTED, FailurePhase.NOT_SENT}
+UNREACHED = frozenset({FailurePhase.NOT_CONNECTED, FailurePhase.NOT_SENT})
+"""Nothing of the request came to the back end, nor a connection for it."""
+SURELY_NOT_RUN = FULL | UNREACHED
 
 
 @dataclass(frozen=True)
--- a/tests/system/test_crashing_requests.py
+++ b/tests/system/test_crashing_requests.py
@@ -33,6 +33,7 @@
 """Seconds from then on."""
 MOST_LATER_RUNS = 3
 PATH = "/read/x"
+OTHER_CALLER = "127.0.0.7"
 
 
 @pytest.fixture
@@ -54,6 +55,13 @@
         yield opened
 
 
+@pytest.fixture
+def other_client() -> Iterator[httpx.Client]:
+    """Another caller, at an address of its own."""
+    with httpx.Client(transport=httpx.HTTPTransport(local_address=OTHER_CALLER)) as opened:
+        yield opened
+
+
 def repeat(site: Site, client: httpx.Client, goes_on: Callable[[], bool]) -> Counter[int]:
     """Send the request that ends back ends to one node after the other; count its answers."""
     statuses: Counter[int] = Counter()
@@ -84,3 +92,22 @@
     until = time.monotonic() + WATCHED_FOR
     repeat(site, client, lambda: time.monotonic() < until)
     assert len(site.crashes) - before <= MOST_LATER_RUNS
+
+
+def test_nobody_else_is_refused_for_it(
+    site: Site, client: httpx.Client, other_client: httpx.Client
+) -> None:
+    """Neither who shares its path or its caller, nor what ran beside it."""
+    become_known(site, client)
+    until = time.monotonic() + WATCHED_FOR
+    statuses: Counter[tuple[str, int]] = Counter()
+
+    def others_are_served() -> bool:
+        for node in site.nodes:
+            statuses["path", site.post(other_client, node, PATH, b"other")] += 1
+            statuses["path and caller", site.post(client, node, PATH, b"other")] += 1
+            statuses["caller", site.post(client, node, "/read/y", b"other")] += 1
+        return time.monotonic() < until
+
+    repeat(site, client, others_are_served)
+    assert {status for _, status in statuses} == {200}
--- /dev/null
+++ b/tests/unit/test_crash_watch.py
@@ -0,0 +1,73 @@
+"""A back end that ended is told from one that dropped a connection, by its port."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from limedeck import http_client
+from limedeck.forwarding import budget, content
+from limedeck.model import Backend
+from limedeck.node import crash_watch, state, telemetry
+from limedeck_lab import processes
+from tests.unit import polling
+
+pytestmark = pytest.mark.anyio
+ASKED = content.RequestContent(b"GET", "h", b"/x", "127.0.0.1", b"")
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+def watch_of(node: state.NodeState) -> crash_watch.CrashWatch:
+    return crash_watch.CrashWatch(node, http_client.HttpClient(), telemetry.Telemetry())
+
+
+def node_with(backend: Backend) -> state.NodeState:
+    node = state.NodeState("z1", "n", budget.RetryAllowance(0.2, 30.0, 10.0))
+    node.directory.put(backend, 0.0)
+    return node
+
+
+async def test_a_closed_port_shows_that_the_process_has_ended() -> None:
+    backend = Backend("b", "s", f"127.0.0.1:{processes.free_ports(1)[0]}", "z1", 2)
+    node = node_with(backend)
+    watch = watch_of(node)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(watch.run)
+        await anyio.wait_all_tasks_blocked()
+        watch.note_lost(backend, ASKED)
+        await polling.until(lambda: node.quarantine.suspects_any)
+        tasks.cancel_scope.cancel()
+
+
+async def test_a_back_end_that_still_listens_has_not_ended() -> None:
+    """Full back ends reset connections: an end that is seen later is not the request's fault."""
+    (port,) = processes.free_ports(1)
+    backend = Backend("b", "s", f"127.0.0.1:{port}", "z1", 2)
+    node = node_with(backend)
+    watch = watch_of(node)
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=port)
+    taken = 0
+
+    async def take(stream: anyio.abc.SocketStream) -> None:
+        nonlocal taken
+        taken += 1
+        await stream.aclose()
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, take)
+        tasks.start_soon(watch.run)
+        await anyio.wait_all_tasks_blocked()
+        for _ in range(50):
+            watch.note_lost(backend, ASKED)
+        await polling.until(lambda: taken >= len(crash_watch.LOOKS))
+        await anyio.sleep(0.1)
+        tasks.cancel_scope.cancel()
+    await listener.aclose()
+    # So many lost connections brought no more looks than one.
+    assert taken == len(crash_watch.LOOKS)
+    watch.note_refused(backend)
+    assert not node.quarantine.suspects_any
--- a/tests/unit/test_forwarding.py
+++ b/tests/unit/test_forwarding.py
@@ -245,6 +245,17 @@
     assert last.outcome is Outcome.UNKNOWN
 
 
+def test_an_attempt_that_reached_no_back_end_needs_no_budget() -> None:
+    """While back ends ended one after the other, closed ports used up the retries of all others.
+
+    Of 100 requests that ran beside, 60 were served, and 100 without the one that ended back ends.
+    """
+    for phase in (FailurePhase.NOT_CONNECTED, FailurePhase.NOT_SENT):
+        play = Play(slack=0.0)
+        play.start()
+        assert isinstance(play.fail(phase), Attempt)
+
+
 def test_without_budget_there_is_one_attempt() -> None:
     play = Play(slack=0.0)
     play.start()
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -13,7 +13,7 @@
 from limedeck.forwarding import budget
 from limedeck.identity import Seconds
 from limedeck.model import Backend, Configuration, Route, Service, Target
-from limedeck.node import gateway, request_log, settings, state, telemetry
+from limedeck.node import crash_watch, gateway, request_log, settings, state, telemetry
 from limedeck.platform import headers
 
 pytestmark = pytest.mark.anyio
@@ -53,11 +53,13 @@
 
 
 def gateway_of(node: state.NodeState, client: http_client.HttpClient) -> gateway.CallerGateway:
+    counted = telemetry.Telemetry()
     return gateway.CallerGateway(
         node,
         headers.PlatformProtocol(),
         client,
-        request_log.RequestLog(settings.LogSection(), telemetry.Telemetry()),
+        request_log.RequestLog(settings.LogSection(), counted),
+        crash_watch.CrashWatch(node, client, counted),
     )
 
 
