The steady clock counts the time that the machine was suspended

Cause: leases, confirmations, deadlines and ages were counted by a clock that stands still while the machine is suspended: a leader that woke up took its term for confirmed a moment ago, and a request or an order whose time had ended was sent or waited for. A log line and a counter tell of it.

--- a/src/limedeck/daemon/aiohttp_client.py
+++ b/src/limedeck/daemon/aiohttp_client.py
@@ -8,6 +8,7 @@
 import anyio
 from yarl import URL
 
+from limedeck.clock import steady_clock
 from limedeck.daemon.backend_client import (
     KEEPALIVE_SECONDS,
     LONGEST_CONNECT,
@@ -54,7 +55,7 @@
     async def parts(self) -> AsyncIterator[bytes]:
         while True:
             try:
-                with anyio.fail_after(self._deadline - anyio.current_time()):
+                with anyio.fail_after(self._deadline - steady_clock()):
                     part = await self._response.content.read(PART_BYTES)
             except (aiohttp.ClientError, TimeoutError) as error:
                 reason = type(error).__name__
@@ -75,7 +76,7 @@
         self._session = open_session()
 
     async def send(self, request: BackendRequest, time_left: float) -> BackendAnswer:
-        deadline = anyio.current_time() + time_left
+        deadline = steady_clock() + time_left
         try:
             with anyio.fail_after(time_left):
                 response = await self._session.request(
--- a/src/limedeck/daemon/callers.py
+++ b/src/limedeck/daemon/callers.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from limedeck.clock import steady_clock
 from limedeck.daemon.backend_client import (
     NOT_OWNER,
     AttemptRefused,
@@ -22,7 +23,6 @@
     RequestRefused,
     read_request,
 )
-from limedeck.daemon.clock import boot_clock
 from limedeck.daemon.control_host import ControlHost
 from limedeck.daemon.in_flight import InFlightRequests
 from limedeck.daemon.logs import get_logger
@@ -95,7 +95,7 @@
         """Handle one request."""
         if scope["type"] != "http":
             return
-        started = boot_clock()
+        started = steady_clock()
         try:
             self._follow_config()
             request = await read_request(self._host.core.config, scope, receive, started)
@@ -109,7 +109,7 @@
         if result is not None:
             await self._send_result(send, result, request)
         service = request.target.service.name
-        self._telemetry.request_seconds.labels(service).observe(boot_clock() - started)
+        self._telemetry.request_seconds.labels(service).observe(steady_clock() - started)
 
     # ------------------------------------------------------------------ reading
 
@@ -149,7 +149,7 @@
         key = (request.target.service.name, request.request_id)
         earlier = self._in_flight.find(key)
         if earlier is not None:
-            shared = await earlier.wait(request.deadline - boot_clock())
+            shared = await earlier.wait(request.deadline - steady_clock())
             return shared or _in_flight_elsewhere()
         with self._in_flight.track(key) as entry:
             result = await self._run(request)
@@ -160,7 +160,7 @@
     async def _run(self, request: CallerRequest) -> Result:
         service = request.target.service.name
         budget = self._budgets.setdefault(service, RetryBudget())
-        now = boot_clock()
+        now = steady_clock()
         budget.note_request(now)
         core = RequestCore(
             request.request_id, request.target, request.deadline, self._view, budget, now
@@ -185,11 +185,11 @@
         self._waiting[service] = waiting + 1
         self._telemetry.waiting.labels(service).set(waiting + 1)
         try:
-            await self._host.wait_for_change(wait.until - boot_clock())
+            await self._host.wait_for_change(wait.until - steady_clock())
         finally:
             self._waiting[service] -= 1
             self._telemetry.waiting.labels(service).set(self._waiting[service])
-        return core.next_command(boot_clock())
+        return core.next_command(steady_clock())
 
     async def _attempt(
         self, core: RequestCore, attempt: Attempt, request: CallerRequest
@@ -198,25 +198,25 @@
         state = self._backends.state(attempt.backend.backend_id)
         state.outstanding += 1
         self._telemetry.running.inc()
-        started = boot_clock()
+        started = steady_clock()
         result = "cancelled"
         try:
             answer = await self._client.send(
                 _backend_request(request, attempt, started), attempt.deadline - started
             )
             gathered = await self._gather(answer)
-            state.note_answer(boot_clock() - started)
+            state.note_answer(steady_clock() - started)
             result = "answered"
             return gathered
         except AttemptRefused as error:
             result = error.refusal
             not_owner = error.refusal == NOT_OWNER
             if not not_owner:
-                state.note_failure(boot_clock())
-            return core.handle_failure(FailurePhase.REFUSED, boot_clock(), not_owner)
+                state.note_failure(steady_clock())
+            return core.handle_failure(FailurePhase.REFUSED, steady_clock(), not_owner)
         except AttemptFailed as error:
             result = error.phase.value
-            state.note_failure(boot_clock())
+            state.note_failure(steady_clock())
             self._log.info(
                 "attempt_failed",
                 request_id=request.request_id,
@@ -224,7 +224,7 @@
                 phase=error.phase.value,
                 reason=error.problem,
             )
-            return core.handle_failure(error.phase, boot_clock())
+            return core.handle_failure(error.phase, steady_clock())
         finally:
             state.outstanding -= 1
             self._telemetry.running.dec()
--- a/src/limedeck/daemon/clock.py
+++ b/src/limedeck/daemon/clock.py
@@ -1,15 +1,10 @@
-"""The clock that leases are counted by."""
+"""The numbers of a process's runs."""
 
 from __future__ import annotations
 
 import time
 
-from limedeck.identity import Incarnation, Seconds
-
-
-def boot_clock() -> Seconds:
-    """Seconds since the machine started, time spent suspended included."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
+from limedeck.identity import Incarnation
 
 
 def new_incarnation() -> Incarnation:
--- a/src/limedeck/daemon/control_host.py
+++ b/src/limedeck/daemon/control_host.py
@@ -11,6 +11,7 @@
 
 from limedeck.api.backend_pb2 import LeaseReply
 from limedeck.api.peer_pb2 import GroupRecord, PeerMessage
+from limedeck.clock import steady_clock
 from limedeck.config.store import ConfigStore
 from limedeck.control.events import (
     ConfigReceived,
@@ -36,7 +37,6 @@
 from limedeck.control.leases import LeaseExchange
 from limedeck.control.node import ControlCommand, ControlNode, PollConfig, ReadMachines, SendPeer
 from limedeck.daemon.aiohttp_client import open_session
-from limedeck.daemon.clock import boot_clock
 from limedeck.daemon.logs import get_logger
 from limedeck.daemon.telemetry import Telemetry
 from limedeck.errors import PlatformError, TransactionConflict
@@ -90,7 +90,7 @@
 
     def dispatch(self, event: ControlEvent) -> None:
         """Hand the core an event and carry out what it wants done."""
-        for command in self.core.handle(event, boot_clock()):
+        for command in self.core.handle(event, steady_clock()):
             self._carry_out(command)
         self._note_changes()
 
--- a/src/limedeck/daemon/httpx_client.py
+++ b/src/limedeck/daemon/httpx_client.py
@@ -7,6 +7,7 @@
 import anyio
 import httpx
 
+from limedeck.clock import steady_clock
 from limedeck.daemon.backend_client import (
     KEEPALIVE_SECONDS,
     LONGEST_CONNECT,
@@ -32,7 +33,7 @@
         stream = self._response.aiter_raw()
         while True:
             try:
-                with anyio.fail_after(self._deadline - anyio.current_time()):
+                with anyio.fail_after(self._deadline - steady_clock()):
                     part = await anext(stream, None)
             except (httpx.HTTPError, TimeoutError) as error:
                 reason = type(error).__name__
@@ -57,7 +58,7 @@
 
     async def send(self, request: BackendRequest, time_left: float) -> BackendAnswer:
         pool = self._pools.get(request.address) or self._open_pool(request.address)
-        deadline = anyio.current_time() + time_left
+        deadline = steady_clock() + time_left
         timeout = httpx.Timeout(time_left, connect=min(time_left, LONGEST_CONNECT))
         outgoing = pool.build_request(
             request.method,
--- a/src/limedeck/daemon/server.py
+++ b/src/limedeck/daemon/server.py
@@ -12,6 +12,7 @@
 from hypercorn.asyncio import serve
 from hypercorn.config import Config, Sockets
 
+from limedeck.clock import steady_clock
 from limedeck.config.settings import DaemonSettings
 from limedeck.config.store import ConfigStore
 from limedeck.control.node import ControlNode
@@ -19,7 +20,7 @@
 from limedeck.daemon.aiohttp_client import AiohttpBackendClient
 from limedeck.daemon.backend_client import BackendClient
 from limedeck.daemon.callers import CallerGateway
-from limedeck.daemon.clock import boot_clock, new_incarnation
+from limedeck.daemon.clock import new_incarnation
 from limedeck.daemon.control_host import ControlHost
 from limedeck.daemon.httpx_client import HttpxBackendClient
 from limedeck.daemon.logs import get_logger
@@ -119,7 +120,7 @@
             self._settings.node.seeds,
             self._settings.control.to_timing(),
             self._settings.control.to_limits(),
-            boot_clock(),
+            steady_clock(),
         )
         host: ControlHost | None = None
         try:
--- a/src/limedeck/http_client.py
+++ b/src/limedeck/http_client.py
@@ -7,10 +7,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import select
 import socket
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
 import anyio
@@ -40,6 +41,8 @@
 request with 20 s left failed after 20 s (test_silent_connections.py)."""
 UNACKNOWLEDGED = "unacknowledged"
 """Problem of an attempt whose connection was given up by that bound."""
+OUT_OF_TIME = "out of time"
+"""Problem of an attempt that was given up when its time was over."""
 CONNECTION_REFUSED = "connection refused"
 """Problem of an attempt: the machine answers, and no process listens at the port."""
 READ_BYTES = 65_536
@@ -227,6 +230,7 @@
         self._connect_timeout = connect_timeout
         self._socket_options = socket_options
         self._idle: dict[str, deque[_Connection]] = {}
+        self._under_way: dict[anyio.CancelScope, Seconds] = {}
         self.connections_opened = 0
 
     async def exchange(self, request: HttpRequest, until: Seconds) -> HttpAnswer:
@@ -240,12 +244,12 @@
         connection = await self._take(request, until)
         reusable = False
         try:
-            with anyio.move_on_after(until - steady_clock()):
+            with self._ended_at(until):
                 answer = await connection.exchange(request)
                 sent_whole = connection.sent_whole(request)
                 reusable = connection.can_be_reused(answer, sent_whole, steady_clock())
                 return answer
-            raise AttemptFailed(FailurePhase.AWAITING, "out of time")
+            raise AttemptFailed(FailurePhase.AWAITING, OUT_OF_TIME)
         except AttemptFailed as error:
             if error.problem == UNACKNOWLEDGED:
                 await self._drop_address(request.address)
@@ -257,6 +261,29 @@
                 with anyio.CancelScope(shield=True):
                     await connection.aclose()
 
+    @contextlib.contextmanager
+    def _ended_at(self, until: Seconds) -> Iterator[None]:
+        """Leave the block when the time is over."""
+        time_left = until - steady_clock()
+        if time_left <= 0.0:
+            # The machine was suspended while the connection came up, which no timer counts.
+            raise AttemptFailed(FailurePhase.NOT_SENT, OUT_OF_TIME)
+        with anyio.move_on_after(time_left) as scope:
+            self._under_way[scope] = until
+            try:
+                yield
+            finally:
+                del self._under_way[scope]
+
+    def end_overdue(self, now: Seconds) -> None:
+        """Give up exchanges whose time is over, although their timers have not ended.
+
+        Timers do not count the time that the machine was suspended.
+        """
+        for scope, until in self._under_way.items():
+            if until <= now:
+                scope.cancel()
+
     async def try_connect(self, address: str, until: Seconds) -> None:
         """Open a connection and close it: whether somebody listens there.
 
--- a/src/limedeck/identity.py
+++ b/src/limedeck/identity.py
@@ -15,7 +15,7 @@
 """One run of a process: larger for every later run of the same node or back end."""
 
 Seconds = float
-"""A reading of, or a span on, one process's own monotonic clock."""
+"""A reading of, or a span on, one machine's own steady clock."""
 
 NEVER: Seconds = float("-inf")
 """When something happened that has not happened."""
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -37,6 +37,7 @@
 from limedeck.node.request_log import RequestLog
 from limedeck.node.settings import NodeSettings
 from limedeck.node.state import NodeState
+from limedeck.node.suspension import SuspensionWatch
 from limedeck.node.telemetry import Telemetry
 from limedeck.node.watchers import TableFollower, TableWatcher
 from limedeck.ownership.timing import timing_within
@@ -116,13 +117,14 @@
         platform_store = PlatformStore(settings.store.address, settings.store.timeout)
         store = CountedStore(platform_store, self._telemetry)
         backend_client = HttpClient(settings.node.ip)
+        order_client = HttpClient(settings.node.ip)
         control = ControlHost(
             self._identity,
             self._state,
             store,
             PlatformOrders(),
             self._protocol.key_positions,
-            HttpClient(settings.node.ip),
+            order_client,
             self._timing,
             self._telemetry,
             settings.node.processor,
@@ -136,6 +138,8 @@
         async with anyio.create_task_group() as tasks:
             self._start_control(tasks, control, store)
             tasks.start_soon(watch.run)
+            clients = (backend_client, order_client)
+            tasks.start_soon(SuspensionWatch(clients, self._telemetry).run)
             tasks.start_soon(self._upkeep, backend_client)
             tasks.start_soon(self._log_store_calls, store)
             await self._serve_until_stopped(gateway, control)
--- a/src/limedeck/node/telemetry.py
+++ b/src/limedeck/node/telemetry.py
@@ -45,6 +45,11 @@
             "Requests that are refused because they end back ends, or on probation",
             registry=registry,
         )
+        self.suspended_seconds = Counter(
+            "limedeck_suspended_seconds",
+            "Time that the machine was suspended while this node ran",
+            registry=registry,
+        )
         self.orders = Counter(
             "limedeck_orders", "Grants and releases", ["kind", "result"], registry=registry
         )
--- a/src/limedeck_lab/standins/backend_server.py
+++ b/src/limedeck_lab/standins/backend_server.py
@@ -14,8 +14,9 @@
 from pydantic import BaseModel, ValidationError
 
 from limedeck.api.backend_pb2 import LeaseRequest
+from limedeck.clock import steady_clock
 from limedeck.daemon.backend_client import REFUSAL_HEADER
-from limedeck.daemon.clock import boot_clock, new_incarnation
+from limedeck.daemon.clock import new_incarnation
 from limedeck.daemon.control_host import LEASE_PATH, PROTOBUF_TYPE
 from limedeck.daemon.server import http_config
 from limedeck.node.asgi import Message, Receive, Scope, Send
@@ -96,7 +97,7 @@
     thawed: anyio.Event = field(default_factory=anyio.Event)
 
     def __post_init__(self) -> None:
-        self.started_at = boot_clock()
+        self.started_at = steady_clock()
         self.slots = anyio.Semaphore(self.specification.slots)
         self.thawed.set()
 
@@ -188,7 +189,7 @@
         except DecodeError:
             await _answer(send, 400, b"not a lease request")
             return
-        reply = served.backend.handle_lease(request, boot_clock())
+        reply = served.backend.handle_lease(request, steady_clock())
         await _answer(send, 200, reply.SerializeToString(), PROTOBUF_TYPE)
 
     async def _work(
@@ -207,11 +208,11 @@
             return
         if served.faults.cut_before:
             await _cut(send)
-        number = served.backend.admit(work, boot_clock())
+        number = served.backend.admit(work, steady_clock())
         if isinstance(number, Refusal):
             await _refuse(send, number)
             return
-        deadline = boot_clock() + int(headers.get("limedeck-deadline-ms", 60_000)) / MILLISECONDS
+        deadline = steady_clock() + int(headers.get("limedeck-deadline-ms", 60_000)) / MILLISECONDS
         try:
             refusal = await self._run_unless_cancelled(served, number, deadline, receive)
         finally:
@@ -240,12 +241,12 @@
 
     async def _run(self, served: ServedBackend, number: int, deadline: float) -> Refusal | None:
         async with served.slots:
-            mean = served.specification.service_seconds * served.slowness(boot_clock())
+            mean = served.specification.service_seconds * served.slowness(steady_clock())
             await anyio.sleep(self._random.uniform(0.5, 1.5) * mean)
             await served.pass_freeze()
-            if boot_clock() > deadline:
+            if steady_clock() > deadline:
                 return Refusal.EXPIRED
-            return served.backend.execute(number, boot_clock())
+            return served.backend.execute(number, steady_clock())
 
     async def _answer_work(
         self, served: ServedBackend, work: Work, scope: Scope, body: bytes, send: Send
