What may have ended three back ends waits until it is judged; the soak plays crashes and sleeping machines

Before, a caller that came each 0.3 s met two more nodes within the 0.8 s until a crash is judged, and each of them tried it at as many back ends as its route allows: with six back ends all were down at once. Tests: without leader and store; after an end of all nodes; figures and logs; others' share.

--- a/src/limedeck/forwarding/crashes.py
+++ b/src/limedeck/forwarding/crashes.py
@@ -67,6 +67,17 @@
         """When a suspect was served last."""
         return self._served.get(request, NEVER)
 
+    def unsettled_since(self, request: int, settled: Seconds) -> Seconds:
+        """When the last back end ended under a request that may have ended enough of them.
+
+        Never, if others' part in these crashes is known, or they are too few.
+        """
+        if self._suspects[request] < CRASHES_TO_CONVICT:
+            return NEVER
+        found = (crash.at for crash in self._crashes.values() if request in crash.requests)
+        last = max(found, default=NEVER)
+        return last if last > settled else NEVER
+
     def is_suspect(self, request: int) -> bool:
         """Whether it was lost in a crash and has not been served since."""
         return request in self._suspects
--- a/src/limedeck/forwarding/quarantine.py
+++ b/src/limedeck/forwarding/quarantine.py
@@ -42,6 +42,8 @@
 """A crash is judged so long after it was found out. Until then nodes tell each other what each of
 them lost in it; two that were lost at different nodes would each be blamed by its own otherwise.
 Above two looks at a port (0.1 s), a report's interval (0.25 s) and a status's (0.3 s)."""
+JUDGED_WITHIN: Seconds = GATHERING + 0.15
+"""A crash is surely judged so long after it was found out: nodes look ten times a second."""
 MOST_LOSSES = 64
 """Requests lost at one back end that are remembered until its end is known."""
 MOST_QUARANTINED = 2048
@@ -180,6 +182,15 @@
         trial = max(trial, self._trials.get(request, NEVER) + TRIAL_TIME)
         return trial - now if trial > now else None
 
+    def held_until(self, request: int, now: Seconds) -> Seconds | None:
+        """Until when a request waits for the judgement on it; None if it need not wait.
+
+        Three back ends have ended with it under way, and nobody knows yet whether by its fault. In
+        that time its caller would come twice more, and end as many back ends as it has attempts.
+        """
+        since = self._evidence.unsettled_since(request, now - JUDGED_WITHIN)
+        return None if since == NEVER else since + JUDGED_WITHIN
+
     def note_sent(self, request: int, now: Seconds) -> None:
         """It is sent to a back end."""
         if request in self._quarantines:
@@ -374,6 +385,12 @@
             return None
         return self._ledger.refused_for(self._content.fingerprint, now)
 
+    def held_until(self, now: Seconds) -> Seconds | None:
+        """Until when the request waits for the judgement on it; None if it need not wait."""
+        if not self._ledger.suspects_any:
+            return None
+        return self._ledger.held_until(self._content.fingerprint, now)
+
     def note_sent(self, now: Seconds) -> None:
         """It is sent to a back end."""
         if self._ledger.refuses_any:
--- a/src/limedeck/forwarding/request.py
+++ b/src/limedeck/forwarding/request.py
@@ -219,15 +219,23 @@
         """Decide what to do: at the start, after a `Wait`, and after a failure."""
         if now + SHORTEST_ATTEMPT >= self.until:
             return self._refuse(Reason.TIMED_OUT, RETRY_AFTER)
-        refused_for = self.guard.refused_for(now) if self.guard else None
-        if refused_for is not None:
-            return self._refuse(Reason.QUARANTINED, refused_for)
+        stopped = self._stopped_by_guard(self.guard, now) if self.guard else None
+        if stopped is not None:
+            return stopped
         if not self.service.keyed:
             return self._try_any(now, node_count)
         if self.position is None:
             return self._refuse(Reason.BAD_KEY, RETRY_AFTER)
         return self._try_owner(self.position, now, node_count)
 
+    def _stopped_by_guard(self, guard: RequestGuard, now: Seconds) -> Command | None:
+        """Refuse what ends back ends; let what may do so wait for the judgement."""
+        refused_for = guard.refused_for(now)
+        if refused_for is not None:
+            return self._refuse(Reason.QUARANTINED, refused_for)
+        held_until = guard.held_until(now)
+        return None if held_until is None else Wait(min(held_until, self.until))
+
     def give_up(self) -> Refuse:
         """Refuse it now, whatever is under way: this process is about to end."""
         self.maybe_run = self.maybe_run or self._in_flight is not None
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 import signal
 import threading
 import time
 from typing import TYPE_CHECKING
 
+import httpx
+
 from limedeck_lab.standins import row_store
-from tests.soak import proxy
+from tests.soak import judging, proxy
 from tests.soak.series import Kind, Series
 from tests.system import platform_site
 
@@ -18,11 +21,15 @@
 
     import anyio.from_thread
 
-    from tests.soak import judging
+    from tests.soak import suspendable_node
 
 MOST_KILLED_AT_ONCE = 3
 FAULT_SECONDS = (0.3, 3.0)
 PAUSE_SECONDS = (0.5, 4.0)
+CRASH_REPEATS = 24
+CRASH_PAUSE = 0.3
+"""Seconds between two tries of a caller whose request ends back ends: some ten in all."""
+CRASH_PATIENCE = 4.0
 
 
 class Nodes:
@@ -67,6 +74,8 @@
     ----------
     proxies
         In front of back ends and of the store.
+    suspendable
+        By number, nodes whose machines can be suspended.
     """
 
     def __init__(
@@ -76,7 +85,10 @@
         nodes: Nodes,
         proxies: list[proxy.FaultyProxy],
         portal: anyio.from_thread.BlockingPortal,
+        suspendable: dict[int, suspendable_node.SuspendedTime],
     ) -> None:
+        self._suspendable = suspendable
+        self._suspending = threading.Lock()
         self._site = site
         self._judge = judge
         self._nodes = nodes
@@ -100,6 +112,8 @@
             Kind.SILENCE: self._silence,
             Kind.STORE_FAULTS: self._spoil_store,
             Kind.FORGET: self._forget,
+            Kind.CRASH: self._crash,
+            Kind.SUSPEND: self._suspend,
         }[drawn.kind]
         for number in range(drawn.steps):
             if ended.wait(drawn.gap):
@@ -167,6 +181,46 @@
         process.signal(signal.SIGCONT)
         self._judge.note_unplanned()
 
+    def _suspend(self, source: random.Random) -> None:
+        """A machine sleeps: its processes stand still, and their timers do not count that."""
+        seconds = source.uniform(*PAUSE_SECONDS)
+        number, suspended = source.choice(list(self._suspendable.items()))
+        with self._suspending:
+            process = self._site.nodes[number].process
+            self._note_held_up(seconds)
+            process.signal(signal.SIGSTOP)
+            began = time.monotonic()
+            time.sleep(seconds)
+            suspended.add(time.monotonic() - began)
+            process.signal(signal.SIGCONT)
+        self._judge.note_unplanned()
+
+    def _crash(self, source: random.Random) -> None:
+        """A request that ends back ends comes again and again, at any node."""
+        body = platform_site.CRASHING + b"-%d" % source.getrandbits(32)
+        path = source.choice(["/keyed/x", "/plain/x"])
+        key = source.randrange(platform_site.KEYS)
+        later = 0
+        with httpx.Client(timeout=CRASH_PATIENCE, trust_env=False) as client:
+            for _ in range(CRASH_REPEATS):
+                later += self._send_crashing(client, source, path, body, key)
+                time.sleep(CRASH_PAUSE)
+        self._judge.note_crashes(body, later)
+
+    def _send_crashing(
+        self, client: httpx.Client, source: random.Random, path: str, body: bytes, key: int
+    ) -> int:
+        """Send it once; return how many back ends that were to be spared ended under it."""
+        node = self._site.nodes[self._any_node(source)]
+        before = self._site.crashes_under(body)
+        began = time.monotonic()
+        with contextlib.suppress(httpx.HTTPError):
+            self._site.post(client, node, path, body, key)
+        is_known = len(before) >= 3 and began > before[2] + judging.KNOWN
+        if not is_known or not self._judge.is_calm_since(began - judging.KNOWN):
+            return 0
+        return len(self._site.crashes_under(body)) - len(before)
+
     def _spoil(self, source: random.Random) -> None:
         modes = [proxy.Mode.DELAY, proxy.Mode.CUT_REPLIES, proxy.Mode.SILENT]
         chosen = self._some_proxies(source)
--- a/tests/soak/judging.py
+++ b/tests/soak/judging.py
@@ -21,6 +21,9 @@
 """Seconds after which a new configuration must be in force."""
 CROSSING = 0.2
 """A request that was sent so shortly before its connection ended may not have been read."""
+KNOWN = 3.0
+"""Seconds after the third back end has ended under a request until all nodes know it."""
+MOST_LATER_CRASHES = 3
 MOST_TOLD = 5
 
 
@@ -90,6 +93,11 @@
             until = time.monotonic() + seconds + TOUCH
             self._unplanned_until = max(self._unplanned_until, until)
 
+    def is_calm_since(self, began: float) -> bool:
+        """Whether nothing unplanned has happened from some time before `began` until now."""
+        with self._lock:
+            return began > self._unplanned_until
+
     def note_version(self, number: int) -> None:
         """A configuration was written."""
         with self._lock:
@@ -157,6 +165,12 @@
         """Whether nothing unplanned has happened from some time before until now."""
         return reply.began > self._unplanned_until
 
+    def note_crashes(self, body: bytes, later: int) -> None:
+        """So many back ends ended under a request that all nodes in touch must have known."""
+        if later > MOST_LATER_CRASHES:
+            with self._lock:
+                self._blame(f"{later} back ends ended under {body!r} after it must be known")
+
     # ------------------------------------------------------------------ the end
 
     def judge_end(self) -> None:
--- a/tests/soak/series.py
+++ b/tests/soak/series.py
@@ -26,8 +26,12 @@
     SILENCE = "silence"
     STORE_FAULTS = "store-faults"
     FORGET = "forget"
+    CRASH = "crash"
+    SUSPEND = "suspend"
 
 
+OF_FIRST_SEEDS = tuple(kind for kind in Kind if kind not in (Kind.CRASH, Kind.SUSPEND))
+"""What seeds draw from that were recorded before requests ended back ends and machines slept."""
 PLANNED = (Kind.STOP, Kind.HANG_UP, Kind.CONFIGURE, Kind.DRAIN)
 """What operators do; no request may be lost by it."""
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -22,7 +22,7 @@
 import httpx
 
 from limedeck_lab import processes
-from tests.soak import callers, faults, judging, proxy, series
+from tests.soak import callers, faults, judging, proxy, series, suspendable_node
 from tests.system import platform_site
 
 if TYPE_CHECKING:
@@ -121,6 +121,7 @@
         self._proxies: list[proxy.FaultyProxy] = []
         self._stores: list[str] = []
         self._lives = [0] * nodes
+        self._suspendable = self._suspendable_nodes() if series.Kind.SUSPEND in kinds else {}
 
     def run(self, seconds: float) -> judging.Result:
         """Start everything, run series of faults for so long, heal, and judge."""
@@ -178,18 +179,21 @@
         for number in range(KEYED + PLAIN):
             service = "keyed" if number < KEYED else "plain"
             real, shown = addresses.pop(), addresses.pop()
+            shield = proxy.FaultyProxy(shown, real)
             upstream = platform_site.Upstream(
-                f"i-{number}", service, service == "keyed", shown, self.site
+                f"i-{number}", service, service == "keyed", shown, self.site, shield
             )
             self.site.upstreams.append(upstream)
             self.site.list_upstream(upstream)
-            self._proxies.append(proxy.FaultyProxy(shown, real))
+            self._proxies.append(shield)
             served.append((upstream, real))
         for _ in range(self.result.nodes):
             shown = addresses.pop()
             self._stores.append(shown)
             self._proxies.append(proxy.FaultyProxy(shown, store))
-        steps = faults.Faults(self.site, self.judge, self._nodes, self._proxies, portal)
+        steps = faults.Faults(
+            self.site, self.judge, self._nodes, self._proxies, portal, self._suspendable
+        )
         steps.configure()
         ended = portal.call(anyio.Event)
         tasks = [portal.start_task_soon(platform_site.serve_until, *item, ended) for item in served]
@@ -206,7 +210,16 @@
         life = self._lives[number]
         self._lives[number] += 1
         store = self._stores[number]
-        return platform_site.start_node(self._group, self._folder, store, number, life)
+        suspended = self._suspendable.get(number)
+        return platform_site.start_node(self._group, self._folder, store, number, life, suspended)
+
+    def _suspendable_nodes(self) -> dict[int, suspendable_node.SuspendedTime]:
+        """Every second node; the others run on the event loop that the product uses."""
+        found = {}
+        for number in range(0, self.result.nodes, 2):
+            found[number] = suspendable_node.SuspendedTime(self._folder / f"suspended-{number}")
+            found[number].create()
+        return found
 
     def _all_ready(self) -> bool:
         return all(node.is_ready() for node in self.site.nodes)
--- a/tests/system/platform_site.py
+++ b/tests/system/platform_site.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import itertools
 import json
 import signal
@@ -20,7 +21,9 @@
 
 from limedeck_lab.processes import ManagedProcess, ProcessGroup, free_ports, wait_until
 from limedeck_lab.standins.row_store import RowStoreStandIn, StoreWords
+from tests.soak import suspendable_node
 from tests.soak.proxy import FaultyProxy
+from tests.soak.suspendable_node import SuspendedTime
 
 WORDS = StoreWords(
     read="/v1/rows-get",
@@ -63,6 +66,7 @@
     site: Site
     proxy: FaultyProxy | None = None
     life: int = 0
+    down: bool = False
     draining: bool = False
     silent: bool = False
     held: dict[tuple[int, int], tuple[int, float]] = field(default_factory=dict)
@@ -125,7 +129,7 @@
             return
         self.site.runs.append((request_id.decode(), self.name))
         await anyio.sleep(WORK_TIME)
-        if CRASHING in body and self.proxy is not None:
+        if CRASHING in body and self.proxy is not None and not self.down:
             self.site.crashes.append(Crash(time.monotonic(), body, self.name))
             await self._crash(self.proxy)
             return
@@ -135,6 +139,7 @@
     async def _crash(self, proxy: FaultyProxy) -> None:
         """End, and come back some time later under another id and without any keys."""
         proxy.crash(DOWN_TIME)
+        self.down = True
         self.held = {}
         self.released = []
         former = self.name
@@ -142,6 +147,7 @@
         self.name = f"{former.partition('.')[0]}.{self.life}"
         with anyio.CancelScope(shield=True):
             await anyio.sleep(DOWN_TIME)
+        self.down = False
         self.site.store.drop("servers", "", former)
         self.site.list_upstream(self)
 
@@ -217,6 +223,10 @@
             return False
 
 
+def _not_started(number: int, life: int) -> NodeProcess:
+    raise NotImplementedError(f"node {number} of a site that does not run")
+
+
 @dataclass
 class Site:
     """Store, upstreams and nodes.
@@ -227,6 +237,8 @@
         Requests that ran, and where.
     two_owners
         Pairs of upstreams that held a key at the same moment.
+    start_life
+        Starts a life of a node, by the numbers of both.
     """
 
     store: RowStoreStandIn = field(default_factory=lambda: RowStoreStandIn(WORDS))
@@ -236,6 +248,8 @@
     two_owners: list[tuple[str, str]] = field(default_factory=list)
     crashes: list[Crash] = field(default_factory=list)
     sent: int = 0
+    lives: int = 0
+    start_life: Callable[[int, int], NodeProcess] = _not_started
 
     def judge(self) -> None:
         """Look for keys that two upstreams hold."""
@@ -251,6 +265,13 @@
             if owner != rival and _meet(one, other):
                 self.two_owners.append((owner, rival))
 
+    def restart_nodes(self) -> None:
+        """Start another life of every node that has ended."""
+        for number, node in enumerate(self.nodes):
+            if not node.process.is_running:
+                self.lives += 1
+                self.nodes[number] = self.start_life(number, self.lives)
+
     def list_upstream(self, upstream: Upstream) -> None:
         """Write an upstream's entry to the store."""
         self.store.put("servers", upstream.name, upstream.entry())
@@ -274,10 +295,16 @@
         """Send one request with an id of its own."""
         return client.get(f"http://{node.callers}{path}", headers=self._headers(key))
 
-    def post(self, client: httpx.Client, node: NodeProcess, path: str, body: bytes) -> int:
+    def post(
+        self, client: httpx.Client, node: NodeProcess, path: str, body: bytes, key: int = 0
+    ) -> int:
         """Send one request with an id of its own and a body; return the answer's status."""
         url = f"http://{node.callers}{path}"
-        return client.post(url, headers=self._headers(0), content=body).status_code
+        return client.post(url, headers=self._headers(key), content=body).status_code
+
+    def crashes_under(self, body: bytes) -> list[float]:
+        """When upstreams ended under the requests with this body."""
+        return [crash.at for crash in self.crashes if crash.body == body]
 
     def _headers(self, key: int) -> dict[str, str]:
         self.sent += 1
@@ -335,15 +362,22 @@
 
 
 def start_node(
-    processes: ProcessGroup, folder: Path, store: str, number: int, life: int = 0
+    processes: ProcessGroup,
+    folder: Path,
+    store: str,
+    number: int,
+    life: int = 0,
+    suspended: SuspendedTime | None = None,
 ) -> NodeProcess:
-    """Start one node."""
+    """Start one node, on a machine that can be suspended if that is given."""
     ports = free_ports(3)
     settings = folder / f"node-{number}-{life}.toml"
     settings.write_text(_settings(store, number, ports))
-    process = processes.start(
-        f"node-{number}-{life}", "limedeck.node", ["--settings", str(settings)]
-    )
+    module, arguments = "limedeck.node", ["--settings", str(settings)]
+    if suspended is not None:
+        module = suspendable_node.__name__
+        arguments = [str(suspended.path), *arguments]
+    process = processes.start(f"node-{number}-{life}", module, arguments)
     return NodeProcess(process, f"127.0.0.1:{ports[0]}", f"127.0.0.1:{ports[1]}", settings)
 
 
@@ -373,8 +407,9 @@
         futures = [portal.start_task_soon(serve_until, app, where, ended) for app, where in served]
         futures += [portal.start_task_soon(proxy.serve, ended) for proxy in proxies]
         try:
+            site.start_life = functools.partial(start_node, processes, folder, store_address)
             for number in range(nodes):
-                site.nodes.append(start_node(processes, folder, store_address, number))
+                site.nodes.append(site.start_life(number, 0))
             wait_until(lambda: all(node.is_ready() for node in site.nodes), "nodes are ready")
             wait_until(site.everything_is_held, "all keys are held")
             yield site
--- a/tests/system/test_crashing_requests.py
+++ b/tests/system/test_crashing_requests.py
@@ -12,6 +12,8 @@
 from __future__ import annotations
 
 import itertools
+import json
+import signal
 import time
 from collections import Counter
 from collections.abc import Callable, Iterator
@@ -21,10 +23,18 @@
 import pytest
 
 from limedeck_lab.processes import wait_until
-from tests.system.platform_site import CRASHING, ROUTES, Site, route, running_site
+from limedeck_lab.standins.row_store import Fault
+from tests.system.platform_site import (
+    CRASHING,
+    ROUTES,
+    NodeProcess,
+    Site,
+    route,
+    running_site,
+)
 
 NODES = 3
-PLAIN = 6
+PLAIN = 14
 RETRY_PAUSE = 0.3
 """Seconds between two tries of the caller whose request ends back ends."""
 KNOWN_WITHIN = 3.0
@@ -32,6 +42,9 @@
 WATCHED_FOR = 8.0
 """Seconds from then on."""
 MOST_LATER_RUNS = 3
+MANY = 100_000
+"""Calls to the store that are refused: more than come in any of these tests."""
+QUARANTINE_TABLE = "limedeck_quarantine"
 PATH = "/read/x"
 OTHER_CALLER = "127.0.0.7"
 
@@ -62,12 +75,30 @@
         yield opened
 
 
+def figure(node: NodeProcess, name: str) -> float:
+    """Read one of a node's own figures."""
+    for line in httpx.get(f"http://{node.readiness}/metrics").text.splitlines():
+        if line.startswith(f"{name} "):
+            return float(line.rpartition(" ")[2])
+    return 0.0
+
+
+def leads(node: NodeProcess) -> bool:
+    return figure(node, "limedeck_leads") == 1.0
+
+
+def quarantined(node: NodeProcess) -> float:
+    return figure(node, "limedeck_quarantined_requests")
+
+
 def repeat(site: Site, client: httpx.Client, goes_on: Callable[[], bool]) -> Counter[int]:
     """Send the request that ends back ends to one node after the other; count its answers."""
     statuses: Counter[int] = Counter()
     for node in itertools.cycle(site.nodes):
         if not goes_on():
             return statuses
+        if not node.process.is_running:
+            continue
         statuses[site.post(client, node, PATH, CRASHING)] += 1
         time.sleep(RETRY_PAUSE)
     raise AssertionError
@@ -94,6 +125,63 @@
     assert len(site.crashes) - before <= MOST_LATER_RUNS
 
 
+def test_without_a_leader_and_a_store_the_nodes_that_are_left_know_it(
+    site: Site, client: httpx.Client
+) -> None:
+    """Nobody can be elected: each node would lose three back ends of its own."""
+    site.store.faults.extend([Fault.REFUSE] * MANY)
+    next(node for node in site.nodes if leads(node)).process.signal(signal.SIGKILL)
+    wait_until(lambda: sum(node.process.is_running for node in site.nodes) == 2, "it has ended")
+    become_known(site, client)
+    before = len(site.crashes)
+    until = time.monotonic() + WATCHED_FOR
+    repeat(site, client, lambda: time.monotonic() < until)
+    assert len(site.crashes) - before <= MOST_LATER_RUNS
+    site.store.faults.clear()
+
+
+def test_after_an_end_of_all_nodes_it_is_still_known(site: Site, client: httpx.Client) -> None:
+    become_known(site, client)
+    wait_until(lambda: (QUARANTINE_TABLE, "", "requests") in site.store.rows, "it is recorded")
+    for node in site.nodes:
+        node.process.signal(signal.SIGKILL)
+        node.process.wait()
+    site.restart_nodes()
+    wait_until(lambda: all(node.is_ready() for node in site.nodes), "nodes are ready")
+    wait_until(lambda: all(quarantined(node) == 1.0 for node in site.nodes), "it is known")
+    before = len(site.crashes)
+    until = time.monotonic() + WATCHED_FOR
+    repeat(site, client, lambda: time.monotonic() < until)
+    assert len(site.crashes) == before
+
+
+def test_logs_and_figures_of_every_node_tell_of_it(site: Site, client: httpx.Client) -> None:
+    become_known(site, client)
+    for node in site.nodes:
+        assert quarantined(node) == 1.0
+        events = [json.loads(line) for line in node.process.log.read_text().splitlines()]
+        (began,) = [item for item in events if item["event"] == "quarantine_began"]
+        lost = [item for item in events if item.get("fingerprint") == began["fingerprint"]]
+        assert all(item["target"] == PATH for item in lost if item["event"] == "attempt_failed")
+
+
+def test_others_keep_their_back_ends_and_retries(
+    site: Site, client: httpx.Client, other_client: httpx.Client
+) -> None:
+    """Closed ports had used up the retries of others, and one back end after the other was gone."""
+    until = time.monotonic() + KNOWN_WITHIN + WATCHED_FOR
+    statuses: Counter[int] = Counter()
+
+    def others_ask() -> bool:
+        for number in range(10):
+            node = site.nodes[number % NODES]
+            statuses[site.post(other_client, node, f"/read/{number}", b"other")] += 1
+        return time.monotonic() < until
+
+    repeat(site, client, others_ask)
+    assert statuses[200] >= 0.95 * statuses.total()
+
+
 def test_nobody_else_is_refused_for_it(
     site: Site, client: httpx.Client, other_client: httpx.Client
 ) -> None:
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -14,9 +14,10 @@
     [
         (1, 12.0, series.PLANNED),
         # A node that was still starting was told of changed settings, and was gone.
-        (290008, 20.0, tuple(series.Kind)),
+        (290008, 20.0, series.OF_FIRST_SEEDS),
+        (320001, 20.0, (series.Kind.CRASH, series.Kind.SUSPEND)),
     ],
-    ids=["planned", "hang-up-at-start"],
+    ids=["planned", "hang-up-at-start", "crashes-and-sleep"],
 )
 def test_no_promise_is_broken(
     seed: int, seconds: float, kinds: tuple[series.Kind, ...], tmp_path: pathlib.Path
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -9,8 +9,8 @@
 import anyio
 import pytest
 
-from limedeck import http_client
-from limedeck.forwarding import budget
+from limedeck import clock, http_client
+from limedeck.forwarding import budget, content
 from limedeck.identity import Seconds
 from limedeck.model import Backend, Configuration, Route, Service, Target
 from limedeck.node import crash_watch, gateway, request_log, settings, state, telemetry
@@ -68,8 +68,9 @@
     return await status_of(gateway_of(node, client))
 
 
-async def status_of(served: gateway.CallerGateway) -> int:
+async def status_of(served: gateway.CallerGateway, caller: str = "") -> int:
     scope: dict[str, Any] = {
+        "client": (caller, 1),
         "type": "http",
         "method": "GET",
         "raw_path": b"/x",
@@ -162,6 +163,37 @@
     assert client.watched == [watched]
 
 
+async def test_a_request_that_ends_back_ends_is_refused_at_once_and_has_not_run() -> None:
+    """It is said so at once, with when it may be tried; others with its path are served."""
+    client = client_of(200)
+    node = play({"a:1": 200, "b:1": 200}, repeatable=True)
+    served = gateway_of(node, client)
+    asked = content.RequestContent(b"GET", "host", b"/x", "", b"")
+    now = clock.steady_clock()
+    for number in range(3):
+        node.quarantine.note_lost(f"b{number}", asked.fingerprint, now)
+        node.quarantine.note_ended(f"b{number}", now)
+    node.quarantine.handle_tick(now + 1.0)
+    assert await status_of(served) == gateway.NOT_RUN
+    assert client.asked == []
+    assert await status_of(served, caller="127.0.0.9") == 200
+
+
+async def test_a_request_that_waits_for_its_judgement_is_then_refused() -> None:
+    client = client_of(200)
+    node = play({"a:1": 200, "b:1": 200}, repeatable=True)
+    asked = content.RequestContent(b"GET", "host", b"/x", "", b"")
+    now = clock.steady_clock()
+    for number in range(3):
+        node.quarantine.note_lost(f"b{number}", asked.fingerprint, now)
+        node.quarantine.note_ended(f"b{number}", now)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(crash_watch.CrashWatch(node, client, telemetry.Telemetry()).run)
+        assert await status_of(gateway_of(node, client)) == gateway.NOT_RUN
+        tasks.cancel_scope.cancel()
+    assert client.asked == []
+
+
 class SilentClient(http_client.HttpClient):
     """Its back ends take requests and answer none."""
 
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -4,6 +4,8 @@
 
 import itertools
 
+import pytest
+
 from limedeck.forwarding import crashes, quarantine
 
 BAD, OTHER, THIRD = 1, 2, 3
@@ -98,6 +100,22 @@
     assert fleet.refusing(OTHER, 9.0) == [True] * 3
 
 
+def test_what_may_have_ended_three_waits_until_it_is_judged() -> None:
+    ledger = quarantine.QuarantineLedger("n")
+    for number in range(3):
+        assert ledger.held_until(BAD, number * 0.1) is None
+        ledger.note_lost(f"b{number}", BAD, number * 0.1)
+        ledger.note_lost(f"b{number}", 10 + number, number * 0.1)
+        ledger.note_ended(f"b{number}", number * 0.1)
+    held = ledger.held_until(BAD, 0.3)
+    assert held is not None
+    assert held == pytest.approx(0.2 + quarantine.JUDGED_WITHIN)
+    assert ledger.held_until(10, 0.3) is None
+    ledger.handle_tick(held)
+    assert ledger.held_until(BAD, held) is None
+    assert ledger.refused_for(BAD, held) is not None
+
+
 def test_what_was_served_between_two_crashes_is_cleared_of_the_first() -> None:
     fleet = Fleet()
     for number in range(6):
