--- a/src/limedeck/forwarding/backend_state.py
+++ b/src/limedeck/forwarding/backend_state.py
@@ -174,7 +174,7 @@
             self.ejections += 1
 
     def note_ended(self, now: Seconds) -> None:
-        """No process listens at its address, or nodes saw it end: no second failure is needed."""
+        """No process listens at its address: no second failure is needed to pass it over."""
         self.failures = max(self.failures, FAILURES_TO_EJECT - 1)
         self.note_failure(now)
 
--- a/src/limedeck/node/crash_watch.py
+++ b/src/limedeck/node/crash_watch.py
@@ -60,8 +60,16 @@
             self._tasks.start_soon(self._look, backend)
 
     def note_refused(self, backend: Backend) -> None:
-        """Nobody listens at a back end's address."""
-        self._ledger.note_ended(backend.backend_id, steady_clock())
+        """Nobody listens at a back end's address.
+
+        This node passes it over. Others find that out by themselves: a node that is cut off may be
+        refused by all back ends, and must not take them from all other nodes.
+        """
+        now = steady_clock()
+        self._ledger.note_ended(backend.backend_id, now)
+        state = self._state.directory.find(backend.backend_id)
+        if state is not None:
+            state.note_ended(now)
 
     def judge(self, now: Seconds) -> None:
         """Look at what is known by now, and tell what came of it."""
@@ -91,9 +99,6 @@
             case quarantine.BackendEnded():
                 self._telemetry.backend_crashes.inc()
                 self._log.info("back_end_crashed", backend=event.backend_id, lost=event.lost)
-                state = self._state.directory.find(event.backend_id)
-                if state is not None:
-                    state.note_ended(now)
             case quarantine.QuarantineBegan():
                 self._telemetry.quarantines.labels("began").inc()
                 self._log.warning(
--- a/src/limedeck/node/gateway.py
+++ b/src/limedeck/node/gateway.py
@@ -290,7 +290,6 @@
         backend = attempt.state.backend
         now = steady_clock()
         if error.by_other_end and error.phase is FailurePhase.NOT_CONNECTED:
-            attempt.state.note_ended(now)
             self._watch.note_refused(backend)
             return
         if error.by_other_end and error.phase not in SURELY_NOT_RUN:
--- a/src/limedeck/node/peers.py
+++ b/src/limedeck/node/peers.py
@@ -240,7 +240,7 @@
         self._zones: dict[str, str] = {}
         self._processors: dict[str, float] = {}
         self._addresses: dict[str, str] = {}
-        self._random = random.Random(control.processor)
+        self._random = random.Random()
         self._observers: frozenset[str] = frozenset()
         self._fleet = standing.fleet_of([control.processor])
         self._zone = zone
--- a/tests/unit/test_crash_news.py
+++ b/tests/unit/test_crash_news.py
@@ -252,7 +252,7 @@
     assert store.writes == 1
 
 
-def test_a_node_passes_over_a_back_end_that_others_saw_end() -> None:
+def test_a_closed_port_takes_a_back_end_out_of_the_choice_at_once() -> None:
     state = node_state.NodeState("z1", "n", ALLOWANCE)
     state.directory.put(Backend("b", "s", "127.0.0.1:1", "z1", 2), 0.0)
     found = state.directory.find("b")
