--- a/src/limedeck/forwarding/backends.py
+++ b/src/limedeck/forwarding/backends.py
@@ -23,7 +23,7 @@
 """If loads are known late, a back end of another zone counts as having so many more a slot: it is
 used once the near ones are busy. At 0.25, bytes between zones cost 0.016 more of a day's worth."""
 REPORT_DELAY: Seconds = 0.3
-"""Age that loads told by the leader have when the next ones come; see `node.peers`."""
+"""Age that loads told by the leader have when the next ones come; see `node.leader_link`."""
 LEAST_HEALTHY = 0.5
 """With fewer of a service's back ends left, none is passed over for its failures: they may be the
 requests' own fault, and the healthy ones could not do all the work. The panic threshold that
--- /dev/null
+++ b/src/limedeck/node/connections.py
@@ -0,0 +1,26 @@
+"""What all connections between nodes have in common."""
+
+from __future__ import annotations
+
+import anyio
+
+from limedeck.errors import PeerProtocolError
+from limedeck.identity import Seconds
+
+CONNECT_TIMEOUT: Seconds = 0.7
+"""A new leader on a slow machine takes so long to accept all nodes of a large site at once."""
+SEND_TIMEOUT: Seconds = 1.0
+"""A node that takes nothing for so long is gone; below `SILENCE_LIMIT`, an estimate."""
+SILENCE_LIMIT: Seconds = 1.5
+"""A connection on which nothing came for so long is given up."""
+
+ENDED = (
+    OSError,
+    TimeoutError,
+    PeerProtocolError,
+    anyio.IncompleteRead,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
+"""All ways in which a connection may end."""
--- /dev/null
+++ b/src/limedeck/node/former_leader_inquiry.py
@@ -0,0 +1,57 @@
+"""Asks leaders of earlier terms whether they still lead."""
+
+from __future__ import annotations
+
+import anyio
+
+from limedeck.api.control_pb2 import ControlMessage, FormerLeader, LeaderRecord, Report
+from limedeck.identity import Seconds
+from limedeck.node.connections import ENDED
+from limedeck.node.control import ControlHost
+from limedeck.node.framing import FrameReader, encode_frame
+from limedeck.node.logs import get_logger
+
+INQUIRY_PAUSE: Seconds = 0.2
+"""Keys of silent owners wait for the answer; an estimate."""
+INQUIRY_TIMEOUT: Seconds = 0.8
+"""Above `CONNECT_TIMEOUT`; a former leader that is cut off answers nothing."""
+
+
+class FormerLeaderInquiry:
+    """Asks leaders of earlier terms whether they still lead, while this node leads."""
+
+    def __init__(self, identity: LeaderRecord, control: ControlHost) -> None:
+        self._identity = identity
+        self._control = control
+        self._log = get_logger("peers")
+
+    async def run(self) -> None:
+        """Ask until each has answered, for as long as this node leads; until cancelled."""
+        while True:
+            for former in self._control.election.former_leaders():
+                try:
+                    await self._ask(former)
+                except ENDED as error:
+                    problem = type(error).__name__
+                    self._log.info("former_leader_silent", node=former.node_id, problem=problem)
+            await anyio.sleep(INQUIRY_PAUSE)
+
+    async def _ask(self, former: FormerLeader) -> None:
+        host, _, port = former.peer_address.rpartition(":")
+        own_host = self._identity.peer_address.rpartition(":")[0]
+        report = Report(
+            node_id=self._identity.node_id,
+            incarnation=self._identity.incarnation,
+            term=self._control.election.term,
+        )
+        with anyio.fail_after(INQUIRY_TIMEOUT):
+            stream = await anyio.connect_tcp(host, int(port), local_host=own_host)
+            async with stream:
+                await stream.send(encode_frame(ControlMessage(report=report)))
+                reader = FrameReader(stream, ControlMessage)
+                while True:
+                    message, _ = await reader.read()
+                    if not message.status.leads or message.status.term >= report.term:
+                        break
+        self._log.info("former_leader_over", node=former.node_id)
+        self._control.election.handle_former_over(former)
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -26,11 +26,13 @@
 from limedeck.node.counted_store import CountedStore
 from limedeck.node.crash_gossip import CrashGossip
 from limedeck.node.crash_watch import CrashWatch
+from limedeck.node.followers import FollowerConnections
+from limedeck.node.former_leader_inquiry import FormerLeaderInquiry
 from limedeck.node.gateway import CallerGateway
+from limedeck.node.leader_link import LeaderLink
 from limedeck.node.listener import OwnSocketConfig, close_to_newcomers, open_listener
 from limedeck.node.logs import BoundedWriter, get_logger
 from limedeck.node.news import FeedKeeper, StoreNews
-from limedeck.node.peers import FollowerConnections, FormerLeaderInquiry, LeaderLink
 from limedeck.node.quarantine_record import QuarantineRecordKeeper
 from limedeck.node.readiness import ReadinessApplication
 from limedeck.node.reload import SettingsFile
--- a/tests/unit/test_crash_news.py
+++ b/tests/unit/test_crash_news.py
@@ -15,9 +15,9 @@
 from limedeck.node import (
     crash_gossip,
     crash_news,
+    followers,
     framing,
     news,
-    peers,
     quarantine_record,
 )
 from limedeck.node import state as node_state
@@ -101,7 +101,7 @@
         for state, address in zip(states, addresses, strict=True):
             host, _ = test_telling.leader()
             host._state = state
-            listener = peers.FollowerConnections(
+            listener = followers.FollowerConnections(
                 address, "z1", host, news.StoreNews(()), test_telling.TIMING
             )
             tasks.start_soon(listener.serve)
@@ -119,7 +119,7 @@
 async def test_news_between_nodes_make_nobody_a_follower() -> None:
     (port,) = processes.free_ports(1)
     host, state = test_telling.leader()
-    connections = peers.FollowerConnections(
+    connections = followers.FollowerConnections(
         f"127.0.0.1:{port}", "z1", host, news.StoreNews(()), test_telling.TIMING
     )
     told = quarantine.QuarantineLedger("other")
--- a/tests/unit/test_telling.py
+++ b/tests/unit/test_telling.py
@@ -11,7 +11,8 @@
 from limedeck.forwarding import budget
 from limedeck.forwarding.protocol import LoadReport
 from limedeck.model import Backend
-from limedeck.node import backend_loads, control, news, peers, state, telemetry
+from limedeck.node import backend_loads, control, news, state, telemetry
+from limedeck.node.followers import FollowerConnections
 from limedeck.ownership.timing import OwnershipTiming
 from limedeck.platform.grants import PlatformOrders
 from tests.unit import test_watchers
@@ -67,7 +68,7 @@
     followers: int, longest: float
 ) -> None:
     host, _ = leader()
-    connections = peers.FollowerConnections("127.0.0.1:1", "z1", host, news.StoreNews(()), TIMING)
+    connections = FollowerConnections("127.0.0.1:1", "z1", host, news.StoreNews(()), TIMING)
     connections.node_count = lambda: followers + 1  # type: ignore[method-assign]
     pause = connections._telling_pause()
     assert pause <= longest
