--- a/src/limedeck/node/quarantine_record.py
+++ b/src/limedeck/node/quarantine_record.py
@@ -1,10 +1,13 @@
 """Keeps quarantines in the store, so that they outlast an end of all nodes at once.
 
-The leader writes them. Each node reads them once when it starts: whatever changes later it is told.
+The leader reads them when it takes office, writes what changes, and tells all nodes that follow it.
+A node that starts while there is no leader reads them itself.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import anyio
 from google.protobuf.message import DecodeError
 
@@ -31,11 +34,23 @@
 
 
 class QuarantineRecordKeeper:
-    """Reads the record when this node starts, and writes it while this node leads."""
+    """Reads the record if nobody tells this node, and writes it while this node leads.
+
+    Parameters
+    ----------
+    hears_leader
+        Whether a leader tells this node what it knows. It need not ask the store then: a site of
+        hundreds of nodes makes some ten calls for each at a start.
+    """
 
     def __init__(
-        self, ledger: quarantine.QuarantineLedger, store: RowStore, control: ControlHost
+        self,
+        ledger: quarantine.QuarantineLedger,
+        store: RowStore,
+        control: ControlHost,
+        hears_leader: Callable[[], bool],
     ) -> None:
+        self._hears_leader = hears_leader
         self._ledger = ledger
         self._store = store
         self._control = control
@@ -45,15 +60,16 @@
     async def run(self) -> None:
         """Look again and again until cancelled."""
         while True:
+            await anyio.sleep(INTERVAL)
             try:
                 await self._look()
             except (StoreError, PlatformProtocolError) as error:
                 self._log.info("quarantine_record_missed", problem=str(error))
-            await anyio.sleep(INTERVAL)
 
     async def _look(self) -> None:
         if self._kept is None:
-            await self._read()
+            if not self._hears_leader():
+                await self._read()
         elif self._control.leads and self._kept != _marks(self._ledger.quarantines()):
             await self._write()
 
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -180,12 +180,15 @@
     def _start_quarantine(
         self, tasks: TaskGroup, control: ControlHost, store: CountedStore, link: LeaderLink
     ) -> None:
-        keeper = QuarantineRecordKeeper(self._state.quarantine, store, control)
-        tasks.start_soon(keeper.run)
+        def hears_leader() -> bool:
+            return not control.leads and link.hears_leader
 
         def has_leader() -> bool:
             return control.leads or link.hears_leader
 
+        keeper = QuarantineRecordKeeper(self._state.quarantine, store, control, hears_leader)
+        tasks.start_soon(keeper.run)
+
         tasks.start_soon(CrashGossip(self._state, has_leader, self._settings.node.ip).run)
 
     async def _serve_until_stopped(self, gateway: CallerGateway, control: ControlHost) -> None:
--- a/tests/unit/test_crash_news.py
+++ b/tests/unit/test_crash_news.py
@@ -148,8 +148,10 @@
         self.away = False
         self.now: Seconds = 5_000.0
         self.writes = 0
+        self.reads = 0
 
     async def read(self, table: str, part: str = "") -> TableRead:
+        self.reads += 1
         if self.away:
             raise StoreUnavailable("away")
         row = quarantine_record.QUARANTINE_ROW
@@ -193,11 +195,20 @@
 
 
 def keeper_of(
-    ledger: quarantine.QuarantineLedger, store: RecordStore, leads: bool, version: int = 4
+    ledger: quarantine.QuarantineLedger,
+    store: RecordStore,
+    leads: bool,
+    version: int = 4,
+    hears_leader: bool = False,
 ) -> quarantine_record.QuarantineRecordKeeper:
     control = Control(leads, version)
     control.store_offset = store.now - clock.steady_clock()
-    return quarantine_record.QuarantineRecordKeeper(ledger, store, control)  # type: ignore[arg-type]
+    return quarantine_record.QuarantineRecordKeeper(
+        ledger,
+        store,
+        control,  # type: ignore[arg-type]
+        lambda: hears_leader,
+    )
 
 
 def quarantined() -> quarantine.QuarantineLedger:
@@ -222,6 +233,14 @@
     assert left > quarantine.FIRST_SPAN - 5.0
 
 
+async def test_a_node_that_is_told_by_a_leader_does_not_ask_the_store() -> None:
+    store = RecordStore()
+    follower = keeper_of(quarantine.QuarantineLedger("n"), store, leads=False, hears_leader=True)
+    for _ in range(5):
+        await follower._look()
+    assert store.reads == 0
+
+
 async def test_the_record_is_written_when_it_changes_and_by_the_leader_alone() -> None:
     store = RecordStore()
     leader = keeper_of(quarantined(), store, leads=True)
