--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -38,7 +38,7 @@
     mode: Mode = Mode.PASS
     _streams: set[anyio.abc.SocketStream] = dataclasses.field(default_factory=set)
     _down: float = 0.0
-    _life: anyio.CancelScope | None = None
+    _listener: anyio.abc.Listener[anyio.abc.SocketStream] | None = None
 
     async def serve(self, ended: anyio.Event) -> None:
         """Listen until the event is set."""
@@ -47,19 +47,23 @@
             await ended.wait()
             tasks.cancel_scope.cancel()
 
-    def crash(self, seconds: float) -> None:
-        """End all connections, and refuse new ones for so long, as if the process had ended."""
+    async def crash(self, seconds: float) -> None:
+        """Refuse connections for so long, and end those that are open: the process has ended."""
         self._down = seconds
-        if self._life is not None:
-            self._life.cancel()
+        if self._listener is not None:
+            await self._listener.aclose()
 
     async def _serve_lives(self) -> None:
         host, _, port = self.address.rpartition(":")
         while True:
             listener = await anyio.create_tcp_listener(local_host=host, local_port=int(port))
+            self._listener = listener
             async with listener:
-                with anyio.CancelScope() as self._life:
+                try:
                     await listener.serve(self._serve_one)
+                except* anyio.ClosedResourceError:
+                    # A crash: what was served is cancelled, after the port was closed.
+                    pass
             await anyio.sleep(self._down)
 
     async def reset_all(self) -> None:
--- a/tests/system/platform_site.py
+++ b/tests/system/platform_site.py
@@ -138,8 +138,8 @@
 
     async def _crash(self, proxy: FaultyProxy) -> None:
         """End, and come back some time later under another id and without any keys."""
-        proxy.crash(DOWN_TIME)
         self.down = True
+        await proxy.crash(DOWN_TIME)
         self.held = {}
         self.released = []
         former = self.name
--- a/tests/unit/test_soak_parts.py
+++ b/tests/unit/test_soak_parts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import pathlib
 import time
 
 import anyio
@@ -10,8 +11,9 @@
 import pytest
 
 from limedeck_lab import processes
-from tests.soak import callers, judging, proxy, series
+from tests.soak import callers, judging, proxy, series, suspendable_node
 from tests.system import platform_site
+from tests.unit import polling
 
 pytestmark = pytest.mark.anyio
 
@@ -178,3 +180,45 @@
     for one, other in itertools.pairwise(planned):
         assert one.start < other.start < one.start + one.shortest
     assert {item.kind for item in series.plan(7, 60.0, series.PLANNED)} <= set(series.PLANNED)
+
+
+def test_the_judge_sees_back_ends_that_end_after_the_request_is_known() -> None:
+    result = judging.Result(1, 1)
+    judge = judging.Judge(result, judging.JudgedSite())
+    judge.note_crashes(b"crash", judging.MOST_LATER_CRASHES)
+    assert result.violations == []
+    judge.note_crashes(b"crash", judging.MOST_LATER_CRASHES + 1)
+    assert len(result.violations) == 1
+
+
+def test_a_suspended_process_reads_how_long_it_slept(tmp_path: pathlib.Path) -> None:
+    suspended = suspendable_node.SuspendedTime(tmp_path / "suspended")
+    suspended.create()
+    read = suspended.mapped()
+    assert suspendable_node.NUMBER.unpack(read[:]) == (0.0,)
+    suspended.add(2.5)
+    suspended.add(1.0)
+    assert suspendable_node.NUMBER.unpack(read[:]) == (3.5,)
+
+
+async def test_a_proxy_that_crashes_refuses_connections_and_comes_back() -> None:
+    ports = processes.free_ports(2)
+    target, shown = (f"127.0.0.1:{port}" for port in ports)
+    item = proxy.FaultyProxy(shown, target)
+    ended = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=ports[0])
+        tasks.start_soon(listener.serve, echo)
+        tasks.start_soon(item.serve, ended)
+        await polling.until(lambda: not processes.is_free("127.0.0.1", ports[1]))
+        async with await anyio.connect_tcp("127.0.0.1", ports[1]) as stream:
+            await stream.send(b"x")
+            assert await stream.receive() == b"x"
+            await item.crash(0.5)
+            with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+                await stream.receive()
+        with pytest.raises(OSError):
+            await anyio.connect_tcp("127.0.0.1", ports[1])
+        await polling.until(lambda: not processes.is_free("127.0.0.1", ports[1]))
+        ended.set()
+        tasks.cancel_scope.cancel()
