Soak: a node's next life is where its last one was, if back ends crash

Traced: two former leaders had been killed, their next lives listened at other ports, and could not be asked whether they are over; the keys of a back end that had crashed were free 22.2 s after the takeover, as the leader's patience says (20 s, and a lease). A machine of the platform keeps its addresses.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -122,6 +122,11 @@
         self._stores: list[str] = []
         self._lives = [0] * nodes
         self._suspendable = self._suspendable_nodes() if series.Kind.SUSPEND in kinds else {}
+        # As on the platform, a machine's next life is where the last one was. If it is elsewhere,
+        # a former leader's next life cannot say that the former one is over, and the keys of an
+        # owner that crashed wait 22 s for what it might have renewed.
+        keeps_ports = series.Kind.CRASH in kinds
+        self._ports = {i: processes.free_ports(3) for i in range(nodes) if keeps_ports}
 
     def run(self, seconds: float) -> judging.Result:
         """Start everything, run series of faults for so long, heal, and judge."""
@@ -211,7 +216,10 @@
         self._lives[number] += 1
         store = self._stores[number]
         suspended = self._suspendable.get(number)
-        return platform_site.start_node(self._group, self._folder, store, number, life, suspended)
+        ports = self._ports.get(number)
+        return platform_site.start_node(
+            self._group, self._folder, store, number, life, suspended, ports
+        )
 
     def _suspendable_nodes(self) -> dict[int, suspendable_node.SuspendedTime]:
         """Every second node; the others run on the event loop that the product uses."""
--- a/tests/system/platform_site.py
+++ b/tests/system/platform_site.py
@@ -368,9 +368,16 @@
     number: int,
     life: int = 0,
     suspended: SuspendedTime | None = None,
+    ports: list[int] | None = None,
 ) -> NodeProcess:
-    """Start one node, on a machine that can be suspended if that is given."""
-    ports = free_ports(3)
+    """Start one node, on a machine that can be suspended if that is given.
+
+    Parameters
+    ----------
+    ports
+        Of a machine that is started again; others are found if none are given.
+    """
+    ports = ports or free_ports(3)
     settings = folder / f"node-{number}-{life}.toml"
     settings.write_text(_settings(store, number, ports))
     module, arguments = "limedeck.node", ["--settings", str(settings)]
