--- a/src/limedeck/forwarding/quarantine.py
+++ b/src/limedeck/forwarding/quarantine.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import enum
+import itertools
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -50,8 +51,9 @@
 """Remembered at once, the newest; some 0.5 MB, and 50 kB as a row of the store."""
 MOST_CHANGES = 2 * (MOST_QUARANTINED + MOST_CRASHES + MOST_SERVED)
 """Remembered until those about what was forgotten are dropped: twice as many as can matter."""
-MOST_TOLD = 64
-"""Items in one message: at most 20 kB, and 2 kB as a rule."""
+MOST_TOLD = 600
+"""Requests that one message names, if it holds more than one item: at most 16 kB. A node that
+starts among 2,000 quarantines is told all of them within four messages."""
 SAME_END: Seconds = 1.0
 """Two nodes' quarantines of one request are the same if they end within so long of each other."""
 
@@ -264,17 +266,24 @@
             It needs no news that came from itself.
         """
         found: list[News] = []
-        for key, change in self._changes.items():
-            if change.version <= told:
-                continue
-            if len(found) >= MOST_TOLD:
-                return found, told
-            told = change.version
+        size = 0
+        for key, change in self._changes_after(told):
             item = self._item(key)
             if item is not None and change.source is not peer:
+                size += _size(item)
+                if found and size > MOST_TOLD:
+                    return found, told
                 found.append(item)
+            told = change.version
         return found, told
 
+    def _changes_after(self, told: int) -> list[tuple[tuple[Kind, str | int], _Change]]:
+        """Return later changes, the oldest first; a leader asks this for each follower."""
+        newest_first = reversed(self._changes.items())
+        later = list(itertools.takewhile(lambda item: item[1].version > told, newest_first))
+        later.reverse()
+        return later
+
     def take(self, news: Iterable[News], source: object, now: Seconds) -> None:
         """Take in what another node has told, or the store."""
         for item in news:
@@ -402,5 +411,10 @@
             self._ledger.note_served(self._content.fingerprint, now)
 
 
+def _size(item: News) -> int:
+    """How many requests an item names; a crash that names none counts too."""
+    return 1 + len(item.requests) if isinstance(item, CrashNews) else 1
+
+
 def _span(level: int) -> Seconds:
     return min(FIRST_SPAN * 2.0 ** min(level, 10), LONGEST_SPAN)
--- a/src/limedeck/node/crash_watch.py
+++ b/src/limedeck/node/crash_watch.py
@@ -10,7 +10,7 @@
 from limedeck.http_client import HttpClient
 from limedeck.identity import NEVER, Seconds
 from limedeck.model import Backend
-from limedeck.node.logs import get_logger
+from limedeck.node.logs import RateLimit, get_logger
 from limedeck.node.state import NodeState
 from limedeck.node.telemetry import Telemetry
 from limedeck.routing.outcomes import AttemptFailed
@@ -21,6 +21,8 @@
 """Pauses before each look at the port of a back end that dropped a connection. A process that ends
 drops its connections and its port together, and is not back within a tenth of a second."""
 LOOK_TIMEOUT: Seconds = 0.25
+LINES_PER_SECOND = 20
+"""A node that starts may be told of thousands of quarantines at once; counters tell of them all."""
 LOOK_INTERVAL: Seconds = 1.0
 """A back end that drops connections because it is full is looked at so often at most."""
 
@@ -40,6 +42,7 @@
         self._telemetry = telemetry
         self._looked_at: dict[str, Seconds] = {}
         self._tasks: TaskGroup | None = None
+        self._lines = RateLimit(LINES_PER_SECOND)
         self._log = get_logger("quarantine")
 
     async def run(self) -> None:
@@ -95,12 +98,22 @@
         self._ledger.note_alive(backend.backend_id)
 
     def _tell(self, event: quarantine.Event, now: Seconds) -> None:
+        """Count an event, and log it unless there are too many."""
         match event:
             case quarantine.BackendEnded():
                 self._telemetry.backend_crashes.inc()
-                self._log.info("back_end_crashed", backend=event.backend_id, lost=event.lost)
             case quarantine.QuarantineBegan():
                 self._telemetry.quarantines.labels("began").inc()
+            case quarantine.QuarantineEnded():
+                self._telemetry.quarantines.labels("ended").inc()
+        if self._lines.allows():
+            self._write_line(event, now)
+
+    def _write_line(self, event: quarantine.Event, now: Seconds) -> None:
+        match event:
+            case quarantine.BackendEnded():
+                self._log.info("back_end_crashed", backend=event.backend_id, lost=event.lost)
+            case quarantine.QuarantineBegan():
                 self._log.warning(
                     "quarantine_began",
                     fingerprint=content.shown(event.quarantine.request),
@@ -109,5 +122,4 @@
                     told=event.told,
                 )
             case quarantine.QuarantineEnded():
-                self._telemetry.quarantines.labels("ended").inc()
                 self._log.info("quarantine_ended", fingerprint=content.shown(event.request))
--- a/tests/unit/test_crash_news.py
+++ b/tests/unit/test_crash_news.py
@@ -9,7 +9,7 @@
 
 from limedeck import clock
 from limedeck.api import control_pb2
-from limedeck.forwarding import budget, quarantine
+from limedeck.forwarding import budget, crashes, quarantine
 from limedeck.identity import Seconds
 from limedeck.model import Backend
 from limedeck.node import (
@@ -80,8 +80,20 @@
     sizes = []
     while (message := peer.news(2.0)) is not None:
         sizes.append(message.ByteSize())
-    assert len(sizes) == 4
-    assert max(sizes) < 20_000
+    assert len(sizes) == 200 * (1 + crashes.MOST_SUSPECTS) // quarantine.MOST_TOLD + 1
+    assert max(sizes) < 16_000
+
+
+def test_a_node_that_starts_is_told_thousands_of_quarantines_in_a_few_messages() -> None:
+    ledger = quarantine.QuarantineLedger("n")
+    kept = [quarantine.Quarantine(number << 40, 0, 1.0, 900.0) for number in range(3_000)]
+    ledger.take(kept, "store", 2.0)
+    peer = crash_news.CrashNewsPeer(ledger)
+    sizes = []
+    while (message := peer.news(2.0)) is not None:
+        sizes.append(message.ByteSize())
+    assert len(sizes) <= 4
+    assert max(sizes) < 16_000
 
 
 # ---------------------------------------------------------------------- without a leader
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -238,7 +238,7 @@
         news, told = ledger.news_since(told, None)
         if not news:
             break
-        assert len(news) <= quarantine.MOST_TOLD
+        assert sum(map(quarantine._size, news)) <= quarantine.MOST_TOLD
         items += len(news)
     assert items <= quarantine.MOST_QUARANTINED + crashes.MOST_CRASHES + crashes.MOST_SERVED
 
