--- a/tests/system/test_crashing_requests.py
+++ b/tests/system/test_crashing_requests.py
@@ -46,6 +46,7 @@
 """Calls to the store that are refused: more than come in any of these tests."""
 QUARANTINE_TABLE = "limedeck_quarantine"
 PATH = "/read/x"
+KEYED_PATH = "/keyed/x"
 OTHER_CALLER = "127.0.0.7"
 
 
@@ -91,7 +92,9 @@
     return figure(node, "limedeck_quarantined_requests")
 
 
-def repeat(site: Site, client: httpx.Client, goes_on: Callable[[], bool]) -> Counter[int]:
+def repeat(
+    site: Site, client: httpx.Client, goes_on: Callable[[], bool], path: str = PATH
+) -> Counter[int]:
     """Send the request that ends back ends to one node after the other; count its answers."""
     statuses: Counter[int] = Counter()
     for node in itertools.cycle(site.nodes):
@@ -99,12 +102,12 @@
             return statuses
         if not node.process.is_running:
             continue
-        statuses[site.post(client, node, PATH, CRASHING)] += 1
+        statuses[site.post(client, node, path, CRASHING)] += 1
         time.sleep(RETRY_PAUSE)
     raise AssertionError
 
 
-def become_known(site: Site, client: httpx.Client) -> None:
+def become_known(site: Site, client: httpx.Client, path: str = PATH) -> None:
     """Repeat the request until the time is over in which nodes may learn of it."""
 
     def is_known() -> bool:
@@ -112,7 +115,7 @@
             return False
         return time.monotonic() > site.crashes[2].at + KNOWN_WITHIN
 
-    repeat(site, client, lambda: not is_known())
+    repeat(site, client, lambda: not is_known(), path)
 
 
 def test_a_request_that_has_ended_three_back_ends_reaches_hardly_any_more(
@@ -125,6 +128,18 @@
     assert len(site.crashes) - before <= MOST_LATER_RUNS
 
 
+def test_one_that_ends_owner_after_owner_of_its_key_ends_hardly_any_more(
+    site: Site, client: httpx.Client
+) -> None:
+    """It waits for each new owner of its key, so some seconds lie between two ends."""
+    become_known(site, client, KEYED_PATH)
+    before = len(site.crashes)
+    until = time.monotonic() + WATCHED_FOR
+    repeat(site, client, lambda: time.monotonic() < until, KEYED_PATH)
+    assert len(site.crashes) - before <= MOST_LATER_RUNS
+    assert site.two_owners == []
+
+
 def test_without_a_leader_and_a_store_the_nodes_that_are_left_know_it(
     site: Site, client: httpx.Client
 ) -> None:
