--- a/tests/system/test_crashing_requests.py
+++ b/tests/system/test_crashing_requests.py
@@ -47,6 +47,7 @@
 QUARANTINE_TABLE = "limedeck_quarantine"
 PATH = "/read/x"
 KEYED_PATH = "/keyed/x"
+UNSAFE_PATH = "/plain/x"
 OTHER_CALLER = "127.0.0.7"
 
 
@@ -140,6 +141,19 @@
     assert site.two_owners == []
 
 
+def test_one_that_may_run_only_once_is_known_by_its_callers_returns(
+    site: Site, client: httpx.Client
+) -> None:
+    """No node repeats it: each try of its caller ends one back end, and gets "outcome unknown"."""
+    become_known(site, client, UNSAFE_PATH)
+    before = len(site.crashes)
+    until = time.monotonic() + WATCHED_FOR
+    statuses = repeat(site, client, lambda: time.monotonic() < until, UNSAFE_PATH)
+    assert len(site.crashes) - before <= MOST_LATER_RUNS
+    assert set(statuses) == {503}
+    assert max(Counter(request for request, _ in site.runs).values()) == 1
+
+
 def test_without_a_leader_and_a_store_the_nodes_that_are_left_know_it(
     site: Site, client: httpx.Client
 ) -> None:
