A request is known by three signs, and the narrowest that explains its ends is refused

Cause: the caller's IP number was part of the only fingerprint, so what many callers send was another request each time; and a second end of a back end under its id was booked on the first.

Change: method, host and target; key and body besides; caller besides. Losses are held against all three, the narrowest that was lost in three ends is blamed, a wider one as soon as one end shows that the narrow one does not explain all, and none that was served since. An end is of an id at a time, to 2 s.

--- a/src/limedeck/forwarding/content.py
+++ b/src/limedeck/forwarding/content.py
@@ -1,4 +1,8 @@
-"""What makes two requests the same although their ids differ: how one that comes again is known."""
+"""What makes two requests the same although their ids differ: how one that comes again is known.
+
+Nobody can know beforehand what of a request ends back ends. So a request has several signs, and
+what is lost is held against all of them (`limedeck.forwarding.crashes`).
+"""
 
 from __future__ import annotations
 
@@ -11,6 +15,35 @@
 LENGTH_BYTES = 8
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class RequestSigns:
+    """Fingerprints of one request: numbers of 64 bits that requests which differ do not share.
+
+    Parameters
+    ----------
+    target
+        Of its method, host, path and query: shared by all who ask for the same.
+    content
+        Of its key and body besides: shared by all who ask the very same.
+    caller
+        Of its caller's IP number besides: its caller's next tries have it too.
+    """
+
+    target: int
+    content: int
+    caller: int
+
+    @property
+    def narrowest_first(self) -> tuple[int, int, int]:
+        """All signs; fewer requests share the earlier ones."""
+        return (self.caller, self.content, self.target)
+
+    def wider_than(self, sign: int) -> tuple[int, ...]:
+        """Signs that more requests share than this one of the request's."""
+        signs = self.narrowest_first
+        return signs[signs.index(sign) + 1 :]
+
+
 @dataclass(slots=True)
 class RequestContent:
     """What a request asks, and who asks.
@@ -21,6 +54,8 @@
         Path and query.
     caller
         IP number that its connection came from; empty if it is not known.
+    position
+        Of its key; None if it has none.
     """
 
     method: bytes
@@ -28,25 +63,44 @@
     target: bytes
     caller: str
     body: bytes
-    _fingerprint: int | None = field(default=None, repr=False)
+    position: int | None = None
+    _signs: RequestSigns | None = field(default=None, repr=False, compare=False)
 
     @property
-    def fingerprint(self) -> int:
-        """A number of 64 bits that requests of other content do not have.
+    def signs(self) -> RequestSigns:
+        """What it is known by.
 
-        Worked out when it is first asked for: most requests never need one.
+        Worked out when it is first asked for: most requests never need them.
         """
-        if self._fingerprint is None:
-            self._fingerprint = self._hashed()
-        return self._fingerprint
+        if self._signs is None:
+            self._signs = self._hashed()
+        return self._signs
+
+    @property
+    def fingerprint(self) -> int:
+        """The sign that only the same request of the same caller has."""
+        return self.signs.caller
 
-    def _hashed(self) -> int:
+    def _hashed(self) -> RequestSigns:
         digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-        parts = (self.method, self.host.encode(), self.target, self.caller.encode(), self.body)
-        for part in parts:
-            digest.update(len(part).to_bytes(LENGTH_BYTES, "big"))
-            digest.update(part)
-        return int.from_bytes(digest.digest(), "big")
+        key = b"" if self.position is None else b"%d" % self.position
+        _add(digest, self.method, self.host.encode(), self.target)
+        target = _number(digest)
+        _add(digest, key, self.body)
+        content = _number(digest)
+        _add(digest, self.caller.encode())
+        return RequestSigns(target, content, _number(digest))
+
+
+def _add(digest: hashlib.blake2b, *parts: bytes) -> None:
+    """Take in parts with their lengths, so that no other parts look the same."""
+    for part in parts:
+        digest.update(len(part).to_bytes(LENGTH_BYTES, "big"))
+        digest.update(part)
+
+
+def _number(digest: hashlib.blake2b) -> int:
+    return int.from_bytes(digest.digest(), "big")
 
 
 def shown(fingerprint: int) -> str:
--- a/src/limedeck/forwarding/quarantine.py
+++ b/src/limedeck/forwarding/quarantine.py
@@ -10,14 +10,15 @@
 import enum
 import itertools
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 
 from limedeck.forwarding.backends import spread_of
-from limedeck.forwarding.content import RequestContent, shown
+from limedeck.forwarding.content import RequestContent, RequestSigns, shown
 from limedeck.forwarding.crashes import (
     EVIDENCE_LIFE,
     MOST_CRASHES,
     MOST_SERVED,
+    ONE_END,
     CrashEvidence,
 )
 from limedeck.identity import NEVER, Seconds
@@ -36,7 +37,7 @@
 that callers wait."""
 PROBATION = 10.0
 """Spans after its end in which one crash is enough to begin the quarantine anew."""
-LOSS_MEMORY: Seconds = 2.0
+LOSS_MEMORY: Seconds = ONE_END
 """A connection was lost, and the back end's process is found to have ended within so long: above
 the time of two looks at its port."""
 GATHERING: Seconds = 0.8
@@ -52,8 +53,9 @@
 MOST_CHANGES = 2 * (MOST_QUARANTINED + MOST_CRASHES + MOST_SERVED)
 """Remembered until those about what was forgotten are dropped: twice as many as can matter."""
 MOST_TOLD = 600
-"""Requests that one message names, if it holds more than one item: at most 16 kB. A node that
-starts among 2,000 quarantines is told all of them within four messages."""
+"""Signs of requests that one message names, if it holds more than one item: at most 16 kB. A node
+that starts among 2,000 quarantines is told all of them within four messages."""
+SIGNS = len(fields(RequestSigns))
 SAME_END: Seconds = 1.0
 """Two nodes' quarantines of one request are the same if they end within so long of each other."""
 
@@ -72,12 +74,12 @@
 
     backend_id: str
     at: Seconds
-    requests: frozenset[int]
+    requests: frozenset[RequestSigns]
 
 
 @dataclass(frozen=True, slots=True)
 class ServedNews:
-    """A suspect was served."""
+    """A request with this sign, which is a suspect's, was served."""
 
     request: int
     at: Seconds
@@ -85,10 +87,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Quarantine:
-    """A request is refused until a time, and tried then.
+    """Requests with a sign are refused until a time, and tried then.
 
     Parameters
     ----------
+    request
+        The sign.
     level
         Quarantines of this request before it that ended in a crash.
     began, ends
@@ -136,6 +140,10 @@
     source: object
 
 
+_Subject = tuple[Kind, int]
+"""What a change is about: a crash by its number, or a sign."""
+
+
 class QuarantineLedger:
     """One node's knowledge of requests that end back ends.
 
@@ -155,10 +163,10 @@
     def __init__(self, node_id: str) -> None:
         self._node_id = node_id
         self._evidence = CrashEvidence()
-        self._losses: dict[str, dict[int, Seconds]] = {}
+        self._losses: dict[str, dict[RequestSigns, Seconds]] = {}
         self._quarantines: dict[int, Quarantine] = {}
         self._trials: dict[int, Seconds] = {}
-        self._changes: dict[tuple[Kind, str | int], _Change] = {}
+        self._changes: dict[_Subject, _Change] = {}
         self._unjudged = False
         self.version = 0
         self.events: list[Event] = []
@@ -205,10 +213,9 @@
 
     # ------------------------------------------------------------------ back ends
 
-    def note_lost(self, backend_id: str, request: int, now: Seconds) -> None:
+    def note_lost(self, backend_id: str, request: RequestSigns, now: Seconds) -> None:
         """The connection to a back end was lost while it was at work on a request."""
-        crash = self._evidence.crash(backend_id)
-        if crash is not None and now - crash.at <= LOSS_MEMORY:
+        if self._evidence.find(backend_id, now) is not None:
             self._take_crash(CrashNews(backend_id, now, frozenset({request})), None, now)
             return
         losses = self._losses.setdefault(backend_id, {})
@@ -277,7 +284,7 @@
             told = change.version
         return found, told
 
-    def _changes_after(self, told: int) -> list[tuple[tuple[Kind, str | int], _Change]]:
+    def _changes_after(self, told: int) -> list[tuple[_Subject, _Change]]:
         """Return later changes, the oldest first; a leader asks this for each follower."""
         newest_first = reversed(self._changes.items())
         later = list(itertools.takewhile(lambda item: item[1].version > told, newest_first))
@@ -303,17 +310,23 @@
             for request, at in self._losses.pop(item.backend_id, {}).items()
             if at > now - LOSS_MEMORY
         }
-        is_known = self._evidence.crash(item.backend_id) is not None
-        if not self._evidence.note_crash(item.backend_id, item.requests | own, item.at):
+        known = self._evidence.find(item.backend_id, item.at)
+        known_losses = self._lost_in(known)
+        number = self._evidence.note_crash(item.backend_id, item.requests | own, item.at)
+        losses = self._lost_in(number)
+        if known is not None and losses == known_losses:
             return
-        crash = self._evidence.crash(item.backend_id)
         # Whoever told of the crash may lack what others lost in it.
-        is_all_told = crash is not None and crash.requests <= item.requests
-        self._note_change((Kind.CRASH, item.backend_id), source if is_all_told else None)
-        if not is_known:
+        is_all_told = losses <= item.requests
+        self._note_change((Kind.CRASH, number), source if is_all_told else None)
+        if known is None:
             self.events.append(BackendEnded(item.backend_id, len(item.requests | own)))
         self._unjudged = True
-        self._judge_trials(item.backend_id, now)
+        self._judge_trials(number, now)
+
+    def _lost_in(self, number: int | None) -> frozenset[RequestSigns]:
+        crash = None if number is None else self._evidence.crash(number)
+        return frozenset() if crash is None else frozenset(crash.lost)
 
     def _take_served(self, item: ServedNews, source: object) -> None:
         found = self._quarantines.get(item.request)
@@ -333,15 +346,15 @@
         if is_newer:
             self._put(item, source)
 
-    def _judge_trials(self, backend_id: str, now: Seconds) -> None:
+    def _judge_trials(self, number: int, now: Seconds) -> None:
         """Refuse again what was tried after its quarantine, and has ended a back end."""
-        crash = self._evidence.crash(backend_id)
+        crash = self._evidence.crash(number)
         if crash is None:
             return
-        for request in crash.requests:
-            found = self._quarantines.get(request)
+        for sign in crash.against:
+            found = self._quarantines.get(sign)
             if found is not None and crash.at > found.ends:
-                self._begin(request, found.level + 1, now)
+                self._begin(sign, found.level + 1, now)
 
     def _begin(self, request: int, level: int, now: Seconds) -> None:
         self._put(Quarantine(request, level, now, now + _span(level)), None)
@@ -358,23 +371,23 @@
         self._quarantines.pop(request, None)
         self._trials.pop(request, None)
 
-    def _note_change(self, key: tuple[Kind, str | int], source: object) -> None:
+    def _note_change(self, key: _Subject, source: object) -> None:
         self.version += 1
         self._changes.pop(key, None)
         self._changes[key] = _Change(self.version, source)
 
-    def _item(self, key: tuple[Kind, str | int]) -> News | None:
+    def _item(self, key: _Subject) -> News | None:
         match key:
-            case (Kind.CRASH, str(backend_id)):
-                crash = self._evidence.crash(backend_id)
+            case (Kind.CRASH, number):
+                crash = self._evidence.crash(number)
                 if crash is None:
                     return None
-                return CrashNews(backend_id, crash.at, frozenset(crash.requests))
-            case (Kind.SERVED, int(request)):
-                at = self._evidence.served_at(request)
-                return ServedNews(request, at) if at > NEVER else None
-            case (Kind.QUARANTINE, int(request)):
-                return self._quarantines.get(request)
+                return CrashNews(crash.backend_id, crash.at, frozenset(crash.lost))
+            case (Kind.SERVED, sign):
+                at = self._evidence.served_at(sign)
+                return ServedNews(sign, at) if at > NEVER else None
+            case (Kind.QUARANTINE, sign):
+                return self._quarantines.get(sign)
         return None
 
     def _spread(self, request: int) -> float:
@@ -392,28 +405,36 @@
         """How long the request is refused from now on; None if it may be sent."""
         if not self._ledger.refuses_any:
             return None
-        return self._ledger.refused_for(self._content.fingerprint, now)
+        spans = (self._ledger.refused_for(sign, now) for sign in self._signs)
+        return max((span for span in spans if span is not None), default=None)
 
     def held_until(self, now: Seconds) -> Seconds | None:
         """Until when the request waits for the judgement on it; None if it need not wait."""
         if not self._ledger.suspects_any:
             return None
-        return self._ledger.held_until(self._content.fingerprint, now)
+        times = (self._ledger.held_until(sign, now) for sign in self._signs)
+        return max((time for time in times if time is not None), default=None)
 
     def note_sent(self, now: Seconds) -> None:
         """It is sent to a back end."""
         if self._ledger.refuses_any:
-            self._ledger.note_sent(self._content.fingerprint, now)
+            for sign in self._signs:
+                self._ledger.note_sent(sign, now)
 
     def note_served(self, now: Seconds) -> None:
         """A back end has answered it."""
         if self._ledger.suspects_any:
-            self._ledger.note_served(self._content.fingerprint, now)
+            for sign in self._signs:
+                self._ledger.note_served(sign, now)
+
+    @property
+    def _signs(self) -> tuple[int, ...]:
+        return self._content.signs.narrowest_first
 
 
 def _size(item: News) -> int:
-    """How many requests an item names; a crash that names none counts too."""
-    return 1 + len(item.requests) if isinstance(item, CrashNews) else 1
+    """How many signs an item names; a crash that names none counts too."""
+    return 1 + SIGNS * len(item.requests) if isinstance(item, CrashNews) else 1
 
 
 def _span(level: int) -> Seconds:
--- a/src/limedeck/node/crash_news.py
+++ b/src/limedeck/node/crash_news.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 from limedeck.api import control_pb2
-from limedeck.forwarding import quarantine
+from limedeck.forwarding import content, quarantine
 from limedeck.identity import Seconds
 
 MILLISECONDS = 1000
@@ -45,7 +45,7 @@
                 message.crashes.add(
                     backend=item.backend_id,
                     age=_age(item.at, now),
-                    requests=sorted(item.requests),
+                    lost=[_written(request) for request in sorted(item.requests)],
                 )
             case quarantine.ServedNews():
                 message.served.add(request=item.request, age=_age(item.at, now))
@@ -65,7 +65,7 @@
         quarantine.CrashNews(
             crash.backend,
             _time(crash.age, now),
-            frozenset(crash.requests[: quarantine.MOST_LOSSES]),
+            frozenset(_read(request) for request in crash.lost[: quarantine.MOST_LOSSES]),
         )
         for crash in message.crashes
     ]
@@ -79,6 +79,16 @@
     return news
 
 
+def _written(request: content.RequestSigns) -> control_pb2.RequestSigns:
+    return control_pb2.RequestSigns(
+        target=request.target, content=request.content, caller=request.caller
+    )
+
+
+def _read(request: control_pb2.RequestSigns) -> content.RequestSigns:
+    return content.RequestSigns(request.target, request.content, request.caller)
+
+
 def _age(at: Seconds, now: Seconds) -> int:
     return round(min(max(now - at, 0.0), LONGEST_AGE) * MILLISECONDS)
 
--- a/src/limedeck/node/crash_watch.py
+++ b/src/limedeck/node/crash_watch.py
@@ -56,7 +56,7 @@
     def note_lost(self, backend: Backend, asked: content.RequestContent) -> None:
         """A back end dropped the connection while it was at work on a request."""
         now = steady_clock()
-        self._ledger.note_lost(backend.backend_id, asked.fingerprint, now)
+        self._ledger.note_lost(backend.backend_id, asked.signs, now)
         is_due = now - self._looked_at.get(backend.backend_id, NEVER) >= LOOK_INTERVAL
         if is_due and self._tasks is not None:
             self._looked_at[backend.backend_id] = now
--- a/src/limedeck/node/gateway.py
+++ b/src/limedeck/node/gateway.py
@@ -170,7 +170,7 @@
         returned = service.note_wait(route.name, deadline - now)
         if position is not None and not returned:
             service.key_counts[position] += 1
-        content = _content(scope, route.host, body)
+        content = _content(scope, route.host, body, position)
         core = RequestCore(
             request_id,
             route,
@@ -358,13 +358,13 @@
         await send({"type": "http.response.body", "body": body})
 
 
-def _content(scope: Scope, host: str, body: bytes) -> RequestContent:
+def _content(scope: Scope, host: str, body: bytes, position: int | None) -> RequestContent:
     target = scope["raw_path"]
     if scope["query_string"]:
         target += b"?" + scope["query_string"]
     client = scope.get("client")
     caller = client[0] if client else ""
-    return RequestContent(scope["method"].encode(), host, target, caller, body)
+    return RequestContent(scope["method"].encode(), host, target, caller, body, position)
 
 
 async def _read_body(receive: Receive, limit: int) -> bytes:
--- a/src/limedeck/node/request_log.py
+++ b/src/limedeck/node/request_log.py
@@ -78,7 +78,9 @@
         told: dict[str, object] = {}
         if phase not in SURELY_NOT_RUN:
             told = {
-                "fingerprint": content.shown(asked.fingerprint),
+                "fingerprint": content.shown(asked.signs.caller),
+                "content": content.shown(asked.signs.content),
+                "target_sign": content.shown(asked.signs.target),
                 "caller": asked.caller,
                 "target": asked.target.decode("latin-1")[:LONGEST_TARGET],
             }
--- a/tests/unit/test_crash_news.py
+++ b/tests/unit/test_crash_news.py
@@ -9,7 +9,7 @@
 
 from limedeck import clock
 from limedeck.api import control_pb2
-from limedeck.forwarding import budget, crashes, quarantine
+from limedeck.forwarding import budget, content, crashes, quarantine
 from limedeck.identity import Seconds
 from limedeck.model import Backend
 from limedeck.node import (
@@ -45,16 +45,21 @@
     return "asyncio"
 
 
+def signs(number: int) -> content.RequestSigns:
+    """A request that is known by one number, however widely it is looked at."""
+    return content.RequestSigns(number, number, number)
+
+
 def convicting(ledger: quarantine.QuarantineLedger, start: Seconds) -> None:
     """Let a node see three back ends end under one request."""
     for number in range(3):
-        ledger.note_lost(f"b{number}", BAD, start)
+        ledger.note_lost(f"b{number}", signs(BAD), start)
         ledger.note_ended(f"b{number}", start)
 
 
 def test_news_survive_the_message_on_the_other_nodes_clock() -> None:
     told: list[quarantine.News] = [
-        quarantine.CrashNews("b1", 95.0, frozenset({BAD, 2})),
+        quarantine.CrashNews("b1", 95.0, frozenset({signs(BAD), signs(2)})),
         quarantine.Quarantine(BAD, 2, 90.0, 400.0),
         quarantine.Quarantine(7, 0, 10.0, 70.0),
         quarantine.ServedNews(3, 99.0),
@@ -62,7 +67,7 @@
     message = crash_news.encoded(told, 100.0)
     received = control_pb2.CrashNews.FromString(message.SerializeToString())
     assert crash_news.decoded(received, 1100.0) == [
-        quarantine.CrashNews("b1", 1095.0, frozenset({BAD, 2})),
+        quarantine.CrashNews("b1", 1095.0, frozenset({signs(BAD), signs(2)})),
         quarantine.Quarantine(BAD, 2, 1090.0, 1400.0),
         quarantine.Quarantine(7, 0, 1010.0, 1070.0),
         quarantine.ServedNews(3, 1099.0),
@@ -74,13 +79,16 @@
     ledger = quarantine.QuarantineLedger("n")
     for number in range(200):
         for request in range(quarantine.MOST_LOSSES):
-            ledger.note_lost(f"i-{number:010x}", (number << 32) + request, 1.0)
+            sign = (number << 32) + request
+            asked = content.RequestSigns(sign, sign + (1 << 24), sign + (2 << 24))
+            ledger.note_lost(f"i-{number:010x}", asked, 1.0)
         ledger.note_ended(f"i-{number:010x}", 1.0)
     peer = crash_news.CrashNewsPeer(ledger)
     sizes = []
     while (message := peer.news(2.0)) is not None:
         sizes.append(message.ByteSize())
-    assert len(sizes) == 200 * (1 + crashes.MOST_SUSPECTS) // quarantine.MOST_TOLD + 1
+    crashes_told = quarantine.MOST_TOLD // (1 + quarantine.SIGNS * crashes.MOST_SUSPECTS)
+    assert len(sizes) == -(-200 // crashes_told)
     assert max(sizes) < 16_000
 
 
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -171,7 +171,7 @@
     asked = content.RequestContent(b"GET", "host", b"/x", "", b"")
     now = clock.steady_clock()
     for number in range(3):
-        node.quarantine.note_lost(f"b{number}", asked.fingerprint, now)
+        node.quarantine.note_lost(f"b{number}", asked.signs, now)
         node.quarantine.note_ended(f"b{number}", now)
     node.quarantine.handle_tick(now + 1.0)
     assert await status_of(served) == gateway.NOT_RUN
@@ -185,7 +185,7 @@
     asked = content.RequestContent(b"GET", "host", b"/x", "", b"")
     now = clock.steady_clock()
     for number in range(3):
-        node.quarantine.note_lost(f"b{number}", asked.fingerprint, now)
+        node.quarantine.note_lost(f"b{number}", asked.signs, now)
         node.quarantine.note_ended(f"b{number}", now)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(crash_watch.CrashWatch(node, client, telemetry.Telemetry()).run)
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -6,12 +6,17 @@
 
 import pytest
 
-from limedeck.forwarding import crashes, quarantine
+from limedeck.forwarding import content, crashes, quarantine
 
 BAD, OTHER, THIRD = 1, 2, 3
 JUDGED = 0.01 + quarantine.GATHERING
 
 
+def signs(number: int) -> content.RequestSigns:
+    """A request that is known by one number, however widely it is looked at."""
+    return content.RequestSigns(number, number, number)
+
+
 class Fleet:
     """Nodes that tell each other everything, through the first one."""
 
@@ -25,7 +30,7 @@
         name = next(self._names)
         for number, requests in lost.items():
             for request in requests:
-                self.nodes[number].note_lost(name, request, now)
+                self.nodes[number].note_lost(name, signs(request), now)
         for number in lost:
             self.nodes[number].note_ended(name, now + 0.01)
         self.tell(now + 0.3)
@@ -104,8 +109,8 @@
     ledger = quarantine.QuarantineLedger("n")
     for number in range(3):
         assert ledger.held_until(BAD, number * 0.1) is None
-        ledger.note_lost(f"b{number}", BAD, number * 0.1)
-        ledger.note_lost(f"b{number}", 10 + number, number * 0.1)
+        ledger.note_lost(f"b{number}", signs(BAD), number * 0.1)
+        ledger.note_lost(f"b{number}", signs(10 + number), number * 0.1)
         ledger.note_ended(f"b{number}", number * 0.1)
     held = ledger.held_until(BAD, 0.3)
     assert held is not None
@@ -137,7 +142,7 @@
 def test_a_lost_connection_to_a_back_end_that_goes_on_is_no_crash() -> None:
     ledger = quarantine.QuarantineLedger("n")
     for number in range(6):
-        ledger.note_lost(f"b{number}", BAD, float(number))
+        ledger.note_lost(f"b{number}", signs(BAD), float(number))
         ledger.note_alive(f"b{number}")
         ledger.note_ended(f"b{number}", number + 0.5)
     assert ledger.refused_for(BAD, 7.0) is None
@@ -155,7 +160,7 @@
     fleet = Fleet(2)
     for number in range(3):
         name = fleet.crash({0: [OTHER + number]}, float(number))
-        fleet.nodes[1].note_lost(name, BAD, number + 0.5)
+        fleet.nodes[1].note_lost(name, signs(BAD), number + 0.5)
     fleet.tell(3.0)
     fleet.judge(3.5)
     assert fleet.refusing(BAD, 3.5) == [True, True]
@@ -226,7 +231,7 @@
     for request in range(3_000):
         for life in range(3):
             backend = f"b{request}-{life}"
-            ledger.note_lost(backend, request, request * 0.01)
+            ledger.note_lost(backend, signs(request), request * 0.01)
             ledger.note_ended(backend, request * 0.01)
         ledger.handle_tick(request * 0.01)
     ledger.handle_tick(60.0)
@@ -247,8 +252,8 @@
     ledger = quarantine.QuarantineLedger("n")
     for number in range(3):
         for request in range(1_000 * (number + 1), 1_000 * (number + 1) + 60):
-            ledger.note_lost(f"b{number}", request, float(number))
-        ledger.note_lost(f"b{number}", BAD, float(number))
+            ledger.note_lost(f"b{number}", signs(request), float(number))
+        ledger.note_lost(f"b{number}", signs(BAD), float(number))
         ledger.note_ended(f"b{number}", float(number))
     ledger.handle_tick(3.0)
     assert ledger.refused_for(BAD, 3.0) is not None
