Evacuated zones, cold back ends, other lives under the same name, entries of another writer

- An evacuated zone's back ends get nothing; the leader is shown them as leaving, so keys move with handovers; owners there are sent to for 2 s after a node heard, then refused at once.
- Cold ones get nothing while their service has a warm one (the bound holds whatever nodes believe); without any, nodes draw turns by lot.
Owners that go cold lose their keys to warm ones unless the store cannot record it.
A back end whose port was closed is taken for cold until its entry changes.
- A back end's id is its name with its start (born): loads, ejections, keys and work of a former life go with it; orders and requests name the instance.
- An entry with a field missing, of another type or meaning names no back end; one that was sound and cannot be read any more is dropped, since a living back end writes it again within a heartbeat.

Ruled out for cold ones: a share for each node (74 shares of 14 requests), shares told by the leader (two leaders tell twice). Tests: test_forwarding.py, test_platform_formats.py (fuzz of entries).

--- a/src/limedeck/forwarding/backend_state.py
+++ b/src/limedeck/forwarding/backend_state.py
@@ -27,6 +27,11 @@
 """One failure may be chance."""
 EJECTION_TIME: Seconds = 0.5
 """A back end that failed is tried again after so long; twice as long each time that it fails."""
+ENDED_REST: Seconds = 4.0
+"""A back end whose process was seen to have ended is taken for cold until its entry changes, for so
+long at most. It is cold when it is back, and says so a second later: hundreds of nodes that tried
+it meanwhile would make it fall over. Above the time in which the entry of one that is gone lapses.
+"""
 LONGEST_EJECTION: Seconds = 4.0
 """About as long as back ends that crash are away; a longer one keeps a sound one idle."""
 PACE_MEMORY: Seconds = 0.2
@@ -85,6 +90,9 @@
         self.backend = backend
         self.work = work
         self.seen_at = now
+        self.cold_rate = 0.0
+        self._cold_until = now
+        self._ended_until: Seconds = NEVER
         self.outstanding = 0
         self.service_time: Seconds | None = None
         self.tells_load = False
@@ -104,6 +112,22 @@
         self._work_time: Seconds = 0.0
         self._excluded_until: Seconds = NEVER
 
+    def note_listed(self, now: Seconds) -> None:
+        """Its entry is new or has changed: it is written by the back end itself."""
+        self._ended_until = NEVER
+        self._cold_until = now + self.backend.warmup
+
+    def is_cold(self, now: Seconds) -> bool:
+        """Whether it bears few requests only: it says so, or comes back from an end.
+
+        Without a bound for cold ones they are used like others, as slow ones.
+        """
+        return self.cold_rate > 0.0 and now < max(self._cold_until, self._ended_until)
+
+    def cold_for(self, now: Seconds) -> Seconds:
+        """How much longer it will be cold, as far as is known."""
+        return max(self._cold_until, self._ended_until) - now if self.is_cold(now) else 0.0
+
     def note_load(self, report: LoadReport, now: Seconds) -> None:
         """Take in the load that an answer told."""
         self.tells_load = True
@@ -194,6 +218,7 @@
         """No process listens at its address: no second failure is needed to pass it over."""
         self.failures = max(self.failures, FAILURES_TO_EJECT - 1)
         self.note_failure(now)
+        self._ended_until = now + ENDED_REST
 
     def note_full(self, now: Seconds) -> None:
         """It turned a request away because its queue is full."""
--- a/src/limedeck/forwarding/backends.py
+++ b/src/limedeck/forwarding/backends.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection, Sequence
-
-import xxhash
+from collections.abc import Collection, Mapping, Sequence
+from dataclasses import dataclass, replace
 
 from limedeck.forwarding.backend_state import BackendState
+from limedeck.forwarding.cold_backends import ColdTurns
+from limedeck.forwarding.spread import spread_of
 from limedeck.forwarding.stale_load import levelling_shares
 from limedeck.forwarding.work import ServiceWork
 from limedeck.identity import Seconds
@@ -32,9 +33,33 @@
 """While hardly anything is under way, the best back end gets all of it."""
 
 
+OWNER_STOP: Seconds = 2.0
+"""Owners of keys in an evacuated zone are sent to for so long after this node heard of it: their
+keys move meanwhile. Nodes hear within a second, two if the store turns them away."""
+
+
+@dataclass(frozen=True, slots=True)
+class Contact:
+    """How a back end was reached when it was last listed.
+
+    Parameters
+    ----------
+    instance
+        The name by which requests and orders say whom they mean.
+    """
+
+    address: str
+    instance: str
+
+
 class BackendDirectory:
     """All back ends that the listing names, by service.
 
+    Attributes
+    ----------
+    node_count
+        Nodes that forward requests, as a leader told last; zero before.
+
     Parameters
     ----------
     zone
@@ -48,12 +73,25 @@
         self._node_id = node_id
         self._states: dict[str, BackendState] = {}
         self._services: dict[str, dict[str, BackendState]] = {}
-        self._addresses: dict[str, str] = {}
+        self._contacts: dict[str, Contact] = {}
+        self._lives: dict[str, str] = {}
         self._work: dict[str, ServiceWork] = {}
+        self._cold_rates: dict[str, float] = {}
+        self._evacuated: dict[str, Seconds] = {}
+        self._cold_turns = ColdTurns(node_id)
+        self.node_count = 0
 
     def put(self, backend: Backend, now: Seconds) -> None:
-        """A back end's entry is new or has changed."""
-        self._addresses[backend.backend_id] = backend.address
+        """A back end's entry is new or has changed.
+
+        An entry of another life of the same instance ends what is known of the former one: it holds
+        and knows nothing of before.
+        """
+        former = self._lives.get(backend.name)
+        if former is not None and former != backend.backend_id:
+            self.remove(former)
+        self._lives[backend.name] = backend.backend_id
+        self._contacts[backend.backend_id] = Contact(backend.address, backend.name)
         state = self._states.get(backend.backend_id)
         if state is None:
             work = self._work.setdefault(backend.service, ServiceWork())
@@ -62,6 +100,8 @@
         else:
             self._services.get(state.backend.service, {}).pop(backend.backend_id, None)
             state.backend = backend
+        state.cold_rate = self._cold_rates.get(backend.service, 0.0)
+        state.note_listed(now)
         self._services.setdefault(backend.service, {})[backend.backend_id] = state
 
     def remove(self, backend_id: str) -> None:
@@ -69,14 +109,66 @@
         state = self._states.pop(backend_id, None)
         if state is not None:
             self._services[state.backend.service].pop(backend_id, None)
+            self._lives.pop(state.backend.name, None)
+            self._cold_turns.forget(backend_id)
+
+    def remove_instance(self, name: str) -> str | None:
+        """An instance's entry is gone, or names no back end any more; return its id, if it had."""
+        backend_id = self._lives.get(name)
+        if backend_id is not None:
+            self.remove(backend_id)
+        return backend_id
+
+    def set_cold_rates(self, rates: Mapping[str, float]) -> None:
+        """Take in what cold back ends bear, in requests a second, by service; zero: no bound."""
+        self._cold_rates = dict(rates)
+        for state in self._states.values():
+            state.cold_rate = self._cold_rates.get(state.backend.service, 0.0)
+
+    def evacuate(self, zone: str, now: Seconds) -> None:
+        """Nothing is to be sent to a zone's back ends any more."""
+        self._evacuated.setdefault(zone, now)
+
+    def end_evacuation(self, zone: str) -> None:
+        """A zone's back ends may be used again."""
+        self._evacuated.pop(zone, None)
+
+    @property
+    def evacuated(self) -> tuple[str, ...]:
+        """Zones whose back ends get nothing."""
+        return tuple(self._evacuated)
+
+    def is_closed_to_keys(self, state: BackendState, now: Seconds) -> bool:
+        """Whether an owner is in an evacuated zone, and the time is over in which its keys move."""
+        since = self._evacuated.get(state.backend.zone)
+        return since is not None and now - since >= OWNER_STOP
+
+    def owner_candidates(self, service: str, now: Seconds, may_move: bool) -> list[Backend]:
+        """Return a service's back ends as a leader is to see them.
+
+        One that is in an evacuated zone or cold is shown as leaving: its keys go to others, with
+        handovers, as long as there are any.
+
+        Parameters
+        ----------
+        may_move
+            Keys that were given up can get another owner now. If not, those of a cold owner stay:
+            it is warm before they would have one.
+        """
+        return [
+            replace(state.backend, draining=True)
+            if state.backend.zone in self._evacuated or (may_move and state.is_cold(now))
+            else state.backend
+            for state in self._services.get(service, {}).values()
+        ]
 
     def find(self, backend_id: str) -> BackendState | None:
         """Return a back end's state."""
         return self._states.get(backend_id)
 
-    def last_address(self, backend_id: str) -> str | None:
-        """Return where a back end was last listed, though its entry may be gone."""
-        return self._addresses.get(backend_id)
+    def last_contact(self, backend_id: str) -> Contact | None:
+        """Return how a back end was last reached, though its entry may be gone."""
+        return self._contacts.get(backend_id)
 
     def addresses(self) -> set[str]:
         """Return where the listed back ends are."""
@@ -97,8 +189,11 @@
         usable = [
             state
             for state in self.of_service(service)
-            if not state.backend.draining and state.backend.backend_id not in excluded
+            if not state.backend.draining
+            and state.backend.backend_id not in excluded
+            and state.backend.zone not in self._evacuated
         ]
+        usable = self._without_cold(usable, now)
         healthy = [state for state in usable if not state.is_passed_over(now)]
         candidates = healthy if len(healthy) >= LEAST_HEALTHY * len(usable) else usable
         if not candidates:
@@ -107,6 +202,19 @@
             return self._better_of_two(candidates, request_id, now)
         return self._by_share(candidates, request_id, now)
 
+    def _without_cold(self, usable: list[BackendState], now: Seconds) -> list[BackendState]:
+        """Leave cold ones out; if there are no others, keep those at which this node has a turn."""
+        warm = [state for state in usable if not state.is_cold(now)]
+        if warm or not usable or not self.node_count:
+            return warm
+        return [
+            state
+            for state in usable
+            if self._cold_turns.try_take(
+                state.backend.backend_id, state.cold_rate, self.node_count, now
+            )
+        ][:1]
+
     def _better_of_two(
         self, candidates: list[BackendState], request_id: bytes, now: Seconds
     ) -> BackendState:
@@ -169,8 +277,3 @@
         if left < 0.0:
             return index
     return max(range(len(shares)), key=shares.__getitem__)
-
-
-def spread_of(text: bytes) -> float:
-    """A number from 0 to 1 that differs from text to text."""
-    return xxhash.xxh32_intdigest(text) / float(1 << 32)
--- a/src/limedeck/forwarding/protocol.py
+++ b/src/limedeck/forwarding/protocol.py
@@ -81,7 +81,7 @@
         """Read the position of a request's key; None if there is none or it makes no sense."""
 
     @abstractmethod
-    def attempt_headers(self, backend_id: str, time_left: Seconds) -> Headers:
+    def attempt_headers(self, instance: str, time_left: Seconds) -> Headers:
         """Write the headers that a node adds towards a back end."""
 
     @abstractmethod
--- a/src/limedeck/forwarding/quarantine.py
+++ b/src/limedeck/forwarding/quarantine.py
@@ -12,7 +12,6 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, fields
 
-from limedeck.forwarding.backends import spread_of
 from limedeck.forwarding.content import RequestContent, RequestSigns, shown
 from limedeck.forwarding.crashes import (
     EVIDENCE_LIFE,
@@ -21,6 +20,7 @@
     ONE_END,
     CrashEvidence,
 )
+from limedeck.forwarding.spread import spread_of
 from limedeck.identity import NEVER, Seconds
 
 FIRST_SPAN: Seconds = 120.0
--- a/src/limedeck/forwarding/request.py
+++ b/src/limedeck/forwarding/request.py
@@ -8,10 +8,11 @@
 
 from limedeck.errors import InvariantViolation
 from limedeck.forwarding.backend_state import BackendState
-from limedeck.forwarding.backends import BackendDirectory, spread_of
+from limedeck.forwarding.backends import BackendDirectory
 from limedeck.forwarding.budget import RetryBudget
 from limedeck.forwarding.owners import OwnerMap
 from limedeck.forwarding.quarantine import RequestGuard
+from limedeck.forwarding.spread import spread_of
 from limedeck.identity import Seconds
 from limedeck.model import Route
 from limedeck.routing.outcomes import (
@@ -75,6 +76,8 @@
     STOPPED = "stopped"
     BAD_KEY = "bad-key"
     QUARANTINED = "quarantined"
+    EVACUATED = "owner-in-evacuated-zone"
+    COLD = "owner-is-cold"
 
 
 @dataclass(frozen=True, slots=True)
@@ -286,8 +289,17 @@
         stale = owners.version == self._stale_version and now < self._not_before
         if state is None or stale:
             return self._refusal_by_lost_owner(position, now) or self._wait_for_owner(now)
+        if self._directory.is_closed_to_keys(state, now):
+            return self._refuse(Reason.EVACUATED, NO_OWNER_RETRY_AFTER)
+        if state.is_cold(now):
+            return self._refuse(Reason.COLD, self._return_to_cold(state, now))
         return self._attempt_in_time(state, now, node_count)
 
+    def _return_to_cold(self, state: BackendState, now: Seconds) -> Seconds:
+        """When to come back for a key of a cold owner: it is warm, or the key has another one."""
+        spread = RETURN_SPREAD * spread_of(self.request_id)
+        return min(state.cold_for(now), LONGEST_MOVE_WAIT) + spread
+
     def _refusal_by_lost_owner(self, position: int, now: Seconds) -> Refuse | None:
         """Refuse at once what cannot be served before a lost owner's lease has ended.
 
--- a/src/limedeck/model.py
+++ b/src/limedeck/model.py
@@ -64,12 +64,16 @@
         Each key has one owner among the back ends.
     warm_time
         How long keys are slow at a new owner that did not get the former owner's handover.
+    cold_rate
+        Requests a second that a back end bears from all nodes together while it is cold; zero if it
+        is only slow then.
     """
 
     name: str
     max_connections: int
     keyed: bool = False
     warm_time: Seconds = 0.0
+    cold_rate: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,6 +112,9 @@
     ----------
     backend_id
         Unique to this life.
+    instance
+        The name by which requests and orders say whom they mean; a later life may have it again.
+        Empty: the id.
     slots
         Requests it works on at once.
     draining
@@ -123,3 +130,9 @@
     slots: int
     draining: bool = False
     warmup: Seconds = 0.0
+    instance: str = ""
+
+    @property
+    def name(self) -> str:
+        """The name by which it is addressed."""
+        return self.instance or self.backend_id
--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -71,6 +71,9 @@
 """The most used back ends that a log line names."""
 RECORD_RETRY: Seconds = 0.1
 """Keys wait for the record meanwhile, and a call costs the store little; an estimate."""
+STORE_HEARD: Seconds = 1.0
+"""The store has confirmed the leader within so long: a move of keys will be recorded soon. Above
+the interval of confirmations."""
 OWN_LOADS_INTERVAL: Seconds = 0.5
 """As often as other nodes report requests by key."""
 VERSION_BITS = 32
@@ -203,7 +206,7 @@
         self.election.handle_heartbeat(status.term, status.store_silence, now, fleet)
         if status.term >= self.election.term:
             self._state.note_leader(status.store_silence, now)
-            self._state.node_count = max(status.node_count, 1)
+            self._state.set_node_count(status.node_count)
             if status.HasField("backend_totals"):
                 self.loads.handle_totals(status.backend_totals, now)
             if status.peers:
@@ -246,7 +249,7 @@
         if not self.leads:
             self._leave_office()
             return
-        self._state.node_count = self.fleet().node_count
+        self._state.set_node_count(self.fleet().node_count)
         self._state.note_leader(self.election.store_silence(now), now)
         self._open_services()
         self._refresh_listing(now)
@@ -295,9 +298,10 @@
                 self._start(self._open_service, view.name, term)
 
     def _refresh_listing(self, now: Seconds) -> None:
+        may_move = self.election.store_silence(now) < STORE_HEARD
         for name, owned in self._services.items():
-            states = self._state.directory.of_service(name)
-            owned.core.set_backends([state.backend for state in states], now)
+            listed = self._state.directory.owner_candidates(name, now, may_move)
+            owned.core.set_backends(listed, now)
 
     def _refresh_totals(self, now: Seconds) -> None:
         totals = self.loads.refresh(now)
--- a/src/limedeck/node/gateway.py
+++ b/src/limedeck/node/gateway.py
@@ -262,7 +262,7 @@
     ) -> HttpAnswer | tuple[FailurePhase, bool]:
         backend = attempt.state.backend
         started = steady_clock()
-        added = self._protocol.attempt_headers(backend.backend_id, attempt.until - started)
+        added = self._protocol.attempt_headers(backend.name, attempt.until - started)
         request = HttpRequest(
             backend.address,
             call.content.method,
--- a/src/limedeck/node/order_sender.py
+++ b/src/limedeck/node/order_sender.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from limedeck.clock import steady_clock
-from limedeck.forwarding.backends import BackendDirectory
+from limedeck.forwarding.backends import BackendDirectory, Contact
 from limedeck.http_client import HttpClient, HttpRequest
 from limedeck.identity import Seconds
 from limedeck.node.logs import get_logger
@@ -85,11 +85,12 @@
         core.handle_order_lost(order, steady_clock())
 
     def _order_request(self, backend_id: str, order: Grant | Release) -> HttpRequest:
-        address = self._directory.last_address(backend_id) or UNKNOWN_ADDRESS
+        contact = self._directory.last_contact(backend_id) or Contact(UNKNOWN_ADDRESS, backend_id)
+        address = contact.address
         if isinstance(order, Grant):
-            written = self._orders.grant(order)
+            written = self._orders.grant(order, contact.instance)
         else:
-            written = self._orders.release(order)
+            written = self._orders.release(order, contact.instance)
         headers = [
             (b"host", address.encode()),
             *written.headers,
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -16,8 +16,9 @@
 
 from limedeck.api.control_pb2 import LeaderRecord
 from limedeck.clock import steady_clock
-from limedeck.forwarding.backends import spread_of
+from limedeck.errors import PlatformProtocolError
 from limedeck.forwarding.budget import RetryAllowance
+from limedeck.forwarding.spread import spread_of
 from limedeck.http_client import HttpClient
 from limedeck.identity import Seconds
 from limedeck.model import Configuration
@@ -49,6 +50,7 @@
     BACKENDS_TABLE,
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
+    evacuated_zone,
     read_backend,
     read_configuration,
 )
@@ -273,13 +275,23 @@
 
     def _configuration_follower(self) -> TableFollower:
         def put(row: StoredRow, source: Source) -> None:
+            zone = evacuated_zone(row.key)
             if row.key == CONFIGURATION_KEY:
                 self._adopt(read_configuration(row.value), source)
+            elif zone is not None:
+                self._state.evacuate(zone, steady_clock())
+                self._log.warning("evacuation_began", zone=zone, source=source.value)
+
+        def remove(key: str) -> None:
+            zone = evacuated_zone(key)
+            if zone is not None:
+                self._state.end_evacuation(zone)
+                self._log.warning("evacuation_ended", zone=zone)
 
         return TableFollower(
             CONFIGURATION_TABLE,
             put,
-            remove=lambda key: None,
+            remove,
             complete=lambda: None,
             joining=CONFIGURATION_JOINING,
             feed_wait=self._settings.store.feed_wait,
@@ -295,13 +307,20 @@
         state = self._state
 
         def put(row: StoredRow, source: Source) -> None:
-            backend = read_backend(row.key, row.value)
+            try:
+                backend = read_backend(row.key, row.value)
+            except PlatformProtocolError:
+                # Whoever wrote it, the entry names no back end now. One that is alive writes its
+                # own again within a heartbeat.
+                state.directory.remove_instance(row.key)
+                self._telemetry.strange_words.labels("entry").inc()
+                raise
             state.directory.put(backend, steady_clock())
             state.notify()
 
         def remove(key: str) -> None:
-            state.directory.remove(key)
-            self._log.info("back_end_gone", backend=key)
+            backend_id = state.directory.remove_instance(key)
+            self._log.info("back_end_gone", backend=backend_id or key)
 
         def complete() -> None:
             state.backends_listed = True
--- a/src/limedeck/node/state.py
+++ b/src/limedeck/node/state.py
@@ -72,9 +72,27 @@
         for name, service in configuration.services.items():
             view = self.service(name)
             view.keyed = service.keyed
+        self.directory.set_cold_rates(
+            {name: service.cold_rate for name, service in configuration.services.items()}
+        )
         self.notify()
         return True
 
+    def set_node_count(self, count: int) -> None:
+        """A leader has told how many nodes there are, or this one leads and has counted them."""
+        self.node_count = max(count, 1)
+        self.directory.node_count = self.node_count
+
+    def evacuate(self, zone: str, now: Seconds) -> None:
+        """Operators want nothing to be sent to a zone's back ends."""
+        self.directory.evacuate(zone, now)
+        self.notify()
+
+    def end_evacuation(self, zone: str) -> None:
+        """Operators have taken an evacuation back."""
+        self.directory.end_evacuation(zone)
+        self.notify()
+
     def set_allowance(self, allowance: RetryAllowance) -> None:
         """Operators allow other retries from now on."""
         self._allowance = allowance
--- a/src/limedeck/node/watchers.py
+++ b/src/limedeck/node/watchers.py
@@ -22,6 +22,8 @@
 LAG_PATIENCE: identity.Seconds = 0.6
 """Who is behind another node for so long does not wait any more to be told, or for its feed: two
 intervals at which a leader tells."""
+REFUSALS_LOGGED = 5
+"""Lines a second about rows that cannot be read; another writer may write many."""
 BRIEF_WAIT: identity.Seconds = 2.0
 """Longest time that a call waits for a change when nobody would show that the feed is dead."""
 
@@ -67,6 +69,7 @@
         self._lost = False
         self._behind_since: identity.Seconds | None = None
         self._waiting: anyio.CancelScope | None = None
+        self._refusals = logs.RateLimit(REFUSALS_LOGGED)
         self._log = logs.get_logger("store")
 
     @property
@@ -209,7 +212,8 @@
         try:
             self._follower.put(row, source)
         except errors.PlatformProtocolError as exc:
-            self._log.error("row_refused", table=row.table, key=row.key, problem=str(exc))
+            if self._refusals.allows():
+                self._log.error("row_refused", table=row.table, key=row.key, problem=str(exc))
 
     def _note_lost(self, exc: rows.StoreError) -> None:
         if not self._lost:
--- a/src/limedeck/ownership/orders.py
+++ b/src/limedeck/ownership/orders.py
@@ -56,12 +56,12 @@
     """Writes orders, and reads the answers to them."""
 
     @abstractmethod
-    def grant(self, order: Grant) -> OrderRequest:
-        """Write a grant."""
+    def grant(self, order: Grant, instance: str) -> OrderRequest:
+        """Write a grant to the back end that has this name."""
 
     @abstractmethod
-    def release(self, order: Release) -> OrderRequest:
-        """Write a release."""
+    def release(self, order: Release, instance: str) -> OrderRequest:
+        """Write a release to the back end that has this name."""
 
     @abstractmethod
     def is_done(self, status: int) -> bool:
--- a/src/limedeck/platform/grants.py
+++ b/src/limedeck/platform/grants.py
@@ -16,7 +16,7 @@
 class PlatformOrders(OrderProtocol):
     """The platform's grant and release calls."""
 
-    def grant(self, order: Grant) -> OrderRequest:
+    def grant(self, order: Grant, instance: str) -> OrderRequest:
         body: dict[str, object] = {
             "from": order.first,
             "target_version": order.last,
@@ -25,15 +25,15 @@
         }
         if order.handover:
             body["handover"] = order.handover
-        return _request(b"/v1/grant", order.backend_id, body)
+        return _request(b"/v1/grant", instance, body)
 
-    def release(self, order: Release) -> OrderRequest:
+    def release(self, order: Release, instance: str) -> OrderRequest:
         body: dict[str, object] = {
             "from": order.first,
             "target_version": order.last,
             "fence": order.fence,
         }
-        return _request(b"/v1/release", order.backend_id, body)
+        return _request(b"/v1/release", instance, body)
 
     def is_done(self, status: int) -> bool:
         return status == OK
@@ -45,9 +45,9 @@
         return dict(headers).get(HANDOVER, b"").decode("ascii", "replace")
 
 
-def _request(path: bytes, backend_id: str, body: dict[str, object]) -> OrderRequest:
+def _request(path: bytes, instance: str, body: dict[str, object]) -> OrderRequest:
     headers = [
         (b"content-type", b"application/json"),
-        (EXPECTED_INSTANCE, backend_id.encode()),
+        (EXPECTED_INSTANCE, instance.encode()),
     ]
     return OrderRequest(path, headers, msgspec.json.encode(body))
--- a/src/limedeck/platform/headers.py
+++ b/src/limedeck/platform/headers.py
@@ -37,9 +37,9 @@
         value = _number(headers.get(KEY))
         return int(value) if value is not None and value < KEY_COUNT else None
 
-    def attempt_headers(self, backend_id: str, time_left: Seconds) -> Headers:
+    def attempt_headers(self, instance: str, time_left: Seconds) -> Headers:
         left = max(int(time_left * MILLISECONDS), 1)
-        return [(DEADLINE, b"%d" % left), (EXPECTED_INSTANCE, backend_id.encode())]
+        return [(DEADLINE, b"%d" % left), (EXPECTED_INSTANCE, instance.encode())]
 
     def answer_facts(self, status: int, headers: Headers) -> AnswerFacts:
         found = dict(headers)
--- a/src/limedeck/platform/messages.py
+++ b/src/limedeck/platform/messages.py
@@ -2,15 +2,23 @@
 
 from __future__ import annotations
 
+from typing import Annotated, Literal
+
 import msgspec
 
 from limedeck.errors import PlatformProtocolError
+from limedeck.identity import Seconds
 from limedeck.model import Backend, CallerLimits, Configuration, Route, Service, Target
 
 CONFIGURATION_TABLE = "op"
 CONFIGURATION_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
 BACKENDS_TABLE = "servers"
 REPEATABLE = "safe"
+ADDRESS = r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"
+LONGEST_WARMUP: Seconds = 3600.0
+"""No back end is cold for an hour; whoever writes so is no back end."""
+_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 DRAINING = "draining"
 
 
@@ -37,6 +45,7 @@
     max_connections: int
     sharded: bool = False
     warm_s: float = 0.0
+    warmup_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct):
@@ -54,20 +63,23 @@
 
 
 class _Info(msgspec.Struct):
-    backend: str
-    zone: str = ""
-    slots: int = 1
+    backend: _Name
+    version: str
+    zone: _Name
+    slots: Annotated[int, msgspec.Meta(ge=1)]
 
 
 class _Status(msgspec.Struct):
-    state: str = "ready"
-    warmup_s_time: float = 0.0
+    state: Literal["ready", "draining"]
+    sequence: int
+    warmup_s_time: Annotated[float, msgspec.Meta(ge=0, le=LONGEST_WARMUP)]
 
 
 class _Server(msgspec.Struct):
-    address: str
+    address: Annotated[str, msgspec.Meta(pattern=ADDRESS)]
     info: _Info
     status: _Status
+    born: int | None = None
 
 
 _CONFIGURATION = msgspec.json.Decoder(_Configuration)
@@ -99,9 +111,17 @@
     )
 
 
+def evacuated_zone(key: str) -> str | None:
+    """Return the zone that a row of the configuration's table asks to be evacuated, if it does."""
+    return key.removeprefix(EVACUATION_PREFIX) if key.startswith(EVACUATION_PREFIX) else None
+
+
 def read_backend(key: str, value: bytes) -> Backend:
     """Read an upstream's entry.
 
+    An entry that lacks a field, or has one of another type or meaning, names no back end: it may
+    come from another writer. `born` alone may be missing; without it an id stands for one life.
+
     Raises
     ------
     PlatformProtocolError
@@ -112,11 +132,12 @@
     except msgspec.DecodeError as error:
         raise PlatformProtocolError(f"entry of {key}", str(error)) from error
     return Backend(
-        backend_id=key,
+        backend_id=key if found.born is None else f"{key}@{found.born}",
+        instance=key,
         service=found.info.backend,
         address=found.address,
         zone=found.info.zone,
-        slots=max(found.info.slots, 1),
+        slots=found.info.slots,
         draining=found.status.state == DRAINING,
         warmup=found.status.warmup_s_time,
     )
@@ -138,4 +159,6 @@
 
 
 def _service(item: _Service) -> Service:
-    return Service(item.name, item.max_connections, item.sharded, item.warm_s)
+    return Service(
+        item.name, item.max_connections, item.sharded, item.warm_s, max(item.warmup_per_s, 0.0)
+    )
--- a/tests/contract/test_platform_formats.py
+++ b/tests/contract/test_platform_formats.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from limedeck.errors import PlatformProtocolError
 from limedeck.forwarding.protocol import LoadReport
@@ -100,6 +103,74 @@
         read_backend("i-1", b'{"address": 5}')
 
 
+def test_a_back_end_that_starts_again_under_its_id_is_another_one() -> None:
+    lives = [
+        read_backend("i-1", json.dumps({**SERVER, "born": born}).encode()) for born in (17, 18)
+    ]
+    assert lives[0].backend_id != lives[1].backend_id
+    assert {life.name for life in lives} == {"i-1"}
+
+
+STRANGE = [
+    b"",
+    b"\xff\xfe",
+    b"null",
+    b"[]",
+    b"{}",
+    *(
+        json.dumps(entry).encode()
+        for entry in (
+            {**SERVER, "address": "somewhere"},
+            {**SERVER, "address": None},
+            {**SERVER, "born": "17"},
+            {**SERVER, "born": 17.5},
+            {**SERVER, "born": True},
+            {**SERVER, "info": {**SERVER["info"], "slots": 0}},  # type: ignore[dict-item]
+            {**SERVER, "info": {**SERVER["info"], "slots": "2"}},  # type: ignore[dict-item]
+            {**SERVER, "info": {**SERVER["info"], "zone": ""}},  # type: ignore[dict-item]
+            {**SERVER, "info": {"backend": "s", "version": "v1", "zone": "z"}},
+            {**SERVER, "status": {**SERVER["status"], "state": "resting"}},  # type: ignore[dict-item]
+            {**SERVER, "status": {**SERVER["status"], "warmup_s_time": -1}},  # type: ignore[dict-item]
+            {**SERVER, "status": {**SERVER["status"], "warmup_s_time": 1e9}},  # type: ignore[dict-item]
+            {**SERVER, "status": {"state": "ready", "warmup_s_time": 0}},
+        )
+    ),
+]
+
+
+@pytest.mark.parametrize("value", STRANGE)
+def test_an_entry_of_another_writer_names_no_back_end(value: bytes) -> None:
+    with pytest.raises(PlatformProtocolError):
+        read_backend("i-1", value)
+
+
+@given(
+    st.one_of(
+        st.binary(max_size=200),
+        st.recursive(
+            st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=9),
+            lambda inner: (
+                st.lists(inner, max_size=3)
+                | st.dictionaries(
+                    st.sampled_from(
+                        ["address", "info", "status", "born", "slots", "state", "zone"]
+                    ),
+                    inner,
+                    max_size=5,
+                )
+            ),
+            max_leaves=12,
+        ).map(lambda found: json.dumps(found).encode()),
+    )
+)
+@settings(max_examples=300, derandomize=True, deadline=None)
+def test_whatever_an_entry_holds_it_is_read_or_refused(value: bytes) -> None:
+    with contextlib.suppress(PlatformProtocolError):
+        found = read_backend("i-1", value)
+        assert found.slots > 0
+        assert found.service and found.zone
+
+
 @pytest.mark.parametrize(
     ("headers", "time_left", "position"),
     [
@@ -167,7 +238,8 @@
 
 def test_orders() -> None:
     orders = PlatformOrders()
-    granted = orders.grant(Grant("i-1", 4096, 8191, 12, 4.0, "5c0e"))
+    granted = orders.grant(Grant("i-1@7", 4096, 8191, 12, 4.0, "5c0e"), "i-1")
+    assert dict(granted.headers)[b"x-expect-instance"] == b"i-1"
     assert granted.path == b"/v1/grant"
     assert json.loads(granted.body) == {
         "from": 4096,
@@ -176,8 +248,8 @@
         "hold_s": 4.0,
         "handover": "5c0e",
     }
-    assert "handover" not in json.loads(orders.grant(Grant("i-1", 0, 1, 1, 2.0)).body)
-    released = orders.release(Release("i-1", 4096, 8191, 13))
+    assert "handover" not in json.loads(orders.grant(Grant("i-1", 0, 1, 1, 2.0), "i-1").body)
+    released = orders.release(Release("i-1", 4096, 8191, 13), "i-1")
     assert released.path == b"/v1/release"
     assert json.loads(released.body) == {"from": 4096, "target_version": 8191, "fence": 13}
     assert orders.handover([(b"x-handover", b"5c0e")]) == "5c0e"
--- a/tests/unit/test_forwarding.py
+++ b/tests/unit/test_forwarding.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import replace
+from random import Random
 
 import pytest
 
 from limedeck.forwarding.backend_state import BackendState
-from limedeck.forwarding.backends import BackendDirectory
+from limedeck.forwarding.backends import OWNER_STOP, BackendDirectory, Contact
 from limedeck.forwarding.budget import MARGIN, RetryAllowance, RetryBudget
 from limedeck.forwarding.owners import OwnedRange, OwnerMap
 from limedeck.forwarding.protocol import LoadReport
@@ -159,7 +161,7 @@
     directory.put(backend("a"), 0.0)
     directory.remove("a")
     assert directory.find("a") is None
-    assert directory.last_address("a") == "127.0.0.1:1"
+    assert directory.last_contact("a") == Contact("127.0.0.1:1", "a")
 
 
 # ---------------------------------------------------------------------- owners
@@ -536,3 +538,160 @@
     state = told_state(LoadReport(1, 0, 3))
     state.note_full(1.0)
     assert state.full_at is None
+
+
+# ---------------------------------------------------------------------- zones, cold ones, lives
+
+
+def keyed_view(owner: str) -> ServiceView:
+    view = ServiceView("s", True, RetryBudget(ALLOWANCE))
+    view.owners = OwnerMap(1, (OwnedRange(0, 9, owner),))
+    return view
+
+
+def command_for(
+    view: ServiceView, directory: BackendDirectory, now: float, position: int | None = None
+) -> Command:
+    core = RequestCore(
+        b"%d" % round(now * 1000), route(), view, directory, position, now + 9.0, now
+    )
+    return core.next_command(now, 3)
+
+
+def test_nothing_is_sent_to_an_evacuated_zone() -> None:
+    """2,193 requests came to such back ends on one day, which nobody had read of."""
+    directory = BackendDirectory("z1", "n1")
+    directory.put(backend("a", zone="z1"), 0.0)
+    directory.put(backend("bb", zone="z2"), 0.0)
+    directory.evacuate("z1", 1.0)
+    chosen = {directory.choose("s", (), b"%d" % number, 1.0) for number in range(50)}
+    assert chosen == {directory.find("bb")}
+    directory.evacuate("z2", 1.0)
+    assert directory.choose("s", (), b"1", 1.0) is None
+    refused = command_for(ServiceView("s", False, RetryBudget(ALLOWANCE)), directory, 1.0)
+    assert isinstance(refused, Refuse)
+    assert (refused.reason, refused.outcome) == (Reason.NO_BACKEND, Outcome.NOT_RUN)
+    directory.end_evacuation("z1")
+    assert directory.choose("s", (), b"1", 1.0) is directory.find("a")
+
+
+def test_an_evacuated_owner_serves_while_its_keys_move_and_no_longer() -> None:
+    directory = BackendDirectory("z1", "n1")
+    directory.put(backend("a"), 0.0)
+    directory.evacuate("z1", 1.0)
+    assert isinstance(command_for(keyed_view("a"), directory, 1.5, 5), Attempt)
+    refused = command_for(keyed_view("a"), directory, 1.0 + OWNER_STOP, 5)
+    assert isinstance(refused, Refuse)
+    assert (refused.reason, refused.outcome) == (Reason.EVACUATED, Outcome.NOT_RUN)
+
+
+def test_a_leader_is_shown_evacuated_and_cold_back_ends_as_leaving() -> None:
+    directory = BackendDirectory("z1", "n1")
+    directory.set_cold_rates({"s": 4.2})
+    directory.put(backend("a", zone="z1"), 0.0)
+    directory.put(backend("bb", zone="z2"), 0.0)
+    directory.put(cold("ccc", 3.0), 0.0)
+    directory.evacuate("z1", 1.0)
+
+    def leaving(now: float, may_move: bool) -> set[str]:
+        shown = directory.owner_candidates("s", now, may_move)
+        return {item.backend_id for item in shown if item.draining}
+
+    assert leaving(1.0, may_move=True) == {"a", "ccc"}
+    assert leaving(1.0, may_move=False) == {"a"}
+    assert leaving(3.1, may_move=True) == {"a"}
+
+
+def cold(name: str, warmup: float, instance: str = "") -> Backend:
+    return replace(backend(name, zone="z3"), warmup=warmup, instance=instance)
+
+
+def test_a_cold_back_end_gets_nothing_while_there_is_a_warm_one() -> None:
+    directory = BackendDirectory("z3", "n1")
+    directory.set_cold_rates({"s": 4.2})
+    directory.put(backend("a", zone="z1"), 0.0)
+    directory.put(cold("bb", 3.0), 1.0)
+    early = {directory.choose("s", (), b"%d" % number, 3.9) for number in range(50)}
+    assert early == {directory.find("a")}
+    warm = {directory.choose("s", (), b"%d" % number, 4.1) for number in range(50)}
+    assert directory.find("bb") in warm
+
+
+def test_without_a_bound_a_cold_back_end_is_used() -> None:
+    directory = BackendDirectory("z3", "n1")
+    directory.put(cold("a", 3.0), 0.0)
+    assert directory.choose("s", (), b"1", 0.1) is directory.find("a")
+
+
+def test_a_cold_owner_gets_nothing_and_its_callers_are_told_at_once() -> None:
+    directory = BackendDirectory("z3", "n1")
+    directory.set_cold_rates({"s": 4.2})
+    directory.put(cold("a", 3.0), 0.0)
+    refused = command_for(keyed_view("a"), directory, 1.0, 5)
+    assert isinstance(refused, Refuse)
+    assert (refused.reason, refused.outcome) == (Reason.COLD, Outcome.NOT_RUN)
+    assert 0.1 < refused.retry_after < 1.0
+    assert isinstance(command_for(keyed_view("a"), directory, 3.1, 5), Attempt)
+
+
+def test_what_has_ended_is_taken_for_cold_until_its_entry_changes() -> None:
+    directory = BackendDirectory("z3", "n1")
+    directory.set_cold_rates({"s": 4.2})
+    directory.put(backend("a"), 0.0)
+    state = directory.find("a")
+    assert state is not None
+    state.note_ended(1.0)
+    assert state.is_cold(4.9)
+    assert not state.is_cold(5.1)
+    state.note_ended(6.0)
+    directory.put(backend("a"), 6.5)
+    assert not state.is_cold(6.6)
+
+
+def test_another_life_under_the_same_name_knows_nothing_of_the_former() -> None:
+    directory = BackendDirectory("z3", "n1")
+    directory.put(cold("a@1", 0.0, "a"), 0.0)
+    former = directory.find("a@1")
+    assert former is not None
+    former.note_failure(1.0)
+    former.note_load(LoadReport(3, 9, 3), 1.0)
+    directory.put(cold("a@2", 3.0, "a"), 2.0)
+    life = directory.find("a@2")
+    assert life is not None
+    assert directory.find("a@1") is None
+    assert (life.failures, life.expected_load(2.0)) == (0, 0)
+    assert directory.last_contact("a@1") == directory.last_contact("a@2")
+    assert directory.remove_instance("a") == "a@2"
+    assert directory.of_service("s") == []
+
+
+@pytest.mark.parametrize("views", [(74, 74), (37, 74), (60, 90)])
+def test_all_nodes_together_send_few_requests_to_a_cold_back_end(views: tuple[int, int]) -> None:
+    """No back end is warm. 74 nodes that differ in their clocks, and in how many they count.
+
+    Each has many more requests than it may send. The bound: 1.5 times 4.2 and 8 in any second.
+    """
+    nodes = 74
+    random = Random(7)
+    sent: list[float] = []
+    for number in range(nodes):
+        directory = BackendDirectory("z3", f"n{number}")
+        directory.set_cold_rates({"s": 4.2})
+        directory.node_count = random.randint(*views)
+        lead = random.uniform(0.0, 1000.0)
+        directory.put(cold("a", 60.0), lead)
+        for step in range(60 * 8):
+            at = step / 8
+            if directory.choose("s", (), b"%d" % step, lead + at) is not None:
+                sent.append(at)
+    assert len(sent) > 30
+    for start in sent:
+        assert sum(start <= at < start + 1.0 for at in sent) <= 14
+
+
+def test_a_node_that_no_leader_has_told_of_others_sends_nothing_to_cold_ones() -> None:
+    directory = BackendDirectory("z3", "n1")
+    directory.set_cold_rates({"s": 4.2})
+    directory.put(cold("a", 60.0), 0.0)
+    for step in range(500):
+        assert directory.choose("s", (), b"%d" % step, step / 10) is None
