A back end that is new to a leader refuses older orders before it gets keys

Cause: a back end that starts again under its name has seen no fence, so a grant meant for its former life, taken seconds late, would make a second owner. Before its first keys it is asked to release all keys under a fence above all that were sent; owners by the record are granted anew anyway. Ruled out: remembering lost grants (a successor does not know them). Cost: one order for each back end that joins, and for each that owns nothing at a takeover.

--- /dev/null
+++ b/src/limedeck/ownership/barriers.py
@@ -0,0 +1,80 @@
+"""Keeps orders to a former life of a back end from being carried out by a later one.
+
+A back end may start again under its name. It then holds no keys and has seen no fence, so a grant
+that was meant for its former life, and is carried out late, would give it keys that are another
+one's by now. So before a back end that is new to a leader gets any keys, it is asked to release all
+of them, under a fence above all that were ever sent: from its answer on it refuses older grants.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from limedeck.identity import NEVER, Seconds
+from limedeck.ownership.fences import FenceCounter
+from limedeck.ownership.orders import Release
+
+RETRY: Seconds = 0.5
+"""A barrier without an answer is asked for again after so long; it gets no keys meanwhile."""
+
+
+@dataclass(slots=True)
+class _Barrier:
+    """What one back end was asked last; a fence of zero: nothing yet."""
+
+    fence: int = 0
+    next_order: Seconds = NEVER
+    is_pending: bool = False
+
+
+class Barriers:
+    """Back ends of one service that must refuse older orders before they get keys.
+
+    Parameters
+    ----------
+    key_positions
+        Keys are numbers from 0 up to this, which is excluded.
+    """
+
+    def __init__(self, key_positions: int, fences: FenceCounter) -> None:
+        self._last = key_positions - 1
+        self._fences = fences
+        self._missing: dict[str, _Barrier] = {}
+
+    def require(self, backend_ids: Collection[str]) -> None:
+        """These back ends are new to this leader."""
+        for backend_id in sorted(backend_ids):
+            self._missing.setdefault(backend_id, _Barrier())
+
+    def keep_only(self, listed: Collection[str]) -> None:
+        """All others are gone."""
+        for backend_id in [item for item in self._missing if item not in listed]:
+            del self._missing[backend_id]
+
+    def is_missing(self, backend_id: str) -> bool:
+        """Whether it may still carry out orders that were meant for a former life."""
+        return backend_id in self._missing
+
+    def due(self, now: Seconds) -> list[Release]:
+        """Return the orders that are to be sent now."""
+        orders = []
+        for backend_id, barrier in self._missing.items():
+            if barrier.is_pending or now < barrier.next_order:
+                continue
+            barrier.fence = self._fences.next()
+            barrier.is_pending = True
+            orders.append(Release(backend_id, 0, self._last, barrier.fence))
+        return orders
+
+    def handle_answer(self, order: Release, done: bool, now: Seconds) -> bool:
+        """An order was answered, or had no answer in time; tell whether it was one of these."""
+        barrier = self._missing.get(order.backend_id)
+        if barrier is None or barrier.fence != order.fence:
+            return False
+        if done:
+            del self._missing[order.backend_id]
+        else:
+            barrier.is_pending = False
+            barrier.next_order = now + RETRY
+        return True
--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -20,6 +20,7 @@
 from limedeck.forwarding.owners import OwnedRange, joined
 from limedeck.identity import NEVER, Seconds
 from limedeck.model import Backend
+from limedeck.ownership.barriers import Barriers
 from limedeck.ownership.fences import FenceCounter
 from limedeck.ownership.key_load import LASTING_MEMORY, RECENT_MEMORY, KeyLoad
 from limedeck.ownership.orders import Grant, Release
@@ -110,6 +111,7 @@
         self._key_positions = key_positions
         self._timing = timing
         self._fences = FenceCounter(term)
+        self._barriers = Barriers(key_positions, self._fences)
         self._row_version = row_version
         self._sequence = 0
         self._backends: dict[str, Backend] = {}
@@ -141,8 +143,13 @@
         """The listing of this service's back ends has changed."""
         known = self._backends.keys()
         self._backends = {item.backend_id: item for item in backends}
-        if self._backends.keys() - known:
+        new = self._backends.keys() - known
+        if new:
             self._newest_seen_at = now
+        if new and self.ranges:
+            # Those who own keys by the record are granted them under new fences anyway.
+            self._barriers.require(new - {item.owner for item in self.ranges})
+        self._barriers.keep_only(self._backends)
         if self._backends and self._first_seen_at is None:
             self._first_seen_at = now
 
@@ -172,6 +179,8 @@
     ) -> None:
         """A back end answered a release."""
         self._silence.note_heard(order.backend_id)
+        if self._barriers.handle_answer(order, done, now):
+            return
         for found in self._ranges_within(order):
             if found.phase is not Phase.RELEASING:
                 continue
@@ -185,6 +194,8 @@
     def handle_order_lost(self, order: Grant | Release, now: Seconds) -> None:
         """An order had no answer; it may be taken yet."""
         self._silence.avoid_longer(order.backend_id, now)
+        if isinstance(order, Release) and self._barriers.handle_answer(order, False, now):
+            return
         for found in self._ranges_within(order):
             found.order_pending = False
             found.next_order = now
@@ -260,6 +271,7 @@
         for found in self.ranges:
             self._tick_range(found, may_renew, now)
         self._send_releases(now)
+        self._commands += [SendRelease(order) for order in self._barriers.due(now)]
         self._record_free_ranges(now)
         self._balance(now)
         self._check()
@@ -534,7 +546,11 @@
     def _candidates(self, now: Seconds) -> list[str]:
         """Back ends that may get keys; silent and failing ones only if there are no others."""
         self._silence.end_avoidance(now)
-        usable = sorted(key for key, item in self._backends.items() if not item.draining)
+        usable = sorted(
+            key
+            for key, item in self._backends.items()
+            if not item.draining and not self._barriers.is_missing(key)
+        )
         heard = [key for key in usable if not self._silence.is_avoided(key)] or usable
         return [key for key in heard if key not in self._failing] or heard
 
--- a/src/limedeck_lab/ownership/backends.py
+++ b/src/limedeck_lab/ownership/backends.py
@@ -21,6 +21,8 @@
         By key; counted in true time.
     late
         Keys that it holds by a grant that was taken late.
+    instance
+        The name by which orders are addressed; a later life may have it again.
     """
 
     backend_id: str
@@ -32,8 +34,10 @@
     fences: list[int] = field(default_factory=list)
     held_until: list[Seconds] = field(default_factory=list)
     late: set[int] = field(default_factory=set)
+    instance: str = ""
 
     def __post_init__(self) -> None:
+        self.instance = self.instance or self.backend_id
         self.fences = [0] * self.positions
         self.held_until = [0.0] * self.positions
 
@@ -61,6 +65,13 @@
                 self.fences[key] = order.fence
                 self.held_until[key] = 0.0
 
-    def holds(self, key: int, now: Seconds) -> bool:
-        """Whether it would run a request for the key, by a grant that was not taken late."""
-        return self.up and self.held_until[key] > now and key not in self.late
+    def holds(self, key: int, now: Seconds, or_late: bool = False) -> bool:
+        """Whether it would run a request for the key, by a grant that was not taken late.
+
+        Parameters
+        ----------
+        or_late
+            A grant that was taken late counts too.
+        """
+        is_late = key in self.late and not or_late
+        return self.up and self.held_until[key] > now and not is_late
--- a/src/limedeck_lab/ownership/node.py
+++ b/src/limedeck_lab/ownership/node.py
@@ -279,7 +279,7 @@
     def _exchange(self, order: Grant | Release) -> Generator[simpy.Event, object, bool | None]:
         environment = self.world.environment
         yield environment.timeout(ORDER_TIME)
-        backend = self.world.backends.get(order.backend_id)
+        backend = self.world.addressed(order)
         reachable = backend is not None and backend.reachable and self.reaches_backends
         if (self.node_id, order.backend_id) in self.world.pair_cuts:
             reachable = False
--- a/src/limedeck_lab/ownership/world.py
+++ b/src/limedeck_lab/ownership/world.py
@@ -58,6 +58,7 @@
         self.backends: dict[str, SimulatedBackend] = {}
         self.late_orders = 0.0
         self.pair_cuts: set[tuple[str, str]] = set()
+        self.judges_late_grants = False
         self.found: list[DoubleOwner] = []
         self._lives = 0
         for index in range(node_count):
@@ -77,10 +78,10 @@
         """End a node's process at once."""
         self.nodes[node_id].up = False
 
-    def start_backend(self) -> SimulatedBackend:
-        """Start a back end."""
+    def start_backend(self, instance: str = "") -> SimulatedBackend:
+        """Start a back end, or another life of one."""
         self._lives += 1
-        backend = SimulatedBackend(f"backend-{self._lives}", self.positions)
+        backend = SimulatedBackend(f"backend-{self._lives}", self.positions, instance=instance)
         self.backends[backend.backend_id] = backend
         return backend
 
@@ -108,10 +109,17 @@
     def _take_late(self, order: Grant | Release) -> Generator[simpy.Event, object, None]:
         span = self.random.uniform(EARLIEST_LATE_ORDER, LATEST_ORDER)
         yield self.environment.timeout(span)
-        backend = self.backends.get(order.backend_id)
+        backend = self.addressed(order)
         if backend is not None and backend.up:
             self.take(backend, order, late=True)
 
+    def addressed(self, order: Grant | Release) -> SimulatedBackend | None:
+        """Return the back end that an order reaches: the newest life of the one meant."""
+        meant = self.backends.get(order.backend_id)
+        if meant is None:
+            return None
+        return [item for item in self.backends.values() if item.instance == meant.instance][-1]
+
     # ------------------------------------------------------------------ judging
 
     def _judge(self) -> Generator[simpy.Event, object, None]:
@@ -120,7 +128,9 @@
             now = self.environment.now
             for key in range(self.positions):
                 owners = tuple(
-                    item.backend_id for item in self.backends.values() if item.holds(key, now)
+                    item.backend_id
+                    for item in self.backends.values()
+                    if item.holds(key, now, self.judges_late_grants)
                 )
                 if len(owners) > 1:
                     self.found.append(DoubleOwner(now, key, owners))
@@ -162,7 +172,10 @@
             self._fault_two_leaders,
             self._fault_holder_of_old_leader,
         )
+        by_name_alone = (self._fault_backend_reborn,)
         faults = [fault for fault in every_fault if only in fault.__name__]
+        if only:
+            faults += [fault for fault in by_name_alone if only in fault.__name__]
         end = self.environment.now + seconds
         while self.environment.now < end:
             fault = self.random.choice(faults)
@@ -280,6 +293,22 @@
         yield self._pause(0.5, 3.0)
         backend.listed = False
 
+    def _fault_backend_reborn(self) -> Generator[simpy.Event, object, None]:
+        """An owner takes orders late, ends, and starts again under its name seconds later.
+
+        Its keys are another one's by then, and orders to its former life are still on their way.
+        """
+        backend = self._any_backend()
+        self.judges_late_grants = True
+        self.late_orders = 1.0
+        yield self._pause(0.3, 0.6)
+        self.late_orders = 0.0
+        backend.up = False
+        yield self._pause(0.1, 2.0)
+        backend.listed = False
+        yield self._pause(1.0, 3.0)
+        self.start_backend(backend.instance)
+
     def _fault_backend_unreachable(self) -> Generator[simpy.Event, object, None]:
         backend = self._any_backend()
         backend.reachable = False
--- a/tests/unit/test_ownership_world.py
+++ b/tests/unit/test_ownership_world.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from limedeck.ownership import service
+from limedeck.ownership import barriers, service
 from limedeck.ownership.fences import SEQUENCE_BITS, FenceCounter
 from limedeck.ownership.ranges import Phase
 from limedeck.ownership.timing import OwnershipTiming
@@ -80,3 +80,18 @@
 
     monkeypatch.setattr(service.ServiceOwnership, "_send_releases", careless)
     assert caught() == list(SABOTAGE_SEEDS)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_orders_to_a_former_life_give_a_later_one_no_keys(seed: int) -> None:
+    """Grants that are taken late count here, and are taken at full length."""
+    world = run(seed, only="backend_reborn")
+    assert world.found == []
+    assert world.unserved() == []
+
+
+def test_without_barriers_a_later_life_takes_the_former_ones_keys(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(barriers.Barriers, "require", lambda self, backend_ids: None)
+    assert caught(only="backend_reborn") != []
--- a/tests/unit/test_service_ownership.py
+++ b/tests/unit/test_service_ownership.py
@@ -530,3 +530,33 @@
         first, last = max(item.first, 30_000), min(item.last, 30_199)
         hot[item.owner] += max(last - first + 1, 0)
     assert max(hot.values()) <= 20
+
+
+def test_a_back_end_that_starts_again_refuses_older_orders_before_it_gets_keys() -> None:
+    """It has seen no fence: a grant to its former life would be taken, however late it comes."""
+    play = fresh()
+    play.run(2.0)
+    play.core.set_backends([backend("a"), backend("b@2")], play.now)
+    play.run(4.0)
+    orders = [order for at, order in play.orders if order.backend_id == "b@2"]
+    first = orders[0]
+    assert isinstance(first, Release)
+    assert (first.first, first.last) == (0, KEYS - 1)
+    earlier = [order.fence for _, order in play.orders if order.backend_id == "b"]
+    assert first.fence > max(earlier)
+    assert all(order.fence > first.fence for order in orders[1:])
+
+
+def test_a_new_back_end_that_answers_nothing_gets_no_keys() -> None:
+    play = fresh()
+    play.run(2.0)
+    play.silent.add("c")
+    play.core.set_backends([backend("a", draining=True), backend("b"), backend("c")], play.now)
+    play.run(4.0)
+    assert play.owners() == [(0, 99, "b")]
+
+
+def test_owners_by_the_record_need_no_barrier() -> None:
+    play = taken_over(set())
+    play.run(1.0)
+    assert not any(isinstance(order, Release) for _, order in play.orders)
