A node serves its callers by uvicorn and httptools

Signals stay with the node, its own listening socket is handed over, idle connections 60 s as before.

--- a/src/limedeck/node/listener.py
+++ b/src/limedeck/node/listener.py
@@ -6,7 +6,6 @@
 
 import anyio
 import anyio.lowlevel
-from hypercorn.config import Config, Sockets
 
 from limedeck.identity import Seconds
 
@@ -16,16 +15,6 @@
 """After the listener is shut, so long for requests on connections taken just before."""
 
 
-class OwnSocketConfig(Config):
-    """HTTP server configuration that listens on a socket which this process keeps at hand."""
-
-    listener: socket.socket
-
-    def create_sockets(self) -> Sockets:
-        """Hand the server the socket."""
-        return Sockets([], [self.listener], [])
-
-
 def open_listener(address: str) -> socket.socket:
     """Listen on an address."""
     host, _, port = address.rpartition(":")
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -11,8 +11,6 @@
 
 import anyio
 from anyio.abc import TaskGroup, TaskStatus
-from hypercorn.asyncio import serve
-from hypercorn.config import Config
 
 from limedeck.api.control_pb2 import LeaderRecord
 from limedeck.clock import steady_clock
@@ -22,7 +20,6 @@
 from limedeck.http_client import HttpClient
 from limedeck.identity import Seconds
 from limedeck.model import Configuration
-from limedeck.node.asgi import Application
 from limedeck.node.control import ControlHost
 from limedeck.node.counted_store import CountedStore
 from limedeck.node.crash_gossip import CrashGossip
@@ -30,8 +27,9 @@
 from limedeck.node.followers import FollowerConnections
 from limedeck.node.former_leader_inquiry import FormerLeaderInquiry
 from limedeck.node.gateway import CallerGateway
+from limedeck.node.http_server import serve
 from limedeck.node.leader_link import LeaderLink
-from limedeck.node.listener import OwnSocketConfig, close_to_newcomers, open_listener
+from limedeck.node.listener import close_to_newcomers, open_listener
 from limedeck.node.logs import BoundedWriter, get_logger
 from limedeck.node.news import FeedKeeper, StoreNews
 from limedeck.node.quarantine_record import QuarantineRecordKeeper
@@ -59,9 +57,6 @@
 from limedeck.store.replica import Source
 from limedeck.store.rows import StoredRow
 
-LARGEST_HEAD = 128 * 1024
-KEEP_ALIVE: Seconds = 60.0
-"""An idle connection of a caller is kept so long; an estimate."""
 UPKEEP_INTERVAL: Seconds = 0.5
 """Between two looks at idle connections and at the settings file, which binds within a second."""
 STORE_CALLS_INTERVAL: Seconds = 5.0
@@ -74,25 +69,6 @@
 """Time for the last answers to be written once no request is under way."""
 
 
-def server_config(address: str, graceful_timeout: Seconds) -> Config:
-    """Configure an HTTP server inside this process."""
-    config = Config()
-    config.bind = [address]
-    configure_server(config, graceful_timeout)
-    return config
-
-
-def configure_server(config: Config, graceful_timeout: Seconds) -> None:
-    """Set what all HTTP servers of this process have in common."""
-    config.graceful_timeout = graceful_timeout
-    config.keep_alive_timeout = KEEP_ALIVE
-    config.keep_alive_max_requests = 1 << 30
-    config.h11_max_incomplete_size = LARGEST_HEAD
-    config.accesslog = None
-    config.errorlog = None
-    config.include_server_header = False
-
-
 class Node:
     """One node: its control, its router and its servers."""
 
@@ -198,16 +174,12 @@
         readiness_stop = anyio.Event()
         callers_stop = anyio.Event()
         listener = open_listener(node.callers)
-        callers = OwnSocketConfig()
-        configure_server(callers, LAST_ANSWERS)
-        callers.listener = listener
+        readiness_listener = open_listener(node.readiness)
         readiness = ReadinessApplication(self._state, self._telemetry)
         stop_requested = anyio.Event()
         async with self._signals_handled(stop_requested), anyio.create_task_group() as servers:
-            servers.start_soon(
-                self._serve, readiness, server_config(node.readiness, 0.2), readiness_stop
-            )
-            servers.start_soon(self._serve, gateway, callers, callers_stop)
+            servers.start_soon(serve, readiness, readiness_listener, readiness_stop, LAST_ANSWERS)
+            servers.start_soon(serve, gateway, listener, callers_stop, LAST_ANSWERS)
             await stop_requested.wait()
             self._log.info("stopping", node=node.id)
             await self._wind_down(control, listener)
@@ -232,9 +204,6 @@
         while self._state.in_flight and steady_clock() < end:
             await self._state.wait_for_change(end - steady_clock())
 
-    async def _serve(self, application: Application, config: Config, stop: anyio.Event) -> None:
-        await serve(application, config, shutdown_trigger=stop.wait, mode="asgi")  # type: ignore[arg-type]
-
     @contextlib.asynccontextmanager
     async def _signals_handled(self, stop_requested: anyio.Event) -> AsyncIterator[None]:
         """Handle signals until all servers have stopped; a signal during a stop changes nothing."""
