Answers of back ends are read by httptools; requests' heads are written and checked here

Cause: 39% of what a node does for a request was h11's reading of answers and writing of requests. What llhttp leaves open is decided in limedeck.http_codec: interim answers, an answer that ends with its connection, surplus bytes, HEAD. test_http_codec.py: any pieces, what is no answer, what a server would read otherwise. Ranges of owners that lie within a change are not copied (owners.py: a tenth of a follower's time was spent on changes of owners).

--- a/src/limedeck/forwarding/owners.py
+++ b/src/limedeck/forwarding/owners.py
@@ -87,7 +87,9 @@
         for item in self.ranges[start:]:
             if item.first > last:
                 break
-            if item.last >= first:
+            if first <= item.first and item.last <= last:
+                parts.append(item)
+            elif item.last >= first:
                 parts.append(item.part(max(item.first, first), min(item.last, last)))
         return parts
 
--- a/src/limedeck/http_client.py
+++ b/src/limedeck/http_client.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 towards back ends and the store: h11 as the codec, connections kept and checked here.
+"""HTTP/1.1 towards back ends and the store: connections are kept and checked here.
 
 A library's pool does not tell whether a byte was sent, takes an answer without a length as whole
 when its connection was reset, and may read a late second answer as the next one's. Each of these
@@ -15,9 +15,9 @@
 from dataclasses import dataclass
 
 import anyio
-import h11
 from anyio.abc import SocketAttribute, SocketStream
 
+from limedeck import http_codec
 from limedeck.clock import steady_clock
 from limedeck.forwarding.protocol import Headers
 from limedeck.identity import Seconds
@@ -46,10 +46,8 @@
 CONNECTION_REFUSED = "connection refused"
 """Problem of an attempt: the machine answers, and no process listens at the port."""
 READ_BYTES = 65_536
-LARGEST_ANSWER = 64 << 20
 SMALL_BODY = 16_384
 """A body up to this size is sent whole before the answer is read."""
-LARGEST_HEAD = 65_536
 
 
 DEAD_CONNECTION_OPTIONS: Sequence[SocketOption] = (
@@ -86,11 +84,11 @@
 
 
 class _Connection:
-    """One connection and its codec."""
+    """One connection, and the reader of its newest answer."""
 
     def __init__(self, stream: SocketStream) -> None:
         self.stream = stream
-        self.codec = h11.Connection(h11.CLIENT, max_incomplete_event_size=LARGEST_HEAD)
+        self._reader = http_codec.AnswerReader()
         self.idle_until: Seconds = 0.0
         self._body_sent = False
         self._descriptor = stream.extra(SocketAttribute.raw_socket).fileno()
@@ -103,12 +101,13 @@
 
     async def exchange(self, request: HttpRequest) -> HttpAnswer:
         """Send a request and read the whole answer."""
-        head, body = self._encoded(request)
-        if len(body) <= SMALL_BODY:
-            await self._send(head + body)
+        head = self._encoded(request)
+        self._reader = http_codec.AnswerReader(request.method == b"HEAD")
+        if len(request.body) <= SMALL_BODY:
+            await self._send(head + request.body)
             return await self._receive()
         await self._send(head)
-        return await self._receive_while_sending(body)
+        return await self._receive_while_sending(request.body)
 
     async def _receive_while_sending(self, body: bytes) -> HttpAnswer:
         answer: HttpAnswer | AttemptFailed
@@ -123,17 +122,13 @@
             raise answer
         return answer
 
-    def _encoded(self, request: HttpRequest) -> tuple[bytes, bytes]:
-        codec = self.codec
+    def _encoded(self, request: HttpRequest) -> bytes:
         try:
-            head = codec.send(
-                h11.Request(method=request.method, target=request.target, headers=request.headers)
+            return http_codec.encoded_head(
+                request.method, request.target, request.headers, len(request.body)
             )
-            body = codec.send(h11.Data(data=request.body)) if request.body else b""
-            end = codec.send(h11.EndOfMessage())
-        except h11.LocalProtocolError as error:
+        except http_codec.BadRequest as error:
             raise AttemptFailed(FailurePhase.NOT_SENT, str(error)) from error
-        return head or b"", (body or b"") + (end or b"")
 
     async def _send(self, data: bytes) -> None:
         try:
@@ -150,52 +145,31 @@
             return
 
     async def _receive(self) -> HttpAnswer:
-        phase = FailurePhase.AWAITING
-        head: h11.Response | None = None
-        parts: list[bytes] = []
-        size = 0
-        while True:
-            event = await self._next_event(phase)
-            if isinstance(event, h11.Response):
-                head = event
-                phase = FailurePhase.ANSWERING
-            elif isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
-                size += len(event.data)
-                if size > LARGEST_ANSWER:
-                    raise AttemptFailed(phase, "answer too large")
-            elif isinstance(event, h11.EndOfMessage) and head is not None:
-                return HttpAnswer(head.status_code, list(head.headers), b"".join(parts))
-            elif not isinstance(event, h11.InformationalResponse):
-                raise AttemptFailed(phase, "connection ended", by_other_end=True)
-
-    async def _next_event(self, phase: FailurePhase) -> object:
-        codec = self.codec
+        reader = self._reader
+        while not reader.is_whole:
+            phase = FailurePhase.ANSWERING if reader.has_head else FailurePhase.AWAITING
+            try:
+                reader.feed(await self.stream.receive(READ_BYTES))
+            except anyio.EndOfStream:
+                self._take_end(reader, phase)
+            except http_codec.BadAnswer as error:
+                phase = FailurePhase.ANSWERING if reader.has_head else FailurePhase.AWAITING
+                raise AttemptFailed(phase, str(error), by_other_end=True) from error
+            except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+                raise AttemptFailed(phase, _problem(error), by_other_end=True) from error
+        return HttpAnswer(reader.status, reader.headers, reader.body)
+
+    def _take_end(self, reader: http_codec.AnswerReader, phase: FailurePhase) -> None:
         try:
-            while True:
-                event = codec.next_event()
-                if event is not h11.NEED_DATA:
-                    return event
-                try:
-                    codec.receive_data(await self.stream.receive(READ_BYTES))
-                except anyio.EndOfStream:
-                    codec.receive_data(b"")
-        except (
-            h11.RemoteProtocolError,
-            OSError,
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
-        ) as error:
-            raise AttemptFailed(phase, _problem(error), by_other_end=True) from error
+            reader.feed_end()
+        except http_codec.BadAnswer as error:
+            raise AttemptFailed(phase, str(error), by_other_end=True) from error
 
     def can_be_reused(self, answer: HttpAnswer, sent_whole: bool, now: Seconds) -> bool:
         """Prepare for the next request; False when the connection must not be used again."""
-        codec = self.codec
-        done = codec.our_state is h11.DONE and codec.their_state is h11.DONE
-        if not done or not sent_whole or codec.trailing_data[0]:
+        if not sent_whole or not self._reader.may_go_on:
             return False
         self.idle_until = now + _idle_time(answer.headers)
-        codec.start_next_cycle()
         return True
 
     def sent_whole(self, request: HttpRequest) -> bool:
--- /dev/null
+++ b/tests/unit/test_http_codec.py
@@ -0,0 +1,151 @@
+"""Heads of requests, and answers in any pieces."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from limedeck import http_codec
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-A: b \r\n\r\nok"
+CHUNKED = (
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"1\r\no\r\n1;x=y\r\nk\r\n0\r\nX-Late: 1\r\n\r\n"
+)
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+
+
+def read(*pieces: bytes, is_head: bool = False, ended: bool = False) -> http_codec.AnswerReader:
+    reader = http_codec.AnswerReader(is_head)
+    for piece in pieces:
+        reader.feed(piece)
+    if ended:
+        reader.feed_end()
+    return reader
+
+
+@given(st.sampled_from([OK, CHUNKED, INTERIM + OK, INTERIM + CHUNKED]), st.data())
+@settings(max_examples=200, derandomize=True, deadline=None)
+def test_an_answer_is_the_same_in_whatever_pieces_it_comes(
+    answer: bytes, data: st.DataObject
+) -> None:
+    cuts = sorted(data.draw(st.lists(st.integers(1, len(answer) - 1), max_size=6)))
+    edges = [0, *cuts, len(answer)]
+    reader = http_codec.AnswerReader()
+    for start, end in itertools.pairwise(edges):
+        assert not reader.is_whole
+        reader.feed(answer[start:end])
+    assert reader.is_whole and reader.may_go_on
+    assert (reader.status, reader.body) == (200, b"ok")
+    assert all(name not in (b"link", b"x-late") for name, _ in reader.headers)
+
+
+def test_headers_have_lower_names_and_no_blanks_around_values() -> None:
+    assert (b"x-a", b"b") in read(OK).headers
+
+
+@pytest.mark.parametrize("surplus", [b"x", OK, b"HTTP/1.1 500 Oops\r\n\r\n", b"\x00\x00", b"HTTP"])
+@pytest.mark.parametrize("at_once", [True, False])
+def test_bytes_after_an_answer_end_its_connection_and_not_the_answer(
+    surplus: bytes, at_once: bool
+) -> None:
+    reader = read(OK + surplus) if at_once else read(OK, surplus)
+    assert reader.is_whole and not reader.may_go_on
+    assert (reader.status, reader.body) == (200, b"ok")
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok",
+        b"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
+    ],
+)
+def test_a_server_that_closes_is_not_asked_again(answer: bytes) -> None:
+    assert read(answer).is_whole
+    assert not read(answer).may_go_on
+
+
+def test_an_answer_without_a_length_ends_with_its_connection() -> None:
+    unframed = b"HTTP/1.1 200 OK\r\n\r\no"
+    assert not read(unframed, b"k").is_whole
+    reader = read(unframed, b"k", ended=True)
+    assert reader.body == b"ok" and not reader.may_go_on
+
+
+def test_an_answer_to_head_has_no_body() -> None:
+    reader = read(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", is_head=True)
+    assert reader.is_whole and reader.body == b""
+    assert not reader.may_go_on
+
+
+@pytest.mark.parametrize("status", [b"204 No Content", b"304 Not Modified"])
+def test_an_answer_without_content_is_whole_with_its_head(status: bytes) -> None:
+    assert read(b"HTTP/1.1 " + status + b"\r\n\r\n").is_whole
+
+
+@pytest.mark.parametrize(
+    "pieces",
+    [
+        (b"",),
+        (b"HTTP/1.1 200 OK\r\ncontent-l",),
+        (OK[:-1],),
+        (CHUNKED[:-4],),
+        (INTERIM,),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nok",),
+    ],
+)
+def test_what_ended_early_is_not_whole(pieces: tuple[bytes, ...]) -> None:
+    with pytest.raises(http_codec.BadAnswer):
+        read(*pieces, ended=True)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"no such protocol\r\n\r\n",
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\nContent-Length: two\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        b"HTTP/1.1 200 OK\r\nX: " + b"a" * 70_000,
+    ],
+)
+def test_what_is_no_answer_is_refused(answer: bytes) -> None:
+    with pytest.raises(http_codec.BadAnswer):
+        read(answer)
+
+
+def test_a_head_as_a_server_gets_it() -> None:
+    headers = [(b"host", b"h"), (b"content-length", b"2")]
+    assert http_codec.encoded_head(b"POST", b"/a?b", headers, 2) == (
+        b"POST /a?b HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\n\r\n"
+    )
+
+
+@pytest.mark.parametrize(
+    ("method", "target", "headers", "length"),
+    [
+        (b"GE T", b"/", [], 0),
+        (b"GET", b"/ HTTP/1.1", [], 0),
+        (b"GET", b"", [], 0),
+        (b"GET", b"/", [(b"a", b"b\r\nc: d")], 0),
+        (b"GET", b"/", [(b"a b", b"c")], 0),
+        (b"GET", b"/", [(b"a\n", b"c")], 0),
+        (b"GET", b"/", [(b"a", b"\x00")], 0),
+        (b"GET", b"/", [(b"transfer-encoding", b"chunked")], 0),
+        (b"GET", b"/", [(b"content-length", b"3")], 2),
+        (b"GET", b"/", [(b"content-length", b"2"), (b"content-length", b"2")], 2),
+        (b"GET", b"/", [], 2),
+    ],
+)
+def test_what_a_server_would_read_otherwise_is_not_written(
+    method: bytes, target: bytes, headers: list[tuple[bytes, bytes]], length: int
+) -> None:
+    with pytest.raises(http_codec.BadRequest):
+        http_codec.encoded_head(method, target, headers, length)
