Soak: zones are evacuated, back ends start again under their names, other writers write entries

Seeds that are on record draw from what they drew from (OF_FIRST_SEEDS, OF_SECOND_SEEDS). A request that reaches an evacuated zone 4.5 s after it was asked for, in a calm time, is held against the nodes; the check is shown to see (test_soak_parts.py).

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -30,6 +30,19 @@
 CRASH_PAUSE = 0.3
 """Seconds between two tries of a caller whose request ends back ends: some ten in all."""
 CRASH_PATIENCE = 4.0
+EVACUATED_ZONE = "z2"
+STRANGE_PREFIX = "strange-"
+STRANGE_ENTRIES = (
+    b"",
+    b"\xff\x00",
+    b"{}",
+    b'{"address": "127.0.0.1:1", "info": {"backend": "plain"}, "status": {}}',
+    b'{"address": "127.0.0.1:1", "info": {"backend": "plain", "version": "v", "zone": "z1", '
+    b'"slots": 2}, "status": {"state": "resting", "sequence": 1, "warmup_s_time": 0}}',
+    b'{"address": "127.0.0.1:1", "born": "7", "info": {"backend": "plain", "version": "v", '
+    b'"zone": "z1", "slots": 2}, "status": {"state": "ready", "sequence": 1, "warmup_s_time": 0}}',
+)
+"""None of them names a back end."""
 
 
 class Nodes:
@@ -89,6 +102,7 @@
     ) -> None:
         self._suspendable = suspendable
         self._suspending = threading.Lock()
+        self._evacuating = threading.Lock()
         self._site = site
         self._judge = judge
         self._nodes = nodes
@@ -114,6 +128,9 @@
             Kind.FORGET: self._forget,
             Kind.CRASH: self._crash,
             Kind.SUSPEND: self._suspend,
+            Kind.EVACUATE: self._evacuate,
+            Kind.REBORN: self._begin_again,
+            Kind.STRANGE: self._write_strange_entries,
         }[drawn.kind]
         for number in range(drawn.steps):
             if ended.wait(drawn.gap):
@@ -132,6 +149,8 @@
     def heal(self) -> None:
         """End what would last."""
         self._site.store.faults.clear()
+        for key in [key for key in self._site.store.rows if key[2].startswith(STRANGE_PREFIX)]:
+            self._site.store.drop(*key)
         for upstream in self._site.upstreams:
             upstream.draining = False
             self._site.list_upstream(upstream)
@@ -162,8 +181,42 @@
             upstream.draining = bool(others) and not upstream.draining
         self._site.list_upstream(upstream)
 
+    def _evacuate(self, source: random.Random) -> None:
+        """Nothing is to reach a zone's back ends for a while; the other zone has some of each."""
+        with self._evacuating:
+            began = time.monotonic()
+            self._site.store.put("op", f"evacuate/{EVACUATED_ZONE}", b"{}")
+            time.sleep(judging.EVACUATED)
+            before = len(self._site.runs)
+            time.sleep(source.uniform(*FAULT_SECONDS))
+            later = self._site.runs[before:]
+            self._site.store.drop("op", "", f"evacuate/{EVACUATED_ZONE}")
+            in_zone = {item.name for item in self._site.upstreams if item.zone == EVACUATED_ZONE}
+            if self._judge.is_calm_since(began):
+                self._judge.note_evacuation([run for run, where in later if where in in_zone])
+
     # ------------------------------------------------------------------ unplanned
 
+    def _begin_again(self, source: random.Random) -> None:
+        """A back end ends, and starts again under its name, without keys and fences."""
+        upstream = source.choice(self._site.upstreams)
+        self._note_held_up(platform_site.DOWN_TIME)
+        self._portal.call(upstream.begin_again)
+        self._judge.note_unplanned()
+
+    def _write_strange_entries(self, source: random.Random) -> None:
+        """Another writer's entries; sometimes one stands where a back end's own stood."""
+        for number in range(source.randint(1, 3)):
+            key = f"{STRANGE_PREFIX}{number}"
+            self._site.store.put("servers", key, source.choice(STRANGE_ENTRIES))
+        if source.random() < 0.3:
+            upstream = source.choice(self._site.upstreams)
+            self._judge.note_unplanned()
+            self._site.store.put("servers", upstream.name, source.choice(STRANGE_ENTRIES))
+            time.sleep(source.uniform(0.1, 0.8))
+            self._site.list_upstream(upstream)
+            self._judge.note_unplanned()
+
     def _kill(self, source: random.Random) -> None:
         self._judge.note_unplanned()
         count = source.choice([1, 1, 1, MOST_KILLED_AT_ONCE])
--- a/tests/soak/judging.py
+++ b/tests/soak/judging.py
@@ -24,6 +24,8 @@
 KNOWN = 3.0
 """Seconds after the third back end has ended under a request until all nodes know it."""
 MOST_LATER_CRASHES = 3
+EVACUATED = 4.5
+"""Seconds after a zone's evacuation was asked for until nothing may reach its back ends."""
 MOST_TOLD = 5
 
 
@@ -165,6 +167,11 @@
         """Whether nothing unplanned has happened from some time before until now."""
         return reply.began > self._unplanned_until
 
+    def note_evacuation(self, runs: list[str]) -> None:
+        """These requests came to a zone in a calm time, long after its evacuation was asked for."""
+        with self._lock:
+            self.blame_all("ran in an evacuated zone", runs)
+
     def note_crashes(self, body: bytes, later: int) -> None:
         """So many back ends ended under a request that all nodes in touch must have known."""
         if later > MOST_LATER_CRASHES:
--- a/tests/soak/series.py
+++ b/tests/soak/series.py
@@ -28,9 +28,16 @@
     FORGET = "forget"
     CRASH = "crash"
     SUSPEND = "suspend"
+    EVACUATE = "evacuate"
+    REBORN = "reborn"
+    STRANGE = "strange"
 
 
-OF_FIRST_SEEDS = tuple(kind for kind in Kind if kind not in (Kind.CRASH, Kind.SUSPEND))
+OF_SECOND_SEEDS = tuple(
+    kind for kind in Kind if kind not in (Kind.EVACUATE, Kind.REBORN, Kind.STRANGE)
+)
+"""What seeds draw from that were recorded before zones were evacuated: 320201 and later ones."""
+OF_FIRST_SEEDS = tuple(kind for kind in OF_SECOND_SEEDS if kind not in (Kind.CRASH, Kind.SUSPEND))
 """What seeds draw from that were recorded before requests ended back ends and machines slept."""
 PLANNED = (Kind.STOP, Kind.HANG_UP, Kind.CONFIGURE, Kind.DRAIN)
 """What operators do; no request may be lost by it."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -188,6 +188,8 @@
             upstream = platform_site.Upstream(
                 f"i-{number}", service, service == "keyed", shown, self.site, shield
             )
+            if series.Kind.EVACUATE in self._kinds and number % 2:
+                upstream.zone = faults.EVACUATED_ZONE
             self.site.upstreams.append(upstream)
             self.site.list_upstream(upstream)
             self._proxies.append(shield)
--- a/tests/system/platform_site.py
+++ b/tests/system/platform_site.py
@@ -57,6 +57,8 @@
         Stands before it; it can crash only with one.
     life
         Counts its starts after the first.
+    born
+        When its present life under this name started; zero: it does not tell.
     """
 
     name: str
@@ -66,6 +68,8 @@
     site: Site
     proxy: FaultyProxy | None = None
     life: int = 0
+    zone: str = "z1"
+    born: int = 0
     down: bool = False
     draining: bool = False
     silent: bool = False
@@ -151,6 +155,19 @@
         self.site.store.drop("servers", "", former)
         self.site.list_upstream(self)
 
+    async def begin_again(self) -> None:
+        """End, and start again under the same name; it holds and knows nothing of before."""
+        if self.proxy is None or self.down:
+            return
+        self.down = True
+        await self.proxy.crash(DOWN_TIME)
+        self.held = {}
+        self.released = []
+        await anyio.sleep(DOWN_TIME)
+        self.born = time.time_ns() // 1_000_000
+        self.down = False
+        self.site.list_upstream(self)
+
     def holds(self, key: int) -> bool:
         """Whether it would run a request for a key now."""
         now = time.monotonic()
@@ -162,8 +179,9 @@
         """What it writes about itself."""
         return json.dumps(
             {
+                **({"born": self.born} if self.born else {}),
                 "address": self.address,
-                "info": {"backend": self.service, "version": "v1", "zone": "z1", "slots": 2},
+                "info": {"backend": self.service, "version": "v1", "zone": self.zone, "slots": 2},
                 "status": {
                     "state": "draining" if self.draining else "ready",
                     "sequence": 1,
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -16,8 +16,9 @@
         # A node that was still starting was told of changed settings, and was gone.
         (290008, 20.0, series.OF_FIRST_SEEDS),
         (320001, 20.0, (series.Kind.CRASH, series.Kind.SUSPEND)),
+        (380001, 20.0, (series.Kind.EVACUATE, series.Kind.REBORN, series.Kind.STRANGE)),
     ],
-    ids=["planned", "hang-up-at-start", "crashes-and-sleep"],
+    ids=["planned", "hang-up-at-start", "crashes-and-sleep", "zones-lives-strangers"],
 )
 def test_no_promise_is_broken(
     seed: int, seconds: float, kinds: tuple[series.Kind, ...], tmp_path: pathlib.Path
--- a/tests/unit/test_soak_parts.py
+++ b/tests/unit/test_soak_parts.py
@@ -222,3 +222,18 @@
         await polling.until(lambda: not processes.is_free("127.0.0.1", ports[1]))
         ended.set()
         tasks.cancel_scope.cancel()
+
+
+def test_a_request_that_reaches_an_evacuated_zone_is_held_against_the_nodes() -> None:
+    result = judging.Result(1, 3)
+    judge = judging.Judge(result, judging.JudgedSite())
+    judge.note_evacuation([])
+    assert result.violations == []
+    judge.note_evacuation(["0001"])
+    assert result.violations == ["ran in an evacuated zone: 0001"]
+
+
+def test_recorded_seeds_draw_from_what_they_drew_from() -> None:
+    assert len(series.OF_FIRST_SEEDS) == 11
+    assert series.OF_SECOND_SEEDS[:11] == series.OF_FIRST_SEEDS
+    assert len(series.OF_SECOND_SEEDS) == 13
