--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -237,9 +237,16 @@
         while True:
             await anyio.sleep(UPKEEP_INTERVAL)
             await client.drop_idle(self._state.directory.addresses())
+            self._tell_beliefs()
             self._writer.flush()
             self._file.reload_if_changed()
 
+    def _tell_beliefs(self) -> None:
+        now = steady_clock()
+        directory = self._state.directory
+        self._telemetry.evacuated.set(len(directory.evacuated))
+        self._telemetry.cold.set(sum(state.is_cold(now) for state in directory.all_states()))
+
     # ------------------------------------------------------------------ tables
 
     def _configuration_follower(self) -> TableFollower:
@@ -284,8 +291,12 @@
                 state.directory.remove_instance(row.key)
                 self._telemetry.strange_words.labels("entry").inc()
                 raise
-            state.directory.put(backend, steady_clock())
+            now = steady_clock()
+            state.directory.put(backend, now)
             state.notify()
+            put = state.directory.find(backend.backend_id)
+            if put is not None and put.is_cold(now):
+                self._log.info("back_end_cold", backend=backend.backend_id, seconds=backend.warmup)
 
         def remove(key: str) -> None:
             backend_id = state.directory.remove_instance(key)
--- a/src/limedeck/node/telemetry.py
+++ b/src/limedeck/node/telemetry.py
@@ -56,6 +56,14 @@
             ["kind"],
             registry=registry,
         )
+        self.evacuated = Gauge(
+            "limedeck_evacuated_zones", "Zones whose back ends get nothing", registry=registry
+        )
+        self.cold = Gauge(
+            "limedeck_cold_back_ends",
+            "Back ends that get nothing because they are cold, as far as this node knows",
+            registry=registry,
+        )
         self.orders = Counter(
             "limedeck_orders", "Grants and releases", ["kind", "result"], registry=registry
         )
