--- a/src/limedeck/node/http_server.py
+++ b/src/limedeck/node/http_server.py
@@ -8,6 +8,7 @@
 
 import anyio
 import uvicorn
+from uvicorn.protocols.http import httptools_impl
 
 from limedeck.identity import Seconds
 from limedeck.node import asgi, listener
@@ -16,6 +17,43 @@
 """Seconds that an idle connection of a caller is kept; an estimate."""
 
 
+LARGEST_HEAD = 128 * 1024
+"""Bytes of a request's head, eight times what callers are told that they may send. The library
+keeps whatever comes until the head has ended."""
+HEAD_TOO_LARGE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"content-length: 0\r\nconnection: close\r\n\r\n"
+)
+
+
+class BoundedProtocol(httptools_impl.HttpToolsProtocol):
+    """A caller's connection; one whose request's head does not end is answered and closed."""
+
+    _reads_head = False
+    _head_bytes = 0
+
+    def data_received(self, data: bytes) -> None:
+        """Take in bytes."""
+        super().data_received(data)
+        if not self._reads_head:
+            return
+        self._head_bytes += len(data)
+        if self._head_bytes > LARGEST_HEAD and not self.transport.is_closing():
+            self.transport.write(HEAD_TOO_LARGE)
+            self.transport.close()
+
+    def on_message_begin(self) -> None:
+        """A request's head begins."""
+        self._reads_head = True
+        self._head_bytes = 0
+        super().on_message_begin()
+
+    def on_headers_complete(self) -> None:
+        """The head has ended."""
+        self._reads_head = False
+        super().on_headers_complete()
+
+
 class EmbeddedServer(uvicorn.Server):
     """Leaves signals to the process around it."""
 
@@ -40,7 +78,7 @@
     """
     cfg = uvicorn.Config(
         application,
-        http="httptools",
+        http=BoundedProtocol,
         ws="none",
         lifespan="off",
         interface="asgi3",
--- /dev/null
+++ b/tests/unit/test_http_server.py
@@ -0,0 +1,139 @@
+"""The server that callers connect to, by bytes on real connections."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+from anyio.abc import SocketStream
+
+from limedeck.node import asgi, http_server, listener
+from limedeck_lab import processes
+
+pytestmark = pytest.mark.anyio
+HEAD = b"POST /a?b=1 HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\n"
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+async def echo(scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
+    """Answer with the path and how long the body is; wait for the caller to leave at /wait."""
+    body = b""
+    more = True
+    while more:
+        message = await receive()
+        body += message.get("body", b"")
+        more = message.get("more_body", False)
+    if scope["path"] == "/wait":
+        assert (await receive())["type"] == "http.disconnect"
+        left.set()
+        return
+    if scope["path"] == "/close":
+        headers = [(b"content-length", b"0"), (b"connection", b"close")]
+        await send({"type": "http.response.start", "status": 503, "headers": headers})
+        await send({"type": "http.response.body", "body": b""})
+        return
+    text = b"%s %s %d" % (scope["raw_path"], scope["query_string"], len(body))
+    headers = [(b"content-length", b"%d" % len(text))]
+    await send({"type": "http.response.start", "status": 200, "headers": headers})
+    await send({"type": "http.response.body", "body": text})
+
+
+left = anyio.Event()
+
+
+@asynccontextmanager
+async def serving() -> AsyncIterator[tuple[str, int, anyio.Event]]:
+    (port,) = processes.free_ports(1)
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        listening = listener.open_listener(f"127.0.0.1:{port}")
+        tasks.start_soon(http_server.serve, echo, listening, stop, 0.2)
+        yield "127.0.0.1", port, stop
+        stop.set()
+
+
+async def answer(stream: SocketStream, end: bytes) -> bytes:
+    """Read until an answer ends with these bytes, or the connection does."""
+    found = b""
+    with anyio.fail_after(10.0):
+        while not found.endswith(end):
+            try:
+                found += await stream.receive()
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                break
+    return found
+
+
+async def test_requests_on_one_connection_are_answered_in_order() -> None:
+    """Two that come at once, and one whose long body comes in the same bytes as its head."""
+    async with serving() as (host, port, _), await anyio.connect_tcp(host, port) as stream:
+        one = HEAD + b"Content-Length: 3\r\n\r\nabc"
+        other = HEAD.replace(b"/a", b"/c") + b"Content-Length: 0\r\n\r\n"
+        await stream.send(one + other)
+        found = await answer(stream, b"/c b=1 0")
+        assert found.index(b"/a b=1 3") < found.index(b"/c b=1 0")
+        body = b"x" * (2 * http_server.LARGEST_HEAD)
+        await stream.send(HEAD + b"Content-Length: %d\r\n\r\n" % len(body) + body)
+        assert (await answer(stream, b"/a b=1 %d" % len(body))).startswith(b"HTTP/1.1 200 ")
+        chunked = HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
+        await stream.send(chunked)
+        assert (await answer(stream, b"/a b=1 3")).startswith(b"HTTP/1.1 200 ")
+
+
+@pytest.mark.parametrize(
+    "endless", [b"GET /" + b"a" * 999, HEAD + b"X: " + b"a" * 999, HEAD + b"X: 1\r\n" * 99]
+)
+async def test_a_head_that_does_not_end_is_refused(endless: bytes) -> None:
+    async with serving() as (host, port, _), await anyio.connect_tcp(host, port) as stream:
+        sent = 0
+        with pytest.raises((anyio.BrokenResourceError, anyio.EndOfStream)):
+            await stream.send(endless)
+            while sent < 4 * http_server.LARGEST_HEAD:
+                await stream.send(b"X: 1\r\n" * 500 if endless.endswith(b"\n") else b"a" * 3000)
+                sent += 3000
+                await anyio.sleep(0.001)
+            while True:
+                await stream.receive()
+        assert sent < 4 * http_server.LARGEST_HEAD
+
+
+@pytest.mark.parametrize(
+    "smuggled",
+    [
+        HEAD + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc",
+        HEAD + b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc",
+        HEAD + b"Content-Length: +3\r\n\r\nabc",
+        b"no such protocol\r\n\r\n",
+    ],
+)
+async def test_what_may_be_read_in_two_ways_is_refused(smuggled: bytes) -> None:
+    async with serving() as (host, port, _), await anyio.connect_tcp(host, port) as stream:
+        await stream.send(smuggled)
+        assert (await answer(stream, b"never")).startswith(b"HTTP/1.1 400 ")
+
+
+async def test_an_application_that_closes_and_a_caller_that_leaves() -> None:
+    async with serving() as (host, port, _):
+        async with await anyio.connect_tcp(host, port) as stream:
+            await stream.send(b"GET /close HTTP/1.1\r\nHost: h\r\n\r\n")
+            found = await answer(stream, b"never")
+            assert b"503" in found and found.count(b"onnection: close") == 1
+        async with await anyio.connect_tcp(host, port) as stream:
+            await stream.send(b"GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+            await anyio.sleep(0.05)
+        with anyio.fail_after(10.0):
+            await left.wait()
+
+
+async def test_a_stop_ends_resting_connections() -> None:
+    async with serving() as (host, port, stop), await anyio.connect_tcp(host, port) as stream:
+        await stream.send(HEAD + b"Content-Length: 0\r\n\r\n")
+        await answer(stream, b"/a b=1 0")
+        stop.set()
+        assert await answer(stream, b"never") == b""
