--- a/src/limedeck/forwarding/crashes.py
+++ b/src/limedeck/forwarding/crashes.py
@@ -74,6 +74,7 @@
         self._crashes: dict[int, Crash] = {}
         self._newest_number = 0
         self._suspects: Counter[int] = Counter()
+        self._callers: Counter[int] = Counter()
         self._served: dict[int, Seconds] = {}
 
     def __len__(self) -> int:
@@ -141,6 +142,7 @@
         if not signs:
             return
         crash.lost.add(request)
+        self._callers[request.caller] += 1
         self._suspects.update(signs - crash.against)
         crash.against |= signs
 
@@ -217,8 +219,7 @@
 
     def _is_shared(self, sign: int) -> bool:
         """Whether requests of several callers have this sign."""
-        lost = (request for crash in self._crashes.values() for request in crash.lost)
-        return all(request.caller != sign for request in lost)
+        return sign not in self._callers
 
     def _drop(self, number: int) -> None:
         crash = self._crashes.pop(number)
@@ -227,14 +228,19 @@
 
     def _clear(self, crash: Crash, sign: int) -> None:
         crash.against.discard(sign)
-        crash.lost = {
-            request
-            for request in crash.lost
-            if not crash.against.isdisjoint(request.narrowest_first)
+        cleared = {
+            request for request in crash.lost if crash.against.isdisjoint(request.narrowest_first)
         }
-        self._suspects[sign] -= 1
-        if not self._suspects[sign]:
-            del self._suspects[sign]
+        crash.lost -= cleared
+        for request in cleared:
+            _count_down(self._callers, request.caller)
+        _count_down(self._suspects, sign)
+
+
+def _count_down(counter: Counter[int], sign: int) -> None:
+    counter[sign] -= 1
+    if not counter[sign]:
+        del counter[sign]
 
 
 def _unexplained(crash: Crash, known: Collection[int]) -> set[int]:
--- a/tests/unit/test_deadly_requests.py
+++ b/tests/unit/test_deadly_requests.py
@@ -239,3 +239,30 @@
 TestLedgerOfManyCallers.settings = settings(
     max_examples=150, stateful_step_count=40, deadline=None, derandomize=True
 )
+
+
+def test_a_flood_of_ends_is_judged_without_reading_all_of_it_for_each_sign() -> None:
+    """256 ends with 32 losses each: 24,000 signs; what is counted is how often losses are read."""
+    evidence = crashes.CrashEvidence()
+    reads = 0
+
+    class CountedSigns(content.RequestSigns):
+        @property
+        def narrowest_first(self) -> tuple[int, int, int]:
+            nonlocal reads
+            reads += 1
+            return super().narrowest_first
+
+    for end in range(crashes.MOST_CRASHES):
+        lost = [
+            CountedSigns(*(3 * (40 * end + item) + width for width in range(3)))
+            for item in range(32)
+        ]
+        evidence.note_crash(f"b{end}", lost, end * 10.0)
+    reads = 0
+    assert evidence.culprits((), 1e9) == []
+    assert reads <= 2 * crashes.MOST_CRASHES * crashes.MOST_SUSPECTS
+    assert evidence.unsettled_since(0, 0.0) < 0.0
+    evidence.forget_before(1e9)
+    assert not evidence.is_suspect(0)
+    assert len(evidence) == 0
