A resting connection to a back end is never handed out twice

Cause, by the broken request's log line (BusyResourceError: another task is already reading): a request that found an ended connection closed it; meanwhile upkeep put the resting ones that were left into a new list, and the request went on with the old one. So a connection stood in both, and two requests read from it. Lists are changed in place now, and a list whose connections are dropped is emptied first. Test: test_http_client.py, fails on the code before for both ways of dropping.

--- a/src/limedeck/http_client.py
+++ b/src/limedeck/http_client.py
@@ -273,17 +273,23 @@
         """Close idle connections that are old, and all to other addresses than these."""
         now = steady_clock()
         for address, idle in list(self._idle.items()):
-            kept = deque(item for item in idle if address in addresses and item.idle_until > now)
-            dropped = [item for item in idle if item not in kept]
-            self._idle[address] = kept
-            if not kept:
+            is_known = address in addresses
+            dropped = [item for item in idle if not is_known or item.idle_until <= now]
+            # A request may be about to take one of these: it waits for another to be closed, and
+            # would go on with connections that a new list held as well.
+            for connection in dropped:
+                idle.remove(connection)
+            if not idle and self._idle.get(address) is idle:
                 del self._idle[address]
             for connection in dropped:
                 await connection.aclose()
 
     async def _drop_address(self, address: str) -> None:
         """Close idle connections to an address: one went silent, and the others most likely did."""
-        for connection in self._idle.pop(address, ()):
+        idle = self._idle.pop(address, deque())
+        dropped = list(idle)
+        idle.clear()
+        for connection in dropped:
             await connection.aclose()
 
     async def aclose(self) -> None:
--- a/tests/unit/test_http_client.py
+++ b/tests/unit/test_http_client.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import struct
+from collections import deque
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -248,3 +250,65 @@
             await HttpClient().exchange(request, steady_clock() + PATIENCE)
         tasks.cancel_scope.cancel()
     assert caught.value.phase is FailurePhase.TURNED_AWAY
+
+
+class PooledConnection(http_client._Connection):
+    """A resting connection; closing it takes until the test lets it."""
+
+    def __init__(self, is_sound: bool) -> None:
+        self.idle_until = steady_clock() + PATIENCE
+        self.closing = anyio.Event()
+        self.may_close = anyio.Event()
+        self.is_closed = False
+        self._is_sound = is_sound
+
+    def is_quiet(self) -> bool:
+        return self._is_sound
+
+    async def aclose(self) -> None:
+        self.closing.set()
+        await self.may_close.wait()
+        self.is_closed = True
+
+
+@pytest.mark.parametrize("upkeep", ["drop_idle", "drop_address"])
+async def test_a_resting_connection_is_never_handed_out_twice(upkeep: str) -> None:
+    """A caller got 500, since two requests read from one connection to a back end.
+
+    In order: a request found that a resting connection had ended, and closed it; meanwhile the
+    upkeep of resting connections put those that were left into a new list; the request went on with
+    the old list and took one that the new list still held; the next request took it too. The
+    evidence: the line of the broken request, "another task is already reading".
+    """
+    client = HttpClient()
+    address = "127.0.0.1:1"
+    ended, sound = PooledConnection(False), PooledConnection(True)
+    client._idle[address] = deque([sound, ended])
+    request = HttpRequest(address, b"GET", b"/", [])
+    taken: list[http_client._Connection] = []
+    done = anyio.Event()
+
+    async def take() -> None:
+        # Nobody listens at the address: there may be no connection at all.
+        with contextlib.suppress(AttemptFailed):
+            taken.append(await client._take(request, steady_clock() + PATIENCE))
+        done.set()
+
+    async def keep_up() -> None:
+        if upkeep == "drop_idle":
+            await client.drop_idle({address})
+        else:
+            await client._drop_address(address)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(take)
+        await ended.closing.wait()
+        tasks.start_soon(keep_up)
+        await anyio.wait_all_tasks_blocked()
+        ended.may_close.set()
+        sound.may_close.set()
+        await done.wait()
+        tasks.cancel_scope.cancel()
+    for connection in taken:
+        assert connection not in client._idle.get(address, ())
+        assert connection is not sound or not sound.is_closed
