Soak: a node that SIGHUP ended before its first line is started again, as the platform does

The platform starts a process again that ends. Only that case is: any other end, or a line in the log, stays gone and is found by the judge, as before (test_soak_parts.py).

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -75,6 +75,19 @@
             process.wait()
             self._site.nodes[number] = self._start(number)
 
+    def start_those_ended_at_start(self) -> None:
+        """Start what a hang-up ended before a line of it ran, as the platform does.
+
+        Until the interpreter handles signals, some 60 ms at a quiet time, a hang-up ends any
+        process. One that has written a line has ended by its own fault: it stays gone, and the
+        judge finds it.
+        """
+        for number, node in enumerate(self._site.nodes):
+            code = node.process.process.poll()
+            if code == -signal.SIGHUP and not node.process.log.read_bytes():
+                with self._locks[number]:
+                    self._site.nodes[number] = self._start(number)
+
     def signal(self, number: int, which: signal.Signals) -> None:
         """Send a signal to whichever life runs; it may be about to stop."""
         self._site.nodes[number].process.signal(which)
@@ -148,6 +161,7 @@
 
     def heal(self) -> None:
         """End what would last."""
+        self._nodes.start_those_ended_at_start()
         self._site.store.faults.clear()
         for key in [key for key in self._site.store.rows if key[2].startswith(STRANGE_PREFIX)]:
             self._site.store.drop(*key)
