Sight: what nodes believe of the limits that back ends name is read, logged and counted

On-call could not see whether a node had read a back end's limit. The header is read in the adapter (a decimal number; anything else changes nothing and is one bounded line), beliefs are kept by back end and life with the times between which they were said, and each change is a line with limit, source and age. Nothing is decided by it yet: requests go where they went.

--- a/src/limedeck/forwarding/backends.py
+++ b/src/limedeck/forwarding/backends.py
@@ -9,6 +9,7 @@
 
 from limedeck.forwarding.backend_state import BackendState
 from limedeck.forwarding.cold_backends import ColdAllowance
+from limedeck.forwarding.limits import LimitLedger
 from limedeck.forwarding.spread import spread_of
 from limedeck.forwarding.stale_load import levelling_shares
 from limedeck.forwarding.work import ServiceWork
@@ -60,6 +61,8 @@
     ----------
     leads
         This node leads, as far as it knows.
+    limits
+        What back ends in need take.
 
     Parameters
     ----------
@@ -81,6 +84,7 @@
         self._evacuated: dict[str, Seconds] = {}
         self._cold_allowance = ColdAllowance()
         self.leads = False
+        self.limits = LimitLedger()
 
     def put(self, backend: Backend, now: Seconds) -> None:
         """A back end's entry is new or has changed.
@@ -112,6 +116,7 @@
             self._services[state.backend.service].pop(backend_id, None)
             self._lives.pop(state.backend.name, None)
             self._cold_allowance.forget(backend_id)
+            self.limits.forget(backend_id)
 
     def remove_instance(self, name: str) -> str | None:
         """An instance's entry is gone, or names no back end any more; return its id, if it had."""
@@ -126,6 +131,10 @@
         for state in self._states.values():
             state.cold_rate = self._cold_rates.get(state.backend.service, 0.0)
 
+    def drop_unlisted_limits(self, now: Seconds) -> None:
+        """Forget the limits of back ends whose lives ended long ago."""
+        self.limits.drop_unlisted(self._states, now)
+
     def evacuate(self, zone: str, now: Seconds) -> None:
         """Nothing is to be sent to a zone's back ends any more."""
         self._evacuated.setdefault(zone, now)
--- a/src/limedeck/forwarding/protocol.py
+++ b/src/limedeck/forwarding/protocol.py
@@ -44,6 +44,11 @@
         The back end's load, if it tells.
     unreadable_load
         It tells a load that cannot be read.
+    limit
+        Requests a second that the back end takes from all nodes together; None: it names no limit,
+        or one that cannot be read.
+    unreadable_limit
+        It names a limit that cannot be read, which changes nothing.
     credible
         It is the answer of a back end; a success that is not must not be passed on.
     """
@@ -54,6 +59,8 @@
     load: LoadReport | None
     credible: bool
     unreadable_load: bool = False
+    limit: float | None = None
+    unreadable_limit: bool = False
 
 
 Headers = list[tuple[bytes, bytes]]
--- a/src/limedeck/node/gateway.py
+++ b/src/limedeck/node/gateway.py
@@ -9,6 +9,7 @@
 
 from limedeck.clock import steady_clock
 from limedeck.forwarding.content import RequestContent
+from limedeck.forwarding.limits import LimitStatement
 from limedeck.forwarding.protocol import AnswerFacts, CallerProtocol, Headers
 from limedeck.forwarding.quarantine import RequestGuard
 from limedeck.forwarding.request import Attempt, Reason, Refuse, RequestCore, Wait
@@ -310,6 +311,7 @@
             problem = "answer to another request" if not is_own else "unsigned answer"
             self._log.attempt_failed(call.request_id, backend, FailurePhase.AWAITING, problem)
             return FailurePhase.AWAITING, False
+        self._note_limit(attempt, facts, answer.status, LimitStatement(facts.limit, started, now))
         if facts.load is not None:
             attempt.state.note_load(facts.load, now)
         elif facts.unreadable_load:
@@ -331,6 +333,24 @@
         attempt.state.note_answer(took, facts.load, now, call.route.name, attempt.ahead)
         return answer
 
+    def _note_limit(
+        self, attempt: Attempt, facts: AnswerFacts, status: int, statement: LimitStatement
+    ) -> None:
+        """Take in the limit that an answer names, or that it names none.
+
+        Only the answer of a request that was served lifts a limit: a back end may turn a request
+        away, or fail, before it gets to telling what it bears.
+        """
+        backend = attempt.state.backend
+        if facts.unreadable_limit:
+            self._log.unreadable_limit(backend)
+            return
+        if facts.wrong_instance:
+            return
+        if statement.rate is None and (facts.not_run or status >= SERVER_ERROR):
+            return
+        self._state.directory.limits.take(backend.backend_id, statement)
+
     async def _pass_on(self, send: Send, answer: HttpAnswer) -> None:
         dropped = CONNECTION_HEADERS | _named_by_connection(answer.headers)
         headers = [
--- a/src/limedeck/node/request_log.py
+++ b/src/limedeck/node/request_log.py
@@ -112,6 +112,12 @@
         if self._failures.allows():
             self._log.info("load_not_read", backend=backend.backend_id)
 
+    def unreadable_limit(self, backend: Backend) -> None:
+        """A back end names a limit that cannot be read; what was believed stays."""
+        self._telemetry.strange_words.labels("limit").inc()
+        if self._failures.allows():
+            self._log.info("limit_not_read", backend=backend.backend_id)
+
     def unroutable(self, host: str, path: str, version: int, request_id: bytes | None) -> None:
         """No route, or no id."""
         if self._failures.allows():
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -29,6 +29,7 @@
 from limedeck.node.gateway import CallerGateway
 from limedeck.node.http_server import serve
 from limedeck.node.leader_link import LeaderLink
+from limedeck.node.limit_log import LimitLog
 from limedeck.node.listener import close_to_newcomers, open_listener
 from limedeck.node.logs import BoundedWriter, get_logger
 from limedeck.node.news import FeedKeeper, StoreNews
@@ -234,10 +235,12 @@
             told = Counter(store.counts)
 
     async def _upkeep(self, client: HttpClient) -> None:
+        limit_log = LimitLog(self._state.directory, self._telemetry)
         while True:
             await anyio.sleep(UPKEEP_INTERVAL)
             await client.drop_idle(self._state.directory.addresses())
             self._tell_beliefs()
+            limit_log.tell(steady_clock())
             self._writer.flush()
             self._file.reload_if_changed()
 
--- a/src/limedeck/node/telemetry.py
+++ b/src/limedeck/node/telemetry.py
@@ -64,6 +64,12 @@
             "Back ends that get nothing because they are cold, as far as this node knows",
             registry=registry,
         )
+        self.limited = Gauge(
+            "limedeck_limited_back_ends",
+            "Back ends that name how much they take, as far as this node knows",
+            ["service"],
+            registry=registry,
+        )
         self.orders = Counter(
             "limedeck_orders", "Grants and releases", ["kind", "result"], registry=registry
         )
--- a/src/limedeck/platform/headers.py
+++ b/src/limedeck/platform/headers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 from limedeck.forwarding.protocol import AnswerFacts, CallerProtocol, Headers, LoadReport
 from limedeck.identity import Seconds
 
@@ -12,6 +14,9 @@
 NOT_RUN = b"x-not-executed"
 LOAD = b"x-upstream-load"
 SIGNATURE = b"x-upstream-signature"
+LIMIT = b"server-limit"
+LIMIT_PATTERN = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+"""A decimal number; longer ones mean nothing that a request rate could be."""
 MISDIRECTED = 421
 FIRST_FAILURE = 300
 USUAL_PACE = 100.0
@@ -44,6 +49,8 @@
     def answer_facts(self, status: int, headers: Headers) -> AnswerFacts:
         found = dict(headers)
         load = _load(found.get(LOAD))
+        limits = {value.strip() for name, value in headers if name == LIMIT}
+        limit = _limit(limits)
         return AnswerFacts(
             request_id=found.get(REQUEST_ID),
             not_run=NOT_RUN in found or status == MISDIRECTED,
@@ -51,6 +58,8 @@
             load=load,
             credible=status >= FIRST_FAILURE or SIGNATURE in found,
             unreadable_load=load is None and LOAD in found,
+            limit=limit,
+            unreadable_limit=limit is None and bool(limits),
         )
 
     def retry_after(self, seconds: Seconds) -> tuple[bytes, bytes]:
@@ -65,6 +74,14 @@
     return number if number is not None and 0 <= number < float("inf") else None
 
 
+def _limit(values: set[bytes]) -> float | None:
+    """Read a limit that was named once, or several times alike."""
+    if len(values) != 1:
+        return None
+    (value,) = values
+    return float(value) if LIMIT_PATTERN.fullmatch(value) else None
+
+
 def _load(value: bytes | None) -> LoadReport | None:
     if value is None:
         return None
--- a/tests/contract/test_platform_formats.py
+++ b/tests/contract/test_platform_formats.py
@@ -254,3 +254,40 @@
     assert json.loads(released.body) == {"from": 4096, "target_version": 8191, "fence": 13}
     assert orders.handover([(b"x-handover", b"5c0e")]) == "5c0e"
     assert orders.is_done(200) and not orders.is_done(409) and orders.is_fenced_off(409)
+
+
+@pytest.mark.parametrize(
+    ("values", "limit", "unreadable"),
+    [
+        ([], None, False),
+        ([b"4.2"], 4.2, False),
+        ([b" 0.3 "], 0.3, False),
+        ([b"0"], 0.0, False),
+        ([b"40"], 40.0, False),
+        ([b"4.2", b"4.2"], 4.2, False),
+        ([b"4.2", b"3"], None, True),
+        ([b""], None, True),
+        ([b"-1"], None, True),
+        ([b"+1"], None, True),
+        ([b"nan"], None, True),
+        ([b"inf"], None, True),
+        ([b"1e3"], None, True),
+        ([b"1_000"], None, True),
+        ([b".5"], None, True),
+        ([b"4.2, 3"], None, True),
+        ([b"some"], None, True),
+        ([b"\xd9\xa3"], None, True),
+        ([b"9" * 10_240], None, True),
+    ],
+)
+def test_limits_of_any_spelling(values: list[bytes], limit: float | None, unreadable: bool) -> None:
+    headers = [(b"x-attempt-id", b"1"), *((b"server-limit", value) for value in values)]
+    facts = PlatformProtocol().answer_facts(200, headers)
+    assert (facts.limit, facts.unreadable_limit) == (limit, unreadable)
+
+
+@given(st.lists(st.binary(max_size=40), min_size=1, max_size=3))
+def test_no_bytes_in_a_limit_make_a_rate_that_is_none(values: list[bytes]) -> None:
+    facts = PlatformProtocol().answer_facts(200, [(b"server-limit", value) for value in values])
+    assert facts.unreadable_limit == (facts.limit is None)
+    assert facts.limit is None or 0.0 <= facts.limit < 1e10
