--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -30,6 +30,8 @@
 CRASH_PAUSE = 0.3
 """Seconds between two tries of a caller whose request ends back ends: some ten in all."""
 CRASH_PATIENCE = 4.0
+WARMUP_SECONDS = (2.0, 5.0)
+COLD_RATE = 4.0
 EVACUATED_ZONE = "z2"
 STRANGE_PREFIX = "strange-"
 STRANGE_ENTRIES = (
@@ -212,10 +214,11 @@
     # ------------------------------------------------------------------ unplanned
 
     def _begin_again(self, source: random.Random) -> None:
-        """A back end ends, and starts again under its name, without keys and fences."""
+        """A back end ends, and starts again under its name, without keys and fences, or cold."""
         upstream = source.choice(self._site.upstreams)
         self._note_held_up(platform_site.DOWN_TIME)
-        self._portal.call(upstream.begin_again)
+        warmup = source.choice([0.0, *WARMUP_SECONDS])
+        self._portal.call(upstream.begin_again, warmup)
         self._judge.note_unplanned()
 
     def _write_strange_entries(self, source: random.Random) -> None:
--- a/tests/soak/judging.py
+++ b/tests/soak/judging.py
@@ -26,6 +26,8 @@
 MOST_LATER_CRASHES = 3
 EVACUATED = 4.5
 """Seconds after a zone's evacuation was asked for until nothing may reach its back ends."""
+MOST_WHILE_COLD = 14
+"""Requests in any second that a cold back end may get from all nodes."""
 MOST_TOLD = 5
 
 
@@ -187,6 +189,9 @@
         self.blame_all("refused and yet run", [item for item in self._refused if ran[item]])
         self.blame_all("two owners", [str(pair) for pair in self._site.two_owners])
         self.blame_all("no answer in a calm time", self._lost_in_calm(ran))
+        most = self._site.most_while_cold()
+        if most > MOST_WHILE_COLD:
+            self._blame(f"{most} requests in a second at a cold back end")
         if not self._site.everything_is_held():
             self._blame("a key has no owner after healing")
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -190,6 +190,8 @@
             )
             if series.Kind.EVACUATE in self._kinds and number % 2:
                 upstream.zone = faults.EVACUATED_ZONE
+            if series.Kind.REBORN in self._kinds:
+                self.site.cold_rate = faults.COLD_RATE
             self.site.upstreams.append(upstream)
             self.site.list_upstream(upstream)
             self._proxies.append(shield)
--- a/tests/system/platform_site.py
+++ b/tests/system/platform_site.py
@@ -59,6 +59,8 @@
         Counts its starts after the first.
     born
         When its present life under this name started; zero: it does not tell.
+    cold_until, cold_runs
+        On the test's clock: until when it is cold, and when requests came to it meanwhile.
     """
 
     name: str
@@ -70,6 +72,8 @@
     life: int = 0
     zone: str = "z1"
     born: int = 0
+    cold_until: float = 0.0
+    cold_runs: list[float] = field(default_factory=list)
     down: bool = False
     draining: bool = False
     silent: bool = False
@@ -132,6 +136,8 @@
             await _answer(send, 421, [*echo, (b"x-not-executed", b"1")])
             return
         self.site.runs.append((request_id.decode(), self.name))
+        if time.monotonic() < self.cold_until:
+            self.cold_runs.append(time.monotonic())
         await anyio.sleep(WORK_TIME)
         if CRASHING in body and self.proxy is not None and not self.down:
             self.site.crashes.append(Crash(time.monotonic(), body, self.name))
@@ -155,8 +161,14 @@
         self.site.store.drop("servers", "", former)
         self.site.list_upstream(self)
 
-    async def begin_again(self) -> None:
-        """End, and start again under the same name; it holds and knows nothing of before."""
+    async def begin_again(self, warmup: float = 0.0) -> None:
+        """End, and start again under the same name; it holds and knows nothing of before.
+
+        Parameters
+        ----------
+        warmup
+            It is cold for so long then, in seconds.
+        """
         if self.proxy is None or self.down:
             return
         self.down = True
@@ -165,6 +177,7 @@
         self.released = []
         await anyio.sleep(DOWN_TIME)
         self.born = time.time_ns() // 1_000_000
+        self.cold_until = time.monotonic() + warmup
         self.down = False
         self.site.list_upstream(self)
 
@@ -185,7 +198,7 @@
                 "status": {
                     "state": "draining" if self.draining else "ready",
                     "sequence": 1,
-                    "warmup_s_time": 0,
+                    "warmup_s_time": max(self.cold_until - time.monotonic(), 0.0),
                 },
             }
         ).encode()
@@ -255,6 +268,10 @@
         Requests that ran, and where.
     two_owners
         Pairs of upstreams that held a key at the same moment.
+    cold_rate
+        Requests a second that a cold upstream bears, by the configurations from now on.
+    start_soon
+        Runs a coroutine function where the upstreams are served.
     start_life
         Starts a life of a node, by the numbers of both.
     """
@@ -267,6 +284,8 @@
     crashes: list[Crash] = field(default_factory=list)
     sent: int = 0
     lives: int = 0
+    cold_rate: float = 0.0
+    start_soon: Callable[..., object] = print
     start_life: Callable[[int, int], NodeProcess] = _not_started
 
     def judge(self) -> None:
@@ -296,9 +315,10 @@
 
     def configure(self, version: int, routes: list[dict[str, Any]]) -> None:
         """Write the operator's configuration."""
+        cold = {"warmup_per_s": self.cold_rate, "warmup_s": 3.0} if self.cold_rate else {}
         services = [
-            {"name": "keyed", "health_check": "/h", "max_connections": 50, "sharded": True},
-            {"name": "plain", "health_check": "/h", "max_connections": 50},
+            {"name": "keyed", "health_check": "/h", "max_connections": 50, "sharded": True, **cold},
+            {"name": "plain", "health_check": "/h", "max_connections": 50, **cold},
         ]
         limits = {
             "max_header_bytes": 16384,
@@ -320,6 +340,21 @@
         url = f"http://{node.callers}{path}"
         return client.post(url, headers=self._headers(key), content=body).status_code
 
+    def end_and_start_cold(self, upstream: Upstream, warmup: float) -> None:
+        """End an upstream, which is back some time later, cold, under its name."""
+        self.start_soon(upstream.begin_again, warmup)
+
+    def most_while_cold(self) -> int:
+        """The most requests that came to a cold upstream in any second."""
+        return max(
+            (
+                sum(start <= at < start + 1.0 for at in upstream.cold_runs)
+                for upstream in self.upstreams
+                for start in upstream.cold_runs
+            ),
+            default=0,
+        )
+
     def crashes_under(self, body: bytes) -> list[float]:
         """When upstreams ended under the requests with this body."""
         return [crash.at for crash in self.crashes if crash.body == body]
@@ -432,6 +467,7 @@
         futures = [portal.start_task_soon(serve_until, app, where, ended) for app, where in served]
         futures += [portal.start_task_soon(proxy.serve, ended) for proxy in proxies]
         try:
+            site.start_soon = portal.start_task_soon
             site.start_life = functools.partial(start_node, processes, folder, store_address)
             for number in range(nodes):
                 site.nodes.append(site.start_life(number, 0))
--- a/tests/unit/test_soak_parts.py
+++ b/tests/unit/test_soak_parts.py
@@ -271,3 +271,17 @@
     nodes.start_all(1)
     nodes.start_those_ended_at_start()
     assert started == ([0, 0] if is_started else [0])
+
+
+def test_a_cold_back_end_that_gets_too_many_requests_is_held_against_the_nodes() -> None:
+    result = judging.Result(1, 3)
+    site = judging.JudgedSite()
+    upstream = platform_site.Upstream("i", "plain", False, "", site)
+    site.upstreams.append(upstream)
+    upstream.cold_runs = [number / 20 for number in range(judging.MOST_WHILE_COLD)]
+    assert site.most_while_cold() == judging.MOST_WHILE_COLD
+    judging.Judge(result, site).judge_end()
+    assert not any("cold" in item for item in result.violations)
+    upstream.cold_runs.append(0.99)
+    judging.Judge(result, site).judge_end()
+    assert any("cold back end" in item for item in result.violations)
