--- /dev/null
+++ b/tests/system/paced_callers.py
@@ -0,0 +1,84 @@
+"""Callers that send so many requests a second to all nodes that run, one after the other."""
+
+from __future__ import annotations
+
+import contextlib
+import itertools
+import threading
+import time
+from collections import Counter
+from collections.abc import Iterator, Sequence
+
+import httpx
+
+from tests.system import platform_site
+
+THREADS = 4
+PATIENCE = 4.0
+
+
+class PacedCallers:
+    """Callers of one path.
+
+    Parameters
+    ----------
+    keys
+        Requests are for these in turn.
+
+    Attributes
+    ----------
+    statuses
+        How many requests had which answer; zero: none.
+    slowest_refusal
+        The longest time in seconds until a request was refused as not run.
+    """
+
+    def __init__(
+        self, site: platform_site.Site, path: str, rate: float, keys: Sequence[int] = (0,)
+    ) -> None:
+        self.statuses: Counter[int] = Counter()
+        self.slowest_refusal = 0.0
+        self._site = site
+        self._path = path
+        self._pause = THREADS / rate
+        self._keys = itertools.cycle(keys)
+        self._ended = threading.Event()
+        self._lock = threading.Lock()
+
+    @contextlib.contextmanager
+    def calling(self) -> Iterator[PacedCallers]:
+        """Call until the block ends."""
+        threads = [threading.Thread(target=self._call, args=(i,)) for i in range(THREADS)]
+        for thread in threads:
+            thread.start()
+        try:
+            yield self
+        finally:
+            self._ended.set()
+            for thread in threads:
+                thread.join()
+
+    def _call(self, number: int) -> None:
+        due = time.monotonic() + self._pause * number / THREADS
+        with httpx.Client(timeout=PATIENCE, trust_env=False) as client:
+            for turn in itertools.count(number):
+                if self._ended.wait(max(due - time.monotonic(), 0.0)):
+                    return
+                due = max(due + self._pause, time.monotonic() - self._pause)
+                node = self._site.nodes[turn % len(self._site.nodes)]
+                if node.process.is_running:
+                    self._send(client, node)
+
+    def _send(self, client: httpx.Client, node: platform_site.NodeProcess) -> None:
+        began = time.monotonic()
+        with self._lock:
+            key = next(self._keys)
+        try:
+            status = self._site.send(client, node, self._path, key).status_code
+        except httpx.HTTPError:
+            status = 0
+        took = time.monotonic() - began
+        with self._lock:
+            self.statuses[status] += 1
+            if status == httpx.codes.SERVICE_UNAVAILABLE:
+                self.slowest_refusal = max(self.slowest_refusal, took)
--- a/tests/system/platform_site.py
+++ b/tests/system/platform_site.py
@@ -61,6 +61,12 @@
         When its present life under this name started; zero: it does not tell.
     cold_until, cold_runs
         On the test's clock: until when it is cold, and when requests came to it meanwhile.
+    limit
+        What its answers name as the requests a second that it takes; empty: they name none.
+    limits_named
+        When it began to name what, on the test's clock; the last one holds.
+    arrivals
+        When requests came to it while it named a limit.
     """
 
     name: str
@@ -74,6 +80,9 @@
     born: int = 0
     cold_until: float = 0.0
     cold_runs: list[float] = field(default_factory=list)
+    limit: bytes = b""
+    limits_named: list[tuple[float, bytes]] = field(default_factory=list)
+    arrivals: list[float] = field(default_factory=list)
     down: bool = False
     draining: bool = False
     silent: bool = False
@@ -130,6 +139,8 @@
 
     async def _work(self, headers: dict[bytes, bytes], body: bytes, send: Any) -> None:
         request_id = headers[b"x-attempt-id"]
+        if self.limit:
+            self.arrivals.append(time.monotonic())
         echo = [(b"x-attempt-id", request_id), (b"x-upstream-load", b"1,0,2")]
         key = int(headers.get(b"x-shard-key", b"0"))
         if self.keyed and not self.holds(key):
@@ -144,7 +155,8 @@
             await self._crash(self.proxy)
             return
         signed = [*echo, (b"x-upstream-signature", self.name.encode())]
-        await _answer(send, 200, signed, request_id + b":" + body)
+        limited = [(b"server-limit", self.limit)] if self.limit else []
+        await _answer(send, 200, [*signed, *limited], request_id + b":" + body)
 
     async def _crash(self, proxy: FaultyProxy) -> None:
         """End, and come back some time later under another id and without any keys."""
@@ -181,6 +193,16 @@
         self.down = False
         self.site.list_upstream(self)
 
+    def name_limit(self, limit: bytes) -> None:
+        """Name a limit in answers from now on, or none any more."""
+        self.limit = limit
+        self.limits_named.append((time.monotonic(), limit))
+
+    def most_arrivals(self, seconds: float, since: float) -> int:
+        """The most requests that came within so long, from a time on, while it named a limit."""
+        later = [at for at in self.arrivals if at >= since]
+        return max((sum(0 <= at - start < seconds for at in later) for start in later), default=0)
+
     def holds(self, key: int) -> bool:
         """Whether it would run a request for a key now."""
         now = time.monotonic()
