--- a/tests/system/test_limits.py
+++ b/tests/system/test_limits.py
@@ -6,7 +6,7 @@
 
 Cause: no node read the header. The evidence: what the two got did not change when they named their
 limits, and here a back end of an unkeyed service, whose work others can take, was treated no other
-than an owner of keys (61 and 194 requests in 4 s with 30 allowed). Reading it at each node would not
+than an owner of keys (61 and 194 requests in 4 s, 30 allowed). Reading it at each node would not
 do: nodes see their own requests only, so the bound of all is kept by one that lends permits.
 """
 
