Keys move off an owner that names a limit, until what is left fits it

What callers saw: an owner of keys that takes 4.2 requests a second kept the keys of 13 a second; two of three of their requests were refused for as long as the limit held. Cause: the balancing measured how long a back end works on a request, and one in need answers fast.

--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -316,6 +316,7 @@
         for name, owned in self._services.items():
             listed = self._state.directory.owner_candidates(name, now, may_move)
             owned.core.set_backends(listed, now)
+            owned.core.set_limits(self._state.directory.limits.limited(), now)
 
     def _refresh_totals(self, now: Seconds) -> None:
         totals = self.loads.refresh(now)
--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from limedeck.api.control_pb2 import AssignmentRecord, OwnedKeys
@@ -24,6 +24,7 @@
 from limedeck.ownership.fences import FenceCounter
 from limedeck.ownership.key_load import LASTING_MEMORY, RECENT_MEMORY, KeyLoad
 from limedeck.ownership.orders import Grant, Release
+from limedeck.ownership.planned_limits import PlannedLimits
 from limedeck.ownership.planning import (
     BalancePlan,
     OwnedPiece,
@@ -132,6 +133,7 @@
         self.lasting_load = KeyLoad(now, LASTING_MEMORY)
         self._service_times: dict[str, Seconds] = {}
         self._failing: frozenset[str] = frozenset()
+        self._limits = PlannedLimits()
         self._next_balance = now + timing.balance_interval
         self._settled_until: dict[int, Seconds] = {}
         if record is not None:
@@ -296,6 +298,10 @@
         """All nodes' answers tell how long a back end works on one request."""
         self._service_times[backend_id] = service_time
 
+    def set_limits(self, limits: Mapping[str, float], now: Seconds) -> None:
+        """Back ends in need take so many requests a second from all nodes together."""
+        self._limits.set(limits, now)
+
     def note_answered(self, backend_id: str, answered_at: Seconds) -> None:
         """A node told at this time that the back end had answered a request."""
         self._silence.note_answered(backend_id, answered_at)
@@ -382,11 +388,12 @@
     def _capacities(self, now: Seconds) -> dict[str, float]:
         """Requests a second that each usable back end can work on."""
         typical = self.typical_service_time()
-        return {
+        workable = {
             backend_id: self._backends[backend_id].slots
             / self._service_times.get(backend_id, typical)
             for backend_id in self._candidates(now)
         }
+        return {key: self._limits.capacity(key, rate) for key, rate in workable.items()}
 
     def _tick_range(self, found: RangeState, may_renew: bool, now: Seconds) -> None:
         if found.phase is Phase.OWNED:
