--- a/src/limedeck/ownership/planned_limits.py
+++ b/src/limedeck/ownership/planned_limits.py
@@ -1,4 +1,4 @@
-"""What owners that name limits are planned to bear: a limit that wavers moves no keys to and fro."""
+"""What owners that name limits are planned to bear: one that wavers moves no keys to and fro."""
 
 from __future__ import annotations
 
