Soak: back ends name, change and lift limits among its other faults

The judge counts what came to each back end from lives of nodes that had been told half a second before, in any 4 s, and leaves out what a fault held up on its way (test_soak_parts.py).

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -32,6 +32,8 @@
 CRASH_PATIENCE = 4.0
 WARMUP_SECONDS = (2.0, 5.0)
 COLD_RATE = 4.0
+LIMITS = (b"0", b"0.3", b"3.2", b"4.2", b"20", b"")
+"""Requests a second that a back end in need names; the last one: it needs no limit."""
 EVACUATED_ZONE = "z2"
 STRANGE_PREFIX = "strange-"
 STRANGE_ENTRIES = (
@@ -146,6 +148,7 @@
             Kind.EVACUATE: self._evacuate,
             Kind.REBORN: self._begin_again,
             Kind.STRANGE: self._write_strange_entries,
+            Kind.LIMIT: self._name_limit,
         }[drawn.kind]
         for number in range(drawn.steps):
             if ended.wait(drawn.gap):
@@ -169,6 +172,7 @@
             self._site.store.drop(*key)
         for upstream in self._site.upstreams:
             upstream.draining = False
+            upstream.name_limit(b"")
             self._site.list_upstream(upstream)
 
     def _any_node(self, source: random.Random) -> int:
@@ -221,6 +225,15 @@
         self._portal.call(upstream.begin_again, warmup)
         self._judge.note_unplanned()
 
+    def _name_limit(self, source: random.Random) -> None:
+        """Some back ends name another limit, or none any more; at times all of a service."""
+        limit = source.choice(LIMITS)
+        chosen = source.choice(self._site.upstreams)
+        takes_all = source.random() < 0.3
+        for upstream in self._site.upstreams:
+            if upstream is chosen or (takes_all and upstream.service == chosen.service):
+                upstream.name_limit(limit)
+
     def _write_strange_entries(self, source: random.Random) -> None:
         """Another writer's entries; sometimes one stands where a back end's own stood."""
         for number in range(source.randint(1, 3)):
--- a/tests/soak/judging.py
+++ b/tests/soak/judging.py
@@ -8,7 +8,7 @@
 import threading
 import time
 
-from tests.soak import callers
+from tests.soak import callers, limit_judging
 from tests.system import platform_site
 
 EXCUSE = 0.5
@@ -51,9 +51,15 @@
 
     excused_until = 0.0
 
+    def __init__(self) -> None:
+        super().__init__()
+        self.held_up: list[tuple[float, float]] = []
+        """From when until when requests and orders may have been held up on their way."""
+
     def excuse(self, seconds: float) -> None:
         """A fault that holds orders up is on for so long."""
         until = time.monotonic() + seconds + EXCUSE + LEASE
+        self.held_up.append((time.monotonic(), until))
         self.excused_until = max(self.excused_until, until)
 
     def judge(self) -> None:
@@ -85,6 +91,9 @@
         self._seen: dict[str, tuple[int, float]] = {}
         """By node: the newest configuration that was seen in force, and when."""
         self._versions: list[Version] = []
+        self._senders: dict[str, str] = {}
+        """By request: the life of the node that it was sent to."""
+        self._lives: collections.Counter[str] = collections.Counter()
         self._unsafe: set[str] = set()
         self._refused: set[str] = set()
         self._lost: list[tuple[str, callers.Reply]] = []
@@ -114,10 +123,16 @@
 
     # ------------------------------------------------------------------ what callers see
 
-    def note_sent(self, request: str, is_unsafe: bool) -> None:
-        """A request is about to be sent."""
-        if is_unsafe:
-            with self._lock:
+    def note_started(self, address: str) -> None:
+        """A node's next life has begun at an address."""
+        with self._lock:
+            self._lives[address] += 1
+
+    def note_sent(self, request: str, address: str, is_unsafe: bool) -> None:
+        """A request is about to be sent to the node at an address."""
+        with self._lock:
+            self._senders[request] = f"{address}/{self._lives[address]}"
+            if is_unsafe:
                 self._unsafe.add(request)
 
     def note_reply(
@@ -192,6 +207,8 @@
         most = self._site.most_while_cold()
         if most > MOST_WHILE_COLD:
             self._blame(f"{most} requests in a second at a cold back end")
+        excesses = limit_judging.excesses(self._site.upstreams, self._senders, self._site.held_up)
+        self.blame_all("above its limit", excesses)
         if not self._site.everything_is_held():
             self._blame("a key has no owner after healing")
 
--- a/tests/soak/series.py
+++ b/tests/soak/series.py
@@ -31,10 +31,13 @@
     EVACUATE = "evacuate"
     REBORN = "reborn"
     STRANGE = "strange"
+    LIMIT = "limit"
 
 
+OF_THIRD_SEEDS = tuple(kind for kind in Kind if kind is not Kind.LIMIT)
+"""What seeds draw from that were recorded before back ends named limits: 380001 and later ones."""
 OF_SECOND_SEEDS = tuple(
-    kind for kind in Kind if kind not in (Kind.EVACUATE, Kind.REBORN, Kind.STRANGE)
+    kind for kind in OF_THIRD_SEEDS if kind not in (Kind.EVACUATE, Kind.REBORN, Kind.STRANGE)
 )
 """What seeds draw from that were recorded before zones were evacuated: 320201 and later ones."""
 OF_FIRST_SEEDS = tuple(kind for kind in OF_SECOND_SEEDS if kind not in (Kind.CRASH, Kind.SUSPEND))
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -65,7 +65,7 @@
         request = f"{self._prefix}{self._sent:012x}"
         connection = self._connection()
         path, version = self._path()
-        self._judge.note_sent(request, is_unsafe=path.startswith("/plain/"))
+        self._judge.note_sent(request, connection.address, is_unsafe=path.startswith("/plain/"))
         headers = {
             "host": "h.example",
             "x-attempt-id": request,
@@ -221,9 +221,11 @@
         store = self._stores[number]
         suspended = self._suspendable.get(number)
         ports = self._ports.get(number)
-        return platform_site.start_node(
+        node = platform_site.start_node(
             self._group, self._folder, store, number, life, suspended, ports
         )
+        self.judge.note_started(node.callers)
+        return node
 
     def _suspendable_nodes(self) -> dict[int, suspendable_node.SuspendedTime]:
         """Every second node; the others run on the event loop that the product uses."""
--- a/tests/system/platform_site.py
+++ b/tests/system/platform_site.py
@@ -66,7 +66,9 @@
     limits_named
         When it began to name what, on the test's clock; the last one holds.
     arrivals
-        When requests came to it while it named a limit.
+        Requests that came to it while it named a limit.
+    told
+        Requests that it answered with its limit, and when.
     """
 
     name: str
@@ -82,7 +84,8 @@
     cold_runs: list[float] = field(default_factory=list)
     limit: bytes = b""
     limits_named: list[tuple[float, bytes]] = field(default_factory=list)
-    arrivals: list[float] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
+    told: list[Arrival] = field(default_factory=list)
     down: bool = False
     draining: bool = False
     silent: bool = False
@@ -140,7 +143,7 @@
     async def _work(self, headers: dict[bytes, bytes], body: bytes, send: Any) -> None:
         request_id = headers[b"x-attempt-id"]
         if self.limit:
-            self.arrivals.append(time.monotonic())
+            self.arrivals.append(Arrival(time.monotonic(), request_id.decode()))
         echo = [(b"x-attempt-id", request_id), (b"x-upstream-load", b"1,0,2")]
         key = int(headers.get(b"x-shard-key", b"0"))
         if self.keyed and not self.holds(key):
@@ -156,6 +159,8 @@
             return
         signed = [*echo, (b"x-upstream-signature", self.name.encode())]
         limited = [(b"server-limit", self.limit)] if self.limit else []
+        if limited:
+            self.told.append(Arrival(time.monotonic(), request_id.decode()))
         await _answer(send, 200, [*signed, *limited], request_id + b":" + body)
 
     async def _crash(self, proxy: FaultyProxy) -> None:
@@ -200,7 +205,7 @@
 
     def most_arrivals(self, seconds: float, since: float) -> int:
         """The most requests that came within so long, from a time on, while it named a limit."""
-        later = [at for at in self.arrivals if at >= since]
+        later = [item.at for item in self.arrivals if item.at >= since]
         return max((sum(0 <= at - start < seconds for at in later) for start in later), default=0)
 
     def holds(self, key: int) -> bool:
@@ -242,6 +247,20 @@
     await send({"type": "http.response.body", "body": body})
 
 
+@dataclass(frozen=True)
+class Arrival:
+    """A request at an upstream.
+
+    Parameters
+    ----------
+    at
+        On the test's clock, in seconds.
+    """
+
+    at: float
+    request: str
+
+
 @dataclass(frozen=True)
 class Crash:
     """An upstream ended under a request.
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -17,8 +17,9 @@
         (290008, 20.0, series.OF_FIRST_SEEDS),
         (320001, 20.0, (series.Kind.CRASH, series.Kind.SUSPEND)),
         (380001, 20.0, (series.Kind.EVACUATE, series.Kind.REBORN, series.Kind.STRANGE)),
+        (410001, 20.0, (series.Kind.LIMIT, series.Kind.KILL, series.Kind.STOP, series.Kind.REBORN)),
     ],
-    ids=["planned", "hang-up-at-start", "crashes-and-sleep", "zones-lives-strangers"],
+    ids=["planned", "hang-up-at-start", "crashes-and-sleep", "zones-lives-strangers", "limits"],
 )
 def test_no_promise_is_broken(
     seed: int, seconds: float, kinds: tuple[series.Kind, ...], tmp_path: pathlib.Path
--- a/tests/unit/test_soak_parts.py
+++ b/tests/unit/test_soak_parts.py
@@ -12,7 +12,7 @@
 import pytest
 
 from limedeck_lab import processes
-from tests.soak import callers, faults, judging, proxy, series, suspendable_node
+from tests.soak import callers, faults, judging, limit_judging, proxy, series, suspendable_node
 from tests.system import platform_site
 from tests.unit import polling
 
@@ -124,7 +124,7 @@
 def test_the_end_is_judged() -> None:
     judged, result, site = judge()
     for request in ("a", "b"):
-        judged.note_sent(request, is_unsafe=True)
+        judged.note_sent(request, "node", is_unsafe=True)
     judged.note_reply("c", "n", reply(status=503), None)
     site.runs += [("a", "i-1"), ("a", "i-2"), ("b", "i-1"), ("c", "i-1")]
     judged.judge_end()
@@ -285,3 +285,36 @@
     upstream.cold_runs.append(0.99)
     judging.Judge(result, site).judge_end()
     assert any("cold back end" in item for item in result.violations)
+
+
+def limited_upstream(limits: list[tuple[float, bytes]]) -> platform_site.Upstream:
+    upstream = platform_site.Upstream("i", "plain", False, "", platform_site.Site())
+    upstream.limits_named = limits
+    upstream.told = [platform_site.Arrival(0.1, "first")]
+    return upstream
+
+
+@pytest.mark.parametrize(
+    ("limits", "held_up", "sender", "is_blamed"),
+    [
+        ([(0.0, b"3")], [], "node/1", True),
+        ([(0.0, b"3"), (8.0, b"2")], [], "node/1", True),
+        ([(0.0, b"3"), (8.0, b"9")], [], "node/1", False),
+        ([(0.0, b"3"), (8.0, b"")], [], "node/1", False),
+        ([(0.0, b""), (5.0, b"3")], [], "node/1", False),
+        ([(0.0, b"3")], [(7.0, 8.0)], "node/1", False),
+        ([(0.0, b"3")], [], "node/2", False),
+    ],
+)
+def test_a_back_end_that_gets_more_than_its_limit_is_held_against_those_that_knew(
+    limits: list[tuple[float, bytes]],
+    held_up: list[tuple[float, float]],
+    sender: str,
+    is_blamed: bool,
+) -> None:
+    upstream = limited_upstream(limits)
+    upstream.arrivals = [platform_site.Arrival(7.0 + n / 10, f"r{n}") for n in range(24)]
+    senders = {"first": "node/1"} | {f"r{n}": sender for n in range(24)}
+    assert bool(limit_judging.excesses([upstream], senders, held_up)) is is_blamed
+    upstream.arrivals.pop()
+    assert limit_judging.excesses([upstream], senders, held_up) == []
