Shares of the retry budget never add up to more than it, whatever the count of nodes is

Cause, of the incident's class: each node divided the slack by the number of nodes it had heard last. Now a node goes by the highest number that it heard in a window and a while, has no share in its first window, and loses it when it hears no leader: whoever believes in a lower number began to after the others had ceased. test_fleet_size.py failed in 14 cases with the number as heard last, and passes.

Permits (as for limits) were weighed for retries and not built: a retry would wait for the leader's answer, and most retries come from the ratio, which each node knows by itself.

--- a/src/limedeck/forwarding/budget.py
+++ b/src/limedeck/forwarding/budget.py
@@ -58,17 +58,17 @@
         self._piece(now).requests += 1
         self._requests += 1
 
-    def try_take(self, now: Seconds, node_count: int) -> bool:
+    def try_take(self, now: Seconds, sharers: int) -> bool:
         """Use up one retry, if there is one left for this node.
 
         Parameters
         ----------
-        node_count
-            Nodes that share the slack. Zero if this node has not heard how many: it has no part in
-            it then, since each of any number of nodes that have just started would take it.
+        sharers
+            Nodes that share the slack, see `forwarding.fleet_size`. Zero: this node has no part in
+            it.
         """
         piece = self._piece(now)
-        slack = self._allowance.slack / node_count if node_count else 0.0
+        slack = self._allowance.slack / sharers if sharers else 0.0
         allowed = MARGIN * (self._allowance.ratio * self._requests + slack)
         if self._retries + 1 > allowed:
             return False
--- a/src/limedeck/forwarding/request.py
+++ b/src/limedeck/forwarding/request.py
@@ -122,7 +122,7 @@
         self._not_before: Seconds = now
         self._in_flight: Attempt | None = None
 
-    def next_command(self, now: Seconds, node_count: int) -> Command:
+    def next_command(self, now: Seconds, sharers: int) -> Command:
         """Decide what to do: at the start, after a `Wait`, and after a failure."""
         if now + SHORTEST_ATTEMPT >= self.claim.until:
             return self._refuse(Reason.TIMED_OUT, RETRY_AFTER)
@@ -130,10 +130,10 @@
         if stopped is not None:
             return stopped
         if not self.service.keyed:
-            return self._try_any(now, node_count)
+            return self._try_any(now, sharers)
         if self.position is None:
             return self._refuse(Reason.BAD_KEY, RETRY_AFTER)
-        return self._try_owner(self.position, now, node_count)
+        return self._try_owner(self.position, now, sharers)
 
     def _stopped_by_guard(self, guard: RequestGuard, now: Seconds) -> Command | None:
         """Refuse what ends back ends; let what may do so wait for the judgement."""
@@ -144,11 +144,11 @@
         return None if held_until is None else Wait(min(held_until, self.claim.until))
 
     def handle_permit(
-        self, asked: AskPermit, answer: PermitAnswer, now: Seconds, node_count: int
+        self, asked: AskPermit, answer: PermitAnswer, now: Seconds, sharers: int
     ) -> Command:
         """Decide what follows the answer to an `AskPermit`."""
         self._permits.take(asked, answer, now)
-        return self.next_command(now, node_count)
+        return self.next_command(now, sharers)
 
     def give_up(self) -> Refuse:
         """Refuse it now, whatever is under way: this process is about to end."""
@@ -156,7 +156,7 @@
         return self._refuse(Reason.STOPPED, RETRY_AFTER)
 
     def handle_failure(
-        self, phase: FailurePhase, now: Seconds, node_count: int, wrong_owner: bool = False
+        self, phase: FailurePhase, now: Seconds, sharers: int, wrong_owner: bool = False
     ) -> Command:
         """Decide what follows a failed attempt.
 
@@ -191,9 +191,9 @@
                 return refusal
         self._stale_version = self.service.owners.version
         self._not_before = now + (LONGEST_MOVE_WAIT if wrong_owner else RETRY_PAUSE)
-        return self.next_command(now, node_count)
+        return self.next_command(now, sharers)
 
-    def _try_owner(self, position: int, now: Seconds, node_count: int) -> Command:
+    def _try_owner(self, position: int, now: Seconds, sharers: int) -> Command:
         owners = self.service.owners
         owner = owners.owner(position)
         state = self._directory.find(owner) if owner else None
@@ -204,7 +204,7 @@
             return self._refuse(Reason.EVACUATED, NO_OWNER_RETRY_AFTER)
         if state.is_cold(now):
             return self._refuse(Reason.COLD, self._return_to_cold(state, now))
-        return self._attempt_in_time(state, now, node_count)
+        return self._attempt_in_time(state, now, sharers)
 
     def _return_to_cold(self, state: BackendState, now: Seconds) -> Seconds:
         """When to come back for a key of a cold owner: it is warm, or the key has another one."""
@@ -231,31 +231,31 @@
             return self._refuse(Reason.NO_OWNER, NO_OWNER_RETRY_AFTER)
         return Wait(min(max(self._not_before, now + RETRY_PAUSE), wait_end))
 
-    def _try_any(self, now: Seconds, node_count: int) -> Command:
+    def _try_any(self, now: Seconds, sharers: int) -> Command:
         service = self.service.name
         state = self._permits.held_for(now)
         if state is None:
             excluded = self._excluded | self._permits.closed(service, now)
             state = self._directory.choose(service, excluded, self.request_id, now)
         if state is not None:
-            return self._attempt_in_time(state, now, node_count)
+            return self._attempt_in_time(state, now, sharers)
         if self._excluded:
             return self._refuse(Reason.REFUSED, RETRY_AFTER)
         refusal = self._permits.refusal_by_all(service, now)
         return refusal or self._refuse(Reason.NO_BACKEND, NO_OWNER_RETRY_AFTER)
 
-    def _attempt_in_time(self, state: BackendState, now: Seconds, node_count: int) -> Command:
+    def _attempt_in_time(self, state: BackendState, now: Seconds, sharers: int) -> Command:
         """Send it, if it is worth that and the back end has room for it."""
         hindrance = self.claim.refusal(state, now) or self._permits.obtain(state, now)
-        return hindrance or self._attempt(state, now, node_count)
+        return hindrance or self._attempt(state, now, sharers)
 
-    def _attempt(self, state: BackendState, now: Seconds, node_count: int) -> Command:
+    def _attempt(self, state: BackendState, now: Seconds, sharers: int) -> Command:
         if self.claim.maybe_run and not self.route.repeatable:
             raise InvariantViolation("runs-at-most-once", self.request_id.decode("latin-1"))
         # The budget bounds what back ends get more than callers send. An attempt that reached none
         # is no part of that: with one back end after the other ending, closed ports used up the
         # retries of requests that other back ends would have served.
-        if self._reached and not self.service.budget.try_take(now, node_count):
+        if self._reached and not self.service.budget.try_take(now, sharers):
             return self._refuse(Reason.REFUSED, RETRY_AFTER)
         if self.guard is not None:
             self.guard.note_sent(now)
--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -214,7 +214,7 @@
         self.election.handle_heartbeat(status.term, status.store_silence, now, fleet)
         if status.term >= self.election.term:
             self._state.note_leader(status.store_silence, now)
-            self._state.node_count = max(status.node_count, 1)
+            self._state.fleet_size.note(status.node_count, now)
             if status.HasField("backend_totals"):
                 self.loads.handle_totals(status.backend_totals, now)
             if status.peers:
@@ -263,7 +263,8 @@
         if not self.leads:
             self._leave_office()
             return
-        self._state.node_count = self.fleet().node_count
+        node_count = self.fleet().node_count
+        self._state.fleet_size.note(node_count, now)
         self._state.note_leader(self.election.store_silence(now), now)
         self._open_services()
         self._refresh_listing(now)
@@ -272,7 +273,7 @@
             self._next_own_loads = now + OWN_LOADS_INTERVAL
             self.handle_loads(self._state.take_loads())
         may_renew = self.election.may_renew(now)
-        may_yield = self.election.may_yield(now) and self._state.node_count > 1
+        may_yield = self.election.may_yield(now) and node_count > 1
         for name, owned in list(self._services.items()):
             if not self.election.former_leaders():
                 owned.core.handle_former_leaders_over(now)
--- a/src/limedeck/node/gateway.py
+++ b/src/limedeck/node/gateway.py
@@ -8,7 +8,7 @@
 import anyio
 
 from limedeck.clock import steady_clock
-from limedeck.forwarding.commands import AskPermit, Attempt, Reason, Refuse, Wait
+from limedeck.forwarding.commands import AskPermit, Attempt, Command, Reason, Refuse, Wait
 from limedeck.forwarding.content import RequestContent
 from limedeck.forwarding.limits import LimitStatement
 from limedeck.forwarding.protocol import AnswerFacts, CallerProtocol, Headers
@@ -244,7 +244,7 @@
 
     async def _run(self, call: _Call) -> HttpAnswer | Refuse | None:
         core = call.core
-        command = core.next_command(steady_clock(), self._state.node_count)
+        command = self._next_command(core)
         while True:
             if isinstance(command, Refuse):
                 return call.error_answer or command
@@ -252,21 +252,24 @@
                 return None
             if isinstance(command, Wait):
                 await self._state.wait_for_change(command.until - steady_clock())
-                command = core.next_command(steady_clock(), self._state.node_count)
+                command = self._next_command(core)
                 continue
             if isinstance(command, AskPermit):
                 answer = await self._permits.ask(command.ask)
-                command = core.handle_permit(
-                    command, answer, steady_clock(), self._state.node_count
-                )
+                now = steady_clock()
+                command = core.handle_permit(command, answer, now, self._state.retry_sharers(now))
                 continue
             result = await self._attempt(call, command)
             if isinstance(result, HttpAnswer):
                 return result
             phase, wrong_owner = result
-            command = core.handle_failure(
-                phase, steady_clock(), self._state.node_count, wrong_owner
-            )
+            now = steady_clock()
+            sharers = self._state.retry_sharers(now)
+            command = core.handle_failure(phase, now, sharers, wrong_owner)
+
+    def _next_command(self, core: RequestCore) -> Command:
+        now = steady_clock()
+        return core.next_command(now, self._state.retry_sharers(now))
 
     async def _attempt(
         self, call: _Call, attempt: Attempt
--- a/src/limedeck/node/state.py
+++ b/src/limedeck/node/state.py
@@ -7,6 +7,7 @@
 from limedeck.api.control_pb2 import KeyCount, ServiceLoad
 from limedeck.forwarding.backends import BackendDirectory
 from limedeck.forwarding.budget import RetryAllowance, RetryBudget
+from limedeck.forwarding.fleet_size import FleetSize
 from limedeck.forwarding.owners import OwnerMap
 from limedeck.forwarding.quarantine import QuarantineLedger
 from limedeck.forwarding.request import ServiceView
@@ -30,8 +31,8 @@
     ----------
     configuration
         The newest that this process has seen; it never goes back.
-    node_count
-        Nodes that share retry budgets, as the leader counts them; zero before it was heard.
+    fleet_size
+        How many nodes there are, as the leader tells.
     peers
         Where some other nodes are reached, as the leader told last.
     stopping
@@ -52,7 +53,7 @@
         self.configuration: Configuration | None = None
         self.routes: RouteIndex | None = None
         self.services: dict[str, ServiceView] = {}
-        self.node_count = 0
+        self.fleet_size = FleetSize()
         self.peers: tuple[str, ...] = ()
         self.backends_listed = False
         self.stopping = False
@@ -94,6 +95,10 @@
         for view in self.services.values():
             view.budget.set_allowance(allowance)
 
+    def retry_sharers(self, now: Seconds) -> int:
+        """Return how many nodes share a retry budget's slack; zero: this one has no part in it."""
+        return self.fleet_size.sharers(self._allowance.window, now)
+
     def service(self, name: str) -> ServiceView:
         """Return what requests for a service share."""
         view = self.services.get(name)
