--- a/src/limedeck/forwarding/fleet_size.py
+++ b/src/limedeck/forwarding/fleet_size.py
@@ -15,8 +15,8 @@
 from limedeck.identity import Seconds
 
 HEARD_LIFE: Seconds = 2.5
-"""A node that has not heard the number for so long has no share any more, and none for a window after
-that: others may have counted it out. Above the time in which a lost leader is replaced."""
+"""A node that has not heard the number for so long has no share any more, and none for a window
+after that: others may have counted it out. Above the time in which a lost leader is replaced."""
 
 
 @dataclass(frozen=True, slots=True)
