--- a/src/limedeck/forwarding/admission.py
+++ b/src/limedeck/forwarding/admission.py
@@ -6,6 +6,7 @@
 
 from limedeck.forwarding.backend_state import BackendState
 from limedeck.forwarding.commands import Belief, Reason, Refuse
+from limedeck.forwarding.permits import Bound
 from limedeck.forwarding.spread import spread_of
 from limedeck.identity import Seconds
 from limedeck.model import Route
@@ -54,7 +55,9 @@
     returned: bool = False
     maybe_run: bool = False
 
-    def refuse(self, reason: Reason, retry_after: Seconds, belief: Belief | None = None) -> Refuse:
+    def refuse(
+        self, reason: Reason, retry_after: Seconds, belief: Belief | Bound | None = None
+    ) -> Refuse:
         """Give the request up, with what is known of whether it has run."""
         outcome = Outcome.UNKNOWN if self.maybe_run else Outcome.NOT_RUN
         return Refuse(outcome, reason, retry_after, belief)
--- a/src/limedeck/forwarding/commands.py
+++ b/src/limedeck/forwarding/commands.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from limedeck.forwarding.backend_state import BackendState
-from limedeck.forwarding.permits import PermitAsk
+from limedeck.forwarding.permits import Bound, PermitAsk
 from limedeck.identity import Seconds
 from limedeck.routing.outcomes import Outcome
 
@@ -97,13 +97,13 @@
     retry_after
         In seconds, when the caller should come back.
     belief
-        What decided it, if that was what is believed of a back end.
+        What decided it, if that was what is believed of a back end: its queue, or its bound.
     """
 
     outcome: Outcome
     reason: Reason
     retry_after: Seconds
-    belief: Belief | None = None
+    belief: Belief | Bound | None = None
 
 
 Command = Attempt | AskPermit | Wait | Refuse
--- a/src/limedeck/forwarding/request_permits.py
+++ b/src/limedeck/forwarding/request_permits.py
@@ -8,7 +8,14 @@
 from limedeck.forwarding.backend_state import BackendState
 from limedeck.forwarding.backends import BackendDirectory
 from limedeck.forwarding.commands import AskPermit, Command, Reason, Refuse, Wait
-from limedeck.forwarding.permits import PERMIT_LIFE, NoPermit, Permit, PermitAnswer, PermitAsk
+from limedeck.forwarding.permits import (
+    PERMIT_LIFE,
+    Bound,
+    NoPermit,
+    Permit,
+    PermitAnswer,
+    PermitAsk,
+)
 from limedeck.forwarding.spread import spread_of
 from limedeck.identity import Seconds
 
@@ -67,7 +74,7 @@
         if held is not None and held.backend_id == bound.backend_id and now <= held.until:
             return None if now >= held.turn else Wait(held.turn)
         if state.is_turning_away(now):
-            return self.refusal(state.turned_away_until - now, bound.rate)
+            return self.refusal(state.turned_away_until - now, bound)
         return AskPermit(state, PermitAsk(bound, self._patience(now)), now)
 
     def take(self, asked: AskPermit, answer: PermitAnswer, now: Seconds) -> None:
@@ -84,22 +91,24 @@
         """The request is sent; another attempt needs another permit."""
         self._held = None
 
-    def refusal(self, pause: Seconds, rate: float) -> Refuse:
+    def refusal(self, pause: Seconds, bound: Bound) -> Refuse:
         """Refuse the request; its caller is told when there is room, and not all the same."""
-        between = max(RETURN_SPREAD, 1.0 / rate if rate else LONGEST_RETRY_AFTER)
+        between = max(RETURN_SPREAD, 1.0 / bound.rate if bound.rate else LONGEST_RETRY_AFTER)
         retry_after = pause + between * spread_of(self._claim.request_id)
-        return self._claim.refuse(Reason.LIMITED, min(retry_after, LONGEST_RETRY_AFTER))
+        return self._claim.refuse(Reason.LIMITED, min(retry_after, LONGEST_RETRY_AFTER), bound)
 
     def refusal_by_all(self, service: str, now: Seconds) -> Refuse | None:
         """Refuse a request of which no back end has room; None if that is not why."""
-        pauses = []
-        rate = 0.0
+        bounds: dict[Bound, Seconds] = {}
         for state in self._directory.of_service(service):
             bound = self._directory.bound_of(state, now)
             if bound is not None and not state.backend.draining:
-                pauses.append(max(state.turned_away_until - now, 0.0))
-                rate += bound.rate
-        return self.refusal(min(pauses), rate) if pauses else None
+                bounds[bound] = max(state.turned_away_until - now, 0.0)
+        if not bounds:
+            return None
+        soonest = min(bounds, key=bounds.__getitem__)
+        together = Bound(soonest.backend_id, sum(bound.rate for bound in bounds))
+        return self.refusal(bounds[soonest], together)
 
     def _patience(self, now: Seconds) -> Seconds:
         """How long it waits for its turn: the less urgent, the shorter; who came back is urgent."""
--- a/src/limedeck/node/request_log.py
+++ b/src/limedeck/node/request_log.py
@@ -10,6 +10,7 @@
 from limedeck.clock import steady_clock
 from limedeck.forwarding import content
 from limedeck.forwarding.commands import Belief, Refuse
+from limedeck.forwarding.permits import Bound
 from limedeck.forwarding.request import RequestCore
 from limedeck.identity import Seconds
 from limedeck.model import Backend
@@ -158,10 +159,13 @@
         )
 
 
-def _told(belief: Belief | None) -> dict[str, object]:
+def _told(belief: Belief | Bound | None) -> dict[str, object]:
     """What is logged of the belief that decided a refusal."""
-    if belief is None:
-        return {}
+    match belief:
+        case None:
+            return {}
+        case Bound(backend_id, rate):
+            return {"backend": backend_id, "bound": rate}
     return {
         "backend": belief.backend_id,
         "expected": None if belief.expected is None else round(belief.expected, 4),
--- a/tests/unit/test_backend_loads.py
+++ b/tests/unit/test_backend_loads.py
@@ -302,7 +302,7 @@
     command = first.next_command(10.0, 3)
     assert isinstance(command, commands.Refuse)
     assert command.outcome is outcomes.Outcome.NOT_RUN
-    assert command.belief is not None
+    assert isinstance(command.belief, commands.Belief)
     assert (command.belief.backend_id, command.belief.load) == ("a", 3 * SLOTS)
     again = core_for(directory, "r", 0.2, 10.0)
     again.claim.returned = True
