--- a/src/limedeck/node/permit_exchange.py
+++ b/src/limedeck/node/permit_exchange.py
@@ -18,21 +18,17 @@
     Permit,
     PermitAnswer,
     PermitAsk,
-    PermitLender,
 )
 from limedeck.identity import Seconds
 from limedeck.node.limit_news import HIGHEST_RATE
 from limedeck.node.notice import Notice
-from limedeck.ownership.election import ElectionCore, Role
+from limedeck.ownership.election import ElectionCore
+from limedeck.ownership.lending import UNHEARD, Lending
 
 MILLISECONDS = 1000
 ANSWER_PATIENCE: Seconds = 0.1
 """A leader that has not answered by then is slow or gone, and the request is refused: what cannot
 be served is not to wait."""
-UNHEARD_PAUSE: Seconds = 0.3
-"""Without a leader's answer a node asks again after so long: about the time of an election."""
-UNHEARD = NoPermit(UNHEARD_PAUSE)
-"""What is assumed without a leader's answer."""
 MOST_WAITING = 64
 """Requests of one node that wait for an answer. With as many waiting there is no room for more."""
 LONGEST_PAUSE: Seconds = 60.0
@@ -59,9 +55,7 @@
 
     def __init__(self, directory: BackendDirectory, election: ElectionCore) -> None:
         self._directory = directory
-        self._election = election
-        self._lender: PermitLender | None = None
-        self._term = 0
+        self._lending = Lending(election)
         self._numbers = itertools.count(1)
         self._waiting: dict[int, _Waiting] = {}
         self._unsent: list[int] = []
@@ -72,7 +66,7 @@
 
     async def ask(self, ask: PermitAsk) -> PermitAnswer:
         """Ask the leader, or decide if this node leads; without a leader there are none."""
-        if self._election.role is Role.LEADER:
+        if self._lending.leads:
             return self._lend(ask, steady_clock())
         if not self._is_connected or len(self._waiting) >= MOST_WAITING:
             return UNHEARD
@@ -127,14 +121,8 @@
         return control_pb2.PermitAnswers(answers=list(self._answers(message.asks, now)))
 
     def handle_tick(self, now: Seconds) -> None:
-        """Begin anew in each term, and end with it."""
-        if self._election.role is not Role.LEADER:
-            self._lender = None
-            return
-        if self._lender is None or self._term != self._election.term:
-            self._lender = PermitLender(now)
-            self._term = self._election.term
-        self._lender.forget_old(now)
+        """Take note of whether this node leads."""
+        self._lending.handle_tick(now)
 
     def _answers(
         self, asks: Iterable[control_pb2.PermitAsk], now: Seconds
@@ -152,10 +140,6 @@
                     yield control_pb2.PermitAnswer(number=item.number, lent=False, pause=pause)
 
     def _lend(self, ask: PermitAsk, now: Seconds) -> PermitAnswer:
-        is_in_office = self._election.role is Role.LEADER and self._term == self._election.term
-        if self._lender is None or not is_in_office:
-            return UNHEARD
         state = self._directory.find(ask.bound.backend_id)
         known = self._directory.bound_of(state, now) if state is not None else None
-        silence = self._election.store_silence(now)
-        return self._lender.answer(ask, known.rate if known else None, silence, now)
+        return self._lending.answer(ask, known.rate if known else None, now)
--- /dev/null
+++ b/src/limedeck/ownership/lending.py
@@ -0,0 +1,49 @@
+"""A leader's permits for back ends that bear little: begun anew in each term, over with it."""
+
+from __future__ import annotations
+
+from limedeck.forwarding.permits import NoPermit, PermitAnswer, PermitAsk, PermitLender
+from limedeck.identity import Seconds
+from limedeck.ownership.election import ElectionCore, Role
+
+UNHEARD_PAUSE: Seconds = 0.3
+"""Without a leader's answer a node asks again after so long: about the time of an election."""
+UNHEARD = NoPermit(UNHEARD_PAUSE)
+"""What is assumed without a leader's answer."""
+
+
+class Lending:
+    """Lends permits while this node leads, as far as it knows."""
+
+    def __init__(self, election: ElectionCore) -> None:
+        self._election = election
+        self._lender: PermitLender | None = None
+        self._term = 0
+
+    @property
+    def leads(self) -> bool:
+        """Whether this node leads, as far as it knows."""
+        return self._election.role is Role.LEADER
+
+    def handle_tick(self, now: Seconds) -> None:
+        """Begin anew in each term, and end with it."""
+        if not self.leads:
+            self._lender = None
+            return
+        if self._lender is None or self._term != self._election.term:
+            self._lender = PermitLender(now)
+            self._term = self._election.term
+        self._lender.forget_old(now)
+
+    def answer(self, ask: PermitAsk, known: float | None, now: Seconds) -> PermitAnswer:
+        """Lend a permit, if there is room.
+
+        Parameters
+        ----------
+        known
+            Requests a second that this node believes the back end takes; None: without bound.
+        """
+        is_in_office = self.leads and self._term == self._election.term
+        if self._lender is None or not is_in_office:
+            return UNHEARD
+        return self._lender.answer(ask, known, self._election.store_silence(now), now)
--- a/src/limedeck_lab/ownership/node.py
+++ b/src/limedeck_lab/ownership/node.py
@@ -19,6 +19,7 @@
     ReadLeader,
     Role,
 )
+from limedeck.ownership.lending import Lending
 from limedeck.ownership.orders import Grant, Release
 from limedeck.ownership.service import SendGrant, SendRelease, ServiceOwnership, WriteRecord
 from limedeck.store.rows import (
@@ -65,6 +66,7 @@
         self.identity = LeaderRecord(node_id=node_id, incarnation=incarnation)
         now = world.environment.now
         self.election = ElectionCore(self.identity, world.timing, now)
+        self.lending = Lending(self.election)
         self.core: ServiceOwnership | None = None
         self._core_term = 0
         self._opening = False
@@ -82,6 +84,7 @@
         command = self.election.handle_tick(now)
         if command is not None:
             self._start(self._election_call(command))
+        self.lending.handle_tick(now)
         if self.election.role is not Role.LEADER:
             self.core = None
             return
--- a/src/limedeck_lab/ownership/world.py
+++ b/src/limedeck_lab/ownership/world.py
@@ -8,6 +8,7 @@
 
 import simpy
 
+from limedeck.forwarding.permits import Bound, Permit, PermitAsk
 from limedeck.identity import Seconds
 from limedeck.model import Backend
 from limedeck.ownership.orders import Grant, Release
@@ -24,6 +25,8 @@
 """In seconds; faults overlap."""
 SPACING_OF_ONE_FAULT = (14.0, 18.0)
 """In seconds; each of one kind is over before the next."""
+LIMIT = 4.2
+"""Requests a second that a back end in need takes, for which permits are asked all the time."""
 HEALING: Seconds = 45.0
 """After the last fault: longest lease of a leader that is cut off, and everything else."""
 
@@ -60,6 +63,7 @@
         self.pair_cuts: set[tuple[str, str]] = set()
         self.judges_late_grants = False
         self.found: list[DoubleOwner] = []
+        self.lent_at: list[Seconds] = []
         self._lives = 0
         for index in range(node_count):
             self.start_node(f"node-{index}")
@@ -126,6 +130,7 @@
         while True:
             yield self.environment.timeout(JUDGE_INTERVAL)
             now = self.environment.now
+            self._borrow(now)
             for key in range(self.positions):
                 owners = tuple(
                     item.backend_id
@@ -135,6 +140,22 @@
                 if len(owners) > 1:
                     self.found.append(DoubleOwner(now, key, owners))
 
+    def _borrow(self, now: Seconds) -> None:
+        """Ask every node that believes to lead for a permit for the same back end."""
+        for node in self.nodes.values():
+            if not node.up or node.paused:
+                continue
+            answer = node.lending.answer(PermitAsk(Bound("limited", LIMIT), 0.0), None, now)
+            if isinstance(answer, Permit):
+                self.lent_at.append(now)
+
+    def most_lent(self, window: Seconds) -> int:
+        """Return the most permits that all nodes together lent in any window."""
+        return max(
+            (sum(at <= other < at + window for other in self.lent_at) for at in self.lent_at),
+            default=0,
+        )
+
     def unserved(self) -> list[int]:
         """Keys that no back end holds now."""
         now = self.environment.now
--- a/tests/unit/test_ownership_world.py
+++ b/tests/unit/test_ownership_world.py
@@ -6,15 +6,20 @@
 
 import pytest
 
+from limedeck.forwarding import permits
+from limedeck.forwarding.permits import PERMIT_LIFE
 from limedeck.ownership import barriers, service
 from limedeck.ownership.fences import SEQUENCE_BITS, FenceCounter
 from limedeck.ownership.ranges import Phase
 from limedeck.ownership.timing import OwnershipTiming
-from limedeck_lab.ownership.world import World
+from limedeck_lab.ownership.world import LIMIT, World
 
 SEEDS = range(1, 13)
 SECONDS = 60.0
 SABOTAGE_SEEDS = range(1, 6)
+WINDOW = 4.0
+ALLOWED = 1.5 * LIMIT * WINDOW + 5
+"""Requests in any window that a back end gets at most, by its limit."""
 
 
 def run(seed: int, timing: OwnershipTiming | None = None, only: str = "") -> World:
@@ -28,6 +33,27 @@
     world = run(seed)
     assert world.found == []
     assert world.unserved() == []
+    assert most_that_arrive(world) <= ALLOWED
+    assert len(world.lent_at) >= 0.3 * LIMIT * SECONDS
+
+
+def most_that_arrive(world: World) -> int:
+    """The most permits of all nodes that a back end may see in one window: some are used late."""
+    return world.most_lent(WINDOW + PERMIT_LIFE)
+
+
+@pytest.mark.parametrize("fault", ["holder_of_old_leader", "store_cut", "node_paused"])
+@pytest.mark.parametrize("seed", SABOTAGE_SEEDS)
+def test_all_leaders_together_lend_no_more_than_a_back_end_takes(seed: int, fault: str) -> None:
+    assert most_that_arrive(run(seed, only=fault)) <= ALLOWED
+
+
+def test_leaders_that_lend_alike_confirmed_or_not_are_caught(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(permits, "UNCONFIRMED_PART", 1.0)
+    worlds = [run(seed, only="holder_of_old_leader") for seed in SABOTAGE_SEEDS]
+    assert all(most_that_arrive(world) > ALLOWED for world in worlds)
 
 
 def caught(timing: OwnershipTiming | None = None, only: str = "") -> list[int]:
