A back end that names a limit is asked for its room however slow it looked

What was seen: with five real nodes and 60 requests a second, an unkeyed back end that named 4.2 a second got none in eight seconds; it could not have said that it is well again. Cause: one slow first answer, and the choice by expected time passed it over for ever. One that names a limit wins the draws that it is in, at the share of the fastest: what it takes it has named itself.

--- a/src/limedeck/forwarding/backends.py
+++ b/src/limedeck/forwarding/backends.py
@@ -236,6 +236,8 @@
         typical = self._typical_time(candidates)
 
         def cost(state: BackendState) -> float:
+            if self._names_limit(state):
+                return 0.0
             spread = spread_of(state.backend.backend_id.encode() + request_id)
             time = state.expected_time(now, typical) * (1.0 + NEARLY_EQUAL * spread)
             time *= state.relative_pace(now)
@@ -263,11 +265,30 @@
             for state, load in zip(candidates, loads, strict=True)
         ]
         capacities = [state.capacity(now, typical) for state in candidates]
+        fastest = max(capacities)
+        capacities = [
+            fastest if self._names_limit(state) else capacity
+            for state, capacity in zip(candidates, capacities, strict=True)
+        ]
         shares = levelling_shares(weighed, capacities, arrivals)
         drawn = [
             candidates[drawn_index(shares, spread_of(mark + request_id))] for mark in (b"1", b"2")
         ]
-        return min(drawn, key=lambda state: state.outstanding * (state.service_time or typical))
+
+        def cost(state: BackendState) -> float:
+            if self._names_limit(state):
+                return -1.0
+            return state.outstanding * (state.service_time or typical)
+
+        return min(drawn, key=cost)
+
+    def _names_limit(self, state: BackendState) -> bool:
+        """Whether a back end that is drawn is to be asked a permit for, however slow it looks.
+
+        What it takes it has named itself. One that is passed over for its speed, as an idle one of
+        six was for eight seconds at 60 requests a second, could not say that it is well again.
+        """
+        return self.limits.rate(state.backend.backend_id) is not None
 
     def _typical_time(self, states: list[BackendState]) -> Seconds:
         known = [state.service_time for state in states if state.service_time is not None]
