A service time that no answer has confirmed for long fades towards the others'

Cause: the service time that the leader tells came from the last answers, however long ago, and one answer after a long silence hardly moved it. Now its difference from the fresh ones of its service fades after a second, and an answer counts for as much as has faded. Owners of keys are planned by what was measured.

--- a/src/limedeck/node/load_exchange.py
+++ b/src/limedeck/node/load_exchange.py
@@ -64,7 +64,7 @@
     def refresh(self, now: Seconds) -> dict[str, fleet_load.BackendTotal]:
         """Add up what all nodes told, by back end, if that is due; this node believes it too."""
         if self._next_totals is None:
-            self._fleet_load.begin_with(backend_loads.known_service_times(self._directory))
+            self._fleet_load.begin_with(backend_loads.known_service_times(self._directory), now)
         elif now < self._next_totals:
             return {}
         self._next_totals = now + TOTALS_INTERVAL
@@ -83,8 +83,10 @@
         excluded = self._outliers.excluded(services, now, overloaded)
         self._log_excluded({listed[mark].backend_id for mark in excluded})
         totals = [dataclasses.replace(total, excluded=total.backend in excluded) for total in sums]
-        self._writer.write(totals)
-        backend_loads.take_totals(totals, self._directory, now)
+        # Owners of keys are planned by what was measured: their keys do not try out who is fast.
+        told = fleet_load.with_aged_times(totals, services, now)
+        self._writer.write(told)
+        backend_loads.take_totals(told, self._directory, now)
         return {listed[total.backend].backend_id: total for total in totals}
 
     def totals_for(self, told: backend_loads.ToldTotals) -> control_pb2.BackendTotals | None:
--- a/src/limedeck/ownership/fleet_load.py
+++ b/src/limedeck/ownership/fleet_load.py
@@ -2,13 +2,22 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+import math
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, replace
 
 from limedeck.identity import NEVER, Seconds
 
 SMOOTHING = 0.05
 """Weight of one answer in a back end's service time; some 20 tell the mean of uneven work."""
+FRESH: Seconds = 1.0
+"""A service time is believed as it is for so long after the last answer of any node."""
+AGING: Seconds = 3.0
+"""After `FRESH`, its difference from the others' mean fades by two thirds in so long. A back
+end that looked slow once and then got nothing looked slow for ever: an idle one of six got none of
+60 requests a second for 30 s. One that is slow gets some request every few seconds instead."""
+LEAST_WEIGHT = 1e-6
+"""Of a service time in the mean, so that there is one if all are old."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +64,39 @@
     answered_at: Seconds = NEVER
 
 
+def with_aged_times(
+    totals: Sequence[BackendTotal], services: Mapping[int, str], now: Seconds
+) -> list[BackendTotal]:
+    """Return totals in which old service times have come nearer to the fresh ones of their service.
+
+    Parameters
+    ----------
+    services
+        By back end, its service.
+    """
+    measured = [total for total in totals if total.service_time > 0.0]
+    weights: dict[str, float] = dict.fromkeys(services.values(), 0.0)
+    sums = dict(weights)
+    for total in measured:
+        weight = max(_freshness(total.answered_at, now), LEAST_WEIGHT)
+        weights[services[total.backend]] += weight
+        sums[services[total.backend]] += weight * total.service_time
+    aged = []
+    for total in totals:
+        if total.service_time > 0.0:
+            service = services[total.backend]
+            typical = sums[service] / weights[service]
+            time = typical + (total.service_time - typical) * _freshness(total.answered_at, now)
+            total = replace(total, service_time=time)
+        aged.append(total)
+    return aged
+
+
+def _freshness(answered_at: Seconds, now: Seconds) -> float:
+    """What a service time is worth by the time of the last answer, from 1 to 0."""
+    return math.exp(-max(now - answered_at - FRESH, 0.0) / AGING)
+
+
 class FleetLoad:
     """Adds up nodes' reports; a node that is not heard any more is left out."""
 
@@ -63,20 +105,21 @@
         self._service_times: dict[int, Seconds] = {}
         self._answered_at: dict[int, Seconds] = {}
 
-    def begin_with(self, service_times: Mapping[int, Seconds]) -> None:
+    def begin_with(self, service_times: Mapping[int, Seconds], now: Seconds) -> None:
         """Go on from what this node was told by the leader before it, or has seen itself."""
         for backend, known in service_times.items():
             self._service_times.setdefault(backend, known)
+            self._answered_at.setdefault(backend, now)
 
-    def note(self, node: str, reports: Iterable[BackendReport], now: Seconds = NEVER) -> None:
+    def note(self, node: str, reports: Iterable[BackendReport], now: Seconds) -> None:
         """Take in a node's report, which names every back end that has requests of it."""
         outstanding: dict[int, int] = {}
         for report in reports:
             if report.outstanding:
                 outstanding[report.backend] = report.outstanding
             if report.answers:
+                self._note_answers(report, now)
                 self._answered_at[report.backend] = now
-                self._note_answers(report)
         self._by_node[node] = outstanding
 
     def forget(self, node: str) -> None:
@@ -110,10 +153,12 @@
             for item in wanted
         ]
 
-    def _note_answers(self, report: BackendReport) -> None:
+    def _note_answers(self, report: BackendReport, now: Seconds) -> None:
         known = self._service_times.get(report.backend)
         if known is None:
             self._service_times[report.backend] = report.service_time
             return
-        weight = 1.0 - (1.0 - SMOOTHING) ** report.answers
+        # What is old has faded by as much as nodes were told.
+        kept = _freshness(self._answered_at.get(report.backend, now), now)
+        weight = 1.0 - kept * (1.0 - SMOOTHING) ** report.answers
         self._service_times[report.backend] = known + weight * (report.service_time - known)
--- a/src/limedeck_lab/experiment_choice.py
+++ b/src/limedeck_lab/experiment_choice.py
@@ -211,7 +211,9 @@
             yield self.environment.timeout(interval)
             for number, directory in enumerate(self.directories):
                 report = backend_loads.write_report(directory)
-                self.fleet_load.note(f"n{number}", backend_loads.read_report(report))
+                self.fleet_load.note(
+                    f"n{number}", backend_loads.read_report(report), self.environment.now
+                )
             totals = self.fleet_load.totals(backend_loads.mark_of(name) for name in self.backends)
             for directory in self.directories:
                 backend_loads.take_totals(totals, directory, self.environment.now)
--- a/tests/unit/test_backend_loads.py
+++ b/tests/unit/test_backend_loads.py
@@ -180,7 +180,7 @@
         state.note_answer(0.1, None, 1.0, "r")
         nodes[name] = directory
         message = backend_loads.write_report(directory)
-        leader.note(name, backend_loads.read_report(message))
+        leader.note(name, backend_loads.read_report(message), 1.0)
     marks = [backend_loads.mark_of(name) for name in ("a", "b")]
     totals = leader.totals(marks)
     assert [item.outstanding for item in totals] == [7, 0]
@@ -196,7 +196,7 @@
     directory = directory_of("a", "b")
     state_in(directory, "a").note_fleet(0, 0.05, 1.0)
     leader = fleet_load.FleetLoad()
-    leader.begin_with(backend_loads.known_service_times(directory))
+    leader.begin_with(backend_loads.known_service_times(directory), 1.0)
     marks = [backend_loads.mark_of(name) for name in ("a", "b")]
     assert [item.service_time for item in leader.totals(marks)] == [0.05, 0.0]
 
--- a/tests/unit/test_load_exchange.py
+++ b/tests/unit/test_load_exchange.py
@@ -8,6 +8,7 @@
 from limedeck.forwarding import backends
 from limedeck.model import Backend
 from limedeck.node import backend_loads, load_exchange
+from limedeck.ownership import fleet_load
 
 SLOTS = 2
 QUEUE = 8
@@ -78,3 +79,40 @@
 def test_a_back_end_with_a_queue_that_answers_nothing_is_excluded() -> None:
     exchange = leader()
     assert excluded_while(exchange, SLOTS + QUEUE, 0, 5, 0.0, 8)
+
+
+def test_one_that_looked_slow_once_and_got_nothing_since_is_tried_again() -> None:
+    """An idle back end of six got none of 60 requests a second for as long as it was watched."""
+    services = dict.fromkeys((1, 2, 3), "s") | {4: "other"}
+    totals = [
+        fleet_load.BackendTotal(1, 0, 0.05, answered_at=10.0),
+        fleet_load.BackendTotal(2, 0, 0.02, answered_at=20.0),
+        fleet_load.BackendTotal(3, 0, 0.02, answered_at=20.0),
+        fleet_load.BackendTotal(4, 0, 0.30, answered_at=20.0),
+    ]
+
+    def times(now: float) -> list[float]:
+        return [item.service_time for item in fleet_load.with_aged_times(totals, services, now)]
+
+    assert times(10.0 + fleet_load.FRESH)[0] == 0.05
+    late = times(20.0)
+    assert late[0] < 0.024
+    assert late[1:] == pytest.approx([0.02, 0.02, 0.30], rel=0.1)
+
+
+def test_an_answer_after_a_long_silence_counts_for_more_than_what_was_known() -> None:
+    leader = fleet_load.FleetLoad()
+    slow, fast = (fleet_load.BackendReport(1, 0, 1, time) for time in (0.05, 0.02))
+    leader.note("n", [slow], 10.0)
+    leader.note("n", [fast], 10.5)
+    assert leader.service_time(1) == pytest.approx(0.0485)
+    leader.note("n", [fast], 20.0)
+    assert leader.service_time(1) == pytest.approx(0.02, abs=0.002)
+
+
+def test_what_a_new_leader_was_told_is_believed_from_then_on() -> None:
+    leader = fleet_load.FleetLoad()
+    leader.begin_with({1: 0.05, 2: 0.02}, 100.0)
+    totals = leader.totals([1, 2])
+    aged = fleet_load.with_aged_times(totals, {1: "s", 2: "s"}, 100.5)
+    assert [item.service_time for item in aged] == [0.05, 0.02]
