--- a/src/limedeck/forwarding/quarantine.py
+++ b/src/limedeck/forwarding/quarantine.py
@@ -12,7 +12,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, fields
 
-from limedeck.forwarding.content import RequestContent, RequestSigns, shown
+from limedeck.forwarding.content import RequestSigns, shown
 from limedeck.forwarding.crashes import (
     EVIDENCE_LIFE,
     MOST_CRASHES,
@@ -20,6 +20,16 @@
     ONE_END,
     CrashEvidence,
 )
+from limedeck.forwarding.quarantine_news import (
+    BackendEnded,
+    CrashNews,
+    Event,
+    News,
+    Quarantine,
+    QuarantineBegan,
+    QuarantineEnded,
+    ServedNews,
+)
 from limedeck.forwarding.spread import spread_of
 from limedeck.identity import NEVER, Seconds
 
@@ -68,72 +78,6 @@
     QUARANTINE = "quarantine"
 
 
-@dataclass(frozen=True, slots=True)
-class CrashNews:
-    """A back end has ended with these requests under way, on the clock of whoever holds this."""
-
-    backend_id: str
-    at: Seconds
-    requests: frozenset[RequestSigns]
-
-
-@dataclass(frozen=True, slots=True)
-class ServedNews:
-    """A request with this sign, which is a suspect's, was served."""
-
-    request: int
-    at: Seconds
-
-
-@dataclass(frozen=True, slots=True)
-class Quarantine:
-    """Requests with a sign are refused until a time, and tried then.
-
-    Parameters
-    ----------
-    request
-        The sign.
-    level
-        Quarantines of this request before it that ended in a crash.
-    began, ends
-        On the clock of whoever holds this.
-    """
-
-    request: int
-    level: int
-    began: Seconds
-    ends: Seconds
-
-
-News = CrashNews | ServedNews | Quarantine
-
-
-@dataclass(frozen=True, slots=True)
-class BackendEnded:
-    """Event for logs: a back end was found to have ended."""
-
-    backend_id: str
-    lost: int
-
-
-@dataclass(frozen=True, slots=True)
-class QuarantineBegan:
-    """Event for logs: a request is refused from now on."""
-
-    quarantine: Quarantine
-    told: bool
-
-
-@dataclass(frozen=True, slots=True)
-class QuarantineEnded:
-    """Event for logs: a request is not refused any more, since a back end has answered it."""
-
-    request: int
-
-
-Event = BackendEnded | QuarantineBegan | QuarantineEnded
-
-
 @dataclass(frozen=True, slots=True)
 class _Change:
     version: int
@@ -394,44 +338,6 @@
         return spread_of(f"{self._node_id}{shown(request)}".encode())
 
 
-class RequestGuard:
-    """One request's side of the ledger; its fingerprint is worked out only if it matters."""
-
-    def __init__(self, ledger: QuarantineLedger, content: RequestContent) -> None:
-        self._ledger = ledger
-        self._content = content
-
-    def refused_for(self, now: Seconds) -> Seconds | None:
-        """How long the request is refused from now on; None if it may be sent."""
-        if not self._ledger.refuses_any:
-            return None
-        spans = (self._ledger.refused_for(sign, now) for sign in self._signs)
-        return max((span for span in spans if span is not None), default=None)
-
-    def held_until(self, now: Seconds) -> Seconds | None:
-        """Until when the request waits for the judgement on it; None if it need not wait."""
-        if not self._ledger.suspects_any:
-            return None
-        times = (self._ledger.held_until(sign, now) for sign in self._signs)
-        return max((time for time in times if time is not None), default=None)
-
-    def note_sent(self, now: Seconds) -> None:
-        """It is sent to a back end."""
-        if self._ledger.refuses_any:
-            for sign in self._signs:
-                self._ledger.note_sent(sign, now)
-
-    def note_served(self, now: Seconds) -> None:
-        """A back end has answered it."""
-        if self._ledger.suspects_any:
-            for sign in self._signs:
-                self._ledger.note_served(sign, now)
-
-    @property
-    def _signs(self) -> tuple[int, ...]:
-        return self._content.signs.narrowest_first
-
-
 def _size(item: News) -> int:
     """How many signs an item names; a crash that names none counts too."""
     return 1 + SIGNS * len(item.requests) if isinstance(item, CrashNews) else 1
--- a/src/limedeck/forwarding/request.py
+++ b/src/limedeck/forwarding/request.py
@@ -13,7 +13,7 @@
 from limedeck.forwarding.commands import AskPermit, Attempt, Command, Reason, Refuse, Wait
 from limedeck.forwarding.owners import OwnerMap
 from limedeck.forwarding.permits import PermitAnswer
-from limedeck.forwarding.quarantine import RequestGuard
+from limedeck.forwarding.request_guard import RequestGuard
 from limedeck.forwarding.request_permits import RequestPermits
 from limedeck.forwarding.spread import spread_of
 from limedeck.identity import Seconds
--- a/src/limedeck/node/crash_news.py
+++ b/src/limedeck/node/crash_news.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 from limedeck.api import control_pb2
-from limedeck.forwarding import content, quarantine
+from limedeck.forwarding import content, quarantine, quarantine_news
 from limedeck.identity import Seconds
 
 MILLISECONDS = 1000
@@ -36,20 +36,20 @@
         self._ledger.take(decoded(message, now), self, now)
 
 
-def encoded(news: Iterable[quarantine.News], now: Seconds) -> control_pb2.CrashNews:
+def encoded(news: Iterable[quarantine_news.News], now: Seconds) -> control_pb2.CrashNews:
     """Write news; ages instead of times, since nodes' clocks have nothing in common."""
     message = control_pb2.CrashNews()
     for item in news:
         match item:
-            case quarantine.CrashNews():
+            case quarantine_news.CrashNews():
                 message.crashes.add(
                     backend=item.backend_id,
                     age=_age(item.at, now),
                     lost=[_written(request) for request in sorted(item.requests)],
                 )
-            case quarantine.ServedNews():
+            case quarantine_news.ServedNews():
                 message.served.add(request=item.request, age=_age(item.at, now))
-            case quarantine.Quarantine():
+            case quarantine_news.Quarantine():
                 message.quarantined.add(
                     request=item.request,
                     level=item.level,
@@ -59,10 +59,10 @@
     return message
 
 
-def decoded(message: control_pb2.CrashNews, now: Seconds) -> list[quarantine.News]:
+def decoded(message: control_pb2.CrashNews, now: Seconds) -> list[quarantine_news.News]:
     """Read news: what was served last, so that it clears what is told beside it."""
-    news: list[quarantine.News] = [
-        quarantine.CrashNews(
+    news: list[quarantine_news.News] = [
+        quarantine_news.CrashNews(
             crash.backend,
             _time(crash.age, now),
             frozenset(_read(request) for request in crash.lost[: quarantine.MOST_LOSSES]),
@@ -70,12 +70,14 @@
         for crash in message.crashes
     ]
     news += [
-        quarantine.Quarantine(
+        quarantine_news.Quarantine(
             item.request, item.level, _time(item.age, now), now + item.ends_in / MILLISECONDS
         )
         for item in message.quarantined
     ]
-    news += [quarantine.ServedNews(item.request, _time(item.age, now)) for item in message.served]
+    news += [
+        quarantine_news.ServedNews(item.request, _time(item.age, now)) for item in message.served
+    ]
     return news
 
 
--- a/src/limedeck/node/crash_watch.py
+++ b/src/limedeck/node/crash_watch.py
@@ -6,7 +6,7 @@
 from anyio.abc import TaskGroup
 
 from limedeck.clock import steady_clock
-from limedeck.forwarding import content, quarantine
+from limedeck.forwarding import content, quarantine_news
 from limedeck.http_client import HttpClient
 from limedeck.identity import NEVER, Seconds
 from limedeck.model import Backend
@@ -97,23 +97,23 @@
                 return
         self._ledger.note_alive(backend.backend_id)
 
-    def _tell(self, event: quarantine.Event, now: Seconds) -> None:
+    def _tell(self, event: quarantine_news.Event, now: Seconds) -> None:
         """Count an event, and log it unless there are too many."""
         match event:
-            case quarantine.BackendEnded():
+            case quarantine_news.BackendEnded():
                 self._telemetry.backend_crashes.inc()
-            case quarantine.QuarantineBegan():
+            case quarantine_news.QuarantineBegan():
                 self._telemetry.quarantines.labels("began").inc()
-            case quarantine.QuarantineEnded():
+            case quarantine_news.QuarantineEnded():
                 self._telemetry.quarantines.labels("ended").inc()
         if self._lines.allows():
             self._write_line(event, now)
 
-    def _write_line(self, event: quarantine.Event, now: Seconds) -> None:
+    def _write_line(self, event: quarantine_news.Event, now: Seconds) -> None:
         match event:
-            case quarantine.BackendEnded():
+            case quarantine_news.BackendEnded():
                 self._log.info("back_end_crashed", backend=event.backend_id, lost=event.lost)
-            case quarantine.QuarantineBegan():
+            case quarantine_news.QuarantineBegan():
                 self._log.warning(
                     "quarantine_began",
                     fingerprint=content.shown(event.quarantine.request),
@@ -121,5 +121,5 @@
                     ends_in=round(event.quarantine.ends - now, 1),
                     told=event.told,
                 )
-            case quarantine.QuarantineEnded():
+            case quarantine_news.QuarantineEnded():
                 self._log.info("quarantine_ended", fingerprint=content.shown(event.request))
--- a/src/limedeck/node/gateway.py
+++ b/src/limedeck/node/gateway.py
@@ -12,8 +12,8 @@
 from limedeck.forwarding.content import RequestContent
 from limedeck.forwarding.limits import LimitStatement
 from limedeck.forwarding.protocol import AnswerFacts, CallerProtocol, Headers
-from limedeck.forwarding.quarantine import RequestGuard
 from limedeck.forwarding.request import RequestCore
+from limedeck.forwarding.request_guard import RequestGuard
 from limedeck.forwarding.routes import choose_service
 from limedeck.http_client import HttpAnswer, HttpClient, HttpRequest
 from limedeck.identity import Seconds
--- a/tests/unit/test_crash_news.py
+++ b/tests/unit/test_crash_news.py
@@ -9,7 +9,7 @@
 
 from limedeck import clock
 from limedeck.api import control_pb2
-from limedeck.forwarding import budget, content, crashes, quarantine
+from limedeck.forwarding import budget, content, crashes, quarantine, quarantine_news
 from limedeck.identity import Seconds
 from limedeck.model import Backend
 from limedeck.node import (
@@ -58,19 +58,19 @@
 
 
 def test_news_survive_the_message_on_the_other_nodes_clock() -> None:
-    told: list[quarantine.News] = [
-        quarantine.CrashNews("b1", 95.0, frozenset({signs(BAD), signs(2)})),
-        quarantine.Quarantine(BAD, 2, 90.0, 400.0),
-        quarantine.Quarantine(7, 0, 10.0, 70.0),
-        quarantine.ServedNews(3, 99.0),
+    told: list[quarantine_news.News] = [
+        quarantine_news.CrashNews("b1", 95.0, frozenset({signs(BAD), signs(2)})),
+        quarantine_news.Quarantine(BAD, 2, 90.0, 400.0),
+        quarantine_news.Quarantine(7, 0, 10.0, 70.0),
+        quarantine_news.ServedNews(3, 99.0),
     ]
     message = crash_news.encoded(told, 100.0)
     received = control_pb2.CrashNews.FromString(message.SerializeToString())
     assert crash_news.decoded(received, 1100.0) == [
-        quarantine.CrashNews("b1", 1095.0, frozenset({signs(BAD), signs(2)})),
-        quarantine.Quarantine(BAD, 2, 1090.0, 1400.0),
-        quarantine.Quarantine(7, 0, 1010.0, 1070.0),
-        quarantine.ServedNews(3, 1099.0),
+        quarantine_news.CrashNews("b1", 1095.0, frozenset({signs(BAD), signs(2)})),
+        quarantine_news.Quarantine(BAD, 2, 1090.0, 1400.0),
+        quarantine_news.Quarantine(7, 0, 1010.0, 1070.0),
+        quarantine_news.ServedNews(3, 1099.0),
     ]
 
 
@@ -94,7 +94,7 @@
 
 def test_a_node_that_starts_is_told_thousands_of_quarantines_in_a_few_messages() -> None:
     ledger = quarantine.QuarantineLedger("n")
-    kept = [quarantine.Quarantine(number << 40, 0, 1.0, 900.0) for number in range(3_000)]
+    kept = [quarantine_news.Quarantine(number << 40, 0, 1.0, 900.0) for number in range(3_000)]
     ledger.take(kept, "store", 2.0)
     peer = crash_news.CrashNewsPeer(ledger)
     sizes = []
--- a/tests/unit/test_deadly_requests.py
+++ b/tests/unit/test_deadly_requests.py
@@ -17,7 +17,7 @@
 from hypothesis import settings, stateful, strategies
 
 from limedeck import clock, http_client
-from limedeck.forwarding import budget, content, crashes, quarantine
+from limedeck.forwarding import budget, content, crashes, quarantine, request_guard
 from limedeck.model import Backend
 from limedeck.node import crash_watch, state, telemetry
 
@@ -53,11 +53,11 @@
 
     def serve(self, asked: content.RequestContent) -> None:
         """A back end has answered this request."""
-        quarantine.RequestGuard(self.node.quarantine, asked).note_served(self.now)
+        request_guard.RequestGuard(self.node.quarantine, asked).note_served(self.now)
 
     def refuses(self, asked: content.RequestContent) -> bool:
         """Whether the node refuses this request now."""
-        guard = quarantine.RequestGuard(self.node.quarantine, asked)
+        guard = request_guard.RequestGuard(self.node.quarantine, asked)
         return guard.refused_for(self.now) is not None
 
 
@@ -149,7 +149,7 @@
             story.watch.note_lost(backend, asked)
         story.now += 0.002
         story.node.quarantine.note_ended(backend.backend_id, story.now)
-    guard = quarantine.RequestGuard(story.node.quarantine, asked_by(9, b"/hot"))
+    guard = request_guard.RequestGuard(story.node.quarantine, asked_by(9, b"/hot"))
     assert guard.held_until(story.now) is None
     story.pass_time(1.0)
     assert not story.refuses(asked_by(9, b"/hot"))
@@ -189,7 +189,7 @@
         )
 
     def refused(self, asked: content.RequestContent) -> bool:
-        guard = quarantine.RequestGuard(self.ledger, asked)
+        guard = request_guard.RequestGuard(self.ledger, asked)
         return guard.refused_for(self.now) is not None
 
     @stateful.rule(
@@ -212,7 +212,7 @@
         self.ends += 1
         self.now += 0.5
         for item in innocents:
-            quarantine.RequestGuard(self.ledger, item).note_served(self.now)
+            request_guard.RequestGuard(self.ledger, item).note_served(self.now)
         self.now += 0.5
         self.ledger.handle_tick(self.now)
 
@@ -221,7 +221,7 @@
         """Others are served at the target, if it is not the target itself that ends back ends."""
         asked = asked_by(caller, b"/deadly", b"other %d" % body)
         if not self.is_deadly(asked) and not self.refused(asked):
-            quarantine.RequestGuard(self.ledger, asked).note_served(self.now)
+            request_guard.RequestGuard(self.ledger, asked).note_served(self.now)
         self.now += 0.2
 
     @stateful.invariant()
