--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -4,40 +4,32 @@
 
 from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass
-from typing import TypeVar
 
 import anyio
 from anyio.abc import TaskGroup
-from google.protobuf.message import DecodeError, Message
 
 from limedeck.api.control_pb2 import (
     AssignmentRecord,
-    LeaderConfirmation,
     LeaderRecord,
     ServiceLoad,
     ServiceOwners,
     Status,
 )
 from limedeck.clock import steady_clock
-from limedeck.errors import PlatformProtocolError
 from limedeck.forwarding.owners import OwnerMap
 from limedeck.forwarding.quarantine import QuarantineLedger
 from limedeck.http_client import HttpClient
 from limedeck.identity import NEVER, Seconds
 from limedeck.node import load_exchange, order_sender, permit_exchange
 from limedeck.node.connection_news import ConnectionNews
+from limedeck.node.election_calls import LEADER_ROW, ElectionCalls, decoded
 from limedeck.node.logs import get_logger
 from limedeck.node.owner_changes import PublishedOwners, read_owners
 from limedeck.node.state import NodeState
 from limedeck.node.telemetry import Telemetry
 from limedeck.ownership import standing
 from limedeck.ownership.election import (
-    Campaign,
-    Confirm,
-    ElectionCommand,
     ElectionCore,
-    LeaderSeen,
-    ReadLeader,
     Role,
 )
 from limedeck.ownership.orders import OrderProtocol
@@ -60,10 +52,7 @@
     StoreError,
 )
 
-LEADER_ROW = RowKey("limedeck_leader", "", "leader")
-CONFIRMATION_ROW = RowKey("limedeck_leader", "", "confirmation")
 ASSIGNMENT_TABLE = "limedeck_assignment"
-Record = TypeVar("Record", bound=Message)
 TICK: Seconds = 0.05
 """Between two looks at what is due: a tenth of the interval of renewals."""
 BALANCE_LOG_INTERVAL: Seconds = 1.0
@@ -124,7 +113,9 @@
         self.on_limits: Callable[[], None] = lambda: None
         state.directory.limits.on_change = self._handle_limits
         self.on_store_back: Callable[[], None] = lambda: None
-        self._store_missed = False
+        self._calls = ElectionCalls(self.election, store, telemetry)
+        self._calls.on_store_back = lambda: self.on_store_back()
+        self._calls.on_leader = lambda: self.on_leader()
         self._identity = identity
         self._state = state
         self._store = store
@@ -139,7 +130,6 @@
         self._listing_seen = -1
         self._owners = PublishedOwners()
         self._log = get_logger("control")
-        self._store_offset: Seconds = 0.0
         self._next_own_loads: Seconds = 0.0
         self._next_balance_log: dict[str, Seconds] = {}
         self._longest_delay: Seconds = 0.0
@@ -162,7 +152,7 @@
     @property
     def store_offset(self) -> Seconds:
         """The store's clock less this node's."""
-        return self._store_offset
+        return self._calls.store_offset
 
     def leader_condition(self) -> RowCondition:
         """What holds in the store as long as this node leads."""
@@ -258,7 +248,7 @@
     def _tick(self, now: Seconds) -> None:
         command = self.election.handle_tick(now)
         if command is not None:
-            self._start(self._run_election, command)
+            self._start(self._calls.carry_out, command)
         self.permits.handle_tick(now)
         if not self.leads:
             self._leave_office()
@@ -384,73 +374,6 @@
         if self._tasks is not None:
             self._tasks.start_soon(function, *arguments)
 
-    # ------------------------------------------------------------------ election
-
-    async def _run_election(self, command: ElectionCommand) -> None:
-        try:
-            if isinstance(command, ReadLeader):
-                await self._read_leader(command)
-            elif isinstance(command, Campaign):
-                await self._campaign(command)
-            else:
-                await self._confirm(command)
-        except StoreError as error:
-            self._log.info("election_call_failed", problem=str(error))
-            self.election.handle_no_answer(steady_clock())
-            self._store_missed = True
-            return
-        if self._store_missed:
-            self._store_missed = False
-            self.on_store_back()
-
-    async def _read_leader(self, command: ReadLeader) -> None:
-        found = await self._store.read(LEADER_ROW.table, LEADER_ROW.part)
-        seen = _leader_seen(found.rows, found.store_time)
-        self._note_store_time(found.store_time)
-        self._log.info(
-            "leader_read",
-            why=command.why.value,
-            term=seen.record.term if seen.record else 0,
-            leader=seen.record.node_id if seen.record else "",
-            confirmation_age=seen.confirmation_age,
-        )
-        known = self.election.term
-        self.election.handle_seen(seen, steady_clock())
-        self._telemetry.term.set(self.election.term)
-        if self.election.term > known:
-            self.on_leader()
-
-    async def _campaign(self, command: Campaign) -> None:
-        condition = RowCondition(LEADER_ROW, command.row_version)
-        write = RowWrite(LEADER_ROW, command.record.SerializeToString())
-        try:
-            written = await self._store.transact([condition], [write])
-        except ConditionFailed as error:
-            self.election.handle_seen(_leader_seen(error.rows, 0.0), steady_clock())
-            return
-        self._log.info("elected", term=command.record.term, why=command.why.value)
-        self._note_store_time(written.store_time)
-        self.election.handle_won(command.record, written.version, steady_clock())
-        self._telemetry.term.set(self.election.term)
-
-    async def _confirm(self, command: Confirm) -> None:
-        sent_at = steady_clock()
-        confirmation = LeaderConfirmation(
-            term=command.term, confirmed_at=sent_at + self._store_offset
-        )
-        condition = RowCondition(LEADER_ROW, command.row_version)
-        write = RowWrite(CONFIRMATION_ROW, confirmation.SerializeToString())
-        try:
-            written = await self._store.transact([condition], [write])
-        except ConditionFailed as error:
-            self.election.handle_seen(_leader_seen(error.rows, 0.0), steady_clock())
-            return
-        self._note_store_time(written.store_time)
-        self.election.handle_confirmed(sent_at)
-
-    def _note_store_time(self, store_time: Seconds) -> None:
-        self._store_offset = store_time - steady_clock()
-
     # ------------------------------------------------------------------ ownership
 
     async def _open_service(self, name: str, term: int) -> None:
@@ -515,28 +438,5 @@
             return
 
 
-def _leader_seen(rows: tuple[StoredRow, ...], store_time: Seconds) -> LeaderSeen:
-    record = None
-    version = ABSENT
-    age = None
-    for row in rows:
-        if row.key == LEADER_ROW.key:
-            record = _decoded(row, LeaderRecord)
-            version = row.version
-    for row in rows:
-        if row.key == CONFIRMATION_ROW.key and record is not None:
-            confirmation = _decoded(row, LeaderConfirmation)
-            if confirmation.term == record.term:
-                age = store_time - confirmation.confirmed_at
-    return LeaderSeen(record, version, age)
-
-
 def _parsed(row: StoredRow | None) -> AssignmentRecord | None:
-    return _decoded(row, AssignmentRecord) if row is not None else None
-
-
-def _decoded(row: StoredRow, kind: type[Record]) -> Record:
-    try:
-        return kind.FromString(row.value)
-    except DecodeError as error:
-        raise PlatformProtocolError(f"row {row.key}", str(error)) from error
+    return decoded(row, AssignmentRecord) if row is not None else None
--- /dev/null
+++ b/src/limedeck/node/election_calls.py
@@ -0,0 +1,158 @@
+"""Calls to the store by which a leader is elected, confirmed and found."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TypeVar
+
+from google.protobuf.message import DecodeError, Message
+
+from limedeck.api.control_pb2 import LeaderConfirmation, LeaderRecord
+from limedeck.clock import steady_clock
+from limedeck.errors import PlatformProtocolError
+from limedeck.identity import Seconds
+from limedeck.node.logs import get_logger
+from limedeck.node.telemetry import Telemetry
+from limedeck.ownership.election import (
+    Campaign,
+    Confirm,
+    ElectionCommand,
+    ElectionCore,
+    LeaderSeen,
+    ReadLeader,
+)
+from limedeck.store.rows import (
+    ABSENT,
+    ConditionFailed,
+    RowCondition,
+    RowKey,
+    RowStore,
+    RowWrite,
+    StoredRow,
+    StoreError,
+)
+
+LEADER_ROW = RowKey("limedeck_leader", "", "leader")
+CONFIRMATION_ROW = RowKey("limedeck_leader", "", "confirmation")
+Record = TypeVar("Record", bound=Message)
+
+
+class ElectionCalls:
+    """Carries out the election's commands.
+
+    Attributes
+    ----------
+    store_offset
+        The store's clock less this node's, in seconds.
+    on_store_back
+        Called when the store answers after calls without an answer.
+    on_leader
+        Called when a later leader was read of.
+    """
+
+    def __init__(self, election: ElectionCore, store: RowStore, telemetry: Telemetry) -> None:
+        self.store_offset: Seconds = 0.0
+        self.on_store_back: Callable[[], None] = lambda: None
+        self.on_leader: Callable[[], None] = lambda: None
+        self._election = election
+        self._store = store
+        self._telemetry = telemetry
+        self._store_missed = False
+        self._log = get_logger("control")
+
+    async def carry_out(self, command: ElectionCommand) -> None:
+        """Make the call, and tell the election what came of it."""
+        try:
+            match command:
+                case ReadLeader():
+                    await self._read_leader(command)
+                case Campaign():
+                    await self._campaign(command)
+                case Confirm():
+                    await self._confirm(command)
+        except StoreError as error:
+            self._log.info("election_call_failed", problem=str(error))
+            self._election.handle_no_answer(steady_clock())
+            self._store_missed = True
+            return
+        if self._store_missed:
+            self._store_missed = False
+            self.on_store_back()
+
+    async def _read_leader(self, command: ReadLeader) -> None:
+        found = await self._store.read(LEADER_ROW.table, LEADER_ROW.part)
+        seen = _leader_seen(found.rows, found.store_time)
+        self._note_store_time(found.store_time)
+        self._log.info(
+            "leader_read",
+            why=command.why.value,
+            term=seen.record.term if seen.record else 0,
+            leader=seen.record.node_id if seen.record else "",
+            confirmation_age=seen.confirmation_age,
+        )
+        known = self._election.term
+        self._election.handle_seen(seen, steady_clock())
+        self._telemetry.term.set(self._election.term)
+        if self._election.term > known:
+            self.on_leader()
+
+    async def _campaign(self, command: Campaign) -> None:
+        condition = RowCondition(LEADER_ROW, command.row_version)
+        write = RowWrite(LEADER_ROW, command.record.SerializeToString())
+        try:
+            written = await self._store.transact([condition], [write])
+        except ConditionFailed as error:
+            self._election.handle_seen(_leader_seen(error.rows, 0.0), steady_clock())
+            return
+        self._log.info("elected", term=command.record.term, why=command.why.value)
+        self._note_store_time(written.store_time)
+        self._election.handle_won(command.record, written.version, steady_clock())
+        self._telemetry.term.set(self._election.term)
+
+    async def _confirm(self, command: Confirm) -> None:
+        sent_at = steady_clock()
+        confirmation = LeaderConfirmation(
+            term=command.term, confirmed_at=sent_at + self.store_offset
+        )
+        condition = RowCondition(LEADER_ROW, command.row_version)
+        write = RowWrite(CONFIRMATION_ROW, confirmation.SerializeToString())
+        try:
+            written = await self._store.transact([condition], [write])
+        except ConditionFailed as error:
+            self._election.handle_seen(_leader_seen(error.rows, 0.0), steady_clock())
+            return
+        self._note_store_time(written.store_time)
+        self._election.handle_confirmed(sent_at)
+
+    def _note_store_time(self, store_time: Seconds) -> None:
+        self.store_offset = store_time - steady_clock()
+
+
+def _leader_seen(rows: tuple[StoredRow, ...], store_time: Seconds) -> LeaderSeen:
+    record = None
+    version = ABSENT
+    age = None
+    for row in rows:
+        if row.key == LEADER_ROW.key:
+            record = decoded(row, LeaderRecord)
+            version = row.version
+    for row in rows:
+        if row.key == CONFIRMATION_ROW.key and record is not None:
+            confirmation = decoded(row, LeaderConfirmation)
+            if confirmation.term == record.term:
+                age = store_time - confirmation.confirmed_at
+    return LeaderSeen(record, version, age)
+
+
+def decoded(row: StoredRow, kind: type[Record]) -> Record:
+    """Read a row that nodes of this kind have written.
+
+    Raises
+    ------
+    PlatformProtocolError
+        It does not hold such a record.
+    """
+    try:
+        return kind.FromString(row.value)
+    except DecodeError as error:
+        raise PlatformProtocolError(f"row {row.key}", str(error)) from error
