--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -203,8 +203,7 @@
         fleet = standing.Fleet(status.node_count, status.strongest, status.strong_count)
         self.election.handle_heartbeat(status.term, status.store_silence, now, fleet)
         if status.term >= self.election.term:
-            self._state.note_leader(status.store_silence, now)
-            self._state.fleet_size.note(status.node_count, now)
+            self._state.note_leader(status.store_silence, status.node_count, now)
             if status.HasField("backend_totals"):
                 self.loads.handle_totals(status.backend_totals, now)
             if status.peers:
@@ -254,8 +253,7 @@
             self._leave_office()
             return
         node_count = self.fleet().node_count
-        self._state.fleet_size.note(node_count, now)
-        self._state.note_leader(self.election.store_silence(now), now)
+        self._state.note_leader(self.election.store_silence(now), node_count, now)
         self._open_services()
         self._refresh_listing(now)
         self._refresh_totals(now)
--- a/src/limedeck/node/crash_news.py
+++ b/src/limedeck/node/crash_news.py
@@ -7,10 +7,7 @@
 from limedeck.api import control_pb2
 from limedeck.forwarding import content, quarantine, quarantine_news
 from limedeck.identity import Seconds
-
-MILLISECONDS = 1000
-LONGEST_AGE: Seconds = 1_000_000.0
-"""What a message can hold; far above what is remembered."""
+from limedeck.node import ages
 
 
 class CrashNewsPeer:
@@ -44,17 +41,17 @@
             case quarantine_news.CrashNews():
                 message.crashes.add(
                     backend=item.backend_id,
-                    age=_age(item.at, now),
+                    age=ages.age_of(item.at, now),
                     lost=[_written(request) for request in sorted(item.requests)],
                 )
             case quarantine_news.ServedNews():
-                message.served.add(request=item.request, age=_age(item.at, now))
+                message.served.add(request=item.request, age=ages.age_of(item.at, now))
             case quarantine_news.Quarantine():
                 message.quarantined.add(
                     request=item.request,
                     level=item.level,
-                    age=_age(item.began, now),
-                    ends_in=round((item.ends - now) * MILLISECONDS),
+                    age=ages.age_of(item.began, now),
+                    ends_in=round((item.ends - now) * ages.MILLISECONDS),
                 )
     return message
 
@@ -64,19 +61,23 @@
     news: list[quarantine_news.News] = [
         quarantine_news.CrashNews(
             crash.backend,
-            _time(crash.age, now),
+            ages.time_of(crash.age, now),
             frozenset(_read(request) for request in crash.lost[: quarantine.MOST_LOSSES]),
         )
         for crash in message.crashes
     ]
     news += [
         quarantine_news.Quarantine(
-            item.request, item.level, _time(item.age, now), now + item.ends_in / MILLISECONDS
+            item.request,
+            item.level,
+            ages.time_of(item.age, now),
+            now + item.ends_in / ages.MILLISECONDS,
         )
         for item in message.quarantined
     ]
     news += [
-        quarantine_news.ServedNews(item.request, _time(item.age, now)) for item in message.served
+        quarantine_news.ServedNews(item.request, ages.time_of(item.age, now))
+        for item in message.served
     ]
     return news
 
@@ -89,11 +90,3 @@
 
 def _read(request: control_pb2.RequestSigns) -> content.RequestSigns:
     return content.RequestSigns(request.target, request.content, request.caller)
-
-
-def _age(at: Seconds, now: Seconds) -> int:
-    return round(min(max(now - at, 0.0), LONGEST_AGE) * MILLISECONDS)
-
-
-def _time(age: int, now: Seconds) -> Seconds:
-    return now - age / MILLISECONDS
--- a/src/limedeck/node/limit_news.py
+++ b/src/limedeck/node/limit_news.py
@@ -5,10 +5,8 @@
 from limedeck.api import control_pb2
 from limedeck.forwarding.limits import LimitLedger, LimitNews, LimitStatement
 from limedeck.identity import Seconds
+from limedeck.node import ages
 
-MILLISECONDS = 1000
-LONGEST_AGE: Seconds = 1_000_000.0
-"""What a message can hold; whatever is older comes before all that is heard now."""
 HIGHEST_RATE = 1e9
 """Requests a second; a node tells no higher one, since it reads none."""
 
@@ -47,8 +45,8 @@
     return control_pb2.LimitNews(
         backend=item.backend_id,
         rate=statement.rate,
-        asked=_age(statement.asked_at, now),
-        heard=_age(statement.heard_at, now),
+        asked=ages.age_of(statement.asked_at, now),
+        heard=ages.age_of(statement.heard_at, now),
     )
 
 
@@ -56,8 +54,4 @@
     rate = item.rate if item.HasField("rate") else None
     if rate is not None and not 0.0 <= rate <= HIGHEST_RATE:
         return None
-    return LimitStatement(rate, now - item.asked / MILLISECONDS, now - item.heard / MILLISECONDS)
-
-
-def _age(at: Seconds, now: Seconds) -> int:
-    return round(min(max(now - at, 0.0), LONGEST_AGE) * MILLISECONDS)
+    return LimitStatement(rate, ages.time_of(item.asked, now), ages.time_of(item.heard, now))
--- a/src/limedeck/node/permit_exchange.py
+++ b/src/limedeck/node/permit_exchange.py
@@ -20,12 +20,12 @@
     PermitAsk,
 )
 from limedeck.identity import Seconds
+from limedeck.node.ages import MILLISECONDS
 from limedeck.node.limit_news import HIGHEST_RATE
 from limedeck.node.notice import Notice
 from limedeck.ownership.election import ElectionCore
 from limedeck.ownership.lending import UNHEARD, Lending
 
-MILLISECONDS = 1000
 ANSWER_PATIENCE: Seconds = 0.1
 """A leader that has not answered by then is slow or gone, and the request is refused: what cannot
 be served is not to wait."""
--- a/src/limedeck/node/state.py
+++ b/src/limedeck/node/state.py
@@ -127,10 +127,15 @@
             view.owners = owners
             self.notify()
 
-    def note_leader(self, store_silence: Seconds, now: Seconds) -> None:
-        """A leader was heard, or this node leads; the store confirmed it so long ago."""
+    def note_leader(self, store_silence: Seconds, node_count: int, now: Seconds) -> None:
+        """A leader was heard, or this node leads; the store confirmed it so long ago.
+
+        One that the store has not confirmed for long may have been replaced. What it counts is
+        not believed then: its nodes and the other leader's would share the same amount twice.
+        """
         if store_silence < LEADER_STORE_SILENCE:
             self.leader_heard_at = now
+            self.fleet_size.note(node_count, now)
 
     def is_isolated(self, now: Seconds) -> bool:
         """Whether what this node believes of owners may be long out of date."""
