Runs on one machine reserve the ports of their processes by locks that all of them see

Cause as far as known: a port is free between the look and the start of its process, and each run remembered only what it had told itself.

--- a/src/limedeck_lab/processes.py
+++ b/src/limedeck_lab/processes.py
@@ -16,6 +16,7 @@
 import httpx
 
 from limedeck.errors import LimedeckError
+from limedeck_lab import port_locks
 
 END_PATIENCE = 20.0
 POLL_PAUSE = 0.05
@@ -31,18 +32,17 @@
 FIRST_PORT, LAST_PORT = 10_240, 19_999
 """Below those that the system gives to outgoing connections (from 32,768 on) and those of
 `free_port_range`: another process could take one between the look and the start of its user."""
-_told: set[int] = set()
+_locks = port_locks.PortLocks()
 
 
 def free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
-    """Find ports that are free now, and were not told before in this process."""
+    """Find ports that are free now, and reserve them for this process and those it starts."""
     found: list[int] = []
     # Other runs on this machine begin elsewhere, whatever seeds they have.
     source = random.SystemRandom()
     while len(found) < count:
         port = source.randint(FIRST_PORT, LAST_PORT)
-        if port not in _told and is_free(host, port):
-            _told.add(port)
+        if is_free(host, port) and _locks.try_reserve(port):
             found.append(port)
     return found
 
