A node that was turned away by a back end in need hears that its limit is lifted, and asks again soon

What callers saw: refused (no back end) for as long as 40 s after back ends that had named zero needed no limit any more; soak, two nodes after healing. Cause: the time until it is of use to ask again was kept although another node had heard that there was no limit, and it was as long as the interval of permits at the lowest rate while the store does not confirm the leader. It counts only while there is a bound now, and for a second at most. test_limited_requests.py failed first in two of three cases.

--- a/src/limedeck/forwarding/backend_state.py
+++ b/src/limedeck/forwarding/backend_state.py
@@ -85,7 +85,7 @@
     full_at
         Requests that it had when it last turned one away, if it tells; None if it never did.
     turned_away_until
-        No permit for it is to be had until then.
+        No permit for it is to be had until then, as the leader told last.
     """
 
     def __init__(self, backend: Backend, work: ServiceWork, now: Seconds) -> None:
@@ -263,10 +263,6 @@
         """How long ago it was last heard what other nodes have there."""
         return now - max(self._reported_at, self._elsewhere_at)
 
-    def is_turning_away(self, now: Seconds) -> bool:
-        """Whether asking for a permit is of no use."""
-        return now < self.turned_away_until
-
     def is_full(self, now: Seconds) -> bool:
         """Whether one more request may be reset, as those do that tell no load."""
         return not self.tells_load and self.expected_load(now) >= FULL_QUEUE * self.backend.slots
--- a/src/limedeck/forwarding/backends.py
+++ b/src/limedeck/forwarding/backends.py
@@ -196,7 +196,7 @@
             if not state.backend.draining
             and state.backend.backend_id not in excluded
             and state.backend.zone not in self._evacuated
-            and not state.is_turning_away(now)
+            and not self.is_turning_away(state, now)
         ]
         # A cold one does a fifth of a warm one's work, and falls over with a little more.
         usable = [state for state in usable if not state.is_cold(now)] or usable
@@ -220,6 +220,14 @@
             rates.append(named)
         return Bound(state.backend.backend_id, min(rates)) if rates else None
 
+    def is_turning_away(self, state: BackendState, now: Seconds) -> bool:
+        """Whether a back end that bears little has no room, so that asking for a permit is no use.
+
+        It counts only as long as there is a bound: nodes hear from each other that a limit is
+        lifted, also those that were told to ask much later.
+        """
+        return now < state.turned_away_until and self.bound_of(state, now) is not None
+
     def _better_of_two(
         self, candidates: list[BackendState], request_id: bytes, now: Seconds
     ) -> BackendState:
--- a/src/limedeck/forwarding/request_permits.py
+++ b/src/limedeck/forwarding/request_permits.py
@@ -23,6 +23,9 @@
 """The most urgent request waits so long for its turn; with the leader's answer, what is refused is
 refused within a tenth of a second. Others wait a part of it, so that the urgent ones have the next
 turns where there are too few."""
+LONGEST_PAUSE: Seconds = 1.0
+"""A node asks again after so long at the latest, though there may be no turn for longer: the limit
+may have risen meanwhile."""
 MOST_ASKS = 3
 """Back ends that turned a request away, after which it goes to one without a bound or is refused;
 each ask costs its caller some milliseconds."""
@@ -73,7 +76,7 @@
         held = self._held
         if held is not None and held.backend_id == bound.backend_id and now <= held.until:
             return None if now >= held.turn else Wait(held.turn)
-        if state.is_turning_away(now):
+        if self._directory.is_turning_away(state, now):
             return self.refusal(state.turned_away_until - now, bound)
         return AskPermit(state, PermitAsk(bound, self._patience(now)), now)
 
@@ -85,7 +88,7 @@
                 self._held = _Held(backend_id, now + wait, asked.asked_at + PERMIT_LIFE)
             case NoPermit(pause):
                 self._turned_away.add(backend_id)
-                asked.state.turned_away_until = now + pause
+                asked.state.turned_away_until = now + min(pause, LONGEST_PAUSE)
 
     def note_used(self) -> None:
         """The request is sent; another attempt needs another permit."""
--- a/tests/unit/test_limited_requests.py
+++ b/tests/unit/test_limited_requests.py
@@ -138,6 +138,29 @@
     assert asked(core.next_command(10.0, NODES)).ask.patience == LONGEST_PATIENCE
 
 
+@pytest.mark.parametrize("keyed", [False, True])
+def test_who_was_turned_away_hears_that_the_limit_is_lifted(keyed: bool) -> None:
+    """A node sent a back end nothing for 40 s that had named zero and needed no limit any more.
+
+    Another node had heard so, and told it; but it had been told to ask no sooner.
+    """
+    directory = directory_of({"a": 0.0})
+    core = core_of(directory, keyed=keyed)
+    command = asked(core.next_command(10.0, NODES))
+    assert isinstance(core.handle_permit(command, NoPermit(40.0), 10.01, NODES), Refuse)
+    directory.limits.take("a", LimitStatement(None, 10.1, 10.2), object())
+    assert isinstance(core_of(directory, 10.3, keyed).next_command(10.3, NODES), Attempt)
+
+
+def test_who_was_turned_away_asks_again_soon_since_a_limit_may_have_risen() -> None:
+    directory = directory_of({"a": 0.0})
+    core = core_of(directory)
+    command = asked(core.next_command(10.0, NODES))
+    assert isinstance(core.handle_permit(command, NoPermit(40.0), 10.01, NODES), Refuse)
+    directory.limits.take("a", LimitStatement(40.0, 10.1, 10.2), object())
+    asked(core_of(directory, 11.1).next_command(11.1, NODES))
+
+
 def test_another_life_of_a_back_end_has_no_limit() -> None:
     directory = BackendDirectory("z1", "n")
     directory.put(Backend("a@1", "s", "127.0.0.1:1", "z1", 2, instance="a"), 0.0)
