A back end that names zero is asked once in four seconds, whether or not the store confirms the leader

Cause: the lowest rate was a tenth of a request a second and was cut to a quarter with all others. It holds for each leader now; two leaders' are within the five requests that a window allows beside a limit. test_permits.py failed first.

--- a/src/limedeck/forwarding/permits.py
+++ b/src/limedeck/forwarding/permits.py
@@ -34,9 +34,10 @@
 LONGEST_LAG: Seconds = 0.2
 """Permits that nobody asked for are lent later, for so long: requests come at random, and with one
 limit's worth of them 0.4 of the permits would be lost otherwise. An estimate."""
-LEAST_RATE = 0.1
-"""Requests a second that a back end gets whatever it names, zero too: without an answer it could
-never say that it is well again. One in ten seconds costs it little."""
+LEAST_RATE = 0.25
+"""Requests a second that each leader lends for any back end, also one that names zero: without an
+answer it could not say that it is well again. One in four seconds; two leaders' are two of the five
+that a window allows beside the limit."""
 LEAST_PAUSE: Seconds = 0.05
 """A node that was turned away asks no sooner than this again: hundreds of them do."""
 
@@ -127,7 +128,7 @@
             How long the store has not confirmed this leader, in seconds.
         """
         rate = ask.bound.rate if known is None else min(ask.bound.rate, known)
-        interval = 1.0 / (max(rate, LEAST_RATE) * self._part(store_silence, now))
+        interval = 1.0 / max(rate * self._part(store_silence, now), LEAST_RATE)
         backend_id = ask.bound.backend_id
         last_turn = self._last_turns.get(backend_id, self._began)
         turn = max(last_turn + interval, now - LONGEST_LAG)
@@ -138,7 +139,7 @@
 
     def forget_old(self, now: Seconds) -> None:
         """Drop what has no effect any more."""
-        settled = now - LONGEST_LAG - 1.0 / (LEAST_RATE * UNCONFIRMED_PART)
+        settled = now - LONGEST_LAG - 1.0 / LEAST_RATE
         for backend_id, turn in list(self._last_turns.items()):
             if turn < settled:
                 del self._last_turns[backend_id]
--- a/tests/unit/test_permits.py
+++ b/tests/unit/test_permits.py
@@ -133,6 +133,12 @@
     assert lent(PermitLender(0.0), 4.0, 0.0, 0.0, CONFIRMED_WITHIN) <= 2
 
 
+def test_one_that_takes_nothing_is_asked_now_and_then_also_while_the_store_is_away() -> None:
+    """Else it could not say for 40 s that it is well again."""
+    for silence in (0.0, 100.0):
+        assert lent(PermitLender(0.0), 0.0, silence, 10.0, 50.0) == pytest.approx(10, abs=1)
+
+
 def test_a_lender_goes_by_the_lower_of_what_both_believe() -> None:
     lender = PermitLender(0.0)
     ask = PermitAsk(Bound("a", 40.0), 0.0)
