--- a/tests/soak/judging.py
+++ b/tests/soak/judging.py
@@ -145,6 +145,9 @@
         version
             The configuration that alone has its route; None if all have it.
         """
+        if self._site.store.faults:
+            # Faults of the store wait until nodes call it, which may be long after they were drawn.
+            self.note_unplanned()
         with self._lock:
             shown = str(reply.status) if reply.status else reply.ending.value
             self._result.statuses[shown] += 1
--- a/tests/unit/test_soak_parts.py
+++ b/tests/unit/test_soak_parts.py
@@ -12,6 +12,7 @@
 import pytest
 
 from limedeck_lab import processes
+from limedeck_lab.standins import row_store
 from tests.soak import callers, faults, judging, limit_judging, proxy, series, suspendable_node
 from tests.system import platform_site
 from tests.unit import polling
@@ -318,3 +319,16 @@
     assert bool(limit_judging.excesses([upstream], senders, held_up)) is is_blamed
     upstream.arrivals.pop()
     assert limit_judging.excesses([upstream], senders, held_up) == []
+
+
+def test_a_time_in_which_faults_of_the_store_still_wait_is_not_calm() -> None:
+    """A node that the store refused was blamed for the configuration that it could not hear of."""
+    judged, _, site = judge()
+    reply = callers.Reply(callers.Ending.NOT_CONNECTED, 1.0, 1.0)
+    began = time.monotonic()
+    judged.note_reply("a", "node", reply, None)
+    assert judged.is_calm_since(began)
+    site.store.faults.append(row_store.Fault.REFUSE)
+    judged.note_reply("a", "node", reply, None)
+    assert not judged.is_calm_since(time.monotonic())
+    assert judged.is_calm_since(time.monotonic() + judging.TOUCH + 1.0)
