--- a/src/limedeck/ownership/fleet_load.py
+++ b/src/limedeck/ownership/fleet_load.py
@@ -15,7 +15,7 @@
 AGING: Seconds = 3.0
 """After `FRESH`, its difference from the others' mean fades by two thirds in so long. A back
 end that looked slow once and then got nothing looked slow for ever: an idle one of six got none of
-60 requests a second for 30 s. One that is slow gets some request every few seconds instead."""
+60 requests a second for 8 s. One that is slow gets some request every few seconds instead."""
 LEAST_WEIGHT = 1e-6
 """Of a service time in the mean, so that there is one if all are old."""
 
