Ownership: keys of a life that a later one replaced are free at once

Cause: a new leader waits for what an earlier one that it cannot hear may have granted, also to a life whose name is listed with a later start.

Ruled out: limits and cold back ends (nothing was refused for them after the healing); a fault of the soak alone (on the platform a former leader's machine may be gone for good too).

Why it holds: the later life has answered this leader's release of all keys, so it refuses every older grant, and the former one has ended. The soak says now which request was refused.

--- a/src/limedeck/identity.py
+++ b/src/limedeck/identity.py
@@ -20,6 +20,33 @@
 NEVER: Seconds = float("-inf")
 """When something happened that has not happened."""
 
+LIFE_MARK = "@"
+"""Between the name of a back end and the start of one of its lives, in an id."""
+
+
+def life_id(name: str, born: int | None) -> str:
+    """Return the id of one life of a back end; without a start, a name stands for one life."""
+    return name if born is None else f"{name}{LIFE_MARK}{born}"
+
+
+def is_later_life(backend_id: str, than: str) -> bool:
+    """Whether both ids are lives of one back end, and the first one began later.
+
+    A life that tells no start is taken for an earlier one than those that do.
+    """
+    name, born = name_and_start(backend_id)
+    other_name, other_born = name_and_start(than)
+    return name == other_name and born > other_born
+
+
+def name_and_start(backend_id: str) -> tuple[str, float]:
+    """Return which back end it is, and when this life of it began; `NEVER` if that is not told."""
+    name, mark, start = backend_id.rpartition(LIFE_MARK)
+    try:
+        return (name, int(start)) if mark else (backend_id, NEVER)
+    except ValueError:
+        return backend_id, NEVER
+
 
 @dataclass(frozen=True, order=True)
 class Fence:
--- a/src/limedeck/ownership/barriers.py
+++ b/src/limedeck/ownership/barriers.py
@@ -4,6 +4,9 @@
 that was meant for its former life, and is carried out late, would give it keys that are another
 one's by now. So before a back end that is new to a leader gets any keys, it is asked to release all
 of them, under a fence above all that were ever sent: from its answer on it refuses older grants.
+
+The answer also proves that no earlier life of it holds keys: that one has ended, and what another
+leader still sends to it reaches the later life, which refuses it.
 """
 
 from __future__ import annotations
@@ -11,7 +14,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass
 
-from limedeck.identity import NEVER, Seconds
+from limedeck.identity import NEVER, Seconds, is_later_life, name_and_start
 from limedeck.ownership.fences import FenceCounter
 from limedeck.ownership.orders import Release
 
@@ -41,6 +44,7 @@
         self._last = key_positions - 1
         self._fences = fences
         self._missing: dict[str, _Barrier] = {}
+        self._answered: dict[str, str] = {}
 
     def require(self, backend_ids: Collection[str]) -> None:
         """These back ends are new to this leader."""
@@ -51,11 +55,19 @@
         """All others are gone."""
         for backend_id in [item for item in self._missing if item not in listed]:
             del self._missing[backend_id]
+        for name in [name for name, item in self._answered.items() if item not in listed]:
+            del self._answered[name]
 
     def is_missing(self, backend_id: str) -> bool:
         """Whether it may still carry out orders that were meant for a former life."""
         return backend_id in self._missing
 
+    def is_replaced(self, backend_id: str) -> bool:
+        """Whether a later life of it, which is listed, refuses what was meant for this one."""
+        name, _ = name_and_start(backend_id)
+        answered = self._answered.get(name)
+        return answered is not None and is_later_life(answered, backend_id)
+
     def due(self, now: Seconds) -> list[Release]:
         """Return the orders that are to be sent now."""
         orders = []
@@ -74,6 +86,8 @@
             return False
         if done:
             del self._missing[order.backend_id]
+            name, _ = name_and_start(order.backend_id)
+            self._answered[name] = order.backend_id
         else:
             barrier.is_pending = False
             barrier.next_order = now + RETRY
--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -4,7 +4,8 @@
 
 1. A range whose owner may keep it is granted again before its lease ends.
 2. A range whose owner leaves, or is to be relieved, is released there under a fence above all
-   grants ever sent for it. Only the owner's answer, or the end of every lease, frees it.
+   grants ever sent for it. Only the owner's answer, the end of every lease, or a later life of the
+   owner that refuses them, frees it.
 3. A free range gets its next owner in the store's record first, and a grant only after that.
 """
 
@@ -18,7 +19,7 @@
 from limedeck.errors import InvariantViolation
 from limedeck.forwarding.backends import DEFAULT_SERVICE_TIME
 from limedeck.forwarding.owners import OwnedRange, joined
-from limedeck.identity import NEVER, Seconds
+from limedeck.identity import NEVER, Seconds, is_later_life
 from limedeck.model import Backend
 from limedeck.ownership.barriers import Barriers
 from limedeck.ownership.fences import FenceCounter
@@ -402,11 +403,26 @@
                 self._begin_release(found, cause, NO_OWNER)
         if found.phase is Phase.OWNED and may_renew:
             self._renew(found, now)
-        elif found.phase is Phase.RELEASING and now >= found.held_until:
+        elif found.phase is Phase.RELEASING and self._is_given_up(found, now):
             found.phase = Phase.FREE
+            found.held_until = min(found.held_until, now)
+
+    def _has_begun_again(self, owner: str) -> bool:
+        return any(is_later_life(item, owner) for item in self._backends)
+
+    def _is_given_up(self, found: RangeState, now: Seconds) -> bool:
+        """Whether its owner surely holds it no more, though it has not answered.
+
+        If the leader before is gone too, what that may have granted runs for 22 s; keys of owners
+        that were started again within a second had no owner for so long.
+        """
+        return now >= found.held_until or self._barriers.is_replaced(found.owner)
 
     def _reason_to_move(self, found: RangeState, now: Seconds) -> Cause | None:
         owner = self._backends.get(found.owner)
+        if owner is None and self._has_begun_again(found.owner):
+            # A grant would reach the later life, which is to take none that was meant for this one.
+            return Cause.LEAVING
         if owner is None or owner.draining:
             return Cause.LEAVING if self._candidates(now) else None
         if self._silence.is_silent(found.owner, now) and not self.doubts_itself:
--- a/src/limedeck_lab/ownership/world.py
+++ b/src/limedeck_lab/ownership/world.py
@@ -9,7 +9,7 @@
 import simpy
 
 from limedeck.forwarding.permits import Bound, Permit, PermitAsk
-from limedeck.identity import Seconds
+from limedeck.identity import Seconds, life_id
 from limedeck.model import Backend
 from limedeck.ownership.orders import Grant, Release
 from limedeck.ownership.timing import OwnershipTiming
@@ -85,7 +85,8 @@
     def start_backend(self, instance: str = "") -> SimulatedBackend:
         """Start a back end, or another life of one."""
         self._lives += 1
-        backend = SimulatedBackend(f"backend-{self._lives}", self.positions, instance=instance)
+        name = life_id(instance, self._lives) if instance else f"backend-{self._lives}"
+        backend = SimulatedBackend(name, self.positions, instance=instance)
         self.backends[backend.backend_id] = backend
         return backend
 
@@ -193,7 +194,7 @@
             self._fault_two_leaders,
             self._fault_holder_of_old_leader,
         )
-        by_name_alone = (self._fault_backend_reborn,)
+        by_name_alone = (self._fault_backend_reborn, self._fault_owner_of_old_leader_reborn)
         faults = [fault for fault in every_fault if only in fault.__name__]
         if only:
             faults += [fault for fault in by_name_alone if only in fault.__name__]
@@ -330,6 +331,27 @@
         yield self._pause(1.0, 3.0)
         self.start_backend(backend.instance)
 
+    def _fault_owner_of_old_leader_reborn(self) -> Generator[simpy.Event, object, None]:
+        """The leader reaches back ends only and is replaced; two start again unseen by it.
+
+        What it goes on to send to their former lives reaches the later ones, which other nodes
+        reach only seconds after that.
+        """
+        leader = self._leader()
+        leader.reaches_store = leader.reaches_nodes = False
+        yield self._pause(0.2, 3.0)
+        listed = [item for item in self.backends.values() if item.listed]
+        for backend in self.random.sample(listed, 2):
+            backend.up = backend.listed = False
+            yield self._pause(0.05, 0.4)
+            later = self.start_backend(backend.instance)
+            cuts = {(item, later.backend_id) for item in self.nodes if item != leader.node_id}
+            self.pair_cuts |= cuts
+            yield self._pause(1.0, 2.0)
+            self.pair_cuts -= cuts
+        yield self._pause(3.0, 5.0)
+        leader.reaches_store = leader.reaches_nodes = True
+
     def _fault_backend_unreachable(self) -> Generator[simpy.Event, object, None]:
         backend = self._any_backend()
         backend.reachable = False
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -250,7 +250,7 @@
                 key = number * 997 % platform_site.KEYS
                 status = self.site.send(client, node, path, key).status_code
                 if status != 200:
-                    failed.append(f"status {status} at {node.callers}")
+                    failed.append(f"status {status} at {node.callers} for {path}, key {key}")
         self.judge.blame_all("not served after healing", failed)
 
 
--- a/tests/unit/test_ownership_world.py
+++ b/tests/unit/test_ownership_world.py
@@ -10,7 +10,7 @@
 from limedeck.forwarding.permits import PERMIT_LIFE
 from limedeck.ownership import barriers, service
 from limedeck.ownership.fences import SEQUENCE_BITS, FenceCounter
-from limedeck.ownership.ranges import Phase
+from limedeck.ownership.ranges import Phase, RangeState
 from limedeck.ownership.timing import OwnershipTiming
 from limedeck_lab.ownership.world import LIMIT, World
 
@@ -121,3 +121,23 @@
 ) -> None:
     monkeypatch.setattr(barriers.Barriers, "require", lambda self, backend_ids: None)
     assert caught(only="backend_reborn") != []
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_keys_of_owners_that_began_again_have_one_owner_while_an_old_leader_grants(
+    seed: int,
+) -> None:
+    """What it sends to their former lives reaches the later ones."""
+    world = run(seed, only="owner_of_old_leader_reborn")
+    assert world.found == []
+    assert world.unserved() == []
+
+
+def test_keys_given_away_before_the_later_life_refuses_older_orders_are_caught(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def careless(self: service.ServiceOwnership, found: RangeState, now: float) -> bool:
+        return now >= found.held_until or self._has_begun_again(found.owner)
+
+    monkeypatch.setattr(service.ServiceOwnership, "_is_given_up", careless)
+    assert caught(only="owner_of_old_leader_reborn") != []
--- a/tests/unit/test_service_ownership.py
+++ b/tests/unit/test_service_ownership.py
@@ -560,3 +560,52 @@
     play = taken_over(set())
     play.run(1.0)
     assert not any(isinstance(order, Release) for _, order in play.orders)
+
+
+def taken_over_while_an_owner_began_again(listed: str, silent: set[str]) -> Play:
+    """The leader before is gone without a word, and the owner of half of the keys as well."""
+    record = AssignmentRecord(
+        term=1,
+        sequence=4,
+        ranges=[
+            OwnedKeys(first=0, last=49, owner="a"),
+            OwnedKeys(first=50, last=99, owner="b@2"),
+        ],
+    )
+    core = ServiceOwnership("service", KEYS, 2, record, 9, TIMING, 0.0)
+    core.set_backends([backend("a"), backend(listed)], 0.0)
+    return Play(core, {"b@2", *silent})
+
+
+def test_keys_of_a_life_that_a_later_one_replaced_do_not_wait_for_an_earlier_leader() -> None:
+    """Found by the soak: callers had no owner for 22 s, and all four owners had begun again."""
+    play = taken_over_while_an_owner_began_again("b@3", set())
+    play.run(1.0)
+    assert "b@2" not in {item.owner for item in play.records[-1][1].ranges}
+    barrier = next(at for at, order in play.orders if order.backend_id == "b@3")
+    assert play.records[0][0] >= barrier
+
+
+@pytest.mark.parametrize(("listed", "silent"), [("b@3", {"b@3"}), ("b@1", set()), ("b", set())])
+def test_keys_of_a_life_wait_while_it_may_hold_them(listed: str, silent: set[str]) -> None:
+    """A later life that has not answered yet may take what the earlier leader still sends."""
+    play = taken_over_while_an_owner_began_again(listed, silent)
+    play.run(TIMING.leader_patience - 0.1)
+    assert play.records == []
+
+
+def test_keys_of_a_replaced_life_wait_if_the_later_one_has_keys_by_the_record() -> None:
+    """It was not asked to refuse older orders, so that an earlier leader's may reach it yet."""
+    record = AssignmentRecord(
+        term=1,
+        sequence=4,
+        ranges=[
+            OwnedKeys(first=0, last=49, owner="b@2"),
+            OwnedKeys(first=50, last=99, owner="b@3"),
+        ],
+    )
+    core = ServiceOwnership("service", KEYS, 2, record, 9, TIMING, 0.0)
+    core.set_backends([backend("a"), backend("b@3")], 0.0)
+    play = Play(core, {"b@2"})
+    play.run(TIMING.leader_patience - 0.1)
+    assert play.records == []
