Cold back ends: what ended while the store is away rests until the store is heard

Cause, from the logs: all nodes had seen it end and took it for cold, for 4 s, which is meant to end with its next entry. The store refused all nodes, so no entry came, and the rest was over while it was still cold.

Ruled out: a late permit or a leader change (nothing asked for permits at the time); an end that nobody saw (each node was refused there).

Why it holds: as long as the leader says that the store does not confirm it, rests go on, for 20 s after the end was last seen at most.

--- a/src/limedeck/forwarding/backend_state.py
+++ b/src/limedeck/forwarding/backend_state.py
@@ -32,6 +32,12 @@
 long at most. It is cold when it is back, and says so a second later: hundreds of nodes that tried
 it meanwhile would make it fall over. Above the time in which the entry of one that is gone lapses.
 """
+LONGEST_UNHEARD_REST: Seconds = 20.0
+"""While the store is away no entry changes: a rest lasts on until the store is heard, and so long
+after the end was last seen at most. A back end that was back after 2 s and cold for 5 s more got 16
+to 47 requests in a second where 14 are allowed, by five nodes whose rests of `ENDED_REST` were over
+(soak, seed 420021). An estimate, above the time for which back ends say that they are cold; nobody
+could tell a back end that rests so long in vain from one that would fall over."""
 LONGEST_EJECTION: Seconds = 4.0
 """About as long as back ends that crash are away; a longer one keeps a sound one idle."""
 PACE_MEMORY: Seconds = 0.2
@@ -94,6 +100,7 @@
         self.seen_at = now
         self.cold_rate = 0.0
         self._cold_until = now
+        self._ended_at: Seconds = NEVER
         self._ended_until: Seconds = NEVER
         self.outstanding = 0
         self.service_time: Seconds | None = None
@@ -221,8 +228,15 @@
         """No process listens at its address: no second failure is needed to pass it over."""
         self.failures = max(self.failures, FAILURES_TO_EJECT - 1)
         self.note_failure(now)
+        self._ended_at = now
         self._ended_until = now + ENDED_REST
 
+    def keep_rest(self, now: Seconds) -> None:
+        """The store is away: what has ended cannot be heard of."""
+        if now < self._ended_until:
+            latest = min(now, self._ended_at + LONGEST_UNHEARD_REST)
+            self._ended_until = max(self._ended_until, latest + ENDED_REST)
+
     def note_full(self, now: Seconds) -> None:
         """It turned a request away because its queue is full."""
         if self.tells_load and self._reported_at == now:
--- a/src/limedeck/forwarding/backends.py
+++ b/src/limedeck/forwarding/backends.py
@@ -125,6 +125,11 @@
         for state in self._states.values():
             state.cold_rate = self._cold_rates.get(state.backend.service, 0.0)
 
+    def keep_rests(self, now: Seconds) -> None:
+        """The store is away: back ends that have ended cannot be heard of."""
+        for state in self._states.values():
+            state.keep_rest(now)
+
     def drop_unlisted_limits(self, now: Seconds) -> None:
         """Forget the limits of back ends whose lives ended long ago."""
         self.limits.drop_unlisted(self._states, now)
--- a/src/limedeck/node/state.py
+++ b/src/limedeck/node/state.py
@@ -20,6 +20,9 @@
 time in which a lost leader is replaced."""
 LEADER_STORE_SILENCE: Seconds = 4.0
 """A leader that the store has not confirmed for so long may have been replaced without knowing."""
+UNHEARD_STORE: Seconds = 1.5
+"""A leader that the store has not confirmed for so long hears of no back end: above two intervals of
+confirmation. After a shorter time away an entry comes before a back end's rest is over."""
 MOST_KEYS = 400
 """Keys in one report, the most requested first."""
 
@@ -136,6 +139,8 @@
         if store_silence < LEADER_STORE_SILENCE:
             self.leader_heard_at = now
             self.fleet_size.note(node_count, now)
+        if store_silence > UNHEARD_STORE:
+            self.directory.keep_rests(now)
 
     def is_isolated(self, now: Seconds) -> bool:
         """Whether what this node believes of owners may be long out of date."""
--- a/tests/unit/test_isolation.py
+++ b/tests/unit/test_isolation.py
@@ -5,7 +5,8 @@
 import pytest
 
 from limedeck.forwarding import budget
-from limedeck.model import Configuration
+from limedeck.forwarding.backend_state import ENDED_REST, LONGEST_UNHEARD_REST
+from limedeck.model import Backend, Configuration
 from limedeck.node import state
 
 
@@ -49,3 +50,48 @@
         node.note_leader(state.LEADER_STORE_SILENCE + 0.1, 3, float(second))
         assert node.retry_sharers(float(second)) in (0, 6)
     assert node.retry_sharers(39.0) == 0
+
+
+def node_with_ended_back_end(at: float) -> state.NodeState:
+    node = ready_state()
+    node.directory.set_cold_rates({"s": 4.2})
+    node.directory.put(Backend("a", "s", "127.0.0.1:1", "z1", 2), 0.0)
+    found = node.directory.find("a")
+    assert found is not None
+    found.note_ended(at)
+    return node
+
+
+def is_cold(node: state.NodeState, now: float) -> bool:
+    found = node.directory.find("a")
+    assert found is not None
+    return found.is_cold(now)
+
+
+def heard_each_second(node: state.NodeState, since: int, until: int, store_away_at: int) -> None:
+    """A leader is heard which the store has not confirmed since a moment."""
+    for second in range(since, until):
+        node.note_leader(max(second - store_away_at, 0.3), 3, float(second))
+
+
+def test_what_has_ended_while_the_store_is_away_is_taken_for_cold_until_it_is_heard_of() -> None:
+    """Found by the soak: 47 requests in a second at one that nobody could hear is cold."""
+    node = node_with_ended_back_end(10.0)
+    heard_each_second(node, 9, 18, store_away_at=8)
+    assert is_cold(node, 18.0)
+    heard_each_second(node, 18, 24, store_away_at=30)
+    assert not is_cold(node, 18.0 + ENDED_REST)
+
+
+def test_what_has_ended_while_the_store_is_away_for_long_is_used_again_at_last() -> None:
+    node = node_with_ended_back_end(10.0)
+    heard_each_second(node, 9, 100, store_away_at=8)
+    assert is_cold(node, 10.0 + LONGEST_UNHEARD_REST)
+    assert not is_cold(node, 10.0 + LONGEST_UNHEARD_REST + ENDED_REST + 0.1)
+
+
+def test_what_was_heard_of_while_a_store_is_away_stays_as_warm_as_it_is() -> None:
+    node = node_with_ended_back_end(10.0)
+    node.directory.put(Backend("a", "s", "127.0.0.1:1", "z1", 2), 11.0)
+    heard_each_second(node, 11, 20, store_away_at=8)
+    assert not is_cold(node, 12.0)
