--- a/src/limedeck/node/state.py
+++ b/src/limedeck/node/state.py
@@ -21,8 +21,8 @@
 LEADER_STORE_SILENCE: Seconds = 4.0
 """A leader that the store has not confirmed for so long may have been replaced without knowing."""
 UNHEARD_STORE: Seconds = 1.5
-"""A leader that the store has not confirmed for so long hears of no back end: above two intervals of
-confirmation. After a shorter time away an entry comes before a back end's rest is over."""
+"""A leader that the store has not confirmed for so long hears of no back end: above two intervals
+of confirmation. After a shorter time away an entry comes before a back end's rest is over."""
 MOST_KEYS = 400
 """Keys in one report, the most requested first."""
 
