--- a/src/limedeck/platform/store.py
+++ b/src/limedeck/platform/store.py
@@ -95,8 +95,8 @@
     ) -> Written:
         body = {
             "expected_revision": [{**_names(c.row), "ver": c.version} for c in conditions],
-            "put": [{**_names(w.row), "value": w.value} for w in writes],
-            "remove": [],
+            "put": [{**_names(w.row), "value": w.value} for w in writes if w.value is not None],
+            "remove": [_names(w.row) for w in writes if w.value is None],
         }
         answer = await self._call("POST", "/v1/rows-tx", {}, msgspec.json.encode(body))
         found = _decoded(answer)
--- a/src/limedeck/store/rows.py
+++ b/src/limedeck/store/rows.py
@@ -43,6 +43,16 @@
         return f"the store refused the call with status {self.status}"
 
 
+@dataclass
+class StoreContended(StoreError):
+    """Other transactions were always faster; nothing was done."""
+
+    attempts: int
+
+    def __str__(self) -> str:
+        return f"a transaction lost {self.attempts} races"
+
+
 @dataclass
 class StoreProtocolError(StoreError):
     """The store's answer makes no sense."""
@@ -109,10 +119,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RowWrite:
-    """A row's new value."""
+    """A row's new value; None drops the row."""
 
     row: RowKey
-    value: bytes
+    value: bytes | None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/limedeck/store/table.py
+++ b/src/limedeck/store/table.py
@@ -85,6 +85,10 @@
             A condition did not hold; nothing was written.
         """
 
+    @abstractmethod
+    async def aclose(self) -> None:
+        """Close all connections."""
+
 
 class ObjectStore(ABC):
     """Whole objects by name."""
--- a/src/limedeck_lab/ownership/store.py
+++ b/src/limedeck_lab/ownership/store.py
@@ -107,6 +107,9 @@
         self.version += 1
         for write in writes:
             key = write.row
+            if write.value is None:
+                self.rows.pop(key, None)
+                continue
             self.rows[key] = StoredRow(key.table, key.part, key.key, write.value, self.version)
         return Written(self.version, self.environment.now)
 
--- a/src/limedeck_lab/standins/platform_server.py
+++ b/src/limedeck_lab/standins/platform_server.py
@@ -44,11 +44,14 @@
         Every call takes so much longer.
     lost_answers
         So many of the next transactions are done but answered 503.
+    refused_calls
+        So many of the next calls are refused as if there had been too many.
     """
 
     down: bool = False
     delay_seconds: float = 0.0
     lost_answers: int = 0
+    refused_calls: int = 0
 
 
 @dataclass
@@ -113,8 +116,11 @@
 
     async def _trouble(self) -> Response | None:
         """Wait as the faults say; return the answer if the call is not to be done."""
+        if self.faults.refused_calls > 0:
+            self.faults.refused_calls -= 1
+            return _too_many()
         if not self._rate.take():
-            return Response(status_code=429, headers={"retry-after": "1"})
+            return _too_many()
         if self.faults.delay_seconds > 0:
             await anyio.sleep(self.faults.delay_seconds)
         if self.faults.down:
@@ -208,5 +214,9 @@
     return Response(body.model_dump_json(), status_code=status, media_type="application/json")
 
 
+def _too_many() -> Response:
+    return Response(status_code=429, headers={"retry-after": "1"})
+
+
 def _bad_request(error: ValidationError) -> Response:
     return JSONResponse({"problem": str(error)}, status_code=400)
--- a/src/limedeck_lab/standins/row_store.py
+++ b/src/limedeck_lab/standins/row_store.py
@@ -81,8 +81,11 @@
     def drop(self, table: str, part: str, key: str) -> None:
         """Drop a row, as its writer would."""
         self.version += 1
-        del self.rows[(table, part, key)]
-        self.gone.append(((table, part, key), self.version))
+        self._remove((table, part, key))
+
+    def _remove(self, key: tuple[str, str, str]) -> None:
+        if self.rows.pop(key, None) is not None:
+            self.gone.append((key, self.version))
 
     async def _fault(self) -> Response | None:
         fault = self.faults.popleft() if self.faults else None
@@ -125,6 +128,8 @@
         self.version += 1
         for item in body["put"]:
             self.rows[self._key(item)] = (item["value"], self.version)
+        for item in body["remove"]:
+            self._remove(self._key(item))
         await self._fault()
         return self._answer(200, [], {})
 
--- /dev/null
+++ b/tests/contract/row_stores.py
@@ -0,0 +1,113 @@
+"""Stand-ins of both stores of rows, served over HTTP, for tests that hold for either."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+from hypercorn.asyncio import serve
+from hypercorn.config import Config, Sockets
+from starlette.applications import Starlette
+
+from limedeck.node.listener import open_listener
+from limedeck.platform.store import PlatformStore
+from limedeck.store.rows import RowStore
+from limedeck.store.table_http import HttpTransactionalTable
+from limedeck.store.table_rows import TableRowStore
+from limedeck_lab.standins.platform_server import PlatformServer
+from limedeck_lab.standins.row_store import Fault, RowStoreStandIn
+from tests.system.platform_site import WORDS
+
+TIMEOUT = 0.5
+
+
+class ServedStore(ABC):
+    """A store that is served, with faults."""
+
+    @asynccontextmanager
+    async def connected(self) -> AsyncIterator[RowStore]:
+        """Serve it, and return a client."""
+        async with served(self.application()) as address:
+            store = self.client(address)
+            yield store
+            await store.aclose()
+
+    @abstractmethod
+    def application(self) -> Starlette:
+        """What is served."""
+
+    @abstractmethod
+    def client(self, address: str) -> RowStore:
+        """Return an adapter that speaks to it."""
+
+    @abstractmethod
+    def lose_next_answer(self) -> None:
+        """The next transaction is done, and nobody hears of it."""
+
+    @abstractmethod
+    def refuse_next_call(self) -> None:
+        """The next call is refused."""
+
+
+class PlatformRows(ServedStore):
+    """The users' store."""
+
+    def __init__(self) -> None:
+        self.stand_in = RowStoreStandIn(WORDS)
+
+    def application(self) -> Starlette:
+        return self.stand_in.application()
+
+    def client(self, address: str) -> RowStore:
+        return PlatformStore(address, TIMEOUT)
+
+    def lose_next_answer(self) -> None:
+        self.stand_in.faults.append(Fault.LOSE_ANSWER)
+
+    def refuse_next_call(self) -> None:
+        self.stand_in.faults.append(Fault.OVER_RATE)
+
+
+class TableRows(ServedStore):
+    """The product's own table."""
+
+    def __init__(self) -> None:
+        self.server = PlatformServer()
+
+    def application(self) -> Starlette:
+        return self.server.application
+
+    def client(self, address: str) -> RowStore:
+        return TableRowStore(HttpTransactionalTable(f"http://{address}", TIMEOUT))
+
+    def lose_next_answer(self) -> None:
+        self.server.faults.lost_answers = 1
+
+    def refuse_next_call(self) -> None:
+        self.server.faults.refused_calls = 1
+
+
+@asynccontextmanager
+async def served(application: Starlette) -> AsyncIterator[str]:
+    """Serve an application at an address of its own."""
+    listener = open_listener("127.0.0.1:0")
+    port = listener.getsockname()[1]
+
+    class Own(Config):
+        def create_sockets(self) -> Sockets:
+            return Sockets([], [listener], [])
+
+    config = Own()
+    config.graceful_timeout = 5.0
+    config.errorlog = None
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+
+        async def run() -> None:
+            await serve(application, config, shutdown_trigger=stop.wait, mode="asgi")  # type: ignore[arg-type]
+
+        tasks.start_soon(run)
+        yield f"127.0.0.1:{port}"
+        stop.set()
