Ownership: one module a job

No behaviour changes: the unit tests, the stateful one and the simulated worlds with their sabotages pass unchanged but for imports; one test asked the core for its row's version and takes it from the command now.

--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -28,18 +28,13 @@
 from limedeck.node.state import NodeState
 from limedeck.node.telemetry import Telemetry
 from limedeck.ownership import standing
+from limedeck.ownership.commands import OwnershipCommand, SendGrant, SendRelease, WriteRecord
 from limedeck.ownership.election import (
     ElectionCore,
     Role,
 )
 from limedeck.ownership.orders import OrderProtocol
-from limedeck.ownership.service import (
-    OwnershipCommand,
-    SendGrant,
-    SendRelease,
-    ServiceOwnership,
-    WriteRecord,
-)
+from limedeck.ownership.service import ServiceOwnership
 from limedeck.ownership.timing import OwnershipTiming
 from limedeck.store.rows import (
     ABSENT,
--- /dev/null
+++ b/src/limedeck/ownership/range_map.py
@@ -0,0 +1,104 @@
+"""All keys of a service, cut into ranges that have one owner each."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Iterator
+
+from limedeck.errors import InvariantViolation
+from limedeck.identity import NEVER
+from limedeck.ownership.fences import FenceCounter
+from limedeck.ownership.orders import Grant, Release
+from limedeck.ownership.ranges import Phase, RangeState
+
+
+class RangeMap:
+    """Ranges in the order of their keys; they cover all keys, or there are none yet.
+
+    Parameters
+    ----------
+    key_positions
+        Keys are numbers from 0 up to this, which is excluded.
+    """
+
+    def __init__(self, key_positions: int, fences: FenceCounter) -> None:
+        self.ranges: list[RangeState] = []
+        self._key_positions = key_positions
+        self._fences = fences
+
+    def __iter__(self) -> Iterator[RangeState]:
+        return iter(self.ranges)
+
+    def __len__(self) -> int:
+        return len(self.ranges)
+
+    def add(self, state: RangeState) -> None:
+        """Add the range after the last one."""
+        self.ranges.append(state)
+
+    def counts(self) -> Counter[str]:
+        """How many ranges each owner has."""
+        return Counter(item.owner for item in self.ranges)
+
+    def of_order(self, order: Grant | Release) -> RangeState | None:
+        """Find the range that an order was for, unless it has changed since."""
+        for item in self.ranges:
+            if (item.first, item.last, item.fence) == (order.first, order.last, order.fence):
+                return item
+        return None
+
+    def within(self, order: Grant | Release) -> list[RangeState]:
+        """Find the ranges that an order was for, but those that have changed since."""
+        return [
+            item
+            for item in self.ranges
+            if item.fence == order.fence and order.first <= item.first <= item.last <= order.last
+        ]
+
+    def isolate(self, first: int, last: int) -> RangeState | None:
+        """Cut ranges so that one of them holds just these keys."""
+        for index, item in enumerate(self.ranges):
+            if not item.first <= first <= last <= item.last or item.phase is not Phase.OWNED:
+                continue
+            pieces = [item]
+            if first > item.first:
+                pieces.append(pieces[-1].cut(first))
+            if last < pieces[-1].last:
+                pieces.append(pieces[-1].cut(last + 1))
+            if len(pieces) > 1:
+                self._renew(pieces)
+            self.ranges[index : index + 1] = pieces
+            return next(piece for piece in pieces if piece.first == first)
+        return None
+
+    def merge_neighbours(self) -> None:
+        """Join ranges side by side of one owner: each range costs a grant for every renewal."""
+        merged: list[RangeState] = []
+        for item in self.ranges:
+            last = merged[-1] if merged else None
+            if last is None or last.owner != item.owner or not (last.is_calm and item.is_calm):
+                merged.append(item)
+                continue
+            last.last = item.last
+            last.held_until = max(last.held_until, item.held_until)
+            last.sent_until = max(last.sent_until, item.sent_until)
+            last.confirmed_until = min(last.confirmed_until, item.confirmed_until)
+            self._renew([last])
+        self.ranges = merged
+
+    def check(self) -> None:
+        """Raise `InvariantViolation` unless the ranges cover all keys."""
+        expected = 0
+        for item in self.ranges:
+            if item.first != expected or item.last < item.first:
+                raise InvariantViolation("ranges-cover-all-keys", f"{item} after {expected}")
+            expected = item.last + 1
+        if self.ranges and expected != self._key_positions:
+            raise InvariantViolation("ranges-cover-all-keys", f"end at {expected}")
+
+    def _renew(self, pieces: Iterable[RangeState]) -> None:
+        """Grant pieces of a former range anew, under fences of their own."""
+        for piece in pieces:
+            piece.fence = self._fences.next()
+            piece.order_pending = False
+            piece.next_order = NEVER
--- a/src/limedeck/ownership/ranges.py
+++ b/src/limedeck/ownership/ranges.py
@@ -87,6 +87,30 @@
         """Whether its owner has confirmed it, and nothing is to be handed over."""
         return self.phase is Phase.OWNED and self.confirmed_until != NEVER and not self.handover
 
+    @property
+    def visible_owner(self) -> str:
+        """Who may be sent requests for these keys, or `NO_OWNER`.
+
+        An owner that is silent may have its keys yet; one that leaves, or is relieved, gives them
+        up with its answer.
+        """
+        if self.phase is Phase.RELEASING and self.cause is not Cause.SILENT:
+            return NO_OWNER
+        if self.phase is Phase.FREE or self.confirmed_until == NEVER:
+            return NO_OWNER
+        return self.owner
+
+    def begin_ownership(self, owner: str, fence: int) -> None:
+        """The owner stands in the record, and is to be granted the keys under this fence."""
+        self.owner = owner
+        self.phase = Phase.OWNED
+        self.fence = fence
+        self.target = NO_OWNER
+        self.sent_until = NEVER
+        self.confirmed_until = NEVER
+        self.next_order = NEVER
+        self.order_pending = False
+
     def cut(self, position: int) -> RangeState:
         """Keep the keys below a position, and return the rest as a range like this one."""
         rest = RangeState(
--- /dev/null
+++ b/src/limedeck/ownership/recording.py
@@ -0,0 +1,74 @@
+"""The store's record of owners: a range's next owner stands there before it is granted."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+from limedeck.api.control_pb2 import AssignmentRecord, OwnedKeys
+from limedeck.errors import InvariantViolation
+from limedeck.identity import Seconds
+from limedeck.ownership.commands import WriteRecord
+from limedeck.ownership.ranges import RangeState
+
+Choice = tuple[RangeState, str]
+"""A free range and its next owner."""
+
+
+class OwnerRecord:
+    """What this leader has written, and what it is writing: one record at a time.
+
+    Parameters
+    ----------
+    row_version
+        Of the record's row as it was read; zero if there is none.
+    """
+
+    def __init__(self, service: str, term: int, sequence: int, row_version: int) -> None:
+        self._service = service
+        self._term = term
+        self._sequence = sequence
+        self._row_version = row_version
+        self._pending: list[Choice] | None = None
+
+    @property
+    def is_pending(self) -> bool:
+        """Whether a record is being written; another one has to wait."""
+        return self._pending is not None
+
+    def write(
+        self, chosen: list[Choice], ranges: Iterable[RangeState], now: Seconds
+    ) -> WriteRecord:
+        """Write the next owners of free ranges."""
+        for found, _ in chosen:
+            if found.held_until > now:
+                raise InvariantViolation("free-range-is-held-by-nobody", f"{found}")
+        self._pending = chosen
+        self._sequence += 1
+        return WriteRecord(self._record(chosen, ranges), self._row_version)
+
+    def take_written(self, row_version: int) -> Sequence[Choice]:
+        """The store took the record; return the choices that stand there now."""
+        pending = self._pending
+        if pending is None:
+            raise InvariantViolation("written-record-was-pending", self._service)
+        self._pending = None
+        self._row_version = row_version
+        return pending
+
+    def handle_failed(self) -> None:
+        """The record may or may not have been written; the same is written again."""
+        # The row's version decides: once a write has an answer, an earlier one is done or dead.
+        if self._pending is None:
+            raise InvariantViolation("failed-record-was-pending", self._service)
+
+    def is_own(self, record: AssignmentRecord | None) -> bool:
+        """Whether a record that stands in the store is the one that was written last."""
+        return record is not None and (record.term, record.sequence) == (self._term, self._sequence)
+
+    def _record(self, chosen: list[Choice], ranges: Iterable[RangeState]) -> AssignmentRecord:
+        owners = {found.first: owner for found, owner in chosen}
+        record = AssignmentRecord(term=self._term, sequence=self._sequence)
+        for item in ranges:
+            owner = owners.get(item.first, item.owner)
+            record.ranges.append(OwnedKeys(first=item.first, last=item.last, owner=owner))
+        return record
--- a/src/limedeck_lab/experiment_keys.py
+++ b/src/limedeck_lab/experiment_keys.py
@@ -20,14 +20,10 @@
 from limedeck.forwarding.owners import OwnerMap
 from limedeck.identity import Seconds
 from limedeck.model import Backend
+from limedeck.ownership.commands import OwnershipCommand, SendGrant, SendRelease
 from limedeck.ownership.orders import Grant, Release
 from limedeck.ownership.ranges import Cause
-from limedeck.ownership.service import (
-    OwnershipCommand,
-    SendGrant,
-    SendRelease,
-    ServiceOwnership,
-)
+from limedeck.ownership.service import ServiceOwnership
 from limedeck.ownership.timing import OwnershipTiming
 
 SERVICE = "s"
--- a/src/limedeck_lab/ownership/node.py
+++ b/src/limedeck_lab/ownership/node.py
@@ -10,6 +10,7 @@
 from limedeck.api.control_pb2 import AssignmentRecord, LeaderConfirmation, LeaderRecord
 from limedeck.identity import Seconds
 from limedeck.model import Backend
+from limedeck.ownership.commands import SendGrant, SendRelease, WriteRecord
 from limedeck.ownership.election import (
     Campaign,
     Confirm,
@@ -21,7 +22,7 @@
 )
 from limedeck.ownership.lending import Lending
 from limedeck.ownership.orders import Grant, Release
-from limedeck.ownership.service import SendGrant, SendRelease, ServiceOwnership, WriteRecord
+from limedeck.ownership.service import ServiceOwnership
 from limedeck.store.rows import (
     ABSENT,
     ConditionFailed,
--- a/tests/unit/test_limited_owners.py
+++ b/tests/unit/test_limited_owners.py
@@ -6,8 +6,9 @@
 from collections import Counter
 from collections.abc import Callable
 
+from limedeck.ownership.commands import OwnerChange
 from limedeck.ownership.ranges import Cause
-from limedeck.ownership.service import OwnerChange, ServiceOwnership
+from limedeck.ownership.service import ServiceOwnership
 from tests.unit.test_service_ownership import TIMING, Play, backend
 
 NAMES = ("a", "b", "c", "d")
--- a/tests/unit/test_planning_moves.py
+++ b/tests/unit/test_planning_moves.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from limedeck.ownership.balancing import CERTAINTY, LASTING_CERTAINTY
 from limedeck.ownership.key_load import (
     FIRST_SPAN,
     LASTING_MEMORY,
@@ -23,7 +24,6 @@
     balanced_capacities,
     first_assignment,
 )
-from limedeck.ownership.service import CERTAINTY, LASTING_CERTAINTY
 
 NOW = 100.0
 
--- a/tests/unit/test_service_ownership.py
+++ b/tests/unit/test_service_ownership.py
@@ -9,16 +9,11 @@
 
 from limedeck.api.control_pb2 import AssignmentRecord, OwnedKeys
 from limedeck.model import Backend
+from limedeck.ownership.commands import OwnershipCommand, SendGrant, SendRelease, WriteRecord
 from limedeck.ownership.key_load import KeyLoad
 from limedeck.ownership.orders import Grant, Release
 from limedeck.ownership.planning import BalancePlan, OwnedPiece, PlannedMove
-from limedeck.ownership.service import (
-    OwnershipCommand,
-    SendGrant,
-    SendRelease,
-    ServiceOwnership,
-    WriteRecord,
-)
+from limedeck.ownership.service import ServiceOwnership
 from limedeck.ownership.timing import OwnershipTiming
 
 TIMING = OwnershipTiming()
--- a/tests/unit/test_slow_leader.py
+++ b/tests/unit/test_slow_leader.py
@@ -18,8 +18,9 @@
 
 from limedeck.api.control_pb2 import AssignmentRecord, OwnedKeys
 from limedeck.model import Backend
+from limedeck.ownership.commands import SendGrant, WriteRecord
 from limedeck.ownership.ranges import Cause
-from limedeck.ownership.service import SendGrant, ServiceOwnership, WriteRecord
+from limedeck.ownership.service import ServiceOwnership
 from limedeck.ownership.timing import OwnershipTiming
 from limedeck_lab.ownership.node import RECORD
 from limedeck_lab.ownership.world import World
@@ -89,7 +90,7 @@
             core.note_answered(f"b{number}", now)
         for command in core.handle_tick(True, now, may_yield):
             if isinstance(command, WriteRecord):
-                core.handle_record_written(core._row_version + 1)
+                core.handle_record_written(command.row_version + 1)
             elif command.order.backend_id in silent:
                 core.handle_order_lost(command.order, now)
             elif isinstance(command, SendGrant):
