Operators ask a node: who leads, since when and why, who owns a key, who is in need

The leader's record says what was held against the leader before, so that every node can tell why there was an election.

--- a/src/limedeck/cli/application.py
+++ b/src/limedeck/cli/application.py
@@ -10,6 +10,7 @@
 from limedeck.cli.backends import BackendAdd, BackendDrain, BackendList, BackendRemove
 from limedeck.cli.configuration import ConfigApply, ConfigDiff, ConfigGet
 from limedeck.cli.inspection import AssignmentGet, AssignmentWatch, Locate, Status
+from limedeck.cli.nodes import NodeAssignment, NodeLocate, NodeStatus
 from limedeck.cli.services import (
     ServiceCreate,
     ServiceDelete,
@@ -37,6 +38,9 @@
     AssignmentWatch,
     Locate,
     Status,
+    NodeStatus,
+    NodeAssignment,
+    NodeLocate,
 )
 
 
--- a/src/limedeck/forwarding/fleet_size.py
+++ b/src/limedeck/forwarding/fleet_size.py
@@ -45,6 +45,12 @@
             self._heard.pop()
         self._heard.append(_Heard(count, now))
 
+    def latest(self, now: Seconds) -> int:
+        """Return the number that was told last; zero if none was for too long."""
+        if self._last is None or now - self._last > HEARD_LIFE:
+            return 0
+        return self._heard[-1].count
+
     def sharers(self, window: Seconds, now: Seconds) -> int:
         """Return how many nodes share what they may do in a window; zero: this one has no share."""
         if self._since is None or self._last is None:
--- /dev/null
+++ b/src/limedeck/node/inspection.py
@@ -0,0 +1,187 @@
+"""Shows operators what a node believes: who leads and why, who owns which keys, which back ends
+are in need. It changes nothing."""
+
+from __future__ import annotations
+
+import msgspec
+
+from limedeck.clock import steady_clock
+from limedeck.errors import LimedeckError
+from limedeck.forwarding.backend_state import BackendState
+from limedeck.forwarding.owners import OwnedRange, OwnerMap
+from limedeck.identity import Seconds
+from limedeck.node.asgi import Receive, Scope, Send
+from limedeck.node.state import NodeState
+from limedeck.ownership.election import ElectionCore, Leadership, Role
+from limedeck.views import (
+    ASSIGNMENT_PATH,
+    LOCATE_PATH,
+    STATUS_PATH,
+    AssignmentView,
+    BackendView,
+    LeaderView,
+    LocationView,
+    ProblemView,
+    RangeView,
+    ServiceView,
+    StatusView,
+)
+
+OK = 200
+NOT_FOUND = 404
+LONGEST_POSITION = 20
+"""Characters; a longer number is no key's."""
+DIGITS = 3
+"""Decimals of the spans that are shown."""
+
+
+class NotShown(LimedeckError):
+    """There is no such thing to show."""
+
+
+class NodeInspector:
+    """One node's beliefs, as operators are shown them."""
+
+    def __init__(self, node_id: str, zone: str, state: NodeState, election: ElectionCore) -> None:
+        self._node_id = node_id
+        self._zone = zone
+        self._state = state
+        self._election = election
+
+    def status(self, now: Seconds) -> StatusView:
+        """Show the node, its leader, its services and its back ends."""
+        state = self._state
+        leadership = self._election.leadership(now)
+        return StatusView(
+            node=self._node_id,
+            zone=self._zone,
+            ready=state.is_ready(now),
+            stopping=state.stopping,
+            isolated=state.is_isolated(now),
+            leads=self._election.role is Role.LEADER,
+            nodes=state.fleet_size.latest(now),
+            configuration=state.configuration.version if state.configuration else 0,
+            leader=_leader(leadership) if leadership is not None else None,
+            services=[
+                _service(name, view.keyed, view.owners)
+                for name, view in sorted(state.services.items())
+            ],
+            backends=[
+                self._backend(item, now)
+                for item in sorted(
+                    state.directory.all_states(),
+                    key=lambda item: (item.backend.service, item.backend.backend_id),
+                )
+            ],
+        )
+
+    def assignment(self, service: str) -> AssignmentView:
+        """Show the owners of a service's keys.
+
+        Raises
+        ------
+        NotShown
+            No such service has keys here.
+        """
+        owners = self._owners(service)
+        return AssignmentView(service, owners.version, [_range(item) for item in owners.ranges])
+
+    def locate(self, service: str, position: int, now: Seconds) -> LocationView:
+        """Show where requests for a key go.
+
+        Raises
+        ------
+        NotShown
+            No such service has keys here, or the position is none of a key.
+        """
+        owners = self._owners(service)
+        for item in owners.ranges:
+            if item.first <= position <= item.last:
+                found = self._state.directory.find(item.owner)
+                owner = self._backend(found, now) if found is not None else None
+                return LocationView(service, position, _range(item), owner)
+        raise NotShown(f"{position} is no position of a key of {service}")
+
+    def _owners(self, service: str) -> OwnerMap:
+        view = self._state.services.get(service)
+        if view is None or not view.keyed:
+            raise NotShown(f"no service with keys is named {service}")
+        return view.owners
+
+    def _backend(self, state: BackendState, now: Seconds) -> BackendView:
+        backend = state.backend
+        bound = self._state.directory.bound_of(state, now)
+        return BackendView(
+            backend=backend.backend_id,
+            service=backend.service,
+            zone=backend.zone,
+            address=backend.address,
+            conditions=self._conditions(state, now),
+            bound=bound.rate if bound is not None else None,
+            load=round(state.expected_load(now), DIGITS),
+        )
+
+    def _conditions(self, state: BackendState, now: Seconds) -> list[str]:
+        directory = self._state.directory
+        holds = {
+            "draining": state.backend.draining,
+            "evacuated": state.backend.zone in directory.evacuated,
+            "cold": state.is_cold(now),
+            "limited": directory.limits.rate(state.backend.backend_id) is not None,
+            "passed-over": state.is_passed_over(now),
+        }
+        return [name for name, is_so in holds.items() if is_so]
+
+
+class InspectionApplication:
+    """ASGI application: answers operators' questions to one node."""
+
+    def __init__(self, inspector: NodeInspector) -> None:
+        self._inspector = inspector
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one request."""
+        try:
+            status, view = OK, self._view(scope["path"])
+        except NotShown as error:
+            status, view = NOT_FOUND, ProblemView(str(error))
+        body = msgspec.json.encode(view)
+        headers = [(b"content-length", b"%d" % len(body)), (b"content-type", b"application/json")]
+        await send({"type": "http.response.start", "status": status, "headers": headers})
+        await send({"type": "http.response.body", "body": body})
+
+    def _view(self, path: str) -> msgspec.Struct:
+        if path == STATUS_PATH:
+            return self._inspector.status(steady_clock())
+        if path.startswith(ASSIGNMENT_PATH):
+            return self._inspector.assignment(path.removeprefix(ASSIGNMENT_PATH))
+        if path.startswith(LOCATE_PATH):
+            service, _, position = path.removeprefix(LOCATE_PATH).rpartition("/")
+            return self._inspector.locate(service, _position(position), steady_clock())
+        raise NotShown(f"nothing is shown at {path}")
+
+
+def _position(text: str) -> int:
+    if not (text.isascii() and text.isdigit() and len(text) <= LONGEST_POSITION):
+        raise NotShown(f"{text!r} is no position of a key")
+    return int(text)
+
+
+def _leader(leadership: Leadership) -> LeaderView:
+    return LeaderView(
+        term=leadership.term,
+        node=leadership.node_id,
+        why=leadership.why,
+        known_for=round(leadership.known_for, DIGITS),
+        heard_ago=round(leadership.heard_ago, DIGITS),
+        suspicion=leadership.suspicion.value if leadership.suspicion is not None else "",
+    )
+
+
+def _service(name: str, keyed: bool, owners: OwnerMap) -> ServiceView:
+    without = sum(not item.owner for item in owners.ranges)
+    return ServiceView(name, keyed, owners.version, len(owners.ranges), without)
+
+
+def _range(item: OwnedRange) -> RangeView:
+    return RangeView(item.first, item.last, item.owner)
--- a/src/limedeck/node/readiness.py
+++ b/src/limedeck/node/readiness.py
@@ -1,23 +1,25 @@
-"""Answers whether this node is ready, and its figures."""
+"""Answers whether this node is ready, its figures, and what operators ask."""
 
 from __future__ import annotations
 
 from limedeck.clock import steady_clock
-from limedeck.node.asgi import Receive, Scope, Send
+from limedeck.node.asgi import Application, Receive, Scope, Send
 from limedeck.node.state import NodeState
 from limedeck.node.telemetry import Telemetry
 
 READY = 200
 NOT_READY = 503
 METRICS_PATH = "/metrics"
+INSPECTION_PREFIX = "/limedeck/"
 
 
 class ReadinessApplication:
-    """ASGI application: the path of the figures, and any other for readiness."""
+    """ASGI application: figures, operators' questions, and any other path for readiness."""
 
-    def __init__(self, state: NodeState, telemetry: Telemetry) -> None:
+    def __init__(self, state: NodeState, telemetry: Telemetry, inspection: Application) -> None:
         self._state = state
         self._telemetry = telemetry
+        self._inspection = inspection
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request."""
@@ -25,6 +27,8 @@
             return
         if scope["path"] == METRICS_PATH:
             await _answer(send, READY, self._telemetry.exposition())
+        elif scope["path"].startswith(INSPECTION_PREFIX):
+            await self._inspection(scope, receive, send)
         else:
             await _answer(send, READY if self._state.is_ready(steady_clock()) else NOT_READY, b"")
 
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -28,6 +28,7 @@
 from limedeck.node.former_leader_inquiry import FormerLeaderInquiry
 from limedeck.node.gateway import CallerGateway
 from limedeck.node.http_server import serve
+from limedeck.node.inspection import InspectionApplication, NodeInspector
 from limedeck.node.leader_link import LeaderLink
 from limedeck.node.limit_log import LimitLog
 from limedeck.node.listener import close_to_newcomers, open_listener
@@ -181,7 +182,9 @@
         callers_stop = anyio.Event()
         listener = open_listener(node.callers)
         readiness_listener = open_listener(node.readiness)
-        readiness = ReadinessApplication(self._state, self._telemetry)
+        inspector = NodeInspector(node.id, node.zone, self._state, control.election)
+        inspection = InspectionApplication(inspector)
+        readiness = ReadinessApplication(self._state, self._telemetry, inspection)
         stop_requested = anyio.Event()
         async with self._signals_handled(stop_requested), anyio.create_task_group() as servers:
             servers.start_soon(serve, readiness, readiness_listener, readiness_stop, LAST_ANSWERS)
--- a/src/limedeck/ownership/election.py
+++ b/src/limedeck/ownership/election.py
@@ -87,6 +87,30 @@
     confirmation_age: Seconds | None
 
 
+@dataclass(frozen=True, slots=True)
+class Leadership:
+    """Who leads, as one node believes.
+
+    Parameters
+    ----------
+    why
+        What was held against the leader before.
+    known_for
+        How long this node has known of this term, in seconds.
+    heard_ago
+        How long ago the leader was heard, in seconds; zero at the leader itself.
+    suspicion
+        What this node holds against it now.
+    """
+
+    term: int
+    node_id: str
+    why: str
+    known_for: Seconds
+    heard_ago: Seconds
+    suspicion: Suspicion | None
+
+
 class ElectionCore:
     """One node's part in the election of one leader.
 
@@ -116,6 +140,7 @@
         self._identity = identity
         self._timing = timing
         self._heard_at = now
+        self._term_known_at = now
         self._denied = False
         self._denied_since: Seconds | None = None
         self._leader_misses_store = False
@@ -136,6 +161,20 @@
         """Newest term that this node knows of."""
         return self.record.term if self.record is not None else 0
 
+    def leadership(self, now: Seconds) -> Leadership | None:
+        """Tell who leads; None if this node knows of no leader."""
+        if self.record is None:
+            return None
+        leads = self.role is Role.LEADER
+        return Leadership(
+            term=self.record.term,
+            node_id=self.record.node_id,
+            why=self.record.why,
+            known_for=now - self._term_known_at,
+            heard_ago=0.0 if leads else now - self._heard_at,
+            suspicion=None if leads else self._suspicion(now),
+        )
+
     def store_silence(self, now: Seconds) -> Seconds:
         """How long the store has not confirmed this leader."""
         return now - self._confirmed_at
@@ -219,6 +258,7 @@
     def _note_new_term(self, now: Seconds) -> None:
         """There is a later leader than the one that was heard or denied."""
         self._heard_at = now
+        self._term_known_at = now
         self._denied = False
         self._leader_misses_store = False
 
@@ -228,6 +268,7 @@
         self._failures = 0
         self.record = record
         self.row_version = row_version
+        self._term_known_at = now
         self._confirmed_at = now
         self._denied = False
         self._leader_misses_store = False
@@ -307,7 +348,7 @@
             return ReadLeader(why)
         if not self.stands_aside(now) and self._may_replace(why, now):
             self._age_read_at = NEVER
-            return Campaign(self._candidacy(), self.row_version, why)
+            return Campaign(self._candidacy(why), self.row_version, why)
         return None
 
     def _suspicion(self, now: Seconds) -> Suspicion | None:
@@ -344,9 +385,10 @@
             return True
         return self._age + (now - self._age_read_at) > self._timing.stale_confirmation
 
-    def _candidacy(self) -> LeaderRecord:
+    def _candidacy(self, why: Suspicion) -> LeaderRecord:
         record = LeaderRecord()
         record.CopyFrom(self._identity)
+        record.why = why.value
         record.term = self.term + 1
         if self.record is not None:
             record.former.extend(_former_leaders(self.record, self._identity.node_id))
--- /dev/null
+++ b/tests/system/test_node_questions.py
@@ -0,0 +1,103 @@
+"""Operators' questions to real nodes, by the command line."""
+
+from __future__ import annotations
+
+import json
+import signal
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import httpx
+import pytest
+from cleo.testers.application_tester import ApplicationTester
+
+from limedeck.cli.application import build_application
+from limedeck_lab.processes import wait_until
+from tests.system import platform_site
+from tests.system.test_crashing_requests import leads
+
+NODES = 3
+KEYED = 3
+PLAIN = 2
+NAMED_LIMIT = 3.2
+
+
+@pytest.fixture
+def site(tmp_path: Path) -> Iterator[platform_site.Site]:
+    with platform_site.running_site(tmp_path, KEYED, PLAIN, NODES) as running:
+        yield running
+
+
+def limedeck(node: platform_site.NodeProcess, command: str) -> ApplicationTester:
+    tester = ApplicationTester(build_application())
+    tester.execute(f"{command} --node {node.readiness}")
+    return tester
+
+
+def asked(node: platform_site.NodeProcess, command: str) -> Any:
+    return json.loads(limedeck(node, f"{command} --output json").io.fetch_output())
+
+
+def test_all_nodes_name_the_leader_and_why_it_stood_also_the_next_one(
+    site: platform_site.Site,
+) -> None:
+    leader = next(node for node in site.nodes if leads(node))
+    seen = [asked(node, "node status") for node in site.nodes]
+    assert len({item["leader"]["node"] for item in seen}) == 1
+    assert {item["leader"]["why"] for item in seen} == {"no-record"}
+    assert [item["node"] for item in seen if item["leads"]] == [seen[0]["leader"]["node"]]
+    leader.process.signal(signal.SIGKILL)
+    others = [node for node in site.nodes if node is not leader]
+    wait_until(lambda: any(leads(node) for node in others), "another one leads")
+    wait_until(
+        lambda: all(asked(node, "node status")["leader"]["term"] > 1 for node in others),
+        "all know of it",
+    )
+    later = asked(others[0], "node status")["leader"]
+    assert later["why"] in ("silent", "denied")
+    shown = limedeck(others[0], "node status").io.fetch_output()
+    assert f"leader {later['node']}, term {later['term']}" in shown
+    assert "the one before was" in shown
+
+
+def test_a_key_is_located_where_its_requests_run(site: platform_site.Site) -> None:
+    node = site.nodes[0]
+    with httpx.Client(timeout=4.0, trust_env=False) as client:
+        assert site.send(client, node, "/keyed/x", 777).status_code == 200
+    ran_at = site.runs[-1][1]
+    found = asked(node, "node locate keyed 777")
+    assert found["owner"]["backend"] == ran_at
+    assert found["range"]["first"] <= 777 <= found["range"]["last"]
+    assert f"key 777 of keyed, in {found['range']['first']}" in (
+        limedeck(node, "node locate keyed 777").io.fetch_output()
+    )
+    owners = {item["owner"] for item in asked(node, "node assignment keyed")["ranges"]}
+    assert owners == {item.name for item in site.upstreams if item.keyed}
+    assert "33." in limedeck(node, "node assignment keyed").io.fetch_output()
+
+
+def test_a_back_end_in_need_is_shown_with_its_bound(site: platform_site.Site) -> None:
+    limited = next(item for item in site.upstreams if not item.keyed)
+    limited.name_limit(b"%g" % NAMED_LIMIT)
+    with httpx.Client(timeout=4.0, trust_env=False) as client:
+        for _ in range(30):
+            site.send(client, site.nodes[0], "/plain/x", 1)
+
+    def shown(node: platform_site.NodeProcess) -> Any:
+        backends = asked(node, "node status")["backends"]
+        return next(item for item in backends if item["backend"] == limited.name)
+
+    for node in site.nodes:
+        wait_until(lambda node=node: shown(node)["bound"] == NAMED_LIMIT, "told")  # type: ignore[misc]
+    assert shown(site.nodes[-1])["conditions"] == ["limited"]
+
+
+def test_questions_that_have_no_answer_have_their_exit_codes(site: platform_site.Site) -> None:
+    node = site.nodes[0]
+    assert limedeck(node, "node locate plain 1").status_code == 3
+    assert limedeck(node, "node locate keyed nothing").status_code == 3
+    assert limedeck(node, "node status --output xml").status_code == 2
+    tester = ApplicationTester(build_application())
+    assert tester.execute("node status --node 127.0.0.1:1") == 1
+    assert "127.0.0.1:1" in tester.io.fetch_error()
