limedeck-lab explain: the story of a request or a key from the logs of many nodes

On-call had to find a request's lines, its key's owners, the leader and what the back ends went through by hand. Arrival, the owners its node went by, attempts, the end, and what bears on it come in order of time now, repeated lines once. Every reason, phase, cause and suspicion has a sentence; a test holds the enumerations against them.

Three kinds of failed request at real nodes are explained from what the nodes wrote (test_explain.py): all back ends of a service limited, a silent back end, a key whose owner has ended.

--- a/src/limedeck_lab/application.py
+++ b/src/limedeck_lab/application.py
@@ -12,6 +12,7 @@
     ExperimentChoiceCommand,
     ExperimentKeysCommand,
 )
+from limedeck_lab.commands.explain import ExplainCommand
 from limedeck_lab.commands.load import DemoCommand, LoadCommand
 from limedeck_lab.commands.report import ReportCommand
 from limedeck_lab.commands.simulate import SimulateCommand
@@ -29,6 +30,7 @@
     ExperimentChoiceCommand,
     ExperimentKeysCommand,
     ReportCommand,
+    ExplainCommand,
 )
 
 
--- /dev/null
+++ b/src/limedeck_lab/explain/meanings.py
@@ -0,0 +1,77 @@
+"""What the words of log lines mean, as sentences."""
+
+from __future__ import annotations
+
+from limedeck.forwarding.commands import Reason
+from limedeck.ownership.election import Suspicion
+from limedeck.ownership.ranges import Cause
+from limedeck.routing.outcomes import FailurePhase, Outcome
+
+OUTCOMES = {
+    Outcome.WHOLE: "answered",
+    Outcome.NOT_RUN: "refused; no back end has run it, and none will",
+    Outcome.UNKNOWN: "given up; a back end may have run it",
+}
+REASONS = {
+    Reason.NO_OWNER: "its key had no owner for as long as it could wait",
+    Reason.NO_BACKEND: "its service had no back end that may be used",
+    Reason.REFUSED: "back ends turned it away, and there was no retry left",
+    Reason.OVERLOADED: "the back end's queue was believed to be too long for it",
+    Reason.UNREACHABLE: "no connection to a back end came about",
+    Reason.ANSWER_LOST: "a back end had it, and its answer was lost",
+    Reason.TIMED_OUT: "its time was over",
+    Reason.STOPPED: "the node's planned stop was over before the answer came",
+    Reason.BAD_KEY: "it had no key that can be read",
+    Reason.QUARANTINED: "back ends had ended under it",
+    Reason.EVACUATED: "its key's owner is in a zone that is evacuated, and the key had not moved",
+    Reason.COLD: "its key's owner was cold",
+    Reason.LIMITED: "no back end that could run it had room: they name limits, or are cold",
+}
+PHASES = {
+    FailurePhase.NOT_CONNECTED: "no connection; nothing was sent",
+    FailurePhase.NOT_SENT: "the connection broke before anything was sent",
+    FailurePhase.TURNED_AWAY: "the new connection was reset before anything was sent",
+    FailurePhase.REFUSED: "the back end said that it does not run it",
+    FailurePhase.SENDING: "the connection broke while it was sent",
+    FailurePhase.AWAITING: "it was sent, and no usable answer came",
+    FailurePhase.ANSWERING: "the answer broke off",
+    FailurePhase.ERROR_ANSWER: "the back end answered that it failed",
+}
+CAUSES = {
+    Cause.FIRST: "first assignment",
+    Cause.LEAVING: "the former owner leaves or is gone",
+    Cause.SILENT: "the former owner answered no orders",
+    Cause.FAILING: "the former owner fails",
+    Cause.BALANCE: "to spread the load",
+}
+SUSPICIONS = {
+    Suspicion.NO_RECORD: "there was none",
+    Suspicion.SILENT: "the one before was silent",
+    Suspicion.DENIED: "the one before had ended or given it up",
+    Suspicion.MISSES_STORE: "the one before could not reach the store",
+}
+
+
+def meaning_of_outcome(word: object) -> str:
+    """Say what became of a request."""
+    return next((text for item, text in OUTCOMES.items() if item.value == word), str(word))
+
+
+def meaning_of_reason(word: object) -> str:
+    """Say why a request was given up."""
+    return next((text for item, text in REASONS.items() if item.value == word), str(word))
+
+
+def meaning_of_phase(word: object) -> str:
+    """Say where an attempt failed."""
+    return next((text for item, text in PHASES.items() if item.value == word), str(word))
+
+
+def meaning_of_cause(word: object) -> str:
+    """Say why keys changed their owner."""
+    return next((text for item, text in CAUSES.items() if item.value == word), str(word))
+
+
+def meaning_of_suspicion(word: object) -> str:
+    """Say why a leader was elected."""
+    return next((text for item, text in SUSPICIONS.items() if item.value == word), str(word))
--- /dev/null
+++ b/src/limedeck_lab/explain/sentences.py
@@ -0,0 +1,106 @@
+"""A log line as a sentence."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from limedeck_lab.explain.log_lines import LogLine
+from limedeck_lab.explain.meanings import (
+    meaning_of_cause,
+    meaning_of_outcome,
+    meaning_of_phase,
+    meaning_of_reason,
+    meaning_of_suspicion,
+)
+
+TERM_BITS = 32
+UNTOLD = frozenset({"component", "clock", "level", "event", "request", "service"})
+"""Fields that a sentence without words of its own leaves out."""
+
+
+def sentence(line: LogLine) -> str:
+    """Say what a line says; one of an event that has no words of its own, by its fields."""
+    tell = _SENTENCES.get(line.event)
+    if tell is not None:
+        return tell(line)
+    fields = [f"{name} {value}" for name, value in line.fields.items() if name not in UNTOLD]
+    return " ".join([line.event, *fields])
+
+
+def owners_version(version: object) -> str:
+    """Say which version of the owners a node went by."""
+    if not isinstance(version, int) or version == 0:
+        return "no owners known"
+    return f"owners of term {version >> TERM_BITS}, change {version % (1 << TERM_BITS)}"
+
+
+def _given_up(line: LogLine) -> str:
+    text = f"{meaning_of_outcome(line.get('outcome'))}: {meaning_of_reason(line.get('reason'))}"
+    if line.get("bound") is not None:
+        text += f" ({line.get('backend')} takes {line.get('bound')} a second)"
+    elif line.get("expected") is not None:
+        text += (
+            f" ({line.get('backend')}: {line.get('expected')} s expected with "
+            f"{line.get('load')} requests there, heard {line.get('load_age')} s ago)"
+        )
+    retry_after = line.get("retry_after")
+    return text if retry_after is None else f"{text}; told to come back after {retry_after} s"
+
+
+def _answered(line: LogLine) -> str:
+    return f"answered with status {line.get('status')} at attempt {line.get('attempts')}"
+
+
+def _attempt_failed(line: LogLine) -> str:
+    phase = meaning_of_phase(line.get("phase"))
+    return f"attempt at {line.get('backend')} failed: {phase} ({line.get('problem')})"
+
+
+def _owner_changed(line: LogLine) -> str:
+    former = line.get("former") or "nobody"
+    return (
+        f"keys {line.get('first')} to {line.get('last')} go from {former} to {line.get('owner')}: "
+        f"{meaning_of_cause(line.get('cause'))}"
+    )
+
+
+def _order_lost(line: LogLine) -> str:
+    keys = f"keys {line.get('first')} to {line.get('last')}"
+    return f"{line.get('kind')} of {keys} at {line.get('backend')} was lost ({line.get('problem')})"
+
+
+def _released(line: LogLine) -> str:
+    keys = f"keys {line.get('first')} to {line.get('last')}"
+    return f"{line.get('backend')} gave up {keys} (status {line.get('status')})"
+
+
+def _elected(line: LogLine) -> str:
+    return f"elected leader of term {line.get('term')}: {meaning_of_suspicion(line.get('why'))}"
+
+
+def _leader_read(line: LogLine) -> str:
+    return f"reads that {line.get('leader') or 'nobody'} leads, term {line.get('term')}"
+
+
+def _limit_changed(line: LogLine) -> str:
+    limit = line.get("limit")
+    takes = "names no limit any more" if limit is None else f"takes {limit} requests a second"
+    return f"{line.get('backend')} {takes}"
+
+
+def _cold(line: LogLine) -> str:
+    return f"{line.get('backend')} is cold for {line.get('seconds')} s"
+
+
+_SENTENCES: dict[str, Callable[[LogLine], str]] = {
+    "given_up": _given_up,
+    "answered": _answered,
+    "attempt_failed": _attempt_failed,
+    "owner_changed": _owner_changed,
+    "order_lost": _order_lost,
+    "released": _released,
+    "elected": _elected,
+    "leader_read": _leader_read,
+    "limit_changed": _limit_changed,
+    "back_end_cold": _cold,
+}
