--- /dev/null
+++ b/src/limedeck_lab/ownership/faults.py
@@ -0,0 +1,219 @@
+"""What goes wrong in a simulated deployment: one generator for each kind of fault."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Generator
+from typing import TYPE_CHECKING
+
+import simpy
+
+from limedeck.identity import Seconds
+from limedeck_lab.ownership.backends import SimulatedBackend
+from limedeck_lab.ownership.node import SimulatedNode
+from limedeck_lab.ownership.store import StoreFaults
+
+if TYPE_CHECKING:
+    from limedeck_lab.ownership.world import World
+
+FAULTS = (
+    "node_killed",
+    "all_killed",
+    "node_paused",
+    "store_cut",
+    "backends_cut",
+    "node_cut",
+    "store_down",
+    "store_lossy",
+    "orders_late",
+    "backend_crashed",
+    "backend_unreachable",
+    "backend_leaves",
+    "listing_lapses",
+    "two_leaders",
+    "holder_of_old_leader",
+)
+"""What may overlap; the order decides what a seed draws."""
+BY_NAME_ALONE = ("backend_reborn", "owner_of_old_leader_reborn")
+"""What changes how others are judged, or needs the whole deployment sound when it begins."""
+
+
+class WorldFaults:
+    """The faults of one deployment, by the names in `FAULTS` and `BY_NAME_ALONE`."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+
+    def _pause(self, low: Seconds, high: Seconds) -> simpy.Event:
+        return self._world.environment.timeout(self._world.random.uniform(low, high))
+
+    def _any_node(self) -> SimulatedNode:
+        return self._world.random.choice(list(self._world.nodes.values()))
+
+    def _any_backend(self) -> SimulatedBackend:
+        return self._world.random.choice(self._listed())
+
+    def _listed(self) -> list[SimulatedBackend]:
+        return [item for item in self._world.backends.values() if item.listed]
+
+    def node_killed(self) -> Generator[simpy.Event, object, None]:
+        node = self._any_node()
+        self._world.kill_node(node.node_id)
+        yield self._pause(0.3, 4.0)
+        self._restart(node)
+
+    def _restart(self, node: SimulatedNode) -> None:
+        if self._world.nodes[node.node_id] is node:
+            self._world.start_node(node.node_id)
+
+    def all_killed(self) -> Generator[simpy.Event, object, None]:
+        nodes = list(self._world.nodes.values())
+        for node in nodes:
+            self._world.kill_node(node.node_id)
+        yield self._pause(0.3, 3.0)
+        for node in nodes:
+            self._restart(node)
+
+    def _node_fault(
+        self, begin: Callable[[SimulatedNode], None], end: Callable[[SimulatedNode], None]
+    ) -> Generator[simpy.Event, object, None]:
+        node = self._any_node()
+        begin(node)
+        yield self._pause(0.5, 9.0)
+        end(node)
+
+    def node_paused(self) -> Generator[simpy.Event, object, None]:
+        return self._node_fault(
+            lambda node: setattr(node, "paused", True), lambda node: setattr(node, "paused", False)
+        )
+
+    def store_cut(self) -> Generator[simpy.Event, object, None]:
+        return self._node_fault(
+            lambda node: setattr(node, "reaches_store", False),
+            lambda node: setattr(node, "reaches_store", True),
+        )
+
+    def backends_cut(self) -> Generator[simpy.Event, object, None]:
+        return self._node_fault(
+            lambda node: setattr(node, "reaches_backends", False),
+            lambda node: setattr(node, "reaches_backends", True),
+        )
+
+    def node_cut(self) -> Generator[simpy.Event, object, None]:
+        return self._node_fault(
+            lambda node: setattr(node, "reaches_nodes", False),
+            lambda node: setattr(node, "reaches_nodes", True),
+        )
+
+    def _leader(self) -> SimulatedNode:
+        leaders = [item for item in self._world.nodes.values() if item.core is not None and item.up]
+        return self._world.random.choice(leaders) if leaders else self._any_node()
+
+    def two_leaders(self) -> Generator[simpy.Event, object, None]:
+        """The leader reaches back ends only, is replaced, and a back end leaves unseen by it."""
+        leader = self._leader()
+        leader.reaches_store = leader.reaches_nodes = False
+        yield self._pause(3.5, 5.0)
+        yield from self.backend_leaves()
+        leader.reaches_store = leader.reaches_nodes = True
+
+    def holder_of_old_leader(self) -> Generator[simpy.Event, object, None]:
+        """The leader is cut off from everything, together with one back end."""
+        leader = self._leader()
+        backend = self._any_backend()
+        others = {
+            (node_id, backend.backend_id)
+            for node_id in self._world.nodes
+            if node_id != leader.node_id
+        }
+        others |= {
+            (leader.node_id, name) for name in self._world.backends if name != backend.backend_id
+        }
+        leader.reaches_store = leader.reaches_nodes = False
+        self._world.pair_cuts |= others
+        yield self._pause(8.0, 12.0)
+        self._world.pair_cuts -= others
+        leader.reaches_store = leader.reaches_nodes = True
+
+    def store_down(self) -> Generator[simpy.Event, object, None]:
+        faults = StoreFaults(refuses=self._world.random.random() < 0.5)
+        faults.silent = not faults.refuses
+        self._world.store.faults = faults
+        yield self._pause(1.0, 12.0)
+        self._world.store.faults = StoreFaults()
+
+    def store_lossy(self) -> Generator[simpy.Event, object, None]:
+        self._world.store.faults = StoreFaults(slowness=10.0, lost_share=0.3, late_share=0.3)
+        yield self._pause(1.0, 8.0)
+        self._world.store.faults = StoreFaults()
+
+    def orders_late(self) -> Generator[simpy.Event, object, None]:
+        self._world.late_orders = 0.3
+        yield self._pause(1.0, 6.0)
+        self._world.late_orders = 0.0
+
+    def backend_crashed(self) -> Generator[simpy.Event, object, None]:
+        backend = self._any_backend()
+        backend.up = False
+        yield self._pause(0.5, 3.0)
+        self._world.start_backend()
+        yield self._pause(0.5, 3.0)
+        backend.listed = False
+
+    def backend_reborn(self) -> Generator[simpy.Event, object, None]:
+        """An owner takes orders late, ends, and starts again under its name seconds later.
+
+        Its keys are another one's by then, and orders to its former life are still on their way.
+        """
+        backend = self._any_backend()
+        self._world.judges_late_grants = True
+        self._world.late_orders = 1.0
+        yield self._pause(0.3, 0.6)
+        self._world.late_orders = 0.0
+        backend.up = False
+        yield self._pause(0.1, 2.0)
+        backend.listed = False
+        yield self._pause(1.0, 3.0)
+        self._world.start_backend(backend.instance)
+
+    def owner_of_old_leader_reborn(self) -> Generator[simpy.Event, object, None]:
+        """The leader reaches back ends only and is replaced; two start again unseen by it.
+
+        What it goes on to send to their former lives reaches the later ones, which other nodes
+        reach only seconds after that.
+        """
+        leader = self._leader()
+        leader.reaches_store = leader.reaches_nodes = False
+        yield self._pause(0.2, 3.0)
+        for backend in self._world.random.sample(self._listed(), 2):
+            backend.up = backend.listed = False
+            yield self._pause(0.05, 0.4)
+            later = self._world.start_backend(backend.instance)
+            cuts = {
+                (item, later.backend_id) for item in self._world.nodes if item != leader.node_id
+            }
+            self._world.pair_cuts |= cuts
+            yield self._pause(1.0, 2.0)
+            self._world.pair_cuts -= cuts
+        yield self._pause(3.0, 5.0)
+        leader.reaches_store = leader.reaches_nodes = True
+
+    def backend_unreachable(self) -> Generator[simpy.Event, object, None]:
+        backend = self._any_backend()
+        backend.reachable = False
+        yield self._pause(0.5, 8.0)
+        backend.reachable = True
+
+    def backend_leaves(self) -> Generator[simpy.Event, object, None]:
+        backend = self._any_backend()
+        self._world.start_backend()
+        backend.draining = True
+        yield self._pause(2.0, 4.0)
+        backend.listed = False
+        yield self._pause(0.0, 5.0)
+        backend.up = False
+
+    def listing_lapses(self) -> Generator[simpy.Event, object, None]:
+        backend = self._any_backend()
+        backend.listed = False
+        yield self._pause(1.0, 5.0)
+        backend.listed = backend.up and not backend.draining
--- /dev/null
+++ b/src/limedeck_lab/ownership/sabotage.py
@@ -0,0 +1,112 @@
+"""Breaking one of the product's rules on purpose: the proof that the judge can see it."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+from unittest import mock
+
+from limedeck.forwarding import permits
+from limedeck.ownership import barriers, service
+from limedeck.ownership.fences import SEQUENCE_BITS, FenceCounter
+from limedeck.ownership.ranges import Phase, RangeState
+from limedeck.ownership.timing import OwnershipTiming
+
+TWO_OWNERS = "two owners"
+PERMITS = "permits"
+
+
+@contextmanager
+def _no_lease_wait() -> Iterator[None]:
+    """Leases are taken to end 2.2 s early."""
+    original = OwnershipTiming.end_of
+
+    def early(self: OwnershipTiming, duration: float) -> float:
+        return original(dataclasses.replace(self, lease_slack=-2.2), duration)
+
+    with mock.patch.object(OwnershipTiming, "end_of", early):
+        yield
+
+
+@contextmanager
+def _no_takeover_wait() -> Iterator[None]:
+    original = service.ServiceOwnership._take_over
+
+    def careless(self: service.ServiceOwnership, record: Any, now: float) -> None:
+        original(self, record, now)
+        for item in self.ranges:
+            item.held_until = now
+
+    with mock.patch.object(service.ServiceOwnership, "_take_over", careless):
+        yield
+
+
+@contextmanager
+def _one_fence() -> Iterator[None]:
+    with mock.patch.object(FenceCounter, "next", lambda self: 1 << SEQUENCE_BITS):
+        yield
+
+
+@contextmanager
+def _grant_before_release() -> Iterator[None]:
+    def careless(self: service.ServiceOwnership, now: float) -> None:
+        for found in self.ranges:
+            if found.phase is Phase.RELEASING:
+                found.phase = Phase.FREE
+                found.held_until = now
+
+    with mock.patch.object(service.ServiceOwnership, "_send_releases", careless):
+        yield
+
+
+@contextmanager
+def _no_barriers() -> Iterator[None]:
+    with mock.patch.object(barriers.Barriers, "require", lambda self, backend_ids: None):
+        yield
+
+
+@contextmanager
+def _early_give_up() -> Iterator[None]:
+    """Keys of a former life are free before the later one refuses older orders."""
+
+    def careless(self: service.ServiceOwnership, found: RangeState, now: float) -> bool:
+        return now >= found.held_until or self._has_begun_again(found.owner)
+
+    with mock.patch.object(service.ServiceOwnership, "_is_given_up", careless):
+        yield
+
+
+@contextmanager
+def _full_rate_unconfirmed() -> Iterator[None]:
+    with mock.patch.object(permits, "UNCONFIRMED_PART", 1.0):
+        yield
+
+
+@dataclasses.dataclass(frozen=True)
+class Sabotage:
+    """A broken rule.
+
+    Parameters
+    ----------
+    fault
+        What brings it to light; empty for any.
+    violation
+        Part of the text by which a run reports it.
+    """
+
+    patch: Callable[[], Any]
+    fault: str = ""
+    violation: str = TWO_OWNERS
+
+
+SABOTAGES = {
+    "no-lease-wait": Sabotage(_no_lease_wait),
+    "no-takeover-wait": Sabotage(_no_takeover_wait, "holder_of_old_leader"),
+    "one-fence": Sabotage(_one_fence, "two_leaders"),
+    "grant-before-release": Sabotage(_grant_before_release),
+    "no-barriers": Sabotage(_no_barriers, "backend_reborn"),
+    "early-give-up": Sabotage(_early_give_up, "owner_of_old_leader_reborn"),
+    "full-rate-unconfirmed": Sabotage(_full_rate_unconfirmed, "holder_of_old_leader", PERMITS),
+}
--- a/src/limedeck_lab/ownership/world.py
+++ b/src/limedeck_lab/ownership/world.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Generator
+from collections import Counter
+from collections.abc import Generator, Sequence
 from dataclasses import dataclass
 
 import simpy
@@ -14,8 +15,9 @@
 from limedeck.ownership.orders import Grant, Release
 from limedeck.ownership.timing import OwnershipTiming
 from limedeck_lab.ownership.backends import SimulatedBackend
+from limedeck_lab.ownership.faults import FAULTS, WorldFaults
 from limedeck_lab.ownership.node import SimulatedNode
-from limedeck_lab.ownership.store import SimulatedStore, StoreFaults
+from limedeck_lab.ownership.store import SimulatedStore
 
 POSITIONS = 48
 JUDGE_INTERVAL: Seconds = 0.02
@@ -27,6 +29,8 @@
 """In seconds; each of one kind is over before the next."""
 LIMIT = 4.2
 """Requests a second that a back end in need takes, for which permits are asked all the time."""
+START: Seconds = 8.0
+"""Before the first fault: a leader is elected, and all keys have owners."""
 HEALING: Seconds = 45.0
 """After the last fault: longest lease of a leader that is cut off, and everything else."""
 
@@ -64,6 +68,10 @@
         self.judges_late_grants = False
         self.found: list[DoubleOwner] = []
         self.lent_at: list[Seconds] = []
+        self.faults = WorldFaults(self)
+        self.begun: Counter[str] = Counter()
+        self.longest_without_owner: Seconds = 0.0
+        self._without_owner: dict[int, Seconds] = {}
         self._lives = 0
         for index in range(node_count):
             self.start_node(f"node-{index}")
@@ -140,6 +148,14 @@
                 )
                 if len(owners) > 1:
                     self.found.append(DoubleOwner(now, key, owners))
+                self._note_owned(key, bool(owners), now)
+
+    def _note_owned(self, key: int, is_owned: bool, now: Seconds) -> None:
+        if is_owned or now < START:
+            self._without_owner.pop(key, None)
+            return
+        since = self._without_owner.setdefault(key, now)
+        self.longest_without_owner = max(self.longest_without_owner, now - since)
 
     def _borrow(self, now: Seconds) -> None:
         """Ask every node that believes to lead for a permit for the same back end."""
@@ -166,209 +182,23 @@
             if not any(item.holds(key, now) or key in item.late for item in self.backends.values())
         ]
 
-    # ------------------------------------------------------------------ faults
+    # ------------------------------------------------------------------ runs
 
-    def run_with_faults(self, seconds: Seconds, only: str = "") -> None:
+    def run_with_faults(self, seconds: Seconds, names: Sequence[str] = FAULTS) -> None:
         """Run with random faults for a while, then without any until all must be well.
 
         Parameters
         ----------
-        only
-            The one fault that happens, by its name here; empty for all.
+        names
+            Which faults happen; none of a kind begins while the only one there is goes on.
         """
-        self.environment.run(until=8.0)
-        every_fault = (
-            self._fault_node_killed,
-            self._fault_all_killed,
-            self._fault_node_paused,
-            self._fault_store_cut,
-            self._fault_backends_cut,
-            self._fault_node_cut,
-            self._fault_store_down,
-            self._fault_store_lossy,
-            self._fault_orders_late,
-            self._fault_backend_crashed,
-            self._fault_backend_unreachable,
-            self._fault_backend_leaves,
-            self._fault_listing_lapses,
-            self._fault_two_leaders,
-            self._fault_holder_of_old_leader,
-        )
-        by_name_alone = (self._fault_backend_reborn, self._fault_owner_of_old_leader_reborn)
-        faults = [fault for fault in every_fault if only in fault.__name__]
-        if only:
-            faults += [fault for fault in by_name_alone if only in fault.__name__]
+        self.environment.run(until=START)
+        faults = [getattr(self.faults, name) for name in names]
+        low, high = SPACING_OF_ONE_FAULT if len(names) == 1 else SPACING_OF_ALL_FAULTS
         end = self.environment.now + seconds
-        while self.environment.now < end:
+        while faults and self.environment.now < end:
             fault = self.random.choice(faults)
+            self.begun[fault.__name__] += 1
             self.environment.process(fault())
-            low, high = SPACING_OF_ONE_FAULT if only else SPACING_OF_ALL_FAULTS
             self.environment.run(until=self.environment.now + self.random.uniform(low, high))
         self.environment.run(until=end + HEALING)
-
-    def _pause(self, low: Seconds, high: Seconds) -> simpy.Event:
-        return self.environment.timeout(self.random.uniform(low, high))
-
-    def _any_node(self) -> SimulatedNode:
-        return self.random.choice(list(self.nodes.values()))
-
-    def _any_backend(self) -> SimulatedBackend:
-        return self.random.choice([item for item in self.backends.values() if item.listed])
-
-    def _fault_node_killed(self) -> Generator[simpy.Event, object, None]:
-        node = self._any_node()
-        self.kill_node(node.node_id)
-        yield self._pause(0.3, 4.0)
-        self._restart(node)
-
-    def _restart(self, node: SimulatedNode) -> None:
-        if self.nodes[node.node_id] is node:
-            self.start_node(node.node_id)
-
-    def _fault_all_killed(self) -> Generator[simpy.Event, object, None]:
-        nodes = list(self.nodes.values())
-        for node in nodes:
-            self.kill_node(node.node_id)
-        yield self._pause(0.3, 3.0)
-        for node in nodes:
-            self._restart(node)
-
-    def _node_fault(
-        self, begin: Callable[[SimulatedNode], None], end: Callable[[SimulatedNode], None]
-    ) -> Generator[simpy.Event, object, None]:
-        node = self._any_node()
-        begin(node)
-        yield self._pause(0.5, 9.0)
-        end(node)
-
-    def _fault_node_paused(self) -> Generator[simpy.Event, object, None]:
-        return self._node_fault(
-            lambda node: setattr(node, "paused", True), lambda node: setattr(node, "paused", False)
-        )
-
-    def _fault_store_cut(self) -> Generator[simpy.Event, object, None]:
-        return self._node_fault(
-            lambda node: setattr(node, "reaches_store", False),
-            lambda node: setattr(node, "reaches_store", True),
-        )
-
-    def _fault_backends_cut(self) -> Generator[simpy.Event, object, None]:
-        return self._node_fault(
-            lambda node: setattr(node, "reaches_backends", False),
-            lambda node: setattr(node, "reaches_backends", True),
-        )
-
-    def _fault_node_cut(self) -> Generator[simpy.Event, object, None]:
-        return self._node_fault(
-            lambda node: setattr(node, "reaches_nodes", False),
-            lambda node: setattr(node, "reaches_nodes", True),
-        )
-
-    def _leader(self) -> SimulatedNode:
-        leaders = [item for item in self.nodes.values() if item.core is not None and item.up]
-        return self.random.choice(leaders) if leaders else self._any_node()
-
-    def _fault_two_leaders(self) -> Generator[simpy.Event, object, None]:
-        """The leader reaches back ends only, is replaced, and a back end leaves unseen by it."""
-        leader = self._leader()
-        leader.reaches_store = leader.reaches_nodes = False
-        yield self._pause(3.5, 5.0)
-        yield from self._fault_backend_leaves()
-        leader.reaches_store = leader.reaches_nodes = True
-
-    def _fault_holder_of_old_leader(self) -> Generator[simpy.Event, object, None]:
-        """The leader is cut off from everything, together with one back end."""
-        leader = self._leader()
-        backend = self._any_backend()
-        others = {
-            (node_id, backend.backend_id) for node_id in self.nodes if node_id != leader.node_id
-        }
-        others |= {(leader.node_id, name) for name in self.backends if name != backend.backend_id}
-        leader.reaches_store = leader.reaches_nodes = False
-        self.pair_cuts |= others
-        yield self._pause(8.0, 12.0)
-        self.pair_cuts -= others
-        leader.reaches_store = leader.reaches_nodes = True
-
-    def _fault_store_down(self) -> Generator[simpy.Event, object, None]:
-        faults = StoreFaults(refuses=self.random.random() < 0.5)
-        faults.silent = not faults.refuses
-        self.store.faults = faults
-        yield self._pause(1.0, 12.0)
-        self.store.faults = StoreFaults()
-
-    def _fault_store_lossy(self) -> Generator[simpy.Event, object, None]:
-        self.store.faults = StoreFaults(slowness=10.0, lost_share=0.3, late_share=0.3)
-        yield self._pause(1.0, 8.0)
-        self.store.faults = StoreFaults()
-
-    def _fault_orders_late(self) -> Generator[simpy.Event, object, None]:
-        self.late_orders = 0.3
-        yield self._pause(1.0, 6.0)
-        self.late_orders = 0.0
-
-    def _fault_backend_crashed(self) -> Generator[simpy.Event, object, None]:
-        backend = self._any_backend()
-        backend.up = False
-        yield self._pause(0.5, 3.0)
-        self.start_backend()
-        yield self._pause(0.5, 3.0)
-        backend.listed = False
-
-    def _fault_backend_reborn(self) -> Generator[simpy.Event, object, None]:
-        """An owner takes orders late, ends, and starts again under its name seconds later.
-
-        Its keys are another one's by then, and orders to its former life are still on their way.
-        """
-        backend = self._any_backend()
-        self.judges_late_grants = True
-        self.late_orders = 1.0
-        yield self._pause(0.3, 0.6)
-        self.late_orders = 0.0
-        backend.up = False
-        yield self._pause(0.1, 2.0)
-        backend.listed = False
-        yield self._pause(1.0, 3.0)
-        self.start_backend(backend.instance)
-
-    def _fault_owner_of_old_leader_reborn(self) -> Generator[simpy.Event, object, None]:
-        """The leader reaches back ends only and is replaced; two start again unseen by it.
-
-        What it goes on to send to their former lives reaches the later ones, which other nodes
-        reach only seconds after that.
-        """
-        leader = self._leader()
-        leader.reaches_store = leader.reaches_nodes = False
-        yield self._pause(0.2, 3.0)
-        listed = [item for item in self.backends.values() if item.listed]
-        for backend in self.random.sample(listed, 2):
-            backend.up = backend.listed = False
-            yield self._pause(0.05, 0.4)
-            later = self.start_backend(backend.instance)
-            cuts = {(item, later.backend_id) for item in self.nodes if item != leader.node_id}
-            self.pair_cuts |= cuts
-            yield self._pause(1.0, 2.0)
-            self.pair_cuts -= cuts
-        yield self._pause(3.0, 5.0)
-        leader.reaches_store = leader.reaches_nodes = True
-
-    def _fault_backend_unreachable(self) -> Generator[simpy.Event, object, None]:
-        backend = self._any_backend()
-        backend.reachable = False
-        yield self._pause(0.5, 8.0)
-        backend.reachable = True
-
-    def _fault_backend_leaves(self) -> Generator[simpy.Event, object, None]:
-        backend = self._any_backend()
-        self.start_backend()
-        backend.draining = True
-        yield self._pause(2.0, 4.0)
-        backend.listed = False
-        yield self._pause(0.0, 5.0)
-        backend.up = False
-
-    def _fault_listing_lapses(self) -> Generator[simpy.Event, object, None]:
-        backend = self._any_backend()
-        backend.listed = False
-        yield self._pause(1.0, 5.0)
-        backend.listed = backend.up and not backend.draining
