--- a/tests/unit/permit_world.py
+++ b/tests/unit/permit_world.py
@@ -88,8 +88,8 @@
         self.source = random.Random(self.seed)
         self.nodes = [self._node(number) for number in range(self.count)]
         self.recorded: Leader | None = None
-        for node in self.nodes:
-            self.env.process(self._callers(node))
+        for number, node in enumerate(self.nodes):
+            self.env.process(self._callers(node, number))
 
     def _node(self, number: int) -> SimulatedNode:
         directory = BackendDirectory("z1", f"n{number}")
@@ -113,12 +113,12 @@
             if leader.reaches_store and leader is self.recorded:
                 leader.confirmed_at = self.env.now
 
-    def _callers(self, node: SimulatedNode) -> Steps:
+    def _callers(self, node: SimulatedNode, node_number: int) -> Steps:
         number = 0
         while True:
             yield self.env.timeout(self.source.expovariate(self.rate / self.count))
             number += 1
-            self.env.process(self._request(node, b"%d-%d" % (id(node), number)))
+            self.env.process(self._request(node, b"%d-%d" % (node_number, number)))
 
     def _request(self, node: SimulatedNode, request_id: bytes) -> Steps:
         began = self.env.now
