--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -22,6 +22,7 @@
 import httpx
 
 from limedeck_lab import processes
+from limedeck_lab.explain import log_lines, stories
 from tests.soak import callers, faults, judging, proxy, series, suspendable_node
 from tests.system import platform_site
 
@@ -250,15 +251,29 @@
                 key = number * 997 % platform_site.KEYS
                 status = self.site.send(client, node, path, key).status_code
                 if status != 200:
-                    failed.append(f"status {status} at {node.callers} for {path}, key {key}")
+                    reason = self.reason(f"{self.site.sent:016x}")
+                    failed.append(f"status {status} for {path}, key {key}: {reason}")
         self.judge.blame_all("not served after healing", failed)
 
+    def reason(self, request: str) -> str:
+        """How a request ended, by the nodes' logs: after a run in CI they are gone."""
+        try:
+            story = stories.story_of_request(log_lines.read_logs([self._folder]), request)
+        except (stories.NothingFound, log_lines.UnreadableLogs) as error:
+            return str(error)
+        return story[-1].text
+
 
 def _end_with_all_processes(number: int, _: object) -> None:
     """Leave by an exception, so that the nodes are ended too."""
     raise SystemExit(128 + number)
 
 
+def kinds_of(text: str) -> tuple[series.Kind, ...]:
+    """Read kinds in the order given: a seed draws from them in that order."""
+    return tuple(series.Kind(name) for name in text.split(","))
+
+
 def main(arguments: list[str] | None = None) -> int:
     """Run one soak."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -266,11 +281,12 @@
     parser.add_argument("--seconds", type=float, default=60.0)
     parser.add_argument("--nodes", type=int, default=NODES, help="processes")
     parser.add_argument("--planned", action="store_true", help="only what operators do")
+    parser.add_argument("--kinds", type=kinds_of, help="only these kinds of steps, with commas")
     parser.add_argument("--logs", type=pathlib.Path, help="folder that keeps the nodes' logs")
     options: Any = parser.parse_args(arguments)
     for number in (signal.SIGTERM, signal.SIGHUP):
         signal.signal(number, _end_with_all_processes)
-    kinds = series.PLANNED if options.planned else tuple(series.Kind)
+    kinds = options.kinds or (series.PLANNED if options.planned else tuple(series.Kind))
     with contextlib.ExitStack() as stack:
         folder = options.logs
         if folder is None:
--- a/tests/unit/test_soak_parts.py
+++ b/tests/unit/test_soak_parts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import json
 import pathlib
 import signal
 import time
@@ -13,7 +14,16 @@
 
 from limedeck_lab import processes
 from limedeck_lab.standins import row_store
-from tests.soak import callers, faults, judging, limit_judging, proxy, series, suspendable_node
+from tests.soak import (
+    callers,
+    faults,
+    judging,
+    limit_judging,
+    proxy,
+    series,
+    soak,
+    suspendable_node,
+)
 from tests.system import platform_site
 from tests.unit import polling
 
@@ -332,3 +342,25 @@
     judged.note_reply("a", "node", reply, None)
     assert not judged.is_calm_since(time.monotonic())
     assert judged.is_calm_since(time.monotonic() + judging.TOUCH + 1.0)
+
+
+def test_a_request_that_was_not_served_is_told_with_its_reason(tmp_path: pathlib.Path) -> None:
+    """After a run in CI the logs are gone: a status alone left three hypotheses."""
+    line = {
+        "clock": 7.0,
+        "event": "given_up",
+        "request": "00ff",
+        "outcome": "not-run",
+        "reason": "no-owner",
+    }
+    (tmp_path / "node-0-0.log").write_text(json.dumps(line) + "\n")
+    found = soak.Soak(1, tmp_path)
+    assert "its key had no owner" in found.reason("00ff")
+    assert "no line has the request id 00fe" in found.reason("00fe")
+
+
+def test_kinds_are_drawn_from_in_the_order_that_is_given() -> None:
+    given = series.Kind.LIMIT, series.Kind.KILL
+    assert soak.kinds_of("limit,kill") == given
+    with pytest.raises(ValueError, match="earthquake"):
+        soak.kinds_of("limit,earthquake")
