--- a/tests/unit/permit_world.py
+++ b/tests/unit/permit_world.py
@@ -123,7 +123,16 @@
     def _request(self, node: SimulatedNode, request_id: bytes) -> Steps:
         began = self.env.now
         core = RequestCore(request_id, ROUTE, node.view, node.directory, None, began + 3.0, began)
-        command = core.next_command(began, self.count)
+        refused = yield from self._play(node, core)
+        if refused is not None:
+            self.refused += 1
+            self.slowest_refusal = max(self.slowest_refusal, self.env.now - began)
+
+    def _play(
+        self, node: SimulatedNode, core: RequestCore
+    ) -> Generator[simpy.Event, object, Refuse | None]:
+        """Do what a request's core wants until it is served or refused."""
+        command = core.next_command(self.env.now, self.count)
         while True:
             match command:
                 case AskPermit():
@@ -136,11 +145,9 @@
                     command = core.next_command(self.env.now, self.count)
                 case Attempt():
                     yield from self._run(node, self.env.now)
-                    return
+                    return None
                 case Refuse():
-                    self.refused += 1
-                    self.slowest_refusal = max(self.slowest_refusal, self.env.now - began)
-                    return
+                    return command
 
     def _answer(self, node: SimulatedNode, command: AskPermit) -> PermitAnswer:
         leader = node.leader
--- a/tests/unit/test_ways_to_return.py
+++ b/tests/unit/test_ways_to_return.py
@@ -8,16 +8,14 @@
 
 import enum
 import statistics
-from collections.abc import Generator
 from dataclasses import dataclass, field
 
 import pytest
-import simpy
 
-from limedeck.forwarding.commands import AskPermit, Attempt, Command, Refuse, Wait
+from limedeck.forwarding.commands import Refuse
 from limedeck.forwarding.request import RequestCore
 from limedeck.model import Route, Target
-from tests.unit.permit_world import LINK, PermitWorld, SimulatedNode, Steps
+from tests.unit.permit_world import PermitWorld, SimulatedNode, Steps
 
 LIMIT = 4.2
 NODES = 11
@@ -99,7 +97,11 @@
         took = None
         while took is None and tries <= RETURNS:
             tries += 1
-            refused = yield from self._try(node, request_id, deadline, tries > 1)
+            now = self.env.now
+            core = RequestCore(
+                request_id, ROUTE, node.view, node.directory, None, deadline, now, tries > 1
+            )
+            refused = yield from self._play(node, core)
             if refused is None:
                 took = self.env.now - first
                 break
@@ -108,30 +110,6 @@
         if COUNTED[0] <= first < COUNTED[1]:
             self.outcomes.append(Outcome(tries, took, patience))
 
-    def _try(
-        self, node: SimulatedNode, request_id: bytes, deadline: float, returned: bool
-    ) -> Generator[simpy.Event, object, Refuse | None]:
-        now = self.env.now
-        core = RequestCore(
-            request_id, ROUTE, node.view, node.directory, None, deadline, now, returned
-        )
-        command: Command = core.next_command(now, self.count)
-        while True:
-            match command:
-                case AskPermit():
-                    yield self.env.timeout(self.source.uniform(*LINK))
-                    answer = self._answer(node, command)
-                    yield self.env.timeout(self.source.uniform(*LINK))
-                    command = core.handle_permit(command, answer, self.env.now, self.count)
-                case Wait():
-                    yield self.env.timeout(max(command.until - self.env.now, 0.0))
-                    command = core.next_command(self.env.now, self.count)
-                case Attempt():
-                    yield from self._run(node, self.env.now)
-                    return None
-                case Refuse():
-                    return command
-
     def _pause(self, refused: Refuse) -> float:
         if self.way is Way.BUILT or self.limit is None:
             return refused.retry_after
