--- a/src/limedeck/store/table_rows.py
+++ b/src/limedeck/store/table_rows.py
@@ -50,7 +50,7 @@
 ROW_PREFIX = "row/"
 ATTEMPTS = 12
 """Transactions that meet are tried so often; with `CONTENTION_PAUSE`, for a second and a half at
-least, in which a node waits as it does for a slow store. An estimate."""
+most, in which a node waits as it does for a slow store. An estimate."""
 CONTENTION_PAUSE: Seconds = 0.02
 """Longest pause after the first lost race; one more of them after each further one."""
 FEED_INTERVAL: Seconds = 0.2
