Read and log what back ends state in their answers

Nodes now read Server-Leaving, and Retry-After of 503 and 429 (seconds, decimals and HTTP dates; the longest of several values; an unreadable value changes nothing and is counted). Accepted statements are kept in ledgers beside the limits; the ledger of the limits became the general one for statements. Each change is logged (leaving_changed, rest_began, rest_ended, rest_not_read) and counted by service (limedeck_leaving_back_ends, limedeck_resting_back_ends). No decision uses them yet. Reading an answer moved from node.gateway to node.answer_reader.

--- a/src/limedeck/errors.py
+++ b/src/limedeck/errors.py
@@ -87,6 +87,16 @@
         return f"{self.service} answered outside its protocol: {self.reason}"
 
 
+@dataclass
+class UnreadableRetryAfter(LimedeckError):
+    """A Retry-After header holds neither a number of seconds nor a date."""
+
+    problem: str
+
+    def __str__(self) -> str:
+        return f"cannot parse Retry-After: {self.problem}"
+
+
 @dataclass
 class TransactionConflict(PlatformError):
     """A condition of a transaction did not hold; nothing was written."""
--- a/src/limedeck/forwarding/backends.py
+++ b/src/limedeck/forwarding/backends.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, replace
 
 from limedeck.forwarding.backend_state import BackendState
+from limedeck.forwarding.backoffs import BackoffLedger
+from limedeck.forwarding.leaving import LeavingLedger, LeavingStatement
 from limedeck.forwarding.limits import LimitLedger
 from limedeck.forwarding.permits import Bound
 from limedeck.forwarding.spread import spread_of
@@ -60,6 +62,10 @@
     ----------
     limits
         What back ends in need take.
+    leaving
+        Back ends that have announced that they are leaving.
+    backoffs
+        Back-off periods that back ends have requested from this node.
 
     Parameters
     ----------
@@ -80,6 +86,8 @@
         self._cold_rates: dict[str, float] = {}
         self._evacuated: dict[str, Seconds] = {}
         self.limits = LimitLedger()
+        self.leaving = LeavingLedger()
+        self.backoffs = BackoffLedger(node_id)
 
     def put(self, backend: Backend, now: Seconds) -> None:
         """A back end's entry is new or has changed.
@@ -90,6 +98,8 @@
         former = self._lives.get(backend.name)
         if former is not None and former != backend.backend_id:
             self.remove(former)
+            self.leaving.forget(former)
+            self.backoffs.forget(former)
         self._lives[backend.name] = backend.backend_id
         self._contacts[backend.backend_id] = Contact(backend.address, backend.name)
         state = self._states.get(backend.backend_id)
@@ -99,6 +109,9 @@
             self._states[backend.backend_id] = state
         else:
             self._services.get(state.backend.service, {}).pop(backend.backend_id, None)
+            if state.backend.draining and not backend.draining:
+                revocation = LeavingStatement(False, now, now)
+                self.leaving.take(backend.backend_id, revocation)
             state.backend = backend
         state.cold_rate = self._cold_rates.get(backend.service, 0.0)
         state.note_listed(now)
@@ -130,9 +143,11 @@
         for state in self._states.values():
             state.keep_rest(now)
 
-    def drop_unlisted_limits(self, now: Seconds) -> None:
-        """Forget the limits of back ends whose lives ended long ago."""
+    def drop_old_statements(self, now: Seconds) -> None:
+        """Drop statements of back ends that are no longer listed, and expired back-offs."""
         self.limits.drop_unlisted(self._states, now)
+        self.leaving.drop_unlisted(self._states, now)
+        self.backoffs.drop_expired(self._states, now)
 
     def evacuate(self, zone: str, now: Seconds) -> None:
         """Nothing is to be sent to a zone's back ends any more."""
--- /dev/null
+++ b/src/limedeck/node/answer_reader.py
@@ -0,0 +1,135 @@
+"""Classifies the answers of back ends and records the statements that they carry.
+
+The statements of credible answers are recorded whether or not the request succeeded.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from limedeck.clock import steady_clock
+from limedeck.forwarding.backends import BackendDirectory
+from limedeck.forwarding.commands import Attempt
+from limedeck.forwarding.leaving import LeavingStatement
+from limedeck.forwarding.limits import LimitStatement
+from limedeck.forwarding.protocol import AnswerFacts, CallerProtocol, LoadReport
+from limedeck.http_client import HttpAnswer
+from limedeck.identity import Seconds
+from limedeck.node.request_log import RequestLog
+from limedeck.routing.outcomes import FailurePhase
+
+DEADLINE_PASSED = 504
+"""The request exceeded its deadline: the back end is slow or overloaded, but has not failed."""
+SERVER_ERROR = 500
+"""The lowest status that reports a failure of the back end."""
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerResult:
+    """The result of one attempt, according to its answer.
+
+    Parameters
+    ----------
+    phase
+        How the attempt failed; None if the answer may be passed on to the caller.
+    received_at
+        When the answer arrived.
+    load
+        The back end's load, if reported.
+    wrong_owner
+        The back end does not own the key, or another back end answered.
+    """
+
+    phase: FailurePhase | None
+    received_at: Seconds
+    load: LoadReport | None = None
+    wrong_owner: bool = False
+
+
+class AnswerReader:
+    """Processes the answers to one node's attempts."""
+
+    def __init__(
+        self, directory: BackendDirectory, protocol: CallerProtocol, log: RequestLog
+    ) -> None:
+        self._directory = directory
+        self._protocol = protocol
+        self._log = log
+
+    def read(
+        self, request_id: bytes, attempt: Attempt, answer: HttpAnswer, asked_at: Seconds
+    ) -> AnswerResult:
+        """Classify an answer that arrived now, and record its statements."""
+        facts = self._protocol.answer_facts(answer.status, answer.headers)
+        now = steady_clock()
+        backend = attempt.state.backend
+        is_own = facts.request_id == request_id or (facts.request_id is None and facts.not_run)
+        if not is_own or not facts.credible:
+            attempt.state.note_failure(now)
+            problem = "answer to another request" if not is_own else "unsigned answer"
+            self._log.attempt_failed(request_id, backend, FailurePhase.AWAITING, problem)
+            return AnswerResult(FailurePhase.AWAITING, now)
+        self._take_statements(attempt, facts, answer.status, asked_at, now)
+        if facts.not_run:
+            problem = f"status {answer.status}"
+            self._log.attempt_failed(request_id, backend, FailurePhase.REFUSED, problem)
+            return AnswerResult(FailurePhase.REFUSED, now, facts.load, facts.wrong_instance)
+        if answer.status >= SERVER_ERROR:
+            if answer.status != DEADLINE_PASSED:
+                attempt.state.note_failure(now)
+            problem = f"status {answer.status}"
+            self._log.attempt_failed(request_id, backend, FailurePhase.ERROR_ANSWER, problem)
+            return AnswerResult(FailurePhase.ERROR_ANSWER, now, facts.load)
+        return AnswerResult(None, now, facts.load)
+
+    def _take_statements(
+        self, attempt: Attempt, facts: AnswerFacts, status: int, asked_at: Seconds, now: Seconds
+    ) -> None:
+        if facts.load is not None:
+            attempt.state.note_load(facts.load, now)
+        elif facts.unreadable_load:
+            self._log.unreadable_load(attempt.state.backend)
+        if facts.wrong_instance:
+            # The address may have been reassigned to another back end.
+            return
+        is_served = not facts.not_run and status < SERVER_ERROR
+        self._take_limit(attempt, facts, is_served, LimitStatement(facts.limit, asked_at, now))
+        self._take_leaving(attempt, facts, asked_at, now)
+        self._take_backoff(attempt, facts, is_served, asked_at, now)
+
+    def _take_limit(
+        self, attempt: Attempt, facts: AnswerFacts, is_served: bool, statement: LimitStatement
+    ) -> None:
+        """Record the limit that an answer names, or that it names none.
+
+        Only the answer to a served request lifts a limit: a back end may reject a request, or fail,
+        before it adds the limit to the answer.
+        """
+        backend = attempt.state.backend
+        if facts.unreadable_limit:
+            self._log.unreadable_limit(backend)
+        elif statement.rate is not None or is_served:
+            self._directory.limits.take(backend.backend_id, statement)
+
+    def _take_leaving(
+        self, attempt: Attempt, facts: AnswerFacts, asked_at: Seconds, now: Seconds
+    ) -> None:
+        if facts.leaving:
+            statement = LeavingStatement(True, asked_at, now)
+            self._directory.leaving.take(attempt.state.backend.backend_id, statement)
+
+    def _take_backoff(
+        self,
+        attempt: Attempt,
+        facts: AnswerFacts,
+        is_served: bool,
+        asked_at: Seconds,
+        now: Seconds,
+    ) -> None:
+        backend = attempt.state.backend
+        if facts.unreadable_retry_after:
+            self._log.unreadable_retry_after(backend)
+        elif facts.retry_after is not None:
+            self._directory.backoffs.take(backend.backend_id, facts.retry_after, now)
+        elif is_served:
+            self._directory.backoffs.note_served(backend.backend_id, asked_at)
--- a/src/limedeck/node/gateway.py
+++ b/src/limedeck/node/gateway.py
@@ -10,14 +10,14 @@
 from limedeck.clock import steady_clock
 from limedeck.forwarding.commands import AskPermit, Attempt, Command, Reason, Refuse, Wait
 from limedeck.forwarding.content import RequestContent
-from limedeck.forwarding.limits import LimitStatement
-from limedeck.forwarding.protocol import AnswerFacts, CallerProtocol, Headers
+from limedeck.forwarding.protocol import CallerProtocol, Headers
 from limedeck.forwarding.request import RequestCore
 from limedeck.forwarding.request_guard import RequestGuard
 from limedeck.forwarding.routes import choose_service
 from limedeck.http_client import HttpAnswer, HttpClient, HttpRequest
 from limedeck.identity import Seconds
 from limedeck.model import Route
+from limedeck.node import answer_reader
 from limedeck.node.asgi import Receive, Scope, Send
 from limedeck.node.crash_watch import CrashWatch
 from limedeck.node.permit_exchange import PermitExchange
@@ -39,10 +39,6 @@
 )
 """Headers that concern only one connection."""
 NO_SUCH_ROUTE = 404
-DEADLINE_PASSED = 504
-"""A back end was still at work at the deadline: it is slow or has much to do, but does not fail."""
-SERVER_ERROR = 500
-"""The lowest status by which a back end tells that it failed."""
 BAD_REQUEST = 400
 TOO_LARGE = 413
 NOT_RUN = 503
@@ -109,6 +105,7 @@
         self._protocol = protocol
         self._client = client
         self._log = log
+        self._reader = answer_reader.AnswerReader(state.directory, protocol, log)
         self._open: set[_Call] = set()
 
     def end_open(self) -> None:
@@ -299,6 +296,23 @@
             attempt.state.outstanding -= 1
         return self._judge(call, attempt, answer, started)
 
+    def _judge(
+        self, call: _Call, attempt: Attempt, answer: HttpAnswer, started: Seconds
+    ) -> HttpAnswer | tuple[FailurePhase, bool]:
+        """Return an answer that may be passed on, or how the attempt failed."""
+        result = self._reader.read(call.request_id, attempt, answer, started)
+        if result.phase is None:
+            if call.core.guard is not None:
+                call.core.guard.note_served(result.received_at)
+            took = result.received_at - started
+            attempt.state.note_answer(
+                took, result.load, result.received_at, call.route.name, attempt.ahead
+            )
+            return answer
+        if result.phase is FailurePhase.ERROR_ANSWER:
+            call.error_answer = answer
+        return result.phase, result.wrong_owner
+
     def _note_failed(self, call: _Call, attempt: Attempt, error: AttemptFailed) -> None:
         """Take in what a failed attempt says of the back end, and of the request."""
         backend = attempt.state.backend
@@ -311,59 +325,6 @@
         if now < attempt.until:
             attempt.state.note_failure(now, own_fault=attempt.ahead < backend.slots)
 
-    def _judge(
-        self, call: _Call, attempt: Attempt, answer: HttpAnswer, started: Seconds
-    ) -> HttpAnswer | tuple[FailurePhase, bool]:
-        """Tell an answer that may be passed on from a refusal and from a stranger's."""
-        facts: AnswerFacts = self._protocol.answer_facts(answer.status, answer.headers)
-        now = steady_clock()
-        backend = attempt.state.backend
-        is_own = facts.request_id == call.request_id or (facts.request_id is None and facts.not_run)
-        if not is_own or not facts.credible:
-            attempt.state.note_failure(now)
-            problem = "answer to another request" if not is_own else "unsigned answer"
-            self._log.attempt_failed(call.request_id, backend, FailurePhase.AWAITING, problem)
-            return FailurePhase.AWAITING, False
-        self._note_limit(attempt, facts, answer.status, LimitStatement(facts.limit, started, now))
-        if facts.load is not None:
-            attempt.state.note_load(facts.load, now)
-        elif facts.unreadable_load:
-            self._log.unreadable_load(backend)
-        if facts.not_run:
-            problem = f"status {answer.status}"
-            self._log.attempt_failed(call.request_id, backend, FailurePhase.REFUSED, problem)
-            return FailurePhase.REFUSED, facts.wrong_instance
-        if answer.status >= SERVER_ERROR:
-            if answer.status != DEADLINE_PASSED:
-                attempt.state.note_failure(now)
-            call.error_answer = answer
-            problem = f"status {answer.status}"
-            self._log.attempt_failed(call.request_id, backend, FailurePhase.ERROR_ANSWER, problem)
-            return FailurePhase.ERROR_ANSWER, False
-        took = now - started
-        if call.core.guard is not None:
-            call.core.guard.note_served(now)
-        attempt.state.note_answer(took, facts.load, now, call.route.name, attempt.ahead)
-        return answer
-
-    def _note_limit(
-        self, attempt: Attempt, facts: AnswerFacts, status: int, statement: LimitStatement
-    ) -> None:
-        """Take in the limit that an answer names, or that it names none.
-
-        Only the answer of a request that was served lifts a limit: a back end may turn a request
-        away, or fail, before it gets to telling what it bears.
-        """
-        backend = attempt.state.backend
-        if facts.unreadable_limit:
-            self._log.unreadable_limit(backend)
-            return
-        if facts.wrong_instance:
-            return
-        if statement.rate is None and (facts.not_run or status >= SERVER_ERROR):
-            return
-        self._state.directory.limits.take(backend.backend_id, statement)
-
     async def _pass_on(self, send: Send, answer: HttpAnswer) -> None:
         dropped = CONNECTION_HEADERS | _named_by_connection(answer.headers)
         headers = [
--- a/src/limedeck/node/limit_news.py
+++ b/src/limedeck/node/limit_news.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from limedeck.api import control_pb2
-from limedeck.forwarding.limits import LimitLedger, LimitNews, LimitStatement
+from limedeck.forwarding.limits import LimitLedger, LimitStatement
+from limedeck.forwarding.statements import StatementNews
 from limedeck.identity import Seconds
 from limedeck.node import ages
 
@@ -36,7 +37,7 @@
                 self._ledger.take(item.backend, statement, self)
 
 
-def _written(item: LimitNews, now: Seconds) -> control_pb2.LimitNews:
+def _written(item: StatementNews[LimitStatement], now: Seconds) -> control_pb2.LimitNews:
     """Write news; ages instead of times, since nodes' clocks have nothing in common.
 
     A message that is late makes what it tells younger by as much. The next answer puts that right.
--- a/src/limedeck/node/request_log.py
+++ b/src/limedeck/node/request_log.py
@@ -120,6 +120,12 @@
         if self._failures.allows():
             self._log.info("limit_not_read", backend=backend.backend_id)
 
+    def unreadable_retry_after(self, backend: Backend) -> None:
+        """A back end requests a back-off that cannot be read; the known one stays in effect."""
+        self._telemetry.strange_words.labels("rest").inc()
+        if self._failures.allows():
+            self._log.info("rest_not_read", backend=backend.backend_id)
+
     def unroutable(self, host: str, path: str, version: int, request_id: bytes | None) -> None:
         """No route, or no id."""
         if self._failures.allows():
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -30,7 +30,6 @@
 from limedeck.node.http_server import serve
 from limedeck.node.inspection import InspectionApplication, NodeInspector
 from limedeck.node.leader_link import LeaderLink
-from limedeck.node.limit_log import LimitLog
 from limedeck.node.listener import close_to_newcomers, open_listener
 from limedeck.node.logs import BoundedWriter, get_logger
 from limedeck.node.news import FeedKeeper, StoreNews
@@ -40,6 +39,7 @@
 from limedeck.node.request_log import RequestLog
 from limedeck.node.settings import NodeSettings
 from limedeck.node.state import NodeState
+from limedeck.node.statement_log import StatementLog
 from limedeck.node.suspension import SuspensionWatch
 from limedeck.node.telemetry import Telemetry
 from limedeck.node.watchers import TableFollower, TableWatcher
@@ -243,12 +243,12 @@
             told = Counter(store.counts)
 
     async def _upkeep(self, client: HttpClient) -> None:
-        limit_log = LimitLog(self._state.directory, self._telemetry)
+        statement_log = StatementLog(self._state.directory, self._telemetry)
         while True:
             await anyio.sleep(UPKEEP_INTERVAL)
             await client.drop_idle(self._state.directory.addresses())
             self._tell_beliefs()
-            limit_log.tell(steady_clock())
+            statement_log.tell(steady_clock())
             self._writer.flush()
             self._file.reload_if_changed()
 
--- a/src/limedeck/node/telemetry.py
+++ b/src/limedeck/node/telemetry.py
@@ -70,6 +70,18 @@
             ["service"],
             registry=registry,
         )
+        self.leaving = Gauge(
+            "limedeck_leaving_back_ends",
+            "Back ends that have said in answers that they leave, as far as this node knows",
+            ["service"],
+            registry=registry,
+        )
+        self.backing_off = Gauge(
+            "limedeck_resting_back_ends",
+            "Back ends that have asked this node for rest",
+            ["service"],
+            registry=registry,
+        )
         self.orders = Counter(
             "limedeck_orders", "Grants and releases", ["kind", "result"], registry=registry
         )
--- a/src/limedeck_lab/explain/sentences.py
+++ b/src/limedeck_lab/explain/sentences.py
@@ -88,6 +88,19 @@
     return f"{line.get('backend')} {takes}"
 
 
+def _leaving_changed(line: LogLine) -> str:
+    state = "is leaving" if line.get("leaves") else "is no longer leaving"
+    return f"{line.get('backend')} {state}"
+
+
+def _rest_began(line: LogLine) -> str:
+    return f"{line.get('backend')} requests a back-off of {line.get('seconds')} s from this node"
+
+
+def _rest_ended(line: LogLine) -> str:
+    return f"{line.get('backend')} serves requests again after its back-off"
+
+
 def _cold(line: LogLine) -> str:
     return f"{line.get('backend')} is cold for {line.get('seconds')} s"
 
@@ -102,5 +115,8 @@
     "elected": _elected,
     "leader_read": _leader_read,
     "limit_changed": _limit_changed,
+    "leaving_changed": _leaving_changed,
+    "rest_began": _rest_began,
+    "rest_ended": _rest_ended,
     "back_end_cold": _cold,
 }
--- a/src/limedeck_lab/explain/stories.py
+++ b/src/limedeck_lab/explain/stories.py
@@ -39,6 +39,9 @@
         "back_end_crashed",
         "port_looked_at",
         "limit_changed",
+        "leaving_changed",
+        "rest_began",
+        "rest_ended",
         "backend_excluded",
         "backend_taken_back",
     }
--- a/tests/unit/test_limits.py
+++ b/tests/unit/test_limits.py
@@ -7,9 +7,10 @@
 from hypothesis import strategies as st
 
 from limedeck.forwarding.backends import BackendDirectory
-from limedeck.forwarding.limits import UNLISTED_LIFE, LimitLedger, LimitStatement
+from limedeck.forwarding.limits import LimitLedger, LimitStatement
+from limedeck.forwarding.statements import UNLISTED_LIFE
 from limedeck.model import Backend
-from limedeck.node.limit_log import LimitLog
+from limedeck.node.statement_log import StatementLog
 from limedeck.node.telemetry import Telemetry
 
 
@@ -92,7 +93,7 @@
 def test_each_change_is_told_once_with_its_source_and_counted() -> None:
     directory, telemetry = BackendDirectory("z1", "n"), Telemetry()
     directory.put(Backend("a", "s", "127.0.0.1:1", "z1", 2), 0.0)
-    log = LimitLog(directory, telemetry)
+    log = StatementLog(directory, telemetry)
     directory.limits.take("a", LimitStatement(4.2, 1.0, 1.1), object())
     with structlog.testing.capture_logs() as lines:
         log.tell(1.5)
--- /dev/null
+++ b/tests/unit/test_statements.py
@@ -0,0 +1,143 @@
+"""A node's knowledge of back ends that are leaving and of requested back-offs."""
+
+from __future__ import annotations
+
+import structlog
+from hypothesis import given
+from hypothesis import strategies as st
+
+from limedeck.forwarding.backends import BackendDirectory
+from limedeck.forwarding.backoffs import LONGEST_BACKOFF, RETURN_SPREAD, BackoffLedger
+from limedeck.forwarding.leaving import LEAVING_RETENTION, LeavingLedger, LeavingStatement
+from limedeck.model import Backend
+from limedeck.node.statement_log import StatementLog
+from limedeck.node.telemetry import Telemetry
+
+
+def listed(life: int = 1, draining: bool = False) -> Backend:
+    return Backend(f"a@{life}", "s", "127.0.0.1:1", "z1", 2, draining, instance="a")
+
+
+def test_earliest_announcement_is_kept() -> None:
+    ledger = LeavingLedger()
+    ledger.take("a", LeavingStatement(True, 1.0, 1.5))
+    ledger.take("a", LeavingStatement(True, 2.0, 2.5))
+    assert ledger.leaving_since("a") == 1.5
+    ledger.take("a", LeavingStatement(True, 0.5, 1.2), object())
+    assert ledger.leaving_since("a") == 1.2
+
+
+def test_leaving_survives_a_lapse_of_the_entry() -> None:
+    directory = BackendDirectory("z1", "n")
+    directory.put(listed(), 0.0)
+    directory.leaving.take("a@1", LeavingStatement(True, 1.0, 1.1))
+    directory.remove_instance("a")
+    directory.drop_old_statements(30.0)
+    directory.put(listed(), 31.0)
+    assert directory.leaving.leaving_since("a@1") == 1.1
+    directory.put(listed(2), 32.0)
+    assert directory.leaving.leaving_backends() == []
+
+
+def test_entry_that_is_no_longer_draining_revokes_leaving() -> None:
+    directory = BackendDirectory("z1", "n")
+    directory.put(listed(draining=True), 0.0)
+    directory.leaving.take("a@1", LeavingStatement(True, 1.0, 1.1))
+    directory.put(listed(draining=True), 2.0)
+    assert directory.leaving.leaving_backends() == ["a@1"]
+    directory.put(listed(), 3.0)
+    assert directory.leaving.leaving_backends() == []
+    # A delayed announcement from another node must not override the revocation.
+    directory.leaving.take("a@1", LeavingStatement(True, 1.2, 1.3), object())
+    assert directory.leaving.leaving_backends() == []
+    directory.leaving.take("a@1", LeavingStatement(True, 4.0, 4.1))
+    assert directory.leaving.leaving_backends() == ["a@1"]
+
+
+def test_entry_that_was_never_draining_does_not_revoke_leaving() -> None:
+    directory = BackendDirectory("z1", "n")
+    directory.put(listed(), 0.0)
+    directory.leaving.take("a@1", LeavingStatement(True, 1.0, 1.1))
+    directory.put(listed(), 5.0)
+    assert directory.leaving.leaving_backends() == ["a@1"]
+
+
+def test_unlisted_back_ends_are_dropped_after_the_retention() -> None:
+    ledger = LeavingLedger()
+    ledger.take("a", LeavingStatement(True, 1.0, 1.1))
+    ledger.drop_unlisted({}, 1.0 + LEAVING_RETENTION)
+    assert ledger.leaving_backends() == ["a"]
+    ledger.drop_unlisted({}, 1.2 + LEAVING_RETENTION)
+    assert ledger.leaving_backends() == []
+
+
+@given(st.lists(st.tuples(st.floats(0, 9), st.floats(0, 9)), min_size=1, max_size=8))
+def test_earliest_announcement_is_kept_in_any_order(times: list[tuple[float, float]]) -> None:
+    ledger = LeavingLedger()
+    for one, other in times:
+        ledger.take("a", LeavingStatement(True, min(one, other), max(one, other)))
+    assert ledger.leaving_since("a") == min(max(pair) for pair in times)
+
+
+def test_later_answer_does_not_shorten_a_backoff() -> None:
+    ledger = BackoffLedger("n")
+    ledger.take("a", 3.0, 10.0)
+    ledger.take("a", 1.0, 10.5)
+    backoff = ledger.find("a")
+    assert backoff is not None
+    assert backoff.ends_at == 13.0
+    assert 13.0 <= backoff.resume_at <= 13.0 + RETURN_SPREAD
+
+
+def test_nodes_resume_at_different_times() -> None:
+    resume_times = set()
+    for number in range(20):
+        ledger = BackoffLedger(f"n{number}")
+        ledger.take("a", 3.0, 10.0)
+        backoff = ledger.find("a")
+        assert backoff is not None
+        resume_times.add(round(backoff.resume_at, 2))
+    assert len(resume_times) >= 8
+
+
+def test_requested_backoff_is_capped() -> None:
+    ledger = BackoffLedger("n")
+    ledger.take("a", 31_536_000.0, 10.0)
+    backoff = ledger.find("a")
+    assert backoff is not None
+    assert backoff.ends_at == 10.0 + LONGEST_BACKOFF
+
+
+def test_zero_seconds_start_no_backoff() -> None:
+    ledger = BackoffLedger("n")
+    ledger.take("a", 0.0, 10.0)
+    assert ledger.find("a") is None
+
+
+def test_only_a_request_sent_after_a_backoff_ends_it() -> None:
+    ledger = BackoffLedger("n")
+    ledger.take("a", 3.0, 10.0)
+    ledger.note_served("a", 9.9)
+    assert ledger.find("a") is not None
+    ledger.note_served("a", 13.0 + RETURN_SPREAD)
+    assert ledger.find("a") is None
+
+
+def test_each_change_is_logged_and_counted() -> None:
+    directory, telemetry = BackendDirectory("z1", "n"), Telemetry()
+    directory.put(listed(), 0.0)
+    log = StatementLog(directory, telemetry)
+    with structlog.testing.capture_logs() as lines:
+        directory.leaving.take("a@1", LeavingStatement(True, 1.0, 1.1))
+        directory.backoffs.take("a@1", 3.0, 1.2)
+        log.tell(1.6)
+        log.tell(2.0)
+        assert telemetry.exposition().count(b'_back_ends{service="s"} 1.0') == 2
+        directory.backoffs.note_served("a@1", 5.0)
+        log.tell(5.1)
+    logged = [(line["event"], line["backend"], line.get("age")) for line in lines]
+    assert logged == [
+        ("leaving_changed", "a@1", 0.5),
+        ("rest_began", "a@1", 0.4),
+        ("rest_ended", "a@1", None),
+    ]
