Failing tests: requests reach back ends that leave or rest

Five real nodes, stand-in back ends, 60 requests a second.

An unkeyed back end is treated no other than an owner of keys, with the store there: that rules out that only the store's entry or only the lack of another owner is the cause.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -34,6 +34,9 @@
 COLD_RATE = 4.0
 LIMITS = (b"0", b"0.3", b"3.2", b"4.2", b"20", b"")
 """Requests a second that a back end in need names; the last one: it needs no limit."""
+LEAVING_SECONDS = (2.5, 5.0)
+REST_SECONDS = (0.4, 1.0, 3.0)
+RESTING_SECONDS = (1.0, 6.0)
 EVACUATED_ZONE = "z2"
 STRANGE_PREFIX = "strange-"
 STRANGE_ENTRIES = (
@@ -149,6 +152,8 @@
             Kind.REBORN: self._begin_again,
             Kind.STRANGE: self._write_strange_entries,
             Kind.LIMIT: self._name_limit,
+            Kind.LEAVE: self._leave,
+            Kind.REST: self._ask_for_rest,
         }[drawn.kind]
         for number in range(drawn.steps):
             if ended.wait(drawn.gap):
@@ -172,7 +177,10 @@
             self._site.store.drop(*key)
         for upstream in self._site.upstreams:
             upstream.draining = False
+            upstream.rest = 0.0
             upstream.name_limit(b"")
+            if upstream.leaving:
+                self._portal.start_task_soon(upstream.begin_again)
             self._site.list_upstream(upstream)
 
     def _any_node(self, source: random.Random) -> int:
@@ -234,6 +242,43 @@
             if upstream is chosen or (takes_all and upstream.service == chosen.service):
                 upstream.name_limit(limit)
 
+    def _leave(self, source: random.Random) -> None:
+        """A back end says in its answers that it leaves, at times in its entry too, and ends."""
+        upstream = source.choice(self._site.upstreams)
+        with self._lock:
+            others = [
+                item
+                for item in self._site.upstreams
+                if item.service == upstream.service and item is not upstream and not item.leaving
+            ]
+            if not others or upstream.down or upstream.leaving:
+                return
+            upstream.leaving = True
+        if source.random() < 0.5:
+            upstream.draining = True
+            self._site.list_upstream(upstream)
+        time.sleep(source.uniform(*LEAVING_SECONDS))
+        self._note_held_up(platform_site.DOWN_TIME)
+        upstream.draining = False
+        self._portal.call(upstream.begin_again)
+        self._judge.note_unplanned()
+
+    def _ask_for_rest(self, source: random.Random) -> None:
+        """Some back ends turn requests away and ask for rest; at times all of a service."""
+        rest = source.choice(REST_SECONDS)
+        chosen = source.choice(self._site.upstreams)
+        takes_all = source.random() < 0.3
+        resting = [
+            item
+            for item in self._site.upstreams
+            if item is chosen or (takes_all and item.service == chosen.service)
+        ]
+        for upstream in resting:
+            upstream.rest = rest
+        time.sleep(source.uniform(*RESTING_SECONDS))
+        for upstream in resting:
+            upstream.rest = 0.0
+
     def _write_strange_entries(self, source: random.Random) -> None:
         """Another writer's entries; sometimes one stands where a back end's own stood."""
         for number in range(source.randint(1, 3)):
--- a/tests/soak/judging.py
+++ b/tests/soak/judging.py
@@ -8,7 +8,7 @@
 import threading
 import time
 
-from tests.soak import callers, limit_judging
+from tests.soak import callers, limit_judging, statement_judging
 from tests.system import platform_site
 
 EXCUSE = 0.5
@@ -93,6 +93,7 @@
         self._versions: list[Version] = []
         self._senders: dict[str, str] = {}
         """By request: the life of the node that it was sent to."""
+        self._sent: dict[str, statement_judging.Sent] = {}
         self._lives: collections.Counter[str] = collections.Counter()
         self._unsafe: set[str] = set()
         self._refused: set[str] = set()
@@ -131,7 +132,9 @@
     def note_sent(self, request: str, address: str, is_unsafe: bool) -> None:
         """A request is about to be sent to the node at an address."""
         with self._lock:
-            self._senders[request] = f"{address}/{self._lives[address]}"
+            node = f"{address}/{self._lives[address]}"
+            self._senders[request] = node
+            self._sent[request] = statement_judging.Sent(node, time.monotonic())
             if is_unsafe:
                 self._unsafe.add(request)
 
@@ -212,6 +215,11 @@
             self._blame(f"{most} requests in a second at a cold back end")
         excesses = limit_judging.excesses(self._site.upstreams, self._senders, self._site.held_up)
         self.blame_all("above its limit", excesses)
+        ups, held_up = self._site.upstreams, self._site.held_up
+        late = statement_judging.requests_after_leaving(ups, self._sent, held_up)
+        self.blame_all("after it said that it leaves", late)
+        rests = statement_judging.requests_during_rest(ups, self._sent, held_up)
+        self.blame_all("no rest", rests)
         if not self._site.everything_is_held():
             self._blame("a key has no owner after healing")
 
--- a/tests/soak/series.py
+++ b/tests/soak/series.py
@@ -32,9 +32,13 @@
     REBORN = "reborn"
     STRANGE = "strange"
     LIMIT = "limit"
+    LEAVE = "leave"
+    REST = "rest"
 
 
-OF_THIRD_SEEDS = tuple(kind for kind in Kind if kind is not Kind.LIMIT)
+OF_FOURTH_SEEDS = tuple(kind for kind in Kind if kind not in (Kind.LEAVE, Kind.REST))
+"""What seeds draw from that were recorded before back ends left or rested: 420001 and later."""
+OF_THIRD_SEEDS = tuple(kind for kind in OF_FOURTH_SEEDS if kind is not Kind.LIMIT)
 """What seeds draw from that were recorded before back ends named limits: 380001 and later ones."""
 OF_SECOND_SEEDS = tuple(
     kind for kind in OF_THIRD_SEEDS if kind not in (Kind.EVACUATE, Kind.REBORN, Kind.STRANGE)
--- a/tests/system/paced_callers.py
+++ b/tests/system/paced_callers.py
@@ -11,6 +11,7 @@
 
 import httpx
 
+from tests.soak import statement_judging
 from tests.system import platform_site
 
 THREADS = 4
@@ -29,6 +30,8 @@
     ----------
     statuses
         How many requests had which answer; zero: none.
+    sent
+        By request, when it was sent and to which node.
     slowest_refusal
         The longest time in seconds until a request was refused as not run.
     """
@@ -37,6 +40,7 @@
         self, site: platform_site.Site, path: str, rate: float, keys: Sequence[int] = (0,)
     ) -> None:
         self.statuses: Counter[int] = Counter()
+        self.sent: dict[str, statement_judging.Sent] = {}
         self.slowest_refusal = 0.0
         self._site = site
         self._path = path
@@ -74,7 +78,10 @@
         with self._lock:
             key = next(self._keys)
         try:
-            status = self._site.send(client, node, self._path, key).status_code
+            answer = self._site.send(client, node, self._path, key)
+            status = answer.status_code
+            request = answer.request.headers["x-attempt-id"]
+            self.sent[request] = statement_judging.Sent(node.callers, began)
         except httpx.HTTPError:
             status = 0
         took = time.monotonic() - began
--- a/tests/system/platform_site.py
+++ b/tests/system/platform_site.py
@@ -56,7 +56,9 @@
     proxy
         Stands before it; it can crash only with one.
     life
-        Counts its starts after the first.
+        Counts its starts after the first under other names.
+    starts
+        Counts its starts after the first, under whatever name.
     born
         When its present life under this name started; zero: it does not tell.
     cold_until, cold_runs
@@ -69,6 +71,17 @@
         Requests that came to it while it named a limit.
     told
         Requests that it answered with its limit, and when.
+    leaving
+        Its answers say that it leaves.
+    rest
+        It turns requests away, and asks for so many seconds of rest; zero: it does not.
+    bound_arrivals
+        Requests that came to it since it first said that it leaves or asked for rest, but for those
+        of keys that it does not hold.
+    leaving_told
+        Requests that it answered with the word that it leaves, and when.
+    rests_asked
+        Rests that it asked for.
     """
 
     name: str
@@ -78,6 +91,7 @@
     site: Site
     proxy: FaultyProxy | None = None
     life: int = 0
+    starts: int = 0
     zone: str = "z1"
     born: int = 0
     cold_until: float = 0.0
@@ -86,6 +100,11 @@
     limits_named: list[tuple[float, bytes]] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
     told: list[Arrival] = field(default_factory=list)
+    leaving: bool = False
+    rest: float = 0.0
+    bound_arrivals: list[Arrival] = field(default_factory=list)
+    leaving_told: list[Arrival] = field(default_factory=list)
+    rests_asked: list[RestAsked] = field(default_factory=list)
     down: bool = False
     draining: bool = False
     silent: bool = False
@@ -149,6 +168,11 @@
         if self.keyed and not self.holds(key):
             await _answer(send, 421, [*echo, (b"x-not-executed", b"1")])
             return
+        if self.leaving or self.rest or self.leaving_told or self.rests_asked:
+            self.bound_arrivals.append(self._arrival(request_id))
+        if self.rest:
+            await self._turn_away(request_id, echo, send)
+            return
         self.site.runs.append((request_id.decode(), self.name))
         if time.monotonic() < self.cold_until:
             self.cold_runs.append(time.monotonic())
@@ -158,11 +182,27 @@
             await self._crash(self.proxy)
             return
         signed = [*echo, (b"x-upstream-signature", self.name.encode())]
+        if self.leaving:
+            signed.append((b"server-leaving", b"1"))
+            self.leaving_told.append(self._arrival(request_id))
         limited = [(b"server-limit", self.limit)] if self.limit else []
         if limited:
             self.told.append(Arrival(time.monotonic(), request_id.decode()))
         await _answer(send, 200, [*signed, *limited], request_id + b":" + body)
 
+    def _arrival(self, request_id: bytes) -> Arrival:
+        return Arrival(time.monotonic(), request_id.decode(), self.starts)
+
+    async def _turn_away(
+        self, request_id: bytes, echo: list[tuple[bytes, bytes]], send: Any
+    ) -> None:
+        leaving = [(b"server-leaving", b"1")] if self.leaving else []
+        if leaving:
+            self.leaving_told.append(self._arrival(request_id))
+        self.rests_asked.append(RestAsked(self._arrival(request_id), self.rest))
+        asked = (b"retry-after", b"%g" % self.rest)
+        await _answer(send, 503, [*echo, (b"x-not-executed", b"1"), asked, *leaving])
+
     async def _crash(self, proxy: FaultyProxy) -> None:
         """End, and come back some time later under another id and without any keys."""
         self.down = True
@@ -171,6 +211,7 @@
         self.released = []
         former = self.name
         self.life += 1
+        self._begin_life()
         self.name = f"{former.partition('.')[0]}.{self.life}"
         with anyio.CancelScope(shield=True):
             await anyio.sleep(DOWN_TIME)
@@ -192,12 +233,18 @@
         await self.proxy.crash(DOWN_TIME)
         self.held = {}
         self.released = []
+        self._begin_life()
         await anyio.sleep(DOWN_TIME)
         self.born = time.time_ns() // 1_000_000
         self.cold_until = time.monotonic() + warmup
         self.down = False
         self.site.list_upstream(self)
 
+    def _begin_life(self) -> None:
+        self.starts += 1
+        self.leaving = False
+        self.rest = 0.0
+
     def name_limit(self, limit: bytes) -> None:
         """Name a limit in answers from now on, or none any more."""
         self.limit = limit
@@ -255,10 +302,27 @@
     ----------
     at
         On the test's clock, in seconds.
+    life
+        Of the upstream, counted from its first.
     """
 
     at: float
     request: str
+    life: int = 0
+
+
+@dataclass(frozen=True)
+class RestAsked:
+    """An upstream turned a request away and asked for rest.
+
+    Parameters
+    ----------
+    seconds
+        For which it asked.
+    """
+
+    arrival: Arrival
+    seconds: float
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/tests/system/test_leaving_and_rest.py
@@ -0,0 +1,139 @@
+"""Back ends that say in answers that they leave, or that ask for rest: real nodes."""
+
+from __future__ import annotations
+
+import signal
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+import pytest
+
+from limedeck_lab.standins.row_store import Fault
+from tests.soak import statement_judging
+from tests.system import platform_site
+from tests.system.paced_callers import THREADS, PacedCallers
+from tests.system.test_crashing_requests import leads
+
+NODES = 5
+KEYED = 3
+PLAIN = 6
+RATE = 60.0
+"""Requests a second from all callers."""
+WATCHED = 7.0
+REST = 3.0
+MANY = 100_000
+KEYS = range(0, platform_site.KEYS, 997)
+
+
+@pytest.fixture
+def site(tmp_path: Path) -> Iterator[platform_site.Site]:
+    with platform_site.running_site(tmp_path, KEYED, PLAIN, NODES) as running:
+        yield running
+
+
+@contextmanager
+def store_away(site: platform_site.Site) -> Iterator[None]:
+    site.store.faults.extend([Fault.REFUSE] * MANY)
+    try:
+        yield
+    finally:
+        site.store.faults.clear()
+
+
+def plain_ones(site: platform_site.Site) -> list[platform_site.Upstream]:
+    return [item for item in site.upstreams if not item.keyed]
+
+
+def late_requests(site: platform_site.Site, callers: PacedCallers) -> list[str]:
+    return statement_judging.requests_after_leaving(site.upstreams, callers.sent)
+
+
+def excesses(site: platform_site.Site, callers: PacedCallers) -> list[str]:
+    return statement_judging.requests_during_rest(site.upstreams, callers.sent)
+
+
+def test_a_back_end_that_says_in_answers_that_it_leaves_gets_no_later_request(
+    site: platform_site.Site,
+) -> None:
+    """Its entry in the store does not change."""
+    with PacedCallers(site, "/plain/x", RATE).calling() as callers:
+        time.sleep(1.0)
+        for upstream in plain_ones(site)[:2]:
+            upstream.leaving = True
+        time.sleep(WATCHED)
+    assert all(upstream.leaving_told for upstream in plain_ones(site)[:2])
+    assert late_requests(site, callers) == []
+    assert callers.statuses[200] == callers.statuses.total()
+
+
+def test_an_owner_that_says_that_it_leaves_gets_no_later_request_while_the_store_is_away(
+    site: platform_site.Site,
+) -> None:
+    owner = next(item for item in site.upstreams if item.holds(0))
+    with PacedCallers(site, "/keyed/x", RATE).calling() as callers:
+        time.sleep(1.0)
+        with store_away(site):
+            time.sleep(1.0)
+            owner.leaving = True
+            time.sleep(WATCHED)
+    assert owner.leaving_told
+    assert late_requests(site, callers) == []
+    assert set(callers.statuses) <= {200, 503}
+
+
+def test_keys_of_an_owner_that_says_that_it_leaves_move_though_the_leader_is_killed(
+    site: platform_site.Site,
+) -> None:
+    owner = next(item for item in site.upstreams if item.holds(0))
+    with PacedCallers(site, "/keyed/x", RATE).calling() as callers:
+        time.sleep(1.0)
+        owner.leaving = True
+        next(node for node in site.nodes if leads(node)).process.signal(signal.SIGKILL)
+        time.sleep(WATCHED)
+    assert late_requests(site, callers) == []
+    assert site.two_owners == []
+    assert set(callers.statuses) <= {0, 200, 503}
+    assert callers.statuses[0] <= THREADS
+    assert not owner.holds(0)
+    with PacedCallers(site, "/keyed/x", RATE).calling() as later:
+        time.sleep(1.0)
+    assert set(later.statuses) == {200}
+
+
+def test_a_back_end_that_asks_for_rest_gets_it_and_others_take_its_work(
+    site: platform_site.Site,
+) -> None:
+    with PacedCallers(site, "/plain/x", RATE).calling() as callers:
+        time.sleep(1.0)
+        for upstream in plain_ones(site)[:2]:
+            upstream.rest = REST
+        time.sleep(WATCHED)
+    assert all(upstream.rests_asked for upstream in plain_ones(site)[:2])
+    assert excesses(site, callers) == []
+    assert callers.statuses[200] >= 0.99 * callers.statuses.total()
+
+
+def test_a_service_of_which_all_ask_for_rest_gets_it(site: platform_site.Site) -> None:
+    with PacedCallers(site, "/plain/x", RATE).calling() as callers:
+        time.sleep(1.0)
+        for upstream in plain_ones(site):
+            upstream.rest = REST
+        time.sleep(WATCHED)
+    assert excesses(site, callers) == []
+    assert set(callers.statuses) == {200, 503}
+
+
+def test_an_owner_that_asks_for_rest_gets_it_and_its_keys_move(site: platform_site.Site) -> None:
+    owner = next(item for item in site.upstreams if item.holds(0))
+    with PacedCallers(site, "/keyed/x", RATE, KEYS).calling() as callers:
+        time.sleep(1.0)
+        owner.rest = REST
+        time.sleep(WATCHED)
+    assert owner.rests_asked
+    assert excesses(site, callers) == []
+    assert set(callers.statuses) <= {200, 503}
+    with PacedCallers(site, "/keyed/x", RATE, KEYS).calling() as later:
+        time.sleep(1.0)
+    assert later.statuses[200] >= 0.9 * later.statuses.total()
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -19,7 +19,7 @@
         (380001, 20.0, (series.Kind.EVACUATE, series.Kind.REBORN, series.Kind.STRANGE)),
         (410001, 20.0, (series.Kind.LIMIT, series.Kind.KILL, series.Kind.STOP, series.Kind.REBORN)),
         # The store refused all nodes while back ends came back cold: nobody heard of it.
-        (420021, 20.0, tuple(series.Kind)),
+        (420021, 20.0, series.OF_FOURTH_SEEDS),
     ],
     ids=[
         "planned",
--- a/tests/unit/test_soak_parts.py
+++ b/tests/unit/test_soak_parts.py
@@ -22,6 +22,7 @@
     proxy,
     series,
     soak,
+    statement_judging,
     suspendable_node,
 )
 from tests.system import platform_site
@@ -364,3 +365,52 @@
     assert soak.kinds_of("limit,kill") == given
     with pytest.raises(ValueError, match="earthquake"):
         soak.kinds_of("limit,earthquake")
+
+
+def sent_every(seconds: float, until: float) -> dict[str, statement_judging.Sent]:
+    """Requests of one caller to one node, by the time at which they were sent."""
+    times = [number * seconds for number in range(round(until / seconds))]
+    return {f"{at:g}": statement_judging.Sent("n/1", at) for at in times}
+
+
+@pytest.mark.parametrize(
+    ("last", "life", "held_up", "is_blamed"),
+    [
+        (2.0, 0, [], False),
+        (2.5, 0, [], True),
+        (2.5, 1, [], False),
+        (2.5, 0, [(1.0, 2.0)], False),
+        (2.5, 0, [(4.0, 5.0)], True),
+    ],
+)
+def test_a_request_that_reaches_a_back_end_known_to_leave_is_held_against_its_node(
+    last: float, life: int, held_up: list[tuple[float, float]], is_blamed: bool
+) -> None:
+    upstream = platform_site.Upstream("a", "s", False, "127.0.0.1:1", judging.JudgedSite())
+    sent = sent_every(0.5, 4.0)
+    upstream.leaving_told.append(platform_site.Arrival(0.0, "0"))
+    upstream.bound_arrivals.append(platform_site.Arrival(last + 0.01, f"{last:g}", life))
+    found = statement_judging.requests_after_leaving([upstream], sent, held_up)
+    assert bool(found) is is_blamed
+
+
+@pytest.mark.parametrize(
+    ("arrivals", "life", "held_up", "is_blamed"),
+    [
+        ([0.0, 0.25, 1.0, 2.0], 0, [], False),
+        ([1.0, 2.0, 2.75], 0, [], True),
+        ([1.0, 2.0, 3.0], 0, [], False),
+        ([1.0, 2.0, 2.75], 1, [], False),
+        ([1.0, 2.0, 2.75], 0, [(2.5, 2.6)], False),
+    ],
+)
+def test_a_third_request_to_a_resting_back_end_is_held_against_its_node(
+    arrivals: list[float], life: int, held_up: list[tuple[float, float]], is_blamed: bool
+) -> None:
+    upstream = platform_site.Upstream("a", "s", False, "127.0.0.1:1", judging.JudgedSite())
+    sent = sent_every(0.25, 4.0)
+    asked = platform_site.RestAsked(platform_site.Arrival(0.0, "0"), 3.0)
+    upstream.rests_asked.append(asked)
+    upstream.bound_arrivals += [platform_site.Arrival(at, f"{at:g}", life) for at in arrivals]
+    found = statement_judging.requests_during_rest([upstream], sent, held_up)
+    assert bool(found) is is_blamed
