--- a/src/limedeck/forwarding/admission.py
+++ b/src/limedeck/forwarding/admission.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from limedeck.forwarding.availability import Unavailable
 from limedeck.forwarding.backend_state import BackendState
 from limedeck.forwarding.commands import Belief, Reason, Refuse
 from limedeck.forwarding.permits import Bound
@@ -56,7 +57,10 @@
     maybe_run: bool = False
 
     def refuse(
-        self, reason: Reason, retry_after: Seconds, belief: Belief | Bound | None = None
+        self,
+        reason: Reason,
+        retry_after: Seconds,
+        belief: Belief | Bound | Unavailable | None = None,
     ) -> Refuse:
         """Give the request up, with what is known of whether it has run."""
         outcome = Outcome.UNKNOWN if self.maybe_run else Outcome.NOT_RUN
--- a/src/limedeck/forwarding/backend_state.py
+++ b/src/limedeck/forwarding/backend_state.py
@@ -90,6 +90,8 @@
         Its answers tell how many requests it has.
     full_at
         Requests that it had when it last turned one away, if it tells; None if it never did.
+    draining_since
+        When this node learned from its store entry that it is draining; None if it is not.
     turned_away_until
         No permit for it is to be had until then, as the leader told last.
     """
@@ -99,6 +101,7 @@
         self.work = work
         self.seen_at = now
         self.cold_rate = 0.0
+        self.draining_since: Seconds | None = None
         self._cold_until = now
         self._ended_at: Seconds = NEVER
         self._ended_until: Seconds = NEVER
@@ -126,6 +129,10 @@
         """Its entry is new or has changed: it is written by the back end itself."""
         self._ended_until = NEVER
         self._cold_until = now + self.backend.warmup
+        if not self.backend.draining:
+            self.draining_since = None
+        elif self.draining_since is None:
+            self.draining_since = now
 
     def is_cold(self, now: Seconds) -> bool:
         """Whether it bears few requests only: it says so, or comes back from an end.
--- a/src/limedeck/forwarding/backends.py
+++ b/src/limedeck/forwarding/backends.py
@@ -6,11 +6,11 @@
 from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass, replace
 
+from limedeck.forwarding.availability import Availability, Unavailable
 from limedeck.forwarding.backend_state import BackendState
 from limedeck.forwarding.backoffs import BackoffLedger
-from limedeck.forwarding.leaving import LeavingLedger, LeavingStatement
+from limedeck.forwarding.leaving import LeavingLedger
 from limedeck.forwarding.limits import LimitLedger
-from limedeck.forwarding.permits import Bound
 from limedeck.forwarding.spread import spread_of
 from limedeck.forwarding.stale_load import levelling_shares
 from limedeck.forwarding.work import ServiceWork
@@ -32,15 +32,13 @@
 """With fewer of a service's back ends left, none is passed over for its failures: they may be the
 requests' own fault, and the healthy ones could not do all the work. The panic threshold that
 Envoy's documentation gives."""
+MAX_CONFIRMATION_AGE: Seconds = 1.5
+"""A leader whose last confirmation by the store is at least this old cannot assign owners. Longer
+than two confirmation intervals."""
 FEWEST_ARRIVALS = 0.1
 """While hardly anything is under way, the best back end gets all of it."""
 
 
-OWNER_STOP: Seconds = 2.0
-"""Owners of keys in an evacuated zone are sent to for so long after this node heard of it: their
-keys move meanwhile. Nodes hear within a second, two if the store turns them away."""
-
-
 @dataclass(frozen=True, slots=True)
 class Contact:
     """How a back end was reached when it was last listed.
@@ -66,6 +64,8 @@
         Back ends that have announced that they are leaving.
     backoffs
         Back-off periods that back ends have requested from this node.
+    availability
+        Checks of whether back ends may receive requests.
 
     Parameters
     ----------
@@ -84,10 +84,12 @@
         self._lives: dict[str, str] = {}
         self._work: dict[str, ServiceWork] = {}
         self._cold_rates: dict[str, float] = {}
-        self._evacuated: dict[str, Seconds] = {}
+        self._draining_ids: set[str] = set()
+        self._store_confirmed_at: Seconds | None = None
         self.limits = LimitLedger()
         self.leaving = LeavingLedger()
         self.backoffs = BackoffLedger(node_id)
+        self.availability = Availability(self.limits, self.leaving)
 
     def put(self, backend: Backend, now: Seconds) -> None:
         """A back end's entry is new or has changed.
@@ -109,14 +111,20 @@
             self._states[backend.backend_id] = state
         else:
             self._services.get(state.backend.service, {}).pop(backend.backend_id, None)
-            if state.backend.draining and not backend.draining:
-                revocation = LeavingStatement(False, now, now)
-                self.leaving.take(backend.backend_id, revocation)
             state.backend = backend
+        self._note_draining(backend, now)
         state.cold_rate = self._cold_rates.get(backend.service, 0.0)
         state.note_listed(now)
         self._services.setdefault(backend.service, {})[backend.backend_id] = state
 
+    def _note_draining(self, backend: Backend, now: Seconds) -> None:
+        """Revoke the leaving announcement when the entry changes back from draining."""
+        if backend.draining:
+            self._draining_ids.add(backend.backend_id)
+        elif backend.backend_id in self._draining_ids:
+            self._draining_ids.discard(backend.backend_id)
+            self.leaving.revoke(backend.backend_id, now)
+
     def remove(self, backend_id: str) -> None:
         """A back end's entry is gone."""
         state = self._states.pop(backend_id, None)
@@ -148,30 +156,33 @@
         self.limits.drop_unlisted(self._states, now)
         self.leaving.drop_unlisted(self._states, now)
         self.backoffs.drop_expired(self._states, now)
+        known = self._states.keys() | set(self.leaving.leaving_backends())
+        self._draining_ids &= known
 
-    def evacuate(self, zone: str, now: Seconds) -> None:
-        """Nothing is to be sent to a zone's back ends any more."""
-        self._evacuated.setdefault(zone, now)
+    def note_store_confirmed(self, silence: Seconds, now: Seconds) -> None:
+        """Record that the store last confirmed the leader `silence` seconds ago."""
+        known = self._store_confirmed_at
+        confirmed_at = now - silence
+        self._store_confirmed_at = confirmed_at if known is None else max(known, confirmed_at)
 
-    def end_evacuation(self, zone: str) -> None:
-        """A zone's back ends may be used again."""
-        self._evacuated.pop(zone, None)
+    def can_assign_owners(self, now: Seconds) -> bool:
+        """Whether keys without an owner are expected to be assigned one soon.
 
-    @property
-    def evacuated(self) -> tuple[str, ...]:
-        """Zones whose back ends get nothing."""
-        return tuple(self._evacuated)
+        This requires a recent confirmation of the leader by the store, since assignments are
+        written to the store before they take effect.
+        """
+        confirmed_at = self._store_confirmed_at
+        return confirmed_at is None or now - confirmed_at < MAX_CONFIRMATION_AGE
 
-    def is_closed_to_keys(self, state: BackendState, now: Seconds) -> bool:
-        """Whether an owner is in an evacuated zone, and the time is over in which its keys move."""
-        since = self._evacuated.get(state.backend.zone)
-        return since is not None and now - since >= OWNER_STOP
+    def soonest_available_of(self, service: str, now: Seconds) -> Unavailable | None:
+        """Return the cause that ends first; None if a back end may be used or none exist."""
+        return self.availability.soonest_available(self.of_service(service), now)
 
     def owner_candidates(self, service: str, now: Seconds, may_move: bool) -> list[Backend]:
         """Return a service's back ends as a leader is to see them.
 
-        One that is in an evacuated zone or cold is shown as leaving: its keys go to others, with
-        handovers, as long as there are any.
+        A back end that is leaving, cold, or in an evacuated zone is shown as draining, so that its
+        keys are handed over to others if there are any.
 
         Parameters
         ----------
@@ -180,9 +191,9 @@
             it is warm before they would have one.
         """
         return [
-            replace(state.backend, draining=True)
-            if state.backend.zone in self._evacuated or (may_move and state.is_cold(now))
-            else state.backend
+            replace(
+                state.backend, draining=self.availability.must_release_keys(state, now, may_move)
+            )
             for state in self._services.get(service, {}).values()
         ]
 
@@ -213,10 +224,8 @@
         usable = [
             state
             for state in self.of_service(service)
-            if not state.backend.draining
-            and state.backend.backend_id not in excluded
-            and state.backend.zone not in self._evacuated
-            and not self.is_turning_away(state, now)
+            if state.backend.backend_id not in excluded
+            and self.availability.check_unkeyed(state, now) is None
         ]
         # A cold one does a fifth of a warm one's work, and falls over with a little more.
         usable = [state for state in usable if not state.is_cold(now)] or usable
@@ -228,26 +237,6 @@
             return self._better_of_two(candidates, request_id, now)
         return self._by_share(candidates, request_id, now)
 
-    def bound_of(self, state: BackendState, now: Seconds) -> Bound | None:
-        """Return what a back end takes from all nodes together, if that is little.
-
-        This is the one place that tells how much may go to a back end: the lowest of what it names
-        itself and of what a cold one bears.
-        """
-        rates = [state.cold_rate] if state.is_cold(now) else []
-        named = self.limits.rate(state.backend.backend_id)
-        if named is not None:
-            rates.append(named)
-        return Bound(state.backend.backend_id, min(rates)) if rates else None
-
-    def is_turning_away(self, state: BackendState, now: Seconds) -> bool:
-        """Whether a back end that bears little has no room, so that asking for a permit is no use.
-
-        It counts only as long as there is a bound: nodes hear from each other that a limit is
-        lifted, also those that were told to ask much later.
-        """
-        return now < state.turned_away_until and self.bound_of(state, now) is not None
-
     def _better_of_two(
         self, candidates: list[BackendState], request_id: bytes, now: Seconds
     ) -> BackendState:
--- a/src/limedeck/forwarding/commands.py
+++ b/src/limedeck/forwarding/commands.py
@@ -5,6 +5,7 @@
 import enum
 from dataclasses import dataclass
 
+from limedeck.forwarding.availability import Unavailable
 from limedeck.forwarding.backend_state import BackendState
 from limedeck.forwarding.permits import Bound, PermitAsk
 from limedeck.identity import Seconds
@@ -27,6 +28,7 @@
     EVACUATED = "owner-in-evacuated-zone"
     COLD = "owner-is-cold"
     LIMITED = "limited"
+    LEAVING = "leaving"
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,13 +99,14 @@
     retry_after
         In seconds, when the caller should come back.
     belief
-        What decided it, if that was what is believed of a back end: its queue, or its bound.
+        The known state of a back end that caused the refusal: its queue, its bound, or why it
+        may not receive requests. None for other causes.
     """
 
     outcome: Outcome
     reason: Reason
     retry_after: Seconds
-    belief: Belief | Bound | None = None
+    belief: Belief | Bound | Unavailable | None = None
 
 
 Command = Attempt | AskPermit | Wait | Refuse
--- a/src/limedeck/forwarding/leaving.py
+++ b/src/limedeck/forwarding/leaving.py
@@ -62,6 +62,17 @@
     def __init__(self) -> None:
         super().__init__(LEAVING_RETENTION)
 
+    def revoke(self, backend_id: str, now: Seconds) -> None:
+        """Record that the store entry has changed back from draining.
+
+        The revocation is kept even if no announcement is known, since a delayed one may arrive.
+        """
+        revocation = LeavingStatement(False, now, now)
+        if self.find(backend_id) is None:
+            self.put(backend_id, revocation)
+        else:
+            self.take(backend_id, revocation)
+
     def leaving_since(self, backend_id: str) -> Seconds | None:
         """Return when the back end was first known to be leaving; None if it is not."""
         known = self.find(backend_id)
--- /dev/null
+++ b/src/limedeck/forwarding/refusals.py
@@ -0,0 +1,75 @@
+"""Refusals of requests that no back end may receive now, and their Retry-After times.
+
+Callers make few retries, so Retry-After reflects when a back end is expected to be available, where
+that is known. A per-request offset spreads the retries.
+"""
+
+from __future__ import annotations
+
+from limedeck.forwarding.admission import Claim
+from limedeck.forwarding.availability import Cause, Unavailable
+from limedeck.forwarding.commands import Reason, Refuse
+from limedeck.forwarding.spread import spread_of
+from limedeck.identity import Seconds
+
+NO_OWNER_RETRY_AFTER: Seconds = 0.25
+"""For keys that are being moved; a planned move takes a few store calls."""
+LOST_OWNER_RETRY_AFTER: Seconds = 1.0
+"""For keys whose owner this node cannot reach, while the leader has not reported when they become
+free: about half of the time that takes."""
+STORE_UNAVAILABLE_RETRY_AFTER: Seconds = 1.0
+"""For keys that cannot be assigned an owner until the store confirms a leader again."""
+NO_BACKEND_RETRY_AFTER: Seconds = 1.0
+"""For a service whose back ends are all leaving, so that new ones must start."""
+LONGEST_MOVE_WAIT: Seconds = 0.4
+"""Longest time that a request waits for its key to be assigned an owner."""
+RETURN_SPREAD: Seconds = 0.3
+"""Interval over which retries are spread, so that the next owner can work off the backlog."""
+_OWNER_REASONS = {
+    Cause.LEAVING: Reason.LEAVING,
+    Cause.EVACUATED: Reason.EVACUATED,
+    Cause.COLD: Reason.COLD,
+}
+
+
+def owner_unavailable(claim: Claim, unavailable: Unavailable, can_move: bool) -> Refuse:
+    """Refuse a request whose key's owner may not receive it now.
+
+    Parameters
+    ----------
+    can_move
+        Whether the key is expected to be assigned another owner soon.
+    """
+    if not can_move:
+        delay = (
+            STORE_UNAVAILABLE_RETRY_AFTER
+            if unavailable.remaining is None
+            else unavailable.remaining
+        )
+    elif unavailable.cause is Cause.COLD:
+        delay = min(unavailable.remaining or 0.0, LONGEST_MOVE_WAIT)
+    else:
+        delay = NO_OWNER_RETRY_AFTER
+    return claim.refuse(_OWNER_REASONS[unavailable.cause], delay + _spread(claim), unavailable)
+
+
+def no_owner(claim: Claim) -> Refuse:
+    """Refuse a request whose key cannot be assigned an owner until the store confirms a leader."""
+    return claim.refuse(Reason.NO_OWNER, STORE_UNAVAILABLE_RETRY_AFTER + _spread(claim))
+
+
+def service_unavailable(claim: Claim, unavailable: Unavailable | None) -> Refuse:
+    """Refuse an unkeyed request that no back end of its service may receive now.
+
+    Parameters
+    ----------
+    unavailable
+        The cause that ends first; None if the service has no back end.
+    """
+    if unavailable is not None and unavailable.cause is Cause.LEAVING:
+        return claim.refuse(Reason.LEAVING, NO_BACKEND_RETRY_AFTER + _spread(claim), unavailable)
+    return claim.refuse(Reason.NO_BACKEND, NO_OWNER_RETRY_AFTER)
+
+
+def _spread(claim: Claim) -> Seconds:
+    return RETURN_SPREAD * spread_of(claim.request_id)
--- a/src/limedeck/forwarding/request.py
+++ b/src/limedeck/forwarding/request.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from limedeck.errors import InvariantViolation
+from limedeck.forwarding import refusals
 from limedeck.forwarding.admission import RETRY_AFTER, RETRY_PAUSE, Claim
 from limedeck.forwarding.backend_state import BackendState
 from limedeck.forwarding.backends import BackendDirectory
@@ -30,22 +31,12 @@
 
 SHORTEST_ATTEMPT: Seconds = 0.005
 """An attempt is not begun with less time than this left."""
-LONGEST_MOVE_WAIT: Seconds = 0.4
-"""A request waits at most so long for its key to have an owner."""
 RETURN_PART = 0.85
 """A caller that will wait less than this part of the longest wait seen on its route has been here
 before: what is left after a refusal is below it, and callers of a route wait equally long."""
-NO_OWNER_RETRY_AFTER: Seconds = 0.25
-"""For keys on the move: a planned move takes a few calls of the store; an estimate."""
-LOST_OWNER_RETRY_AFTER: Seconds = 1.0
-"""For keys whose owner this node does not reach, while the leader has not told when they are free:
-about half of the time that it takes."""
 RETURN_DELAY: Seconds = 0.3
 """From the end of a lost owner's lease until nodes know the next one: the record in the store, a
 grant, and the interval at which a large fleet is told; an estimate from logs of 195 nodes."""
-RETURN_SPREAD: Seconds = 0.3
-"""Callers that were told to come back return within so long of each other: an estimate of the time
-in which the next owner works off what has gathered."""
 LONGEST_OWNER_RETRY_AFTER: Seconds = 4.0
 """Above the longest lease; what a leader tells is not believed beyond it."""
 
@@ -190,7 +181,7 @@
             if refusal is not None:
                 return refusal
         self._stale_version = self.service.owners.version
-        self._not_before = now + (LONGEST_MOVE_WAIT if wrong_owner else RETRY_PAUSE)
+        self._not_before = now + (refusals.LONGEST_MOVE_WAIT if wrong_owner else RETRY_PAUSE)
         return self.next_command(now, sharers)
 
     def _try_owner(self, position: int, now: Seconds, sharers: int) -> Command:
@@ -198,37 +189,34 @@
         owner = owners.owner(position)
         state = self._directory.find(owner) if owner else None
         stale = owners.version == self._stale_version and now < self._not_before
+        unavailable = self._directory.availability.check_owner(state, now) if state else None
+        if unavailable is not None:
+            can_move = self._directory.can_assign_owners(now)
+            return refusals.owner_unavailable(self.claim, unavailable, can_move)
         if state is None or stale:
-            return self._refusal_by_lost_owner(position, now) or self._wait_for_owner(now)
-        if self._directory.is_closed_to_keys(state, now):
-            return self._refuse(Reason.EVACUATED, NO_OWNER_RETRY_AFTER)
-        if state.is_cold(now):
-            return self._refuse(Reason.COLD, self._return_to_cold(state, now))
+            return self._refusal_by_lost_owner(position, now) or self._wait_for_owner(state, now)
         return self._attempt_in_time(state, now, sharers)
 
-    def _return_to_cold(self, state: BackendState, now: Seconds) -> Seconds:
-        """When to come back for a key of a cold owner: it is warm, or the key has another one."""
-        spread = RETURN_SPREAD * spread_of(self.request_id)
-        return min(state.cold_for(now), LONGEST_MOVE_WAIT) + spread
-
     def _refusal_by_lost_owner(self, position: int, now: Seconds) -> Refuse | None:
         """Refuse at once what cannot be served before a lost owner's lease has ended.
 
         A caller has few returns, and would have used them up by then.
         """
         free_at = self.service.owners.free_at(position)
-        if free_at is None or free_at - now <= LONGEST_MOVE_WAIT:
+        if free_at is None or free_at - now <= refusals.LONGEST_MOVE_WAIT:
             return None
-        spread = RETURN_SPREAD * spread_of(self.request_id)
+        spread = refusals.RETURN_SPREAD * spread_of(self.request_id)
         retry_after = free_at - now + RETURN_DELAY + spread
         return self._refuse(Reason.NO_OWNER, min(retry_after, LONGEST_OWNER_RETRY_AFTER))
 
-    def _wait_for_owner(self, now: Seconds) -> Command:
+    def _wait_for_owner(self, state: BackendState | None, now: Seconds) -> Command:
+        if state is None and not self._directory.can_assign_owners(now):
+            return refusals.no_owner(self.claim)
         if self._waiting_since is None:
             self._waiting_since = now
-        wait_end = min(self._waiting_since + LONGEST_MOVE_WAIT, self.claim.until)
+        wait_end = min(self._waiting_since + refusals.LONGEST_MOVE_WAIT, self.claim.until)
         if now >= wait_end:
-            return self._refuse(Reason.NO_OWNER, NO_OWNER_RETRY_AFTER)
+            return self._refuse(Reason.NO_OWNER, refusals.NO_OWNER_RETRY_AFTER)
         return Wait(min(max(self._not_before, now + RETRY_PAUSE), wait_end))
 
     def _try_any(self, now: Seconds, sharers: int) -> Command:
@@ -242,7 +230,8 @@
         if self._excluded:
             return self._refuse(Reason.REFUSED, RETRY_AFTER)
         refusal = self._permits.refusal_by_all(service, now)
-        return refusal or self._refuse(Reason.NO_BACKEND, NO_OWNER_RETRY_AFTER)
+        soonest = self._directory.soonest_available_of(service, now)
+        return refusal or refusals.service_unavailable(self.claim, soonest)
 
     def _attempt_in_time(self, state: BackendState, now: Seconds, sharers: int) -> Command:
         """Send it, if it is worth that and the back end has room for it."""
@@ -272,9 +261,9 @@
         if not self.service.keyed:
             return RETRY_AFTER
         if wrong_owner:
-            return NO_OWNER_RETRY_AFTER
+            return refusals.NO_OWNER_RETRY_AFTER
         if reason is Reason.UNREACHABLE:
-            return LOST_OWNER_RETRY_AFTER
+            return refusals.LOST_OWNER_RETRY_AFTER
         if reason is Reason.REFUSED:
             state.note_full(now)
             return self.claim.time_until_room(state, now)
--- a/src/limedeck/forwarding/request_permits.py
+++ b/src/limedeck/forwarding/request_permits.py
@@ -55,7 +55,10 @@
         """Return the back end that the request holds a permit for."""
         if self._held is None or now > self._held.until:
             return None
-        return self._directory.find(self._held.backend_id)
+        state = self._directory.find(self._held.backend_id)
+        if state is None or self._directory.availability.check_permit_holder(state, now):
+            return None
+        return state
 
     def closed(self, service: str, now: Seconds) -> set[str]:
         """Return back ends that are not to be asked any more for this request."""
@@ -65,18 +68,18 @@
         return {
             state.backend.backend_id
             for state in bounded
-            if self._directory.bound_of(state, now) is not None
+            if self._directory.availability.bound_of(state, now) is not None
         }
 
     def obtain(self, state: BackendState, now: Seconds) -> Command | None:
         """Do what it takes to send the request to a back end; None if it may be sent now."""
-        bound = self._directory.bound_of(state, now)
+        bound = self._directory.availability.bound_of(state, now)
         if bound is None:
             return None
         held = self._held
         if held is not None and held.backend_id == bound.backend_id and now <= held.until:
             return None if now >= held.turn else Wait(held.turn)
-        if self._directory.is_turning_away(state, now):
+        if self._directory.availability.is_turning_away(state, now):
             return self.refusal(state.turned_away_until - now, bound)
         return AskPermit(state, PermitAsk(bound, self._patience(now)), now)
 
@@ -102,10 +105,11 @@
 
     def refusal_by_all(self, service: str, now: Seconds) -> Refuse | None:
         """Refuse a request of which no back end has room; None if that is not why."""
+        availability = self._directory.availability
         bounds: dict[Bound, Seconds] = {}
         for state in self._directory.of_service(service):
-            bound = self._directory.bound_of(state, now)
-            if bound is not None and not state.backend.draining:
+            bound = availability.bound_of(state, now)
+            if bound is not None and not availability.check_permit_holder(state, now):
                 bounds[bound] = max(state.turned_away_until - now, 0.0)
         if not bounds:
             return None
--- a/src/limedeck/forwarding/statements.py
+++ b/src/limedeck/forwarding/statements.py
@@ -139,6 +139,10 @@
         else:
             self._put(backend_id, known.statement, statement, source)
 
+    def put(self, backend_id: str, statement: S) -> None:
+        """Record a local statement, replacing any known one unconditionally."""
+        self._put(backend_id, self.find(backend_id), statement, None)
+
     def forget(self, backend_id: str) -> None:
         """Drop the statement of a back end whose life has ended."""
         self._known.pop(backend_id, None)
--- a/src/limedeck/node/connection_news.py
+++ b/src/limedeck/node/connection_news.py
@@ -3,26 +3,37 @@
 from __future__ import annotations
 
 from limedeck.api import control_pb2
-from limedeck.forwarding.limits import LimitLedger
+from limedeck.forwarding.backends import BackendDirectory
 from limedeck.forwarding.quarantine import QuarantineLedger
 from limedeck.identity import Seconds
 from limedeck.node.crash_news import CrashNewsPeer
+from limedeck.node.leaving_news import LeavingNewsPeer
 from limedeck.node.limit_news import LimitNewsPeer
 
 
 class ConnectionNews:
-    """How far the node at the other end was told, and what it told: crashes and limits."""
+    """Crashes and statements exchanged with the node at the other end of a connection."""
 
-    def __init__(self, quarantine: QuarantineLedger, limits: LimitLedger) -> None:
+    def __init__(self, quarantine: QuarantineLedger, directory: BackendDirectory) -> None:
         self.crashes = CrashNewsPeer(quarantine)
-        self.limits = LimitNewsPeer(limits)
+        self._statement_peers = (
+            LimitNewsPeer(directory.limits),
+            LeavingNewsPeer(directory.leaving),
+        )
+
+    @property
+    def has_urgent_news(self) -> bool:
+        """Whether the other node lacks a statement; statements are sent immediately."""
+        return any(peer.has_news for peer in self._statement_peers)
 
     def fill(self, message: control_pb2.Report | control_pb2.Status, now: Seconds) -> None:
         """Add what the other node lacks."""
         self.crashes.fill(message, now)
-        self.limits.fill(message, now)
+        for peer in self._statement_peers:
+            peer.fill(message, now)
 
     def take(self, message: control_pb2.Report | control_pb2.Status, now: Seconds) -> None:
         """Take in what the other node tells."""
         self.crashes.take(message.crash_news, now)
-        self.limits.take(message, now)
+        for peer in self._statement_peers:
+            peer.take(message, now)
--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -105,8 +105,9 @@
         self.fleet: Callable[[], standing.Fleet] = lambda: standing.fleet_of([processor])
         self.on_owners: Callable[[], None] = lambda: None
         self.on_leader: Callable[[], None] = lambda: None
-        self.on_limits: Callable[[], None] = lambda: None
-        state.directory.limits.on_change = self._handle_limits
+        self.on_statements: Callable[[], None] = lambda: None
+        state.directory.limits.on_change = self._handle_statement
+        state.directory.leaving.on_change = self._handle_statement
         self.on_store_back: Callable[[], None] = lambda: None
         self._calls = ElectionCalls(self.election, store, telemetry)
         self._calls.on_store_back = lambda: self.on_store_back()
@@ -142,7 +143,7 @@
 
     def connection_news(self) -> ConnectionNews:
         """What is to be told on a new connection to another node."""
-        return ConnectionNews(self._state.quarantine, self._state.directory.limits)
+        return ConnectionNews(self._state.quarantine, self._state.directory)
 
     @property
     def store_offset(self) -> Seconds:
@@ -232,10 +233,10 @@
         """Another node told which term it knows."""
         self.election.handle_superseded(term)
 
-    def _handle_limits(self) -> None:
-        """Limits are told at once: every node goes on sending until it hears of one."""
+    def _handle_statement(self) -> None:
+        """Send statements immediately; nodes keep sending requests until they receive one."""
         self.permits.news.give()
-        self.on_limits()
+        self.on_statements()
 
     # ------------------------------------------------------------------ ticking
 
@@ -257,10 +258,11 @@
             self.handle_loads(self._state.take_loads())
         may_renew = self.election.may_renew(now)
         may_yield = self.election.may_yield(now) and node_count > 1
+        may_move = self.election.store_silence(now) < STORE_HEARD
         for name, owned in list(self._services.items()):
             if not self.election.former_leaders():
                 owned.core.handle_former_leaders_over(now)
-            for order in owned.core.handle_tick(may_renew, now, may_yield):
+            for order in owned.core.handle_tick(may_renew, now, may_yield, may_move):
                 self._start(self._run_ownership, name, owned, order)
             self._log_changes(name, owned.core)
             self._log_balance(name, owned.core, now)
--- a/src/limedeck/node/followers.py
+++ b/src/limedeck/node/followers.py
@@ -62,7 +62,7 @@
         control.fleet = self.fleet
         control.on_owners = self._tell_all
         control.on_leader = self._tell_all
-        control.on_limits = self._tell_all
+        control.on_statements = self._tell_all
         news.set_on_change(self._tell_all)
 
     def node_count(self) -> int:
--- a/src/limedeck/node/inspection.py
+++ b/src/limedeck/node/inspection.py
@@ -110,7 +110,7 @@
 
     def _backend(self, state: BackendState, now: Seconds) -> BackendView:
         backend = state.backend
-        bound = self._state.directory.bound_of(state, now)
+        bound = self._state.directory.availability.bound_of(state, now)
         return BackendView(
             backend=backend.backend_id,
             service=backend.service,
@@ -125,7 +125,7 @@
         directory = self._state.directory
         holds = {
             "draining": state.backend.draining,
-            "evacuated": state.backend.zone in directory.evacuated,
+            "evacuated": state.backend.zone in directory.availability.evacuated,
             "cold": state.is_cold(now),
             "limited": directory.limits.rate(state.backend.backend_id) is not None,
             "passed-over": state.is_passed_over(now),
--- a/src/limedeck/node/leader_link.py
+++ b/src/limedeck/node/leader_link.py
@@ -103,7 +103,7 @@
         try:
             while True:
                 known = permits.news.count
-                if steady_clock() >= next_report or self._told.limits.has_news:
+                if steady_clock() >= next_report or self._told.has_urgent_news:
                     next_report = steady_clock() + REPORT_INTERVAL
                     message = ControlMessage(report=self._report())
                     message.report.peer_address = address
--- /dev/null
+++ b/src/limedeck/node/leaving_news.py
@@ -0,0 +1,41 @@
+"""Exchange of leaving statements between nodes."""
+
+from __future__ import annotations
+
+from limedeck.api import control_pb2
+from limedeck.forwarding.leaving import LeavingStatement
+from limedeck.forwarding.statements import StatementNews
+from limedeck.identity import Seconds
+from limedeck.node import ages
+from limedeck.node.statement_news import StatementNewsPeer
+
+
+class LeavingNewsPeer(StatementNewsPeer[LeavingStatement]):
+    """Exchanges leaving statements with the node at the other end of a connection."""
+
+    def _write(
+        self,
+        message: control_pb2.Report | control_pb2.Status,
+        news: StatementNews[LeavingStatement],
+        now: Seconds,
+    ) -> None:
+        statement = news.statement
+        message.leaving.add(
+            backend=news.backend_id,
+            leaving=statement.is_leaving,
+            asked=ages.age_of(statement.asked_at, now),
+            heard=ages.age_of(statement.heard_at, now),
+        )
+
+    def _read(
+        self, message: control_pb2.Report | control_pb2.Status, now: Seconds
+    ) -> list[tuple[str, LeavingStatement]]:
+        return [
+            (
+                item.backend,
+                LeavingStatement(
+                    item.leaving, ages.time_of(item.asked, now), ages.time_of(item.heard, now)
+                ),
+            )
+            for item in message.leaving
+        ]
--- a/src/limedeck/node/order_sender.py
+++ b/src/limedeck/node/order_sender.py
@@ -4,7 +4,8 @@
 
 from limedeck.clock import steady_clock
 from limedeck.forwarding.backends import BackendDirectory, Contact
-from limedeck.http_client import HttpClient, HttpRequest
+from limedeck.forwarding.leaving import LeavingStatement
+from limedeck.http_client import HttpAnswer, HttpClient, HttpRequest
 from limedeck.identity import Seconds
 from limedeck.node.logs import get_logger
 from limedeck.node.telemetry import Telemetry
@@ -55,6 +56,8 @@
             return
         done = self._orders.is_done(answer.status)
         fenced_off = self._orders.is_fenced_off(answer.status)
+        if done or fenced_off:
+            self._note_leaving(order.backend_id, answer, sent_at)
         self._telemetry.orders.labels("grant", str(answer.status)).inc()
         if not done:
             self._log.warning("grant_refused", service=name, status=answer.status, **_told(order))
@@ -62,13 +65,16 @@
 
     async def send_release(self, name: str, core: ServiceOwnership, order: Release) -> None:
         """Send a release, and tell the core what came of it."""
+        sent_at = steady_clock()
         request = self._order_request(order.backend_id, order)
         try:
-            answer = await self._client.exchange(request, steady_clock() + RELEASE_TIMEOUT)
+            answer = await self._client.exchange(request, sent_at + RELEASE_TIMEOUT)
         except AttemptFailed as error:
             self._note_lost(name, core, order, str(error))
             return
         done = self._orders.is_done(answer.status)
+        if done:
+            self._note_leaving(order.backend_id, answer, sent_at)
         self._telemetry.orders.labels("release", str(answer.status)).inc()
         handover = self._orders.handover(answer.headers)
         self._log.info(
@@ -76,6 +82,12 @@
         )
         core.handle_release_answer(order, done, handover, steady_clock())
 
+    def _note_leaving(self, backend_id: str, answer: HttpAnswer, sent_at: Seconds) -> None:
+        """Record a leaving announcement; an idle owner makes it only in answers to orders."""
+        if self._orders.is_leaving(answer.headers):
+            statement = LeavingStatement(True, sent_at, steady_clock())
+            self._directory.leaving.take(backend_id, statement)
+
     def _note_lost(
         self, name: str, core: ServiceOwnership, order: Grant | Release, problem: str
     ) -> None:
--- a/src/limedeck/node/permit_exchange.py
+++ b/src/limedeck/node/permit_exchange.py
@@ -141,5 +141,5 @@
 
     def _lend(self, ask: PermitAsk, now: Seconds) -> PermitAnswer:
         state = self._directory.find(ask.bound.backend_id)
-        known = self._directory.bound_of(state, now) if state is not None else None
+        known = self._directory.availability.bound_of(state, now) if state is not None else None
         return self._lending.answer(ask, known.rate if known else None, now)
--- a/src/limedeck/node/request_log.py
+++ b/src/limedeck/node/request_log.py
@@ -9,6 +9,7 @@
 
 from limedeck.clock import steady_clock
 from limedeck.forwarding import content
+from limedeck.forwarding.availability import Unavailable
 from limedeck.forwarding.commands import Belief, Refuse
 from limedeck.forwarding.permits import Bound
 from limedeck.forwarding.request import RequestCore
@@ -165,13 +166,16 @@
         )
 
 
-def _told(belief: Belief | Bound | None) -> dict[str, object]:
+def _told(belief: Belief | Bound | Unavailable | None) -> dict[str, object]:
     """What is logged of the belief that decided a refusal."""
     match belief:
         case None:
             return {}
         case Bound(backend_id, rate):
             return {"backend": backend_id, "bound": rate}
+        case Unavailable(backend_id, cause, remaining):
+            left = None if remaining is None else round(remaining, 3)
+            return {"backend": backend_id, "unavailable": cause.value, "left": left}
     return {
         "backend": belief.backend_id,
         "expected": None if belief.expected is None else round(belief.expected, 4),
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -255,7 +255,7 @@
     def _tell_beliefs(self) -> None:
         now = steady_clock()
         directory = self._state.directory
-        self._telemetry.evacuated.set(len(directory.evacuated))
+        self._telemetry.evacuated.set(len(directory.availability.evacuated))
         self._telemetry.cold.set(sum(state.is_cold(now) for state in directory.all_states()))
 
     # ------------------------------------------------------------------ tables
--- a/src/limedeck/node/state.py
+++ b/src/limedeck/node/state.py
@@ -84,12 +84,12 @@
 
     def evacuate(self, zone: str, now: Seconds) -> None:
         """Operators want nothing to be sent to a zone's back ends."""
-        self.directory.evacuate(zone, now)
+        self.directory.availability.evacuate(zone, now)
         self.notify()
 
     def end_evacuation(self, zone: str) -> None:
         """Operators have taken an evacuation back."""
-        self.directory.end_evacuation(zone)
+        self.directory.availability.end_evacuation(zone)
         self.notify()
 
     def set_allowance(self, allowance: RetryAllowance) -> None:
@@ -139,6 +139,7 @@
         if store_silence < LEADER_STORE_SILENCE:
             self.leader_heard_at = now
             self.fleet_size.note(node_count, now)
+        self.directory.note_store_confirmed(store_silence, now)
         if store_silence > UNHEARD_STORE:
             self.directory.keep_rests(now)
 
--- a/src/limedeck/ownership/orders.py
+++ b/src/limedeck/ownership/orders.py
@@ -71,6 +71,10 @@
     def is_fenced_off(self, status: int) -> bool:
         """Whether the order was refused because of a higher fence."""
 
+    @abstractmethod
+    def is_leaving(self, headers: Headers) -> bool:
+        """Whether the answer announces that the back end is leaving."""
+
     @abstractmethod
     def handover(self, headers: Headers) -> str:
         """Read the token that the next owner of released keys is to be given, or empty."""
--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -17,6 +17,7 @@
 from collections.abc import Iterable, Mapping
 
 from limedeck.api.control_pb2 import AssignmentRecord
+from limedeck.forwarding.availability import LEAVING_OWNER_STOP
 from limedeck.forwarding.owners import OwnedRange, joined
 from limedeck.identity import NEVER, Seconds, is_later_life
 from limedeck.model import Backend
@@ -80,6 +81,8 @@
         self._commands: list[OwnershipCommand] = []
         self._published: tuple[OwnedRange, ...] = ()
         self._alone = False
+        self._may_move = True
+        self._draining_since: dict[str, Seconds] = {}
         self._failing: frozenset[str] = frozenset()
         if record is not None:
             self._take_over(record, now)
@@ -105,6 +108,11 @@
         """The listing of this service's back ends has changed."""
         known = self._backends.keys()
         self._backends = {item.backend_id: item for item in backends}
+        self._draining_since = {
+            key: self._draining_since.get(key, now)
+            for key, item in self._backends.items()
+            if item.draining
+        }
         new = self._backends.keys() - known
         if new:
             self._newest_seen_at = now
@@ -212,7 +220,7 @@
     # ------------------------------------------------------------------ the loop
 
     def handle_tick(
-        self, may_renew: bool, now: Seconds, may_yield: bool = False
+        self, may_renew: bool, now: Seconds, may_yield: bool = False, may_move: bool = True
     ) -> list[OwnershipCommand]:
         """Do what is due; see the module's documentation.
 
@@ -221,12 +229,16 @@
         may_yield
             Another node could lead. If `doubts_itself` is set by this call it should: this one is
             not heard by owners that are sound, and takes no keys from them for that.
+        may_move
+            Whether released keys can be assigned soon. If not, a leaving owner keeps its keys until
+            nodes stop sending requests to it.
         """
         if not self.ranges:
             self._assign_first(now)
         self._range_counts = self._map.counts()
         owners = self._range_counts.keys() - {NO_OWNER}
         self.doubts_itself = may_yield and self._silence.is_own_fault(owners, now)
+        self._may_move = may_move
         for found in self.ranges:
             self._tick_range(found, may_renew, now)
         self._send_releases(now)
@@ -263,7 +275,8 @@
             # A grant would reach the later life, which is to take none that was meant for this one.
             return Cause.LEAVING
         if owner is None or owner.draining:
-            return Cause.LEAVING if self._candidates(now) else None
+            may_leave = self._may_move or self._has_drained(found.owner, now)
+            return Cause.LEAVING if may_leave and self._candidates(now) else None
         if self._silence.is_silent(found.owner, now) and not self.doubts_itself:
             self._silence.avoid(found.owner, now)
             return Cause.SILENT
@@ -271,6 +284,11 @@
             return Cause.FAILING
         return None
 
+    def _has_drained(self, owner: str, now: Seconds) -> bool:
+        """Whether a leaving owner no longer receives requests, or its entry is gone."""
+        since = self._draining_since.get(owner, NEVER)
+        return now - since >= LEAVING_OWNER_STOP
+
     def _has_begun_again(self, owner: str) -> bool:
         return any(is_later_life(item, owner) for item in self._backends)
 
--- a/src/limedeck/platform/grants.py
+++ b/src/limedeck/platform/grants.py
@@ -6,7 +6,7 @@
 
 from limedeck.forwarding.protocol import Headers
 from limedeck.ownership.orders import Grant, OrderProtocol, OrderRequest, Release
-from limedeck.platform.headers import EXPECTED_INSTANCE
+from limedeck.platform.headers import EXPECTED_INSTANCE, announces_leaving
 
 HANDOVER = b"x-handover"
 HIGHER_FENCE_SEEN = 409
@@ -41,6 +41,9 @@
     def is_fenced_off(self, status: int) -> bool:
         return status == HIGHER_FENCE_SEEN
 
+    def is_leaving(self, headers: Headers) -> bool:
+        return announces_leaving(dict(headers))
+
     def handover(self, headers: Headers) -> str:
         return dict(headers).get(HANDOVER, b"").decode("ascii", "replace")
 
--- a/src/limedeck/platform/headers.py
+++ b/src/limedeck/platform/headers.py
@@ -69,7 +69,7 @@
             unreadable_load=load is None and LOAD in found,
             limit=limit,
             unreadable_limit=limit is None and bool(limits),
-            leaving=found.get(LEAVING, b"").strip() == LEAVING_TRUE,
+            leaving=announces_leaving(found),
             retry_after=backoff,
             unreadable_retry_after=(
                 status in BACKOFF_STATUSES and backoff is None and bool(retry_afters)
@@ -80,6 +80,11 @@
         return (RETRY_AFTER, b"%.2f" % seconds)
 
 
+def announces_leaving(headers: dict[bytes, bytes]) -> bool:
+    """Whether an answer announces that its upstream is leaving."""
+    return headers.get(LEAVING, b"").strip() == LEAVING_TRUE
+
+
 def _number(value: bytes | None) -> float | None:
     try:
         number = float(value) if value is not None else None
--- a/src/limedeck_lab/explain/sentences.py
+++ b/src/limedeck_lab/explain/sentences.py
@@ -43,6 +43,8 @@
             f" ({line.get('backend')}: {line.get('expected')} s expected with "
             f"{line.get('load')} requests there, heard {line.get('load_age')} s ago)"
         )
+    elif line.get("unavailable") is not None:
+        text += f" ({line.get('backend')}: {line.get('unavailable')})"
     retry_after = line.get("retry_after")
     return text if retry_after is None else f"{text}; told to come back after {retry_after} s"
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -35,8 +35,8 @@
 LIMITS = (b"0", b"0.3", b"3.2", b"4.2", b"20", b"")
 """Requests a second that a back end in need names; the last one: it needs no limit."""
 LEAVING_SECONDS = (2.5, 5.0)
-REST_SECONDS = (0.4, 1.0, 3.0)
-RESTING_SECONDS = (1.0, 6.0)
+BACKOFF_SECONDS = (0.4, 1.0, 3.0)
+REJECTING_SECONDS = (1.0, 6.0)
 EVACUATED_ZONE = "z2"
 STRANGE_PREFIX = "strange-"
 STRANGE_ENTRIES = (
@@ -153,7 +153,7 @@
             Kind.STRANGE: self._write_strange_entries,
             Kind.LIMIT: self._name_limit,
             Kind.LEAVE: self._leave,
-            Kind.REST: self._ask_for_rest,
+            Kind.REST: self._request_backoff,
         }[drawn.kind]
         for number in range(drawn.steps):
             if ended.wait(drawn.gap):
@@ -177,7 +177,7 @@
             self._site.store.drop(*key)
         for upstream in self._site.upstreams:
             upstream.draining = False
-            upstream.rest = 0.0
+            upstream.requested_backoff = 0.0
             upstream.name_limit(b"")
             if upstream.leaving:
                 self._portal.start_task_soon(upstream.begin_again)
@@ -243,7 +243,7 @@
                 upstream.name_limit(limit)
 
     def _leave(self, source: random.Random) -> None:
-        """A back end says in its answers that it leaves, at times in its entry too, and ends."""
+        """A back end announces in answers, and sometimes in its entry, that it leaves, and ends."""
         upstream = source.choice(self._site.upstreams)
         with self._lock:
             others = [
@@ -263,21 +263,21 @@
         self._portal.call(upstream.begin_again)
         self._judge.note_unplanned()
 
-    def _ask_for_rest(self, source: random.Random) -> None:
-        """Some back ends turn requests away and ask for rest; at times all of a service."""
-        rest = source.choice(REST_SECONDS)
+    def _request_backoff(self, source: random.Random) -> None:
+        """One back end, or sometimes all of a service, rejects requests and requests back-off."""
+        backoff = source.choice(BACKOFF_SECONDS)
         chosen = source.choice(self._site.upstreams)
         takes_all = source.random() < 0.3
-        resting = [
+        rejecting = [
             item
             for item in self._site.upstreams
             if item is chosen or (takes_all and item.service == chosen.service)
         ]
-        for upstream in resting:
-            upstream.rest = rest
-        time.sleep(source.uniform(*RESTING_SECONDS))
-        for upstream in resting:
-            upstream.rest = 0.0
+        for upstream in rejecting:
+            upstream.requested_backoff = backoff
+        time.sleep(source.uniform(*REJECTING_SECONDS))
+        for upstream in rejecting:
+            upstream.requested_backoff = 0.0
 
     def _write_strange_entries(self, source: random.Random) -> None:
         """Another writer's entries; sometimes one stands where a back end's own stood."""
--- a/tests/soak/judging.py
+++ b/tests/soak/judging.py
@@ -93,7 +93,7 @@
         self._versions: list[Version] = []
         self._senders: dict[str, str] = {}
         """By request: the life of the node that it was sent to."""
-        self._sent: dict[str, statement_judging.Sent] = {}
+        self._sent: dict[str, statement_judging.SentRequest] = {}
         self._lives: collections.Counter[str] = collections.Counter()
         self._unsafe: set[str] = set()
         self._refused: set[str] = set()
@@ -134,7 +134,7 @@
         with self._lock:
             node = f"{address}/{self._lives[address]}"
             self._senders[request] = node
-            self._sent[request] = statement_judging.Sent(node, time.monotonic())
+            self._sent[request] = statement_judging.SentRequest(node, time.monotonic())
             if is_unsafe:
                 self._unsafe.add(request)
 
@@ -215,11 +215,11 @@
             self._blame(f"{most} requests in a second at a cold back end")
         excesses = limit_judging.excesses(self._site.upstreams, self._senders, self._site.held_up)
         self.blame_all("above its limit", excesses)
-        ups, held_up = self._site.upstreams, self._site.held_up
-        late = statement_judging.requests_after_leaving(ups, self._sent, held_up)
-        self.blame_all("after it said that it leaves", late)
-        rests = statement_judging.requests_during_rest(ups, self._sent, held_up)
-        self.blame_all("no rest", rests)
+        upstreams, held_up = self._site.upstreams, self._site.held_up
+        late = statement_judging.requests_after_leaving(upstreams, self._sent, held_up)
+        self.blame_all("after its leaving announcement", late)
+        during_backoff = statement_judging.requests_during_backoff(upstreams, self._sent, held_up)
+        self.blame_all("during back-off", during_backoff)
         if not self._site.everything_is_held():
             self._blame("a key has no owner after healing")
 
--- a/tests/soak/series.py
+++ b/tests/soak/series.py
@@ -37,7 +37,7 @@
 
 
 OF_FOURTH_SEEDS = tuple(kind for kind in Kind if kind not in (Kind.LEAVE, Kind.REST))
-"""What seeds draw from that were recorded before back ends left or rested: 420001 and later."""
+"""Kinds for seeds recorded before `LEAVE` and `REST` were added: 420001 and later."""
 OF_THIRD_SEEDS = tuple(kind for kind in OF_FOURTH_SEEDS if kind is not Kind.LIMIT)
 """What seeds draw from that were recorded before back ends named limits: 380001 and later ones."""
 OF_SECOND_SEEDS = tuple(
--- a/tests/soak/statement_judging.py
+++ b/tests/soak/statement_judging.py
@@ -1,8 +1,9 @@
-"""Whether nodes keep to what back ends said in answers that passed through them.
+"""Checks that nodes comply with the statements in back ends' answers that they forwarded.
 
-A request that a caller sent long enough after a node had passed on that a back end leaves must not
-reach it from that node. A back end that asked a node for rest gets at most two requests from it,
-from half a second later until the end of that time.
+Once a node has forwarded a leaving announcement, requests that callers send to that node more than
+`LEAVING_GRACE` later must not reach the back end. During a back-off period, a back end may receive
+at most `MAX_REQUESTS_IN_BACKOFF` requests from the node, not counting the first `BACKOFF_GRACE`
+seconds.
 """
 
 from __future__ import annotations
@@ -12,22 +13,22 @@
 
 from tests.system import platform_site
 
-LEFT = 2.0
-"""Seconds after which a back end that leaves gets nothing from a node that passed on its word."""
-REST_HEARD = 0.5
-"""A node is bound by a rest from so many seconds after the answer that asks for it."""
-MOST_IN_REST = 2
+LEAVING_GRACE = 2.0
+"""Seconds after a node forwards a leaving announcement in which it may still send requests."""
+BACKOFF_GRACE = 0.5
+"""Seconds after the answer that requests back-off in which requests are not counted."""
+MAX_REQUESTS_IN_BACKOFF = 2
 Span = tuple[float, float]
 
 
 @dataclass(frozen=True)
-class Sent:
+class SentRequest:
     """A request as its caller sent it.
 
     Parameters
     ----------
     node
-        The life of the node that it was sent to.
+        Identifies the node, and its life if nodes restart.
     at
         On the test's clock, in seconds.
     """
@@ -38,57 +39,61 @@
 
 def requests_after_leaving(
     upstreams: Iterable[platform_site.Upstream],
-    sent: Mapping[str, Sent],
+    sent: Mapping[str, SentRequest],
     held_up: Sequence[Span] = (),
 ) -> list[str]:
-    """Return the requests that came to back ends from nodes that knew that they leave.
+    """Return requests that reached back ends from nodes that knew that they were leaving.
 
     Parameters
     ----------
     sent
         By request.
     held_up
-        When faults held up nodes, or requests on their way.
+        Periods in which faults delayed nodes or requests in transit.
     """
     found = []
     for upstream in upstreams:
-        told: dict[tuple[str, int], float] = {}
-        for answer in upstream.leaving_told:
+        announced_at: dict[tuple[str, int], float] = {}
+        for answer in upstream.leaving_answers:
             if answer.request in sent:
-                told.setdefault((sent[answer.request].node, answer.life), answer.at)
-        for arrival in upstream.bound_arrivals:
-            caller = sent.get(arrival.request)
-            since = told.get((caller.node, arrival.life)) if caller is not None else None
-            if caller is None or since is None or caller.at <= since + LEFT:
+                announced_at.setdefault((sent[answer.request].node, answer.life), answer.at)
+        for arrival in upstream.arrivals_after_statement:
+            request = sent.get(arrival.request)
+            since = announced_at.get((request.node, arrival.life)) if request is not None else None
+            if request is None or since is None or request.at <= since + LEAVING_GRACE:
                 continue
             if not _is_held_up(since, arrival.at, held_up):
                 late = arrival.at - since
-                found.append(f"{upstream.name} got {arrival.request} {late:.2f} s after its word")
+                found.append(
+                    f"{upstream.name} received {arrival.request} {late:.2f} s after announcing"
+                )
     return found
 
 
-def requests_during_rest(
+def requests_during_backoff(
     upstreams: Iterable[platform_site.Upstream],
-    sent: Mapping[str, Sent],
+    sent: Mapping[str, SentRequest],
     held_up: Sequence[Span] = (),
 ) -> list[str]:
-    """Return the rests in which back ends got too many requests of the node that they asked."""
+    """Return back-off periods in which the asked node sent too many requests."""
     found = []
     for upstream in upstreams:
         arrivals: dict[tuple[str, int], list[float]] = {}
-        for arrival in upstream.bound_arrivals:
+        for arrival in upstream.arrivals_after_statement:
             if arrival.request in sent:
                 key = (sent[arrival.request].node, arrival.life)
                 arrivals.setdefault(key, []).append(arrival.at)
-        for rest in upstream.rests_asked:
-            asked = rest.arrival
+        for backoff in upstream.backoff_requests:
+            asked = backoff.arrival
             if asked.request not in sent:
                 continue
-            begin, end = asked.at + REST_HEARD, asked.at + rest.seconds
+            begin, end = asked.at + BACKOFF_GRACE, asked.at + backoff.seconds
             times = arrivals.get((sent[asked.request].node, asked.life), [])
             count = sum(begin <= at < end for at in times)
-            if count > MOST_IN_REST and not _is_held_up(asked.at, end, held_up):
-                found.append(f"{upstream.name} got {count} in {rest.seconds:g} s of rest")
+            if count > MAX_REQUESTS_IN_BACKOFF and not _is_held_up(asked.at, end, held_up):
+                found.append(
+                    f"{upstream.name} received {count} in {backoff.seconds:g} s of back-off"
+                )
     return found
 
 
--- a/tests/system/paced_callers.py
+++ b/tests/system/paced_callers.py
@@ -31,7 +31,7 @@
     statuses
         How many requests had which answer; zero: none.
     sent
-        By request, when it was sent and to which node.
+        When and to which node each request was sent, by request.
     slowest_refusal
         The longest time in seconds until a request was refused as not run.
     """
@@ -40,7 +40,7 @@
         self, site: platform_site.Site, path: str, rate: float, keys: Sequence[int] = (0,)
     ) -> None:
         self.statuses: Counter[int] = Counter()
-        self.sent: dict[str, statement_judging.Sent] = {}
+        self.sent: dict[str, statement_judging.SentRequest] = {}
         self.slowest_refusal = 0.0
         self._site = site
         self._path = path
@@ -81,7 +81,7 @@
             answer = self._site.send(client, node, self._path, key)
             status = answer.status_code
             request = answer.request.headers["x-attempt-id"]
-            self.sent[request] = statement_judging.Sent(node.callers, began)
+            self.sent[request] = statement_judging.SentRequest(node.callers, began)
         except httpx.HTTPError:
             status = 0
         took = time.monotonic() - began
--- a/tests/system/platform_site.py
+++ b/tests/system/platform_site.py
@@ -56,9 +56,9 @@
     proxy
         Stands before it; it can crash only with one.
     life
-        Counts its starts after the first under other names.
+        Counts its starts under new names, after the first.
     starts
-        Counts its starts after the first, under whatever name.
+        Counts all its starts after the first.
     born
         When its present life under this name started; zero: it does not tell.
     cold_until, cold_runs
@@ -72,16 +72,16 @@
     told
         Requests that it answered with its limit, and when.
     leaving
-        Its answers say that it leaves.
-    rest
-        It turns requests away, and asks for so many seconds of rest; zero: it does not.
-    bound_arrivals
-        Requests that came to it since it first said that it leaves or asked for rest, but for those
-        of keys that it does not hold.
-    leaving_told
-        Requests that it answered with the word that it leaves, and when.
-    rests_asked
-        Rests that it asked for.
+        Its answers announce that it is leaving.
+    requested_backoff
+        Seconds of back-off that it requests as it rejects requests; zero: it accepts them.
+    arrivals_after_statement
+        Requests that it received since it first announced leaving or requested back-off, except
+        those for keys that it does not hold.
+    leaving_answers
+        Requests that it answered with a leaving announcement, and when.
+    backoff_requests
+        Its requests for back-off.
     """
 
     name: str
@@ -101,10 +101,10 @@
     arrivals: list[Arrival] = field(default_factory=list)
     told: list[Arrival] = field(default_factory=list)
     leaving: bool = False
-    rest: float = 0.0
-    bound_arrivals: list[Arrival] = field(default_factory=list)
-    leaving_told: list[Arrival] = field(default_factory=list)
-    rests_asked: list[RestAsked] = field(default_factory=list)
+    requested_backoff: float = 0.0
+    arrivals_after_statement: list[Arrival] = field(default_factory=list)
+    leaving_answers: list[Arrival] = field(default_factory=list)
+    backoff_requests: list[BackoffRequest] = field(default_factory=list)
     down: bool = False
     draining: bool = False
     silent: bool = False
@@ -168,10 +168,10 @@
         if self.keyed and not self.holds(key):
             await _answer(send, 421, [*echo, (b"x-not-executed", b"1")])
             return
-        if self.leaving or self.rest or self.leaving_told or self.rests_asked:
-            self.bound_arrivals.append(self._arrival(request_id))
-        if self.rest:
-            await self._turn_away(request_id, echo, send)
+        if self.leaving or self.requested_backoff or self.leaving_answers or self.backoff_requests:
+            self.arrivals_after_statement.append(self._arrival(request_id))
+        if self.requested_backoff:
+            await self._reject_with_backoff(request_id, echo, send)
             return
         self.site.runs.append((request_id.decode(), self.name))
         if time.monotonic() < self.cold_until:
@@ -184,7 +184,7 @@
         signed = [*echo, (b"x-upstream-signature", self.name.encode())]
         if self.leaving:
             signed.append((b"server-leaving", b"1"))
-            self.leaving_told.append(self._arrival(request_id))
+            self.leaving_answers.append(self._arrival(request_id))
         limited = [(b"server-limit", self.limit)] if self.limit else []
         if limited:
             self.told.append(Arrival(time.monotonic(), request_id.decode()))
@@ -193,15 +193,17 @@
     def _arrival(self, request_id: bytes) -> Arrival:
         return Arrival(time.monotonic(), request_id.decode(), self.starts)
 
-    async def _turn_away(
+    async def _reject_with_backoff(
         self, request_id: bytes, echo: list[tuple[bytes, bytes]], send: Any
     ) -> None:
         leaving = [(b"server-leaving", b"1")] if self.leaving else []
         if leaving:
-            self.leaving_told.append(self._arrival(request_id))
-        self.rests_asked.append(RestAsked(self._arrival(request_id), self.rest))
-        asked = (b"retry-after", b"%g" % self.rest)
-        await _answer(send, 503, [*echo, (b"x-not-executed", b"1"), asked, *leaving])
+            self.leaving_answers.append(self._arrival(request_id))
+        self.backoff_requests.append(
+            BackoffRequest(self._arrival(request_id), self.requested_backoff)
+        )
+        retry_after = (b"retry-after", b"%g" % self.requested_backoff)
+        await _answer(send, 503, [*echo, (b"x-not-executed", b"1"), retry_after, *leaving])
 
     async def _crash(self, proxy: FaultyProxy) -> None:
         """End, and come back some time later under another id and without any keys."""
@@ -243,7 +245,7 @@
     def _begin_life(self) -> None:
         self.starts += 1
         self.leaving = False
-        self.rest = 0.0
+        self.requested_backoff = 0.0
 
     def name_limit(self, limit: bytes) -> None:
         """Name a limit in answers from now on, or none any more."""
@@ -303,7 +305,7 @@
     at
         On the test's clock, in seconds.
     life
-        Of the upstream, counted from its first.
+        The upstream's `starts` at that time.
     """
 
     at: float
@@ -312,13 +314,13 @@
 
 
 @dataclass(frozen=True)
-class RestAsked:
-    """An upstream turned a request away and asked for rest.
+class BackoffRequest:
+    """An upstream's rejection of a request, with a back-off period.
 
     Parameters
     ----------
     seconds
-        For which it asked.
+        Requested back-off period.
     """
 
     arrival: Arrival
--- a/tests/system/test_leaving_and_rest.py
+++ b/tests/system/test_leaving_and_rest.py
@@ -1,4 +1,4 @@
-"""Back ends that say in answers that they leave, or that ask for rest: real nodes."""
+"""Leaving announcements and back-off requests in back ends' answers, with real node processes."""
 
 from __future__ import annotations
 
@@ -18,31 +18,31 @@
 
 NODES = 5
 KEYED = 3
-PLAIN = 6
+UNKEYED = 6
 RATE = 60.0
-"""Requests a second from all callers."""
-WATCHED = 7.0
-REST = 3.0
-MANY = 100_000
+"""Requests per second from all callers."""
+OBSERVATION_SECONDS = 7.0
+BACKOFF_SECONDS = 3.0
+STORE_FAULTS = 100_000
 KEYS = range(0, platform_site.KEYS, 997)
 
 
 @pytest.fixture
 def site(tmp_path: Path) -> Iterator[platform_site.Site]:
-    with platform_site.running_site(tmp_path, KEYED, PLAIN, NODES) as running:
+    with platform_site.running_site(tmp_path, KEYED, UNKEYED, NODES) as running:
         yield running
 
 
 @contextmanager
-def store_away(site: platform_site.Site) -> Iterator[None]:
-    site.store.faults.extend([Fault.REFUSE] * MANY)
+def store_unavailable(site: platform_site.Site) -> Iterator[None]:
+    site.store.faults.extend([Fault.REFUSE] * STORE_FAULTS)
     try:
         yield
     finally:
         site.store.faults.clear()
 
 
-def plain_ones(site: platform_site.Site) -> list[platform_site.Upstream]:
+def unkeyed_upstreams(site: platform_site.Site) -> list[platform_site.Upstream]:
     return [item for item in site.upstreams if not item.keyed]
 
 
@@ -50,20 +50,20 @@
     return statement_judging.requests_after_leaving(site.upstreams, callers.sent)
 
 
-def excesses(site: platform_site.Site, callers: PacedCallers) -> list[str]:
-    return statement_judging.requests_during_rest(site.upstreams, callers.sent)
+def backoff_violations(site: platform_site.Site, callers: PacedCallers) -> list[str]:
+    return statement_judging.requests_during_backoff(site.upstreams, callers.sent)
 
 
 def test_a_back_end_that_says_in_answers_that_it_leaves_gets_no_later_request(
     site: platform_site.Site,
 ) -> None:
-    """Its entry in the store does not change."""
+    """The store entry stays unchanged, so that only the answers announce it."""
     with PacedCallers(site, "/plain/x", RATE).calling() as callers:
         time.sleep(1.0)
-        for upstream in plain_ones(site)[:2]:
+        for upstream in unkeyed_upstreams(site)[:2]:
             upstream.leaving = True
-        time.sleep(WATCHED)
-    assert all(upstream.leaving_told for upstream in plain_ones(site)[:2])
+        time.sleep(OBSERVATION_SECONDS)
+    assert all(upstream.leaving_answers for upstream in unkeyed_upstreams(site)[:2])
     assert late_requests(site, callers) == []
     assert callers.statuses[200] == callers.statuses.total()
 
@@ -74,11 +74,11 @@
     owner = next(item for item in site.upstreams if item.holds(0))
     with PacedCallers(site, "/keyed/x", RATE).calling() as callers:
         time.sleep(1.0)
-        with store_away(site):
+        with store_unavailable(site):
             time.sleep(1.0)
             owner.leaving = True
-            time.sleep(WATCHED)
-    assert owner.leaving_told
+            time.sleep(OBSERVATION_SECONDS)
+    assert owner.leaving_answers
     assert late_requests(site, callers) == []
     assert set(callers.statuses) <= {200, 503}
 
@@ -91,7 +91,7 @@
         time.sleep(1.0)
         owner.leaving = True
         next(node for node in site.nodes if leads(node)).process.signal(signal.SIGKILL)
-        time.sleep(WATCHED)
+        time.sleep(OBSERVATION_SECONDS)
     assert late_requests(site, callers) == []
     assert site.two_owners == []
     assert set(callers.statuses) <= {0, 200, 503}
@@ -107,21 +107,21 @@
 ) -> None:
     with PacedCallers(site, "/plain/x", RATE).calling() as callers:
         time.sleep(1.0)
-        for upstream in plain_ones(site)[:2]:
-            upstream.rest = REST
-        time.sleep(WATCHED)
-    assert all(upstream.rests_asked for upstream in plain_ones(site)[:2])
-    assert excesses(site, callers) == []
+        for upstream in unkeyed_upstreams(site)[:2]:
+            upstream.requested_backoff = BACKOFF_SECONDS
+        time.sleep(OBSERVATION_SECONDS)
+    assert all(upstream.backoff_requests for upstream in unkeyed_upstreams(site)[:2])
+    assert backoff_violations(site, callers) == []
     assert callers.statuses[200] >= 0.99 * callers.statuses.total()
 
 
 def test_a_service_of_which_all_ask_for_rest_gets_it(site: platform_site.Site) -> None:
     with PacedCallers(site, "/plain/x", RATE).calling() as callers:
         time.sleep(1.0)
-        for upstream in plain_ones(site):
-            upstream.rest = REST
-        time.sleep(WATCHED)
-    assert excesses(site, callers) == []
+        for upstream in unkeyed_upstreams(site):
+            upstream.requested_backoff = BACKOFF_SECONDS
+        time.sleep(OBSERVATION_SECONDS)
+    assert backoff_violations(site, callers) == []
     assert set(callers.statuses) == {200, 503}
 
 
@@ -129,10 +129,10 @@
     owner = next(item for item in site.upstreams if item.holds(0))
     with PacedCallers(site, "/keyed/x", RATE, KEYS).calling() as callers:
         time.sleep(1.0)
-        owner.rest = REST
-        time.sleep(WATCHED)
-    assert owner.rests_asked
-    assert excesses(site, callers) == []
+        owner.requested_backoff = BACKOFF_SECONDS
+        time.sleep(OBSERVATION_SECONDS)
+    assert owner.backoff_requests
+    assert backoff_violations(site, callers) == []
     assert set(callers.statuses) <= {200, 503}
     with PacedCallers(site, "/keyed/x", RATE, KEYS).calling() as later:
         time.sleep(1.0)
--- /dev/null
+++ b/tests/unit/test_availability.py
@@ -0,0 +1,161 @@
+"""Availability checks, and the refusals that follow from them."""
+
+from __future__ import annotations
+
+import pytest
+
+from limedeck.forwarding.availability import LEAVING_OWNER_STOP, Cause
+from limedeck.forwarding.backends import MAX_CONFIRMATION_AGE, BackendDirectory
+from limedeck.forwarding.budget import RetryAllowance, RetryBudget
+from limedeck.forwarding.commands import AskPermit, Attempt, Command, Reason, Refuse, Wait
+from limedeck.forwarding.leaving import LeavingStatement
+from limedeck.forwarding.limits import LimitStatement
+from limedeck.forwarding.owners import OwnedRange, OwnerMap
+from limedeck.forwarding.permits import Permit
+from limedeck.forwarding.refusals import LONGEST_MOVE_WAIT
+from limedeck.forwarding.request import RequestCore, ServiceView
+from limedeck.model import Backend, Route, Target
+from limedeck.routing.outcomes import FailurePhase, Outcome
+
+NODES = 3
+KEY = 5
+
+
+def directory_of(*names: str) -> BackendDirectory:
+    directory = BackendDirectory("z1", "n")
+    for number, name in enumerate(names):
+        directory.put(Backend(name, "s", f"127.0.0.1:{number}", "z1", 2), 0.0)
+    return directory
+
+
+def announce_leaving(directory: BackendDirectory, *names: str, at: float = 9.0) -> None:
+    for name in names:
+        directory.leaving.take(name, LeavingStatement(True, at, at))
+
+
+def core_of(
+    directory: BackendDirectory, now: float = 10.0, owner: str | None = None
+) -> RequestCore:
+    route = Route("r", "host", "/", True, 2.0, 0.5, 3, 0, (Target("s", 1),))
+    view = ServiceView("s", owner is not None, RetryBudget(RetryAllowance(0.2, 30.0, 10.0)))
+    if owner is not None:
+        view.owners = OwnerMap(1, (OwnedRange(0, 99, owner),))
+    key = KEY if owner is not None else None
+    name = b"%d" % round(now * 1000)
+    return RequestCore(name, route, view, directory, key, now + 2.0, now)
+
+
+def first_command(
+    directory: BackendDirectory, now: float = 10.0, owner: str | None = None
+) -> Command:
+    return core_of(directory, now, owner).next_command(now, NODES)
+
+
+def assert_refused(command: Command, reason: Reason) -> Refuse:
+    assert isinstance(command, Refuse)
+    assert (command.outcome, command.reason) == (Outcome.NOT_RUN, reason)
+    return command
+
+
+def test_leaving_back_end_is_not_chosen() -> None:
+    directory = directory_of("a", "b", "c")
+    announce_leaving(directory, "a", "b")
+    for number in range(50):
+        command = first_command(directory, 10.0 + number / 100)
+        assert isinstance(command, Attempt)
+        assert command.state.backend.backend_id == "c"
+
+
+def test_request_is_refused_if_all_back_ends_are_leaving() -> None:
+    directory = directory_of("a", "b")
+    announce_leaving(directory, "a", "b")
+    refusal = assert_refused(first_command(directory), Reason.LEAVING)
+    assert refusal.retry_after >= 1.0
+
+
+def test_retry_skips_back_end_that_started_leaving() -> None:
+    directory = directory_of("a", "b")
+    core = core_of(directory)
+    command = core.next_command(10.0, NODES)
+    assert isinstance(command, Attempt)
+    announce_leaving(directory, "a", "b", at=10.1)
+    core.service.budget.note_request(10.0)
+    assert_refused(core.handle_failure(FailurePhase.REFUSED, 10.2, NODES), Reason.REFUSED)
+
+
+def test_permit_is_not_used_once_back_end_is_leaving() -> None:
+    directory = directory_of("a")
+    directory.limits.take("a", LimitStatement(4.2, 1.0, 1.1))
+    core = core_of(directory)
+    command = core.next_command(10.0, NODES)
+    assert isinstance(command, AskPermit)
+    assert isinstance(core.handle_permit(command, Permit(0.05), 10.01, NODES), Wait)
+    announce_leaving(directory, "a", at=10.02)
+    assert_refused(core.next_command(10.06, NODES), Reason.LEAVING)
+
+
+def test_leaving_owner_receives_requests_only_while_its_keys_move() -> None:
+    directory = directory_of("a", "b")
+    announce_leaving(directory, "a", at=10.0)
+    just_before = 10.0 + LEAVING_OWNER_STOP - 0.01
+    assert isinstance(first_command(directory, just_before, owner="a"), Attempt)
+    refusal = assert_refused(
+        first_command(directory, 10.0 + LEAVING_OWNER_STOP, owner="a"), Reason.LEAVING
+    )
+    assert 0.25 <= refusal.retry_after <= 0.55
+
+
+def test_waiting_request_is_not_sent_to_leaving_owner() -> None:
+    directory = directory_of("a", "b")
+    core = core_of(directory, owner="a")
+    assert isinstance(core.next_command(10.0, NODES), Attempt)
+    assert isinstance(core.handle_failure(FailurePhase.REFUSED, 10.01, NODES), Wait)
+    announce_leaving(directory, "a", at=10.06 - LEAVING_OWNER_STOP)
+    assert_refused(core.next_command(10.06, NODES), Reason.LEAVING)
+
+
+@pytest.mark.parametrize("by_entry", [True, False])
+def test_entry_and_answers_stop_requests_to_owner_alike(by_entry: bool) -> None:
+    directory = directory_of("a", "b")
+    if by_entry:
+        directory.put(Backend("a", "s", "127.0.0.1:0", "z1", 2, draining=True), 10.0)
+    else:
+        announce_leaving(directory, "a", at=10.0)
+    state = directory.find("a")
+    assert state is not None
+    assert directory.availability.check_owner(state, 10.0 + LEAVING_OWNER_STOP - 0.01) is None
+    unavailable = directory.availability.check_owner(state, 10.0 + LEAVING_OWNER_STOP)
+    assert unavailable is not None and unavailable.cause is Cause.LEAVING
+
+
+def test_leaving_back_end_is_shown_to_leader_as_draining() -> None:
+    directory = directory_of("a", "b")
+    announce_leaving(directory, "a")
+    shown = directory.owner_candidates("s", 10.0, may_move=True)
+    assert [item.backend_id for item in shown if item.draining] == ["a"]
+
+
+def test_key_without_owner_is_refused_at_once_while_store_is_unavailable() -> None:
+    directory = directory_of("a")
+    directory.note_store_confirmed(0.0, 10.0)
+    command = first_command(directory, 10.1, owner="")
+    assert isinstance(command, Wait)
+    assert command.until <= 10.1 + LONGEST_MOVE_WAIT
+    refusal = assert_refused(
+        first_command(directory, 10.0 + MAX_CONFIRMATION_AGE, owner=""), Reason.NO_OWNER
+    )
+    assert refusal.retry_after >= 1.0
+    directory.note_store_confirmed(MAX_CONFIRMATION_AGE, 12.0)
+    assert_refused(first_command(directory, 12.0, owner=""), Reason.NO_OWNER)
+    directory.note_store_confirmed(0.1, 13.0)
+    assert isinstance(first_command(directory, 13.0, owner=""), Wait)
+
+
+def test_delayed_announcement_does_not_undo_revocation() -> None:
+    directory = directory_of("a")
+    directory.put(Backend("a", "s", "127.0.0.1:0", "z1", 2, draining=True), 5.0)
+    directory.put(Backend("a", "s", "127.0.0.1:0", "z1", 2), 8.0)
+    announce_leaving(directory, "a", at=6.0)
+    assert isinstance(first_command(directory), Attempt)
+    announce_leaving(directory, "a", at=9.0)
+    assert_refused(first_command(directory), Reason.LEAVING)
--- a/tests/unit/test_forwarding.py
+++ b/tests/unit/test_forwarding.py
@@ -7,8 +7,9 @@
 
 import pytest
 
+from limedeck.forwarding.availability import OWNER_STOP
 from limedeck.forwarding.backend_state import BackendState
-from limedeck.forwarding.backends import OWNER_STOP, BackendDirectory, Contact
+from limedeck.forwarding.backends import BackendDirectory, Contact
 from limedeck.forwarding.budget import MARGIN, RetryAllowance, RetryBudget
 from limedeck.forwarding.commands import AskPermit, Attempt, Command, Reason, Refuse, Wait
 from limedeck.forwarding.owners import OwnedRange, OwnerMap
@@ -565,22 +566,22 @@
     directory = BackendDirectory("z1", "n1")
     directory.put(backend("a", zone="z1"), 0.0)
     directory.put(backend("bb", zone="z2"), 0.0)
-    directory.evacuate("z1", 1.0)
+    directory.availability.evacuate("z1", 1.0)
     chosen = {directory.choose("s", (), b"%d" % number, 1.0) for number in range(50)}
     assert chosen == {directory.find("bb")}
-    directory.evacuate("z2", 1.0)
+    directory.availability.evacuate("z2", 1.0)
     assert directory.choose("s", (), b"1", 1.0) is None
     refused = command_for(ServiceView("s", False, RetryBudget(ALLOWANCE)), directory, 1.0)
     assert isinstance(refused, Refuse)
     assert (refused.reason, refused.outcome) == (Reason.NO_BACKEND, Outcome.NOT_RUN)
-    directory.end_evacuation("z1")
+    directory.availability.end_evacuation("z1")
     assert directory.choose("s", (), b"1", 1.0) is directory.find("a")
 
 
 def test_an_evacuated_owner_serves_while_its_keys_move_and_no_longer() -> None:
     directory = BackendDirectory("z1", "n1")
     directory.put(backend("a"), 0.0)
-    directory.evacuate("z1", 1.0)
+    directory.availability.evacuate("z1", 1.0)
     assert isinstance(command_for(keyed_view("a"), directory, 1.5, 5), Attempt)
     refused = command_for(keyed_view("a"), directory, 1.0 + OWNER_STOP, 5)
     assert isinstance(refused, Refuse)
@@ -593,7 +594,7 @@
     directory.put(backend("a", zone="z1"), 0.0)
     directory.put(backend("bb", zone="z2"), 0.0)
     directory.put(cold("ccc", 3.0), 0.0)
-    directory.evacuate("z1", 1.0)
+    directory.availability.evacuate("z1", 1.0)
 
     def leaving(now: float, may_move: bool) -> set[str]:
         shown = directory.owner_candidates("s", now, may_move)
--- a/tests/unit/test_inspection.py
+++ b/tests/unit/test_inspection.py
@@ -83,7 +83,7 @@
 
 def test_back_ends_are_shown_with_why_they_get_less() -> None:
     state = node_state()
-    state.directory.evacuate("z1", 0.0)
+    state.directory.availability.evacuate("z1", 0.0)
     state.directory.limits.take("b", LimitStatement(3.2, 0.5, 1.0))
     shown = {item.backend: item for item in inspector(state).status(2.0).backends}
     assert (shown["b"].conditions, shown["b"].bound) == (["evacuated", "limited"], 3.2)
--- a/tests/unit/test_limited_requests.py
+++ b/tests/unit/test_limited_requests.py
@@ -176,7 +176,7 @@
     assert state is not None
     directory.set_cold_rates({"s": 2.0})
     state.note_ended(9.9)
-    bound = directory.bound_of(state, 10.0)
+    bound = directory.availability.bound_of(state, 10.0)
     assert bound is not None and bound.rate == 2.0
 
 
--- a/tests/unit/test_retry_after.py
+++ b/tests/unit/test_retry_after.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from limedeck import errors, retry_after
+from limedeck.platform.grants import PlatformOrders
 from limedeck.platform.headers import PlatformProtocol
 
 DATE = b"Thu, 03 Dec 2026 10:00:00 GMT"
@@ -74,3 +75,4 @@
 )
 def test_server_leaving_is_read(headers: list[tuple[bytes, bytes]], leaving: bool) -> None:
     assert PlatformProtocol().answer_facts(200, headers).leaving is leaving
+    assert PlatformOrders().is_leaving(headers) is leaving
--- a/tests/unit/test_service_ownership.py
+++ b/tests/unit/test_service_ownership.py
@@ -8,6 +8,7 @@
 import pytest
 
 from limedeck.api.control_pb2 import AssignmentRecord, OwnedKeys
+from limedeck.forwarding.availability import LEAVING_OWNER_STOP
 from limedeck.model import Backend
 from limedeck.ownership.commands import OwnershipCommand, SendGrant, SendRelease, WriteRecord
 from limedeck.ownership.key_load import KeyLoad
@@ -31,6 +32,7 @@
         self.core = core
         self.silent = silent or set()
         self.slow: set[str] = set()
+        self.may_move = True
         self.now = 0.0
         self.version = 10
         self.records: list[tuple[float, AssignmentRecord]] = []
@@ -38,7 +40,7 @@
 
     def run(self, until: float) -> None:
         while self.now < until:
-            for command in self.core.handle_tick(True, self.now):
+            for command in self.core.handle_tick(True, self.now, may_move=self.may_move):
                 self._answer(command)
             self.core.published(self.now)
             self.now = round(self.now + 0.05, 3)
@@ -281,6 +283,19 @@
     assert handed and handed[0].first == 50 and grant.fence > 0
 
 
+def test_leaving_owner_keeps_keys_while_it_receives_requests_if_none_can_be_assigned() -> None:
+    play = taken_over(set())
+    play.run(1.0)
+    play.may_move = False
+    play.core.set_backends([backend("a"), backend("b", draining=True)], play.now)
+    play.run(1.0 + LEAVING_OWNER_STOP - 0.05)
+    assert play.owners() == [(0, 49, "a"), (50, 99, "b")]
+    play.run(1.0 + LEAVING_OWNER_STOP + 0.1)
+    assert play.owners() == [(0, 49, "a"), (50, 99, "")]
+    released = [order for _, order in play.orders if isinstance(order, Release)]
+    assert [order.backend_id for order in released] == ["b"]
+
+
 def test_without_any_usable_back_end_keys_stay_where_they_are() -> None:
     play = fresh()
     play.run(3.0)
--- a/tests/unit/test_soak_parts.py
+++ b/tests/unit/test_soak_parts.py
@@ -367,10 +367,10 @@
         soak.kinds_of("limit,earthquake")
 
 
-def sent_every(seconds: float, until: float) -> dict[str, statement_judging.Sent]:
-    """Requests of one caller to one node, by the time at which they were sent."""
-    times = [number * seconds for number in range(round(until / seconds))]
-    return {f"{at:g}": statement_judging.Sent("n/1", at) for at in times}
+def sent_every(interval: float, until: float) -> dict[str, statement_judging.SentRequest]:
+    """Return requests to one node at a fixed interval, by request."""
+    times = [number * interval for number in range(round(until / interval))]
+    return {f"{at:g}": statement_judging.SentRequest("n/1", at) for at in times}
 
 
 @pytest.mark.parametrize(
@@ -383,13 +383,13 @@
         (2.5, 0, [(4.0, 5.0)], True),
     ],
 )
-def test_a_request_that_reaches_a_back_end_known_to_leave_is_held_against_its_node(
+def test_request_to_back_end_known_to_be_leaving_is_reported(
     last: float, life: int, held_up: list[tuple[float, float]], is_blamed: bool
 ) -> None:
     upstream = platform_site.Upstream("a", "s", False, "127.0.0.1:1", judging.JudgedSite())
     sent = sent_every(0.5, 4.0)
-    upstream.leaving_told.append(platform_site.Arrival(0.0, "0"))
-    upstream.bound_arrivals.append(platform_site.Arrival(last + 0.01, f"{last:g}", life))
+    upstream.leaving_answers.append(platform_site.Arrival(0.0, "0"))
+    upstream.arrivals_after_statement.append(platform_site.Arrival(last + 0.01, f"{last:g}", life))
     found = statement_judging.requests_after_leaving([upstream], sent, held_up)
     assert bool(found) is is_blamed
 
@@ -404,13 +404,15 @@
         ([1.0, 2.0, 2.75], 0, [(2.5, 2.6)], False),
     ],
 )
-def test_a_third_request_to_a_resting_back_end_is_held_against_its_node(
+def test_third_request_during_backoff_is_reported(
     arrivals: list[float], life: int, held_up: list[tuple[float, float]], is_blamed: bool
 ) -> None:
     upstream = platform_site.Upstream("a", "s", False, "127.0.0.1:1", judging.JudgedSite())
     sent = sent_every(0.25, 4.0)
-    asked = platform_site.RestAsked(platform_site.Arrival(0.0, "0"), 3.0)
-    upstream.rests_asked.append(asked)
-    upstream.bound_arrivals += [platform_site.Arrival(at, f"{at:g}", life) for at in arrivals]
-    found = statement_judging.requests_during_rest([upstream], sent, held_up)
+    backoff = platform_site.BackoffRequest(platform_site.Arrival(0.0, "0"), 3.0)
+    upstream.backoff_requests.append(backoff)
+    upstream.arrivals_after_statement += [
+        platform_site.Arrival(at, f"{at:g}", life) for at in arrivals
+    ]
+    found = statement_judging.requests_during_backoff([upstream], sent, held_up)
     assert bool(found) is is_blamed
--- a/tests/unit/test_statements.py
+++ b/tests/unit/test_statements.py
@@ -6,10 +6,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from limedeck.api import control_pb2
 from limedeck.forwarding.backends import BackendDirectory
 from limedeck.forwarding.backoffs import LONGEST_BACKOFF, RETURN_SPREAD, BackoffLedger
 from limedeck.forwarding.leaving import LEAVING_RETENTION, LeavingLedger, LeavingStatement
 from limedeck.model import Backend
+from limedeck.node.leaving_news import LeavingNewsPeer
 from limedeck.node.statement_log import StatementLog
 from limedeck.node.telemetry import Telemetry
 
@@ -18,6 +20,24 @@
     return Backend(f"a@{life}", "s", "127.0.0.1:1", "z1", 2, draining, instance="a")
 
 
+def test_announcements_and_revocations_are_sent_with_their_ages() -> None:
+    ours, theirs = LeavingLedger(), LeavingLedger()
+    our_peer, their_peer = LeavingNewsPeer(ours), LeavingNewsPeer(theirs)
+    ours.take("a", LeavingStatement(True, 10.0, 10.25))
+    assert our_peer.has_news
+    message = control_pb2.Report()
+    our_peer.fill(message, 11.0)
+    their_peer.take(message, 501.0)
+    assert theirs.leaving_since("a") == 500.25
+    ours.revoke("a", 12.0)
+    message = control_pb2.Report()
+    our_peer.fill(message, 12.5)
+    their_peer.take(message, 502.5)
+    assert theirs.leaving_backends() == []
+    assert not our_peer.has_news
+    assert not their_peer.has_news
+
+
 def test_earliest_announcement_is_kept() -> None:
     ledger = LeavingLedger()
     ledger.take("a", LeavingStatement(True, 1.0, 1.5))
