Honour Retry-After of back ends when routing

Symptom: four owners rejected requests with 503 and asked for a back-off of 3 s, for 9 s. A third of the requests of their service were refused, most after a second attempt at the same owner, and each owner still received some 25 requests a second.

Cause: routing ignored the Retry-After of back ends. A back end that rejected a request was treated as full, a state that fades within half a second.

Requests are sent to another back end at once, or are refused: unkeyed ones with a Retry-After at the end of the first back-off, spread by priority, keyed ones after a second at most while their keys can move. A request that two such back ends have rejected is refused. Nodes report back-offs to the leader with their loads. Keys of excluded owners are released only while the store confirms the leader.

--- a/src/limedeck/forwarding/availability.py
+++ b/src/limedeck/forwarding/availability.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 
 from limedeck.forwarding.backend_state import BackendState
+from limedeck.forwarding.backoffs import BackoffLedger
 from limedeck.forwarding.leaving import LeavingLedger
 from limedeck.forwarding.limits import LimitLedger
 from limedeck.forwarding.permits import Bound
@@ -27,11 +28,18 @@
 for at least two seconds after their announcement."""
 
 
+MAX_PROBES = 2
+"""Concurrent requests from this node to a back end after a back-off, until one is served."""
+PROBE_TIME: Seconds = 0.1
+"""Expected response time of a probe; requests beyond `MAX_PROBES` are told to retry after it."""
+
+
 class Cause(enum.Enum):
     """Why a back end may not receive requests."""
 
     LEAVING = "leaving"
     EVACUATED = "evacuated"
+    BACKING_OFF = "backing-off"
     COLD = "cold"
     NO_PERMIT = "no-permit"
 
@@ -54,9 +62,12 @@
 class Availability:
     """One node's checks of whether back ends may receive requests."""
 
-    def __init__(self, limits: LimitLedger, leaving: LeavingLedger) -> None:
+    def __init__(
+        self, limits: LimitLedger, leaving: LeavingLedger, backoffs: BackoffLedger
+    ) -> None:
         self._limits = limits
         self._leaving = leaving
+        self._backoffs = backoffs
         self._evacuated: dict[str, Seconds] = {}
 
     def evacuate(self, zone: str, now: Seconds) -> None:
@@ -79,6 +90,9 @@
             return Unavailable(backend.backend_id, Cause.LEAVING)
         if backend.zone in self._evacuated:
             return Unavailable(backend.backend_id, Cause.EVACUATED)
+        backing_off = self.check_backoff(state, now)
+        if backing_off is not None:
+            return backing_off
         if self.is_turning_away(state, now):
             remaining = state.turned_away_until - now
             return Unavailable(backend.backend_id, Cause.NO_PERMIT, remaining)
@@ -96,10 +110,28 @@
         evacuated_since = self._evacuated.get(backend.zone)
         if evacuated_since is not None and now - evacuated_since >= OWNER_STOP:
             return Unavailable(backend.backend_id, Cause.EVACUATED)
+        backing_off = self.check_backoff(state, now)
+        if backing_off is not None:
+            return backing_off
         if state.is_cold(now):
             return Unavailable(backend.backend_id, Cause.COLD, state.cold_for(now))
         return None
 
+    def check_backoff(self, state: BackendState, now: Seconds) -> Unavailable | None:
+        """Return why a back end's back-off rules out requests to it; None if it does not.
+
+        After the back-off, at most `MAX_PROBES` requests are outstanding until one is served.
+        """
+        backend_id = state.backend.backend_id
+        backoff = self._backoffs.find(backend_id)
+        if backoff is None:
+            return None
+        if now < backoff.resume_at:
+            return Unavailable(backend_id, Cause.BACKING_OFF, backoff.resume_at - now)
+        if state.outstanding >= MAX_PROBES:
+            return Unavailable(backend_id, Cause.BACKING_OFF, PROBE_TIME)
+        return None
+
     def check_permit_holder(self, state: BackendState, now: Seconds) -> Unavailable | None:
         """Return why a request may no longer use its permit for a back end; None if it may."""
         unavailable = self.check_unkeyed(state, now)
--- a/src/limedeck/forwarding/backends.py
+++ b/src/limedeck/forwarding/backends.py
@@ -89,7 +89,7 @@
         self.limits = LimitLedger()
         self.leaving = LeavingLedger()
         self.backoffs = BackoffLedger(node_id)
-        self.availability = Availability(self.limits, self.leaving)
+        self.availability = Availability(self.limits, self.leaving, self.backoffs)
 
     def put(self, backend: Backend, now: Seconds) -> None:
         """A back end's entry is new or has changed.
--- a/src/limedeck/forwarding/commands.py
+++ b/src/limedeck/forwarding/commands.py
@@ -29,6 +29,7 @@
     COLD = "owner-is-cold"
     LIMITED = "limited"
     LEAVING = "leaving"
+    BACKING_OFF = "backing-off"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/limedeck/forwarding/refusals.py
+++ b/src/limedeck/forwarding/refusals.py
@@ -21,6 +21,9 @@
 """For keys that cannot be assigned an owner until the store confirms a leader again."""
 NO_BACKEND_RETRY_AFTER: Seconds = 1.0
 """For a service whose back ends are all leaving, so that new ones must start."""
+BACKOFF_MOVE_TIME: Seconds = 1.0
+"""For keys of an owner that requests back-off. The leader moves them within this time if the owner
+requests back-off from more nodes than it serves."""
 LONGEST_MOVE_WAIT: Seconds = 0.4
 """Longest time that a request waits for its key to be assigned an owner."""
 RETURN_SPREAD: Seconds = 0.3
@@ -28,6 +31,7 @@
 _OWNER_REASONS = {
     Cause.LEAVING: Reason.LEAVING,
     Cause.EVACUATED: Reason.EVACUATED,
+    Cause.BACKING_OFF: Reason.BACKING_OFF,
     Cause.COLD: Reason.COLD,
 }
 
@@ -46,6 +50,8 @@
             if unavailable.remaining is None
             else unavailable.remaining
         )
+    elif unavailable.cause is Cause.BACKING_OFF:
+        delay = min(unavailable.remaining or 0.0, BACKOFF_MOVE_TIME)
     elif unavailable.cause is Cause.COLD:
         delay = min(unavailable.remaining or 0.0, LONGEST_MOVE_WAIT)
     else:
@@ -66,6 +72,11 @@
     unavailable
         The cause that ends first; None if the service has no back end.
     """
+    if unavailable is not None and unavailable.cause is Cause.BACKING_OFF:
+        # Retries are spread by priority, the most urgent first.
+        rank = 1 + max(claim.route.priority, 0)
+        delay = (unavailable.remaining or 0.0) + rank * _spread(claim)
+        return claim.refuse(Reason.BACKING_OFF, delay, unavailable)
     if unavailable is not None and unavailable.cause is Cause.LEAVING:
         return claim.refuse(Reason.LEAVING, NO_BACKEND_RETRY_AFTER + _spread(claim), unavailable)
     return claim.refuse(Reason.NO_BACKEND, NO_OWNER_RETRY_AFTER)
--- a/src/limedeck/forwarding/request.py
+++ b/src/limedeck/forwarding/request.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from limedeck.errors import InvariantViolation
-from limedeck.forwarding import refusals
+from limedeck.forwarding import availability, refusals
 from limedeck.forwarding.admission import RETRY_AFTER, RETRY_PAUSE, Claim
 from limedeck.forwarding.backend_state import BackendState
 from limedeck.forwarding.backends import BackendDirectory
@@ -31,6 +31,9 @@
 
 SHORTEST_ATTEMPT: Seconds = 0.005
 """An attempt is not begun with less time than this left."""
+MAX_BACKOFF_REJECTIONS = 2
+"""A request that this many back ends reject with a back-off is refused, so that it does not spend
+several retries of the budget that all nodes share."""
 RETURN_PART = 0.85
 """A caller that will wait less than this part of the longest wait seen on its route has been here
 before: what is left after a refusal is below it, and callers of a route wait equally long."""
@@ -106,6 +109,7 @@
         self.attempts = 0
         self._permits = RequestPermits(self.claim, directory)
         self._reached = False
+        self._backoff_rejections = 0
         self._directory = directory
         self._waiting_since: Seconds | None = None
         self._excluded: set[str] = set()
@@ -169,13 +173,18 @@
         )
         decision = decide(phase, history)
         self.claim.maybe_run = self.claim.maybe_run or phase not in SURELY_NOT_RUN
+        backing_off = self._directory.availability.check_backoff(attempt.state, now)
         if decision is not Decision.RETRY:
+            if backing_off is not None and self.service.keyed and not wrong_owner:
+                return self._refuse_for_owner(backing_off, now)
             reason = _reason_for(phase, history.time_left)
             retry_after = self._retry_after(reason, attempt.state, now, wrong_owner)
             return self._refuse(reason, retry_after)
         backend_id = attempt.state.backend.backend_id
         self._excluded.add(backend_id)
-        if phase in FULL and not wrong_owner:
+        if backing_off is not None and phase in FULL and not wrong_owner:
+            self._backoff_rejections += 1
+        elif phase in FULL and not wrong_owner:
             attempt.state.note_full(now)
             refusal = self.claim.early_refusal(attempt.state, now) if self.service.keyed else None
             if refusal is not None:
@@ -191,12 +200,15 @@
         stale = owners.version == self._stale_version and now < self._not_before
         unavailable = self._directory.availability.check_owner(state, now) if state else None
         if unavailable is not None:
-            can_move = self._directory.can_assign_owners(now)
-            return refusals.owner_unavailable(self.claim, unavailable, can_move)
+            return self._refuse_for_owner(unavailable, now)
         if state is None or stale:
             return self._refusal_by_lost_owner(position, now) or self._wait_for_owner(state, now)
         return self._attempt_in_time(state, now, sharers)
 
+    def _refuse_for_owner(self, unavailable: availability.Unavailable, now: Seconds) -> Refuse:
+        can_move = self._directory.can_assign_owners(now)
+        return refusals.owner_unavailable(self.claim, unavailable, can_move)
+
     def _refusal_by_lost_owner(self, position: int, now: Seconds) -> Refuse | None:
         """Refuse at once what cannot be served before a lost owner's lease has ended.
 
@@ -225,12 +237,14 @@
         if state is None:
             excluded = self._excluded | self._permits.closed(service, now)
             state = self._directory.choose(service, excluded, self.request_id, now)
-        if state is not None:
+        if state is not None and self._backoff_rejections < MAX_BACKOFF_REJECTIONS:
             return self._attempt_in_time(state, now, sharers)
+        soonest = self._directory.soonest_available_of(service, now)
+        if soonest is not None and soonest.cause is availability.Cause.BACKING_OFF:
+            return refusals.service_unavailable(self.claim, soonest)
         if self._excluded:
             return self._refuse(Reason.REFUSED, RETRY_AFTER)
         refusal = self._permits.refusal_by_all(service, now)
-        soonest = self._directory.soonest_available_of(service, now)
         return refusal or refusals.service_unavailable(self.claim, soonest)
 
     def _attempt_in_time(self, state: BackendState, now: Seconds, sharers: int) -> Command:
--- a/src/limedeck/node/backend_loads.py
+++ b/src/limedeck/node/backend_loads.py
@@ -12,11 +12,12 @@
 
 from limedeck.api import control_pb2
 from limedeck.errors import PeerProtocolError
-from limedeck.forwarding import backends
+from limedeck.forwarding import backend_state, backends
 from limedeck.identity import Seconds
 from limedeck.ownership import fleet_load
 
 MICROSECONDS = 1e6
+MILLISECONDS = 1000.0
 COLUMNS = 2
 """Bytes for each back end in the totals."""
 LARGEST_BYTE = 255
@@ -43,18 +44,24 @@
     }
 
 
-def write_report(directory: backends.BackendDirectory) -> control_pb2.BackendLoads:
+def write_report(directory: backends.BackendDirectory, now: Seconds) -> control_pb2.BackendLoads:
     """Write what this node has to tell the leader since the last report."""
     message = control_pb2.BackendLoads()
+    backoffs = dict(directory.backoffs.active(now))
     for state in directory.all_states():
+        backend_id = state.backend.backend_id
+        backoff = backoffs.get(backend_id)
         sample = state.take_sample()
-        if sample is None:
+        if sample is None and backoff is None:
             continue
+        sample = sample or backend_state.WorkSample(backend_id, 0, 0, 0.0)
         message.backends.append(mark_of(sample.backend_id))
         message.outstanding.append(sample.outstanding)
         message.answers.append(sample.answers)
         message.service_times.append(int(sample.service_time * MICROSECONDS))
         message.failures.append(sample.failures)
+        remaining = 0.0 if backoff is None else backoff.ends_at - now
+        message.backoffs.append(round(remaining * MILLISECONDS))
     return message
 
 
@@ -72,12 +79,16 @@
         message.answers,
         message.service_times,
         message.failures,
+        # Earlier versions do not send this list.
+        message.backoffs or [0] * len(message.backends),
     )
     if len({len(column) for column in columns}) > 1:
         raise PeerProtocolError("back ends' loads", "lists of unequal length")
     return [
-        fleet_load.BackendReport(mark, outstanding, answers, micros / MICROSECONDS, failures)
-        for mark, outstanding, answers, micros, failures in zip(*columns, strict=True)
+        fleet_load.BackendReport(
+            mark, outstanding, answers, micros / MICROSECONDS, failures, remaining / MILLISECONDS
+        )
+        for mark, outstanding, answers, micros, failures, remaining in zip(*columns, strict=True)
     ]
 
 
--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -313,7 +313,8 @@
             known = {
                 item.backend.backend_id: totals.get(item.backend.backend_id) for item in states
             }
-            owned.core.set_failing(key for key, total in known.items() if total and total.excluded)
+            excluded = {key for key, total in known.items() if total and total.excluded}
+            owned.core.set_failing(excluded | (self.loads.avoided_owners & known.keys()))
             for backend_id, total in known.items():
                 if total is None:
                     continue
--- a/src/limedeck/node/leader_link.py
+++ b/src/limedeck/node/leader_link.py
@@ -129,7 +129,7 @@
             term=self._control.election.term,
             loads=loads,
             zone=self._zone,
-            backend_loads=self._control.loads.report(),
+            backend_loads=self._control.loads.report(now),
             processor=self._control.processor,
         )
         self._news.fill(report, self._peer, now)
--- a/src/limedeck/node/load_exchange.py
+++ b/src/limedeck/node/load_exchange.py
@@ -8,7 +8,7 @@
 from limedeck.forwarding import backends
 from limedeck.identity import Seconds
 from limedeck.node import backend_loads, logs
-from limedeck.ownership import fleet_load, outliers
+from limedeck.ownership import fleet_backoffs, fleet_load, outliers
 
 TOTALS_INTERVAL: Seconds = 0.25
 """Between two sums of what all nodes have at back ends; nodes report as often."""
@@ -21,6 +21,12 @@
     ----------
     node_id
         This node's name among the reports that a leader adds up.
+
+    Attributes
+    ----------
+    avoided_owners
+        Back ends avoided as owners of keys because they request back-off from more nodes than they
+        serve, or did so recently. Empty unless this node is the leader.
     """
 
     def __init__(self, directory: backends.BackendDirectory, node_id: str) -> None:
@@ -28,6 +34,8 @@
         self._node_id = node_id
         self._fleet_load = fleet_load.FleetLoad()
         self._outliers = outliers.OutlierDetector()
+        self._backoffs = fleet_backoffs.FleetBackoffs()
+        self.avoided_owners: frozenset[str] = frozenset()
         self._excluded: set[str] = set()
         self._log = logs.get_logger("loads")
         self._writer = backend_loads.TotalsWriter()
@@ -36,9 +44,9 @@
 
     # ------------------------------------------------------------------ as a follower
 
-    def report(self) -> control_pb2.BackendLoads:
+    def report(self, now: Seconds) -> control_pb2.BackendLoads:
         """What this node has to tell of its requests at back ends since the last report."""
-        return backend_loads.write_report(self._directory)
+        return backend_loads.write_report(self._directory, now)
 
     def handle_connected(self) -> None:
         """A connection to a leader begins, on which nothing was told yet."""
@@ -54,12 +62,14 @@
         """A node told what it has."""
         reports = backend_loads.read_report(message)
         self._fleet_load.note(node, reports, now)
+        self._backoffs.note(node, reports, now)
         for report in reports:
             self._outliers.note(report.backend, report.answers, report.failures, now)
 
     def handle_follower_left(self, node: str) -> None:
         """A node is not connected any more."""
         self._fleet_load.forget(node)
+        self._backoffs.forget(node)
 
     def refresh(self, now: Seconds) -> dict[str, fleet_load.BackendTotal]:
         """Add up what all nodes told, by back end, if that is due; this node believes it too."""
@@ -68,7 +78,7 @@
         elif now < self._next_totals:
             return {}
         self._next_totals = now + TOTALS_INTERVAL
-        self.handle_report(self._node_id, self.report(), now)
+        self.handle_report(self._node_id, self.report(now), now)
         listed = {
             backend_loads.mark_of(state.backend.backend_id): state.backend
             for state in self._directory.all_states()
@@ -80,7 +90,10 @@
             if total.outstanding >= outliers.QUEUE_FOR_EACH_SLOT * listed[total.backend].slots
         ]
         services = {mark: backend.service for mark, backend in listed.items()}
-        excluded = self._outliers.excluded(services, now, overloaded)
+        excluded = set(self._outliers.excluded(services, now, overloaded))
+        excluded |= self._backoffs.update_rejecting(now) & listed.keys()
+        avoided = self._backoffs.avoided_owners(now) & listed.keys()
+        self.avoided_owners = frozenset(listed[mark].backend_id for mark in avoided)
         self._log_excluded({listed[mark].backend_id for mark in excluded})
         totals = [dataclasses.replace(total, excluded=total.backend in excluded) for total in sums]
         # Owners of keys are planned by what was measured: their keys do not try out who is fast.
@@ -97,6 +110,8 @@
         """This node leads no more."""
         self._fleet_load.clear()
         self._outliers.clear()
+        self._backoffs.clear()
+        self.avoided_owners = frozenset()
         self._next_totals = None
 
     def _log_excluded(self, excluded: set[str]) -> None:
--- a/src/limedeck/ownership/fleet_load.py
+++ b/src/limedeck/ownership/fleet_load.py
@@ -36,6 +36,8 @@
         Their mean time in seconds, queues left out.
     failures
         Attempts that failed by its fault since the last report.
+    backoff
+        Remaining back-off of this node for it, in seconds; zero if none.
     """
 
     backend: int
@@ -43,6 +45,7 @@
     answers: int
     service_time: Seconds
     failures: int = 0
+    backoff: Seconds = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -280,7 +280,8 @@
         if self._silence.is_silent(found.owner, now) and not self.doubts_itself:
             self._silence.avoid(found.owner, now)
             return Cause.SILENT
-        if found.owner in self._failing and found.owner not in self._candidates(now):
+        is_failing = found.owner in self._failing and found.owner not in self._candidates(now)
+        if is_failing and self._may_move:
             return Cause.FAILING
         return None
 
--- a/src/limedeck_lab/experiment_choice.py
+++ b/src/limedeck_lab/experiment_choice.py
@@ -210,7 +210,7 @@
         while interval is not None:
             yield self.environment.timeout(interval)
             for number, directory in enumerate(self.directories):
-                report = backend_loads.write_report(directory)
+                report = backend_loads.write_report(directory, self.environment.now)
                 self.fleet_load.note(
                     f"n{number}", backend_loads.read_report(report), self.environment.now
                 )
--- a/src/limedeck_lab/explain/meanings.py
+++ b/src/limedeck_lab/explain/meanings.py
@@ -26,6 +26,7 @@
     Reason.EVACUATED: "its key's owner is in a zone that is evacuated, and the key had not moved",
     Reason.COLD: "its key's owner was cold",
     Reason.LIMITED: "no back end that could run it had room: they name limits, or are cold",
+    Reason.BACKING_OFF: "every back end that could run it has requested back-off",
     Reason.LEAVING: "every back end that could run it is leaving",
 }
 PHASES = {
--- a/tests/unit/test_availability.py
+++ b/tests/unit/test_availability.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
-from limedeck.forwarding.availability import LEAVING_OWNER_STOP, Cause
+from limedeck.forwarding.availability import LEAVING_OWNER_STOP, MAX_PROBES, Cause
 from limedeck.forwarding.backends import MAX_CONFIRMATION_AGE, BackendDirectory
 from limedeck.forwarding.budget import RetryAllowance, RetryBudget
 from limedeck.forwarding.commands import AskPermit, Attempt, Command, Reason, Refuse, Wait
@@ -13,7 +15,7 @@
 from limedeck.forwarding.owners import OwnedRange, OwnerMap
 from limedeck.forwarding.permits import Permit
 from limedeck.forwarding.refusals import LONGEST_MOVE_WAIT
-from limedeck.forwarding.request import RequestCore, ServiceView
+from limedeck.forwarding.request import MAX_BACKOFF_REJECTIONS, RequestCore, ServiceView
 from limedeck.model import Backend, Route, Target
 from limedeck.routing.outcomes import FailurePhase, Outcome
 
@@ -159,3 +161,145 @@
     assert isinstance(first_command(directory), Attempt)
     announce_leaving(directory, "a", at=9.0)
     assert_refused(first_command(directory), Reason.LEAVING)
+
+
+def back_off(
+    directory: BackendDirectory, *names: str, seconds: float = 3.0, at: float = 10.0
+) -> None:
+    for name in names:
+        directory.backoffs.take(name, seconds, at)
+
+
+def resume_at(directory: BackendDirectory, name: str) -> float:
+    backoff = directory.backoffs.find(name)
+    assert backoff is not None
+    return backoff.resume_at
+
+
+def test_back_end_in_backoff_is_not_selected() -> None:
+    directory = directory_of("a", "b", "c")
+    back_off(directory, "a", "b")
+    for number in range(50):
+        command = first_command(directory, 10.0 + number / 100)
+        assert isinstance(command, Attempt)
+        assert command.state.backend.backend_id == "c"
+
+
+def test_ejected_back_end_in_backoff_is_not_probed() -> None:
+    directory = directory_of("a", "b")
+    healthy = directory.find("b")
+    assert healthy is not None
+    for _ in range(3):
+        healthy.note_failure(9.9)
+    back_off(directory, "a")
+    command = first_command(directory, 10.0)
+    assert isinstance(command, Attempt)
+    assert command.state is healthy
+
+
+def test_request_is_refused_until_the_first_backoff_ends_if_all_back_ends_back_off() -> None:
+    directory = directory_of("a", "b")
+    back_off(directory, "a", seconds=5.0)
+    back_off(directory, "b", seconds=2.0)
+    refusal = assert_refused(first_command(directory, 11.0), Reason.BACKING_OFF)
+    remaining = resume_at(directory, "b") - 11.0
+    assert remaining <= refusal.retry_after <= remaining + 0.3
+
+
+def test_rejected_request_is_sent_to_another_back_end_at_once() -> None:
+    directory = directory_of("a", "b")
+    core = core_of(directory)
+    command = core.next_command(10.0, NODES)
+    assert isinstance(command, Attempt)
+    rejecting = command.state.backend.backend_id
+    back_off(directory, rejecting, at=10.01)
+    other = core.handle_failure(FailurePhase.REFUSED, 10.01, NODES)
+    assert isinstance(other, Attempt)
+    assert other.state.backend.backend_id != rejecting
+    assert command.state.expected_load(10.01) < 1.0
+
+
+def test_request_rejected_with_several_backoffs_is_refused() -> None:
+    directory = directory_of("a", "b", "c", "d")
+    core = core_of(directory)
+    command = core.next_command(10.0, NODES)
+    for _ in range(MAX_BACKOFF_REJECTIONS):
+        assert isinstance(command, Attempt)
+        back_off(directory, command.state.backend.backend_id, at=10.01)
+        command = core.handle_failure(FailurePhase.REFUSED, 10.01, NODES)
+    assert_refused(command, Reason.REFUSED)
+
+
+def test_permit_is_not_used_during_backoff() -> None:
+    directory = directory_of("a")
+    directory.limits.take("a", LimitStatement(4.2, 1.0, 1.1))
+    core = core_of(directory)
+    command = core.next_command(10.0, NODES)
+    assert isinstance(command, AskPermit)
+    assert isinstance(core.handle_permit(command, Permit(0.05), 10.01, NODES), Wait)
+    back_off(directory, "a", at=10.02)
+    assert_refused(core.next_command(10.06, NODES), Reason.BACKING_OFF)
+
+
+def test_request_rejected_by_its_owner_is_refused_without_a_second_attempt() -> None:
+    directory = directory_of("a", "b")
+    core = core_of(directory, owner="a")
+    assert isinstance(core.next_command(10.0, NODES), Attempt)
+    back_off(directory, "a", at=10.01)
+    refusal = assert_refused(
+        core.handle_failure(FailurePhase.REFUSED, 10.01, NODES), Reason.BACKING_OFF
+    )
+    assert refusal.retry_after <= 1.3
+
+
+def test_retry_after_is_the_end_of_the_backoff_if_keys_cannot_move() -> None:
+    directory = directory_of("a", "b")
+    directory.note_store_confirmed(0.0, 1.0)
+    back_off(directory, "a", at=10.0)
+    refusal = assert_refused(first_command(directory, 10.5, owner="a"), Reason.BACKING_OFF)
+    assert 2.5 <= refusal.retry_after <= 3.1
+
+
+@pytest.mark.parametrize("owner", [None, "a"])
+def test_few_requests_probe_a_back_end_after_its_backoff_until_one_is_served(
+    owner: str | None,
+) -> None:
+    directory = directory_of("a")
+    back_off(directory, "a")
+    after = resume_at(directory, "a")
+    for _ in range(MAX_PROBES):
+        command = first_command(directory, after, owner)
+        assert isinstance(command, Attempt)
+        command.state.outstanding += 1
+    assert_refused(first_command(directory, after, owner), Reason.BACKING_OFF)
+    directory.backoffs.note_served("a", after)
+    assert isinstance(first_command(directory, after, owner), Attempt)
+
+
+def test_backoff_does_not_apply_after_a_restart() -> None:
+    directory = BackendDirectory("z1", "n")
+    directory.put(Backend("a@1", "s", "127.0.0.1:0", "z1", 2, instance="a"), 0.0)
+    back_off(directory, "a@1")
+    directory.put(Backend("a@2", "s", "127.0.0.1:0", "z1", 2, instance="a"), 10.5)
+    assert isinstance(first_command(directory, 10.6), Attempt)
+
+
+@given(
+    st.lists(
+        st.tuples(st.floats(0.0, 20.0), st.sampled_from([0.0, 0.4, 1.0, 3.0, 8.0])), max_size=12
+    ),
+    st.sampled_from([None, "a"]),
+)
+def test_nothing_is_sent_in_any_requested_period(
+    told: list[tuple[float, float]], owner: str | None
+) -> None:
+    directory = directory_of("a")
+    told = sorted(told)
+    for number in range(600):
+        now = number / 20
+        while told and told[0][0] <= now:
+            at, seconds = told.pop(0)
+            directory.backoffs.take("a", seconds, at)
+        sent = isinstance(first_command(directory, now, owner), Attempt)
+        backoff = directory.backoffs.find("a")
+        assert not sent or backoff is None or now >= backoff.ends_at
--- a/tests/unit/test_backend_loads.py
+++ b/tests/unit/test_backend_loads.py
@@ -179,7 +179,7 @@
         state.outstanding = outstanding
         state.note_answer(0.1, None, 1.0, "r")
         nodes[name] = directory
-        message = backend_loads.write_report(directory)
+        message = backend_loads.write_report(directory, 0.0)
         leader.note(name, backend_loads.read_report(message), 1.0)
     marks = [backend_loads.mark_of(name) for name in ("a", "b")]
     totals = leader.totals(marks)
@@ -205,19 +205,19 @@
     directory = directory_of("a")
     state = state_in(directory, "a")
     state.outstanding = 1
-    assert len(backend_loads.write_report(directory).backends) == 1
+    assert len(backend_loads.write_report(directory, 0.0).backends) == 1
     state.outstanding = 0
-    assert list(backend_loads.write_report(directory).outstanding) == [0]
-    assert not backend_loads.write_report(directory).backends
+    assert list(backend_loads.write_report(directory, 0.0).outstanding) == [0]
+    assert not backend_loads.write_report(directory, 0.0).backends
 
 
 def test_failures_are_reported_once() -> None:
     directory = directory_of("a")
     state_in(directory, "a").note_failure(1.0)
     state_in(directory, "a").note_failure(1.0, own_fault=False)
-    (report,) = backend_loads.read_report(backend_loads.write_report(directory))
+    (report,) = backend_loads.read_report(backend_loads.write_report(directory, 0.0))
     assert (report.answers, report.failures) == (0, 1)
-    assert not backend_loads.write_report(directory).backends
+    assert not backend_loads.write_report(directory, 0.0).backends
 
 
 def test_one_that_all_nodes_are_told_to_pass_over_is_passed_over_until_the_word_is_old() -> None:
