Stop balancing moves while released keys cannot be assigned

Moves off cold, leaving and failing owners already required that the store had recently confirmed the leader; moves for balance did not.

test_no_keys_are_moved_for_balance_while_owners_cannot_be_assigned failed before this change.

--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -230,8 +230,8 @@
             Another node could lead. If `doubts_itself` is set by this call it should: this one is
             not heard by owners that are sound, and takes no keys from them for that.
         may_move
-            Whether released keys can be assigned soon. If not, a leaving owner keeps its keys until
-            nodes stop sending requests to it.
+            Whether released keys can be assigned soon. If not, no keys are moved for balance, and a
+            leaving owner keeps its keys until nodes stop sending requests to it.
         """
         if not self.ranges:
             self._assign_first(now)
@@ -333,7 +333,7 @@
 
     def _relieve(self, now: Seconds) -> None:
         """Move keys off owners that have too much to do."""
-        if not self._balance.is_due(now):
+        if not self._may_move or not self._balance.is_due(now):
             return
         self._map.merge_neighbours()
         capacities = self._balance.capacities(self._candidates(now), self._backends)
--- a/tests/unit/test_service_ownership.py
+++ b/tests/unit/test_service_ownership.py
@@ -318,6 +318,19 @@
     assert "" not in {owner for _, _, owner in play.owners()}
 
 
+def test_no_keys_are_moved_for_balance_while_owners_cannot_be_assigned() -> None:
+    play = fresh()
+    play.run(3.0)
+    play.may_move = False
+    play.core.note_requests([(10, 3000), (11, 3000)], 3.0)
+    play.run(5.0)
+    assert not any(isinstance(order, Release) for _, order in play.orders)
+    play.may_move = True
+    play.core.note_requests([(10, 3000), (11, 3000)], 5.0)
+    play.run(7.0)
+    assert any(isinstance(order, Release) for _, order in play.orders)
+
+
 def test_a_silent_back_end_does_not_stop_the_balancing_of_the_others() -> None:
     """Found in an incident of zhbs-gate: one back end at a time was swamped for 4 s."""
     core = ServiceOwnership("service", 150, 1, None, 0, TIMING, 0.0)
