Parse Retry-After of answers outside the platform adapter

Retry-After is a standard HTTP header, so its parsing does not belong in the platform adapter.

The gateway tests check that a back end that requests a back-off with status 503 receives no further requests, that an unreadable Retry-After does not stop them, and that only a served request ends a back-off. server-leaving is added to the names that only the adapter may use.

--- a/src/limedeck/forwarding/protocol.py
+++ b/src/limedeck/forwarding/protocol.py
@@ -51,11 +51,6 @@
         It names a limit that cannot be read, which changes nothing.
     leaving
         The back end is leaving and accepts no requests that are sent later.
-    retry_after
-        Seconds for which the back end asks to receive no requests from this node; None: it requests
-        no back-off, or one that cannot be read.
-    unreadable_retry_after
-        It requests a back-off that cannot be read, which changes nothing.
     credible
         It is the answer of a back end; a success that is not must not be passed on.
     """
@@ -69,8 +64,6 @@
     limit: float | None = None
     unreadable_limit: bool = False
     leaving: bool = False
-    retry_after: Seconds | None = None
-    unreadable_retry_after: bool = False
 
 
 Headers = list[tuple[bytes, bytes]]
--- a/src/limedeck/node/answer_reader.py
+++ b/src/limedeck/node/answer_reader.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass
 
+from limedeck import errors, retry_after
 from limedeck.clock import steady_clock
 from limedeck.forwarding.backends import BackendDirectory
 from limedeck.forwarding.commands import Attempt
@@ -69,7 +70,7 @@
             problem = "answer to another request" if not is_own else "unsigned answer"
             self._log.attempt_failed(request_id, backend, FailurePhase.AWAITING, problem)
             return AnswerResult(FailurePhase.AWAITING, now)
-        self._take_statements(attempt, facts, answer.status, asked_at, now)
+        self._take_statements(attempt, facts, answer, asked_at, now)
         if facts.not_run:
             problem = f"status {answer.status}"
             self._log.attempt_failed(request_id, backend, FailurePhase.REFUSED, problem)
@@ -83,7 +84,12 @@
         return AnswerResult(None, now, facts.load)
 
     def _take_statements(
-        self, attempt: Attempt, facts: AnswerFacts, status: int, asked_at: Seconds, now: Seconds
+        self,
+        attempt: Attempt,
+        facts: AnswerFacts,
+        answer: HttpAnswer,
+        asked_at: Seconds,
+        now: Seconds,
     ) -> None:
         if facts.load is not None:
             attempt.state.note_load(facts.load, now)
@@ -92,10 +98,12 @@
         if facts.wrong_instance:
             # The address may have been reassigned to another back end.
             return
-        is_served = not facts.not_run and status < SERVER_ERROR
+        is_served = not facts.not_run and answer.status < SERVER_ERROR
         self._take_limit(attempt, facts, is_served, LimitStatement(facts.limit, asked_at, now))
         self._take_leaving(attempt, facts, asked_at, now)
-        self._take_backoff(attempt, facts, is_served, asked_at, now)
+        self._take_backoff(attempt, answer, now)
+        if is_served and answer.status not in retry_after.BACKOFF_STATUSES:
+            self._directory.backoffs.note_served(attempt.state.backend.backend_id, asked_at)
 
     def _take_limit(
         self, attempt: Attempt, facts: AnswerFacts, is_served: bool, statement: LimitStatement
@@ -118,18 +126,12 @@
             statement = LeavingStatement(True, asked_at, now)
             self._directory.leaving.take(attempt.state.backend.backend_id, statement)
 
-    def _take_backoff(
-        self,
-        attempt: Attempt,
-        facts: AnswerFacts,
-        is_served: bool,
-        asked_at: Seconds,
-        now: Seconds,
-    ) -> None:
+    def _take_backoff(self, attempt: Attempt, answer: HttpAnswer, now: Seconds) -> None:
         backend = attempt.state.backend
-        if facts.unreadable_retry_after:
+        try:
+            seconds = retry_after.requested_backoff(answer.status, answer.headers)
+        except errors.UnreadableRetryAfter:
             self._log.unreadable_retry_after(backend)
-        elif facts.retry_after is not None:
-            self._directory.backoffs.take(backend.backend_id, facts.retry_after, now)
-        elif is_served:
-            self._directory.backoffs.note_served(backend.backend_id, asked_at)
+            return
+        if seconds is not None:
+            self._directory.backoffs.take(backend.backend_id, seconds, now)
--- a/src/limedeck/platform/headers.py
+++ b/src/limedeck/platform/headers.py
@@ -4,7 +4,6 @@
 
 import re
 
-from limedeck import errors, retry_after
 from limedeck.forwarding.protocol import AnswerFacts, CallerProtocol, Headers, LoadReport
 from limedeck.identity import Seconds
 
@@ -20,10 +19,6 @@
 """A decimal number; longer ones mean nothing that a request rate could be."""
 LEAVING = b"server-leaving"
 LEAVING_TRUE = b"1"
-RETRY_AFTER = b"retry-after"
-DATE = b"date"
-BACKOFF_STATUSES = frozenset({429, 503})
-"""Statuses with which Retry-After requests a back-off."""
 MISDIRECTED = 421
 FIRST_FAILURE = 300
 USUAL_PACE = 100.0
@@ -58,8 +53,6 @@
         load = _load(found.get(LOAD))
         limits = {value.strip() for name, value in headers if name == LIMIT}
         limit = _limit(limits)
-        retry_afters = [value for name, value in headers if name == RETRY_AFTER]
-        backoff = _backoff(retry_afters, found.get(DATE)) if status in BACKOFF_STATUSES else None
         return AnswerFacts(
             request_id=found.get(REQUEST_ID),
             not_run=NOT_RUN in found or status == MISDIRECTED,
@@ -70,14 +63,10 @@
             limit=limit,
             unreadable_limit=limit is None and bool(limits),
             leaving=announces_leaving(found),
-            retry_after=backoff,
-            unreadable_retry_after=(
-                status in BACKOFF_STATUSES and backoff is None and bool(retry_afters)
-            ),
         )
 
     def retry_after(self, seconds: Seconds) -> tuple[bytes, bytes]:
-        return (RETRY_AFTER, b"%.2f" % seconds)
+        return (b"retry-after", b"%.2f" % seconds)
 
 
 def announces_leaving(headers: dict[bytes, bytes]) -> bool:
@@ -101,14 +90,6 @@
     return float(value) if LIMIT_PATTERN.fullmatch(value) else None
 
 
-def _backoff(values: list[bytes], date: bytes | None) -> Seconds | None:
-    """Return the requested back-off in seconds; None if there is none or it cannot be read."""
-    try:
-        return retry_after.read(values, date)
-    except errors.UnreadableRetryAfter:
-        return None
-
-
 def _load(value: bytes | None) -> LoadReport | None:
     if value is None:
         return None
--- a/src/limedeck/retry_after.py
+++ b/src/limedeck/retry_after.py
@@ -11,10 +11,34 @@
 from limedeck.identity import Seconds
 
 SECONDS_PATTERN = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")
+RETRY_AFTER = b"retry-after"
+DATE = b"date"
+BACKOFF_STATUSES = frozenset({429, 503})
+"""Statuses with which Retry-After requests a back-off."""
 LONGEST_VALUE_BYTES = 64
 """Rejects oversized values before they are parsed; valid numbers and dates are shorter."""
 
 
+def requested_backoff(status: int, headers: Iterable[tuple[bytes, bytes]]) -> Seconds | None:
+    """Return the back-off that an answer requests, in seconds; None if it requests none.
+
+    Parameters
+    ----------
+    headers
+        Headers of the answer, with names in lower case.
+
+    Raises
+    ------
+    UnreadableRetryAfter
+        No value of the header is a number of seconds or an HTTP date.
+    """
+    fields = list(headers)
+    values = [value for name, value in fields if name == RETRY_AFTER]
+    if status not in BACKOFF_STATUSES or not values:
+        return None
+    return read(values, dict(fields).get(DATE))
+
+
 def read(values: Iterable[bytes], date: bytes | None = None) -> Seconds:
     """Return the delay in seconds, counted from the answer; the longest of the valid values.
 
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -157,6 +157,46 @@
     assert failing.ejected_until > 0.0
 
 
+class RejectingClient(ScriptedClient):
+    """Rejects every request with status 503 and the given Retry-After."""
+
+    def __init__(self, retry_after: bytes) -> None:
+        super().__init__({})
+        self._retry_after = retry_after
+
+    async def exchange(
+        self, request: http_client.HttpRequest, until: Seconds
+    ) -> http_client.HttpAnswer:
+        self.asked.append(request.address)
+        answer_headers = [
+            (headers.REQUEST_ID, REQUEST_ID),
+            (headers.NOT_RUN, b"1"),
+            (b"retry-after", self._retry_after),
+        ]
+        return http_client.HttpAnswer(503, answer_headers, b"")
+
+
+@pytest.mark.parametrize(("retry_after", "attempts"), [(b"3", 1), (b"soon", 2), (b"0", 2)])
+async def test_only_a_readable_backoff_stops_further_requests(
+    retry_after: bytes, attempts: int
+) -> None:
+    node = play({"a:1": 503}, repeatable=True)
+    client = RejectingClient(retry_after)
+    served = gateway_of(node, client)
+    for _ in range(2):
+        assert await status_of(served) == gateway.NOT_RUN
+    assert len(client.asked) == attempts
+
+
+@pytest.mark.parametrize(("status", "is_ended"), [(200, True), (404, True), (429, False)])
+async def test_only_a_served_request_ends_a_backoff(status: int, is_ended: bool) -> None:
+    node = play({"a:1": status}, repeatable=True)
+    # The period is over, and no request has been served since.
+    node.directory.backoffs.take("a:1", 1.0, clock.steady_clock() - 2.0)
+    await answer_of(node, client_of(status))
+    assert (node.directory.backoffs.find("a:1") is None) is is_ended
+
+
 async def test_an_answer_ends_a_row_of_failures() -> None:
     node = play({"a:1": 500}, repeatable=False)
     failing = node.directory.find("a:1")
--- a/tests/unit/test_platform_names.py
+++ b/tests/unit/test_platform_names.py
@@ -15,7 +15,7 @@
 x-not-executed x-instance-id x-shard-key x-handover rows-tx rows-get rows-feed rows-parts
 blob-put blob-get blob-drop blob-list /v1/grant /v1/release key_file
 has_more target_version hold_s traffic_split target_latency_s route_type warmup_s_time
-ephemeral_ports limedeck_node_file control_plane server-limit warmup_per_s
+ephemeral_ports limedeck_node_file control_plane server-limit server-leaving warmup_per_s
 """
 """What only the platform calls so; `expected_revision` is also the operators' calls' own word."""
 NAMES = NAMES_TEXT.split()
--- a/tests/unit/test_retry_after.py
+++ b/tests/unit/test_retry_after.py
@@ -39,8 +39,8 @@
 def test_invalid_values_are_rejected(value: bytes) -> None:
     with pytest.raises(errors.UnreadableRetryAfter):
         retry_after.read([value], DATE)
-    facts = PlatformProtocol().answer_facts(503, [(b"retry-after", value)])
-    assert (facts.retry_after, facts.unreadable_retry_after) == (None, True)
+    with pytest.raises(errors.UnreadableRetryAfter):
+        retry_after.requested_backoff(503, [(b"retry-after", value)])
 
 
 @given(st.lists(st.binary(max_size=80), min_size=1, max_size=3), st.binary(max_size=40) | st.none())
@@ -58,8 +58,16 @@
     ("status", "delay"), [(503, 3.0), (429, 3.0), (200, None), (500, None), (421, None)]
 )
 def test_retry_after_is_read_only_for_503_and_429(status: int, delay: float | None) -> None:
-    facts = PlatformProtocol().answer_facts(status, [(b"retry-after", b"3")])
-    assert (facts.retry_after, facts.unreadable_retry_after) == (delay, False)
+    assert retry_after.requested_backoff(status, [(b"retry-after", b"3")]) == delay
+
+
+def test_answer_without_the_header_requests_no_backoff() -> None:
+    assert retry_after.requested_backoff(503, [(b"date", DATE)]) is None
+
+
+def test_http_date_counts_from_the_date_of_the_answer() -> None:
+    headers = [(b"date", DATE), (b"retry-after", LATER)]
+    assert retry_after.requested_backoff(503, headers) == 3.0
 
 
 @pytest.mark.parametrize(
