--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -8,6 +8,14 @@
 
 from tests.soak import series, soak
 
+LEAVING_AND_BACKOFF = (
+    series.Kind.LEAVE,
+    series.Kind.REST,
+    series.Kind.KILL,
+    series.Kind.STOP,
+    series.Kind.LIMIT,
+)
+
 
 @pytest.mark.parametrize(
     ("seed", "seconds", "kinds"),
@@ -20,6 +28,7 @@
         (410001, 20.0, (series.Kind.LIMIT, series.Kind.KILL, series.Kind.STOP, series.Kind.REBORN)),
         # The store refused all nodes while back ends came back cold: nobody heard of it.
         (420021, 20.0, series.OF_FOURTH_SEEDS),
+        (460001, 20.0, LEAVING_AND_BACKOFF),
     ],
     ids=[
         "planned",
@@ -28,6 +37,7 @@
         "zones-lives-strangers",
         "limits",
         "store-away-while-cold",
+        "leaving-and-backoff",
     ],
 )
 def test_no_promise_is_broken(
