Show leaving and backing-off back ends in node status

On-call staff query a node's status to find out why a back end receives no requests. Its conditions lacked the two statements that the node has based this decision on since. They are now shown as the conditions leaving and backing-off.

Tested by test_leaving_and_backing_off_are_shown_as_conditions.

--- a/src/limedeck/node/inspection.py
+++ b/src/limedeck/node/inspection.py
@@ -127,6 +127,8 @@
             "draining": state.backend.draining,
             "evacuated": state.backend.zone in directory.availability.evacuated,
             "cold": state.is_cold(now),
+            "leaving": directory.leaving.leaving_since(state.backend.backend_id) is not None,
+            "backing-off": directory.availability.check_backoff(state, now) is not None,
             "limited": directory.limits.rate(state.backend.backend_id) is not None,
             "passed-over": state.is_passed_over(now),
         }
--- a/src/limedeck/views.py
+++ b/src/limedeck/views.py
@@ -40,8 +40,8 @@
     Parameters
     ----------
     conditions
-        Why less is sent to it than to others: ``draining``, ``evacuated``, ``cold``, ``limited``,
-        ``passed-over``; empty for a sound one.
+        Why it receives fewer requests than other back ends, or none: ``draining``, ``evacuated``,
+        ``cold``, ``leaving``, ``backing-off``, ``limited``, ``passed-over``; empty if none applies.
     bound
         Requests a second that it takes from all nodes together, if that is little.
     load
--- a/tests/unit/test_inspection.py
+++ b/tests/unit/test_inspection.py
@@ -10,6 +10,7 @@
 
 from limedeck.api.control_pb2 import LeaderRecord
 from limedeck.forwarding.budget import RetryAllowance
+from limedeck.forwarding.leaving import LeavingStatement
 from limedeck.forwarding.limits import LimitStatement
 from limedeck.forwarding.owners import OwnedRange, OwnerMap
 from limedeck.model import Backend, Configuration, Service
@@ -92,6 +93,14 @@
     assert (warm["c"].conditions, warm["c"].bound) == ([], None)
 
 
+def test_leaving_and_backing_off_are_shown_as_conditions() -> None:
+    state = node_state()
+    state.directory.leaving.take("b", LeavingStatement(True, 0.5, 1.0))
+    state.directory.backoffs.take("b", 3.0, 1.0)
+    shown = {item.backend: item for item in inspector(state).status(2.0).backends}
+    assert shown["b"].conditions == ["leaving", "backing-off"]
+
+
 def test_services_are_shown_with_how_many_ranges_have_no_owner() -> None:
     shown = {item.service: item for item in inspector().status(1.0).services}
     assert (shown["s"].version, shown["s"].ranges, shown["s"].ranges_without_owner) == (3, 3, 1)
