Try a third back end after two back-offs

The nodes' logs show the cause: all 5 requests that were refused had been rejected by the two back ends that requested back-off, at the start of a period, and were refused for that though four others had room.

A request is now refused after three such rejections. The route's max_attempts and the retry budget bound its retries as before. The unit test uses a route with five attempts, so that it fails without the constant.

--- a/src/limedeck/forwarding/request.py
+++ b/src/limedeck/forwarding/request.py
@@ -31,7 +31,7 @@
 
 SHORTEST_ATTEMPT: Seconds = 0.005
 """An attempt is not begun with less time than this left."""
-MAX_BACKOFF_REJECTIONS = 2
+MAX_BACKOFF_REJECTIONS = 3
 """A request that this many back ends reject with a back-off is refused, so that it does not spend
 several retries of the budget that all nodes share."""
 RETURN_PART = 0.85
--- a/tests/unit/test_availability.py
+++ b/tests/unit/test_availability.py
@@ -38,7 +38,7 @@
 def core_of(
     directory: BackendDirectory, now: float = 10.0, owner: str | None = None
 ) -> RequestCore:
-    route = Route("r", "host", "/", True, 2.0, 0.5, 3, 0, (Target("s", 1),))
+    route = Route("r", "host", "/", True, 2.0, 0.5, 5, 0, (Target("s", 1),))
     view = ServiceView("s", owner is not None, RetryBudget(RetryAllowance(0.2, 30.0, 10.0)))
     if owner is not None:
         view.owners = OwnerMap(1, (OwnedRange(0, 99, owner),))
