--- a/tests/unit/test_table_exchange.py
+++ b/tests/unit/test_table_exchange.py
@@ -222,3 +222,114 @@
         table_exchange.TableExchange((Node().watcher,)).apply(
             status, table_exchange.PeerTables(0.0), 0.0
         )
+
+
+class Connection:
+    """A lasting connection between a leader and a follower that learns nothing from the store."""
+
+    def __init__(
+        self, leader: Node, follower: Node, now: float, follower_keeps_feeds: bool
+    ) -> None:
+        self.leader, self.follower = leader, follower
+        self.at_leader = table_exchange.PeerTables(now)
+        self.at_follower = table_exchange.PeerTables(now)
+        self.follower_keeps_feeds = follower_keeps_feeds
+        self.sent_bytes = 0
+
+    def report(self, now: float) -> None:
+        report = control_pb2.Report()
+        self.follower.exchange.fill(report, self.at_follower, now)
+        self.leader.exchange.apply(report, self.at_leader, now)
+        self.at_leader.keeps_feeds = self.follower_keeps_feeds
+
+    def status(self, now: float) -> None:
+        status = control_pb2.Status()
+        self.leader.exchange.fill(status, self.at_leader, now)
+        self.sent_bytes += status.ByteSize()
+        self.follower.exchange.apply(status, self.at_follower, now)
+
+
+CONFIGURATION_DEADLINE = 2.0
+STATUS_INTERVAL = 0.3
+REPORT_INTERVAL = 0.25
+STEP = 0.01
+
+
+def run_configuration_storm(
+    informed: Node,
+    connections: list[Connection],
+    interval: float,
+    value: bytes = b"x",
+    seconds: float = 6.0,
+) -> float:
+    """Change one row at an interval; return the longest time that any node lacked a version."""
+    nodes = {id(node): node for item in connections for node in (item.leader, item.follower)}
+    for node in nodes.values():
+        node.reads(0.0, 1, entry("config", 1))
+    acknowledged: list[tuple[float, int]] = []
+    longest = 0.0
+    for step in range(int((seconds + CONFIGURATION_DEADLINE) / STEP)):
+        now = 1.0 + step * STEP
+        if step * STEP < seconds and step % max(round(interval / STEP), 1) == 0:
+            version = 2 + len(acknowledged)
+            acknowledged.append((now, version))
+            informed.learns(now, entry("config", version, b"%d" % version + value))
+            for item in connections:
+                item.status(now)
+        for item in connections:
+            if step % round(REPORT_INTERVAL / STEP) == 0:
+                item.report(now)
+            if step % round(STATUS_INTERVAL / STEP) == 0:
+                item.status(now)
+        for node in nodes.values():
+            lacked = next(
+                (at for at, version in acknowledged if version > node.watcher.newest), now
+            )
+            longest = max(longest, now - lacked)
+    return longest
+
+
+@pytest.mark.parametrize("interval", [0.01, 0.04, 0.1, 0.4, 0.55, 0.7, 1.0])
+def test_an_observer_whose_feed_is_dead_receives_changes_in_quick_succession(
+    interval: float,
+) -> None:
+    leader = Node()
+    connections = [Connection(leader, Node(), 0.0, follower_keeps_feeds=True) for _ in range(2)]
+    assert run_configuration_storm(leader, connections, interval) < CONFIGURATION_DEADLINE
+
+
+@pytest.mark.parametrize("interval", [0.04, 0.4, 1.0])
+@pytest.mark.parametrize("followers", [2, 10, 73, 194])
+def test_a_configuration_too_large_to_be_sent_immediately_arrives_during_a_storm(
+    interval: float, followers: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(table_exchange, "MAX_UPDATE_SIZE", 1_000)
+    leader = Node()
+    value = random.Random(1).randbytes(2_000)
+    connections = [
+        Connection(leader, Node(), 0.0, follower_keeps_feeds=False) for _ in range(followers)
+    ]
+    seconds = 6.0 if followers < 50 else 2.0
+    lacked = run_configuration_storm(leader, connections, interval, value, seconds)
+    assert lacked < CONFIGURATION_DEADLINE
+
+
+@pytest.mark.parametrize("interval", [0.04, 0.4, 1.0])
+def test_a_leader_that_the_store_refuses_receives_changes_in_quick_succession(
+    interval: float,
+) -> None:
+    leader, observer, other = Node(), Node(), Node()
+    connections = [
+        Connection(leader, observer, 0.0, follower_keeps_feeds=True),
+        Connection(leader, other, 0.0, follower_keeps_feeds=False),
+    ]
+    assert run_configuration_storm(observer, connections, interval) < CONFIGURATION_DEADLINE
+
+
+def test_a_storm_sends_each_node_no_more_than_one_version_for_each_of_its_reports() -> None:
+    leader = Node()
+    value = random.Random(1).randbytes(8_000)
+    connection = Connection(leader, Node(), 0.0, follower_keeps_feeds=False)
+    run_configuration_storm(leader, [connection], 0.02, value)
+    reports = 8.0 / REPORT_INTERVAL
+    assert connection.sent_bytes < (reports + 1) * len(value) * 1.2
--- a/tests/unit/test_watchers.py
+++ b/tests/unit/test_watchers.py
@@ -303,3 +303,19 @@
     policy = feeds.FeedPolicy(0.0)
     policy.handle_status(False, 0.0, 1.0, nodes)
     assert policy.temporary_feed_pause() == pytest.approx(pause, abs=0.01)
+
+
+async def test_a_feed_that_progresses_during_a_storm_of_changes_is_not_abandoned() -> None:
+    store, copy = ScriptedStore(), Copy()
+    store.put("a")
+    watcher = watcher_with_feed(store, copy)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(watcher.run)
+        await settle()
+        reads = store.reads
+        for step in range(40):
+            watcher.handle_peer_version(store.version + 1, 10.0 + step * 0.1)
+            store.put("a")
+            await settle()
+        assert store.reads == reads
+        tasks.cancel_scope.cancel()
