Failing tests: two owners, and ignored changes, after the store returned from a copy

The simulated store keeps copies and returns from them; five kinds of faults change owners within what is lost, kill the leader, its successor or all nodes, or return twice. A watcher's test returns its store from a copy and changes a row.

--- a/src/limedeck_lab/ownership/faults.py
+++ b/src/limedeck_lab/ownership/faults.py
@@ -41,6 +41,14 @@
 )
 """Faults that change how the effects of others are checked, or that require a healthy deployment
 when they begin. They run only when named, so that seeds of `FAULTS` still draw the same faults."""
+STORE_RETURN_FAULTS = (
+    "store_returns_from_copy",
+    "store_returns_leader_killed",
+    "store_returns_successor_killed",
+    "store_returns_all_killed",
+    "store_returns_twice",
+)
+"""Faults in which the store returns from a copy some seconds old, after owners have changed."""
 
 
 class WorldFaults:
@@ -250,3 +258,60 @@
         backend.listed = False
         yield self._pause(1.0, 5.0)
         backend.listed = backend.up and not backend.draining
+
+    # ------------------------------------------------------------------ copies of the store
+
+    def _store_away(self) -> Generator[simpy.Event, object, None]:
+        """The store is away for a moment, and returns from a copy some seconds old."""
+        faults = StoreFaults(refuses=self._world.random.random() < 0.5)
+        faults.silent = not faults.refuses
+        self._world.store.faults = faults
+        yield self._pause(0.2, 2.0)
+        self._world.return_store_from_copy(self._world.random.uniform(0.5, 8.0))
+        self._world.store.faults = StoreFaults()
+
+    def _change_owners(self) -> Generator[simpy.Event, object, None]:
+        """Owners of keys change in what the copy lacks."""
+        self._world.environment.process(self.backend_leaves())
+        yield self._pause(0.2, 3.0)
+
+    def store_returns_from_copy(self) -> Generator[simpy.Event, object, None]:
+        yield from self._change_owners()
+        yield from self._store_away()
+
+    def store_returns_leader_killed(self) -> Generator[simpy.Event, object, None]:
+        """The leader is killed while the store is away."""
+        yield from self._change_owners()
+        leader = self._leader()
+        self._world.kill_node(leader.node_id)
+        yield from self._store_away()
+        yield self._pause(3.0, 6.0)
+        self._restart(leader)
+
+    def store_returns_successor_killed(self) -> Generator[simpy.Event, object, None]:
+        """The election of the leader is lost; the leader is killed as the store returns."""
+        former = self._leader()
+        self._world.kill_node(former.node_id)
+        yield self._pause(1.8, 2.5)
+        self._restart(former)
+        yield from self._change_owners()
+        leader = self._leader()
+        yield from self._store_away()
+        self._world.kill_node(leader.node_id)
+        yield self._pause(3.0, 6.0)
+        self._restart(leader)
+
+    def store_returns_all_killed(self) -> Generator[simpy.Event, object, None]:
+        yield from self._change_owners()
+        nodes = list(self._world.nodes.values())
+        for node in nodes:
+            self._world.kill_node(node.node_id)
+        yield from self._store_away()
+        for node in nodes:
+            self._restart(node)
+
+    def store_returns_twice(self) -> Generator[simpy.Event, object, None]:
+        yield from self._change_owners()
+        yield from self._store_away()
+        yield from self._change_owners()
+        yield from self._store_away()
--- a/src/limedeck_lab/ownership/store.py
+++ b/src/limedeck_lab/ownership/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import deque
 from collections.abc import Generator, Sequence
 from dataclasses import dataclass, field
 
@@ -27,6 +28,9 @@
 UNAVAILABLE = 503
 MAX_WRITE_DELAY: Seconds = 6.0
 
+COPY_TIME: Seconds = 20.0
+"""How far back the store keeps copies of its rows."""
+
 StoreProcess = Generator[simpy.Event, object, object]
 
 
@@ -56,15 +60,50 @@
     late_share: float = 0.0
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """The rows at one moment."""
+
+    at: Seconds
+    rows: dict[RowKey, StoredRow]
+    version: int
+
+
 @dataclass
 class SimulatedStore:
-    """Rows whose versions come from one counter."""
+    """Rows whose versions come from one counter.
+
+    Parameters
+    ----------
+    era
+        Number of times that the store has returned from a copy.
+    """
 
     environment: simpy.Environment
     random: random.Random
     faults: StoreFaults = field(default_factory=StoreFaults)
     rows: dict[RowKey, StoredRow] = field(default_factory=dict)
     version: int = 0
+    era: int = 0
+    copies: deque[StoreCopy] = field(default_factory=deque)
+
+    def return_from_copy(self, age: Seconds) -> None:
+        """Replace all rows by those of some time ago; what was written since is lost."""
+        now = self.environment.now
+        copy = StoreCopy(0.0, {}, 0)
+        while self.copies and self.copies[0].at <= now - age:
+            copy = self.copies.popleft()
+        self.rows = dict(copy.rows)
+        self.version = copy.version
+        self.era += 1
+        self.copies.clear()
+        self._keep_copy()
+
+    def _keep_copy(self) -> None:
+        now = self.environment.now
+        self.copies.append(StoreCopy(now, dict(self.rows), self.version))
+        while self.copies[0].at < now - COPY_TIME:
+            self.copies.popleft()
 
     def read(self, table: str, reachable: bool) -> StoreProcess:
         """Read a table; raises the same errors as the real adapter."""
@@ -112,6 +151,7 @@
                 self.rows.pop(key, None)
                 continue
             self.rows[key] = StoredRow(key.table, key.part, key.key, write.value, self.version)
+        self._keep_copy()
         return WriteResult(self.version, self.environment.now)
 
     def _write_late(
--- a/src/limedeck_lab/ownership/world.py
+++ b/src/limedeck_lab/ownership/world.py
@@ -29,6 +29,8 @@
 """Bounds in seconds with one kind of fault: each fault is over before the next begins."""
 RATE_LIMIT = 4.2
 """Requests per second that the rate-bound back end takes; permits are requested all the time."""
+ENTRY_RETURN_TIME = (0.1, 1.9)
+"""Bounds in seconds of the time from the store's return until back ends' entries are up to date."""
 STARTUP_TIME: Seconds = 8.0
 """Before the first fault; a leader is elected and all keys get owners within this time."""
 RECOVERY_TIME: Seconds = 45.0
@@ -74,6 +76,9 @@
         self.longest_without_owner: Seconds = 0.0
         self._without_owner: dict[int, Seconds] = {}
         self._incarnation_count = 0
+        self._listings: list[tuple[Seconds, dict[str, Backend]]] = []
+        self._stale_listing: dict[str, Backend] = {}
+        self._listing_stale_until: Seconds = 0.0
         for index in range(node_count):
             self.start_node(f"node-{index}")
         for _ in range(backend_count):
@@ -103,8 +108,27 @@
         self.backends[backend.backend_id] = backend
         return backend
 
+    def return_store_from_copy(self, age: Seconds) -> None:
+        """Let the store return from a copy; back ends write their entries again soon after."""
+        self._stale_listing = self._listing_before(self.environment.now - age)
+        self._listing_stale_until = self.environment.now + self.random.uniform(*ENTRY_RETURN_TIME)
+        self.store.return_from_copy(age)
+
+    def _listing_before(self, at: Seconds) -> dict[str, Backend]:
+        return next((listed for since, listed in reversed(self._listings) if since <= at), {})
+
+    def _record_listing(self) -> None:
+        listed = self._current_listing()
+        if not self._listings or self._listings[-1][1] != listed:
+            self._listings.append((self.environment.now, listed))
+
     def listing(self) -> dict[str, Backend]:
         """Return the back ends listed in the store."""
+        if self.environment.now < self._listing_stale_until:
+            return self._stale_listing
+        return self._current_listing()
+
+    def _current_listing(self) -> dict[str, Backend]:
         return {
             item.backend_id: Backend(
                 item.backend_id, "service", "127.0.0.1:1", "z", 2, item.draining
@@ -144,6 +168,7 @@
         while True:
             yield self.environment.timeout(CHECK_INTERVAL)
             now = self.environment.now
+            self._record_listing()
             self._request_permits(now)
             for key in range(self.positions):
                 owners = tuple(
--- a/tests/unit/test_ownership_world.py
+++ b/tests/unit/test_ownership_world.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from limedeck_lab.ownership.faults import FAULTS, FAULTS_RUN_ALONE
+from limedeck_lab.ownership.faults import FAULTS, FAULTS_RUN_ALONE, STORE_RETURN_FAULTS
 from limedeck_lab.ownership.runs import (
     MAX_PERMITS,
     RunPlan,
@@ -17,6 +17,7 @@
 SEEDS = range(1, 13)
 SECONDS = 60.0
 SABOTAGE_SEEDS = range(1, 6)
+STORE_RETURN_SEEDS = range(1, 7)
 MAX_ELECTION_TIME = 3.0
 """Seconds within which a lost leader must have a successor."""
 MAX_GRANT_TIME = 1.0
@@ -85,3 +86,9 @@
         second.longest_without_owner,
         second.permits,
     )
+
+
+@pytest.mark.parametrize("fault", STORE_RETURN_FAULTS)
+@pytest.mark.parametrize("seed", STORE_RETURN_SEEDS)
+def test_no_key_has_two_owners_after_the_store_returned_from_a_copy(seed: int, fault: str) -> None:
+    assert run(seed, fault).violations == ()
--- a/tests/unit/test_watchers.py
+++ b/tests/unit/test_watchers.py
@@ -43,9 +43,9 @@
         self.waits: list[Seconds] = []
         self._changed = anyio.Event()
 
-    def put(self, key: str) -> None:
+    def put(self, key: str, value: bytes = b"x") -> None:
         self.version += 1
-        self.rows[key] = StoredRow("t", "", key, b"x", self.version)
+        self.rows[key] = StoredRow("t", "", key, value, self.version)
         self._wake()
 
     def drop(self, key: str) -> None:
@@ -57,6 +57,12 @@
         self.failures.append(error)
         self._wake()
 
+    def return_from_copy(self, rows: dict[str, StoredRow], version: int) -> None:
+        """Go back to an earlier version; what was written since is lost."""
+        self.rows = dict(rows)
+        self.version = version
+        self.fail(HistoryGone())
+
     def _wake(self) -> None:
         self._changed.set()
         self._changed = anyio.Event()
@@ -319,3 +325,31 @@
             await settle()
         assert store.reads == reads
         tasks.cancel_scope.cancel()
+
+
+async def test_a_change_after_the_store_returned_from_a_copy_is_applied() -> None:
+    store, versions = ScriptedStore(), []
+    copy = TableSubscription(
+        "t",
+        put=lambda row, source: versions.append(row.value),
+        remove=lambda key: None,
+        complete=lambda: None,
+        batch_time=0.0,
+        feed_wait=20.0,
+    )
+    store.put("a", b"1")
+    watcher = TableWatcher(store, copy)
+    watcher.set_feeds(feeds.FeedMode.PERMANENT)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(watcher.run)
+        await settle()
+        rows, version = dict(store.rows), store.version
+        for value in (b"2", b"3", b"4"):
+            store.put("a", value)
+            await settle()
+        store.return_from_copy(rows, version)
+        await settle()
+        store.put("a", b"5")
+        await settle()
+        assert versions[-1] == b"5"
+        tasks.cancel_scope.cancel()
