The log and a gauge tell the store's era

Its responses state it in Store-Era, which nobody read. store_era in the log and limedeck_store_era tell it now; no decision uses it yet.

--- a/src/limedeck/http_client.py
+++ b/src/limedeck/http_client.py
@@ -56,6 +56,14 @@
 """Errors of event loops on access to the socket of a stream that the other end has reset."""
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """Value of `SO_LINGER` with which closing a socket resets the connection at once."""
+DEAD_PEER_OPTIONS: Sequence[SocketOption] = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 2500),
+)
+"""Close a connection within three seconds after the peer disappeared, even during a long poll."""
 DEAD_CONNECTION_OPTIONS: Sequence[SocketOption] = (
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(UNACKNOWLEDGED_TIMEOUT * 1000)),
 )
--- a/src/limedeck/node/instrumented_store.py
+++ b/src/limedeck/node/instrumented_store.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 
 from limedeck.identity import Seconds
+from limedeck.node.logs import get_logger
 from limedeck.node.telemetry import Telemetry
 from limedeck.store.rows import (
     ConditionFailed,
@@ -33,6 +34,12 @@
         self.counts: Counter[str] = Counter()
         self._store = store
         self._telemetry = telemetry
+        self._logged_era = 0
+        self._log = get_logger("store")
+
+    @property
+    def era(self) -> int:
+        return self._store.era
 
     async def read(self, table: str, part: str = "") -> TableRead:
         try:
@@ -68,5 +75,13 @@
         await self._store.aclose()
 
     def _count(self, kind: str, table: str, result: str) -> None:
+        self._record_era()
         self.counts[f"{kind} {table} {result}"] += 1
         self._telemetry.store_calls.labels(kind, table, result).inc()
+
+    def _record_era(self) -> None:
+        if self.era == self._logged_era:
+            return
+        self._log.info("store_era", former=self._logged_era, era=self.era)
+        self._telemetry.store_era.set(self.era)
+        self._logged_era = self.era
--- a/src/limedeck/node/telemetry.py
+++ b/src/limedeck/node/telemetry.py
@@ -88,6 +88,11 @@
         self.owner_changes = Counter(
             "limedeck_owner_changes", "Ranges that changed owner", ["cause"], registry=registry
         )
+        self.store_era = Gauge(
+            "limedeck_store_era",
+            "Times that the store has returned from a copy, as far as this node knows",
+            registry=registry,
+        )
         self.store_calls = Counter(
             "limedeck_store_calls",
             "Calls to the store",
--- a/src/limedeck/platform/headers.py
+++ b/src/limedeck/platform/headers.py
@@ -19,6 +19,7 @@
 """A decimal number; longer ones cannot be request rates."""
 LEAVING = b"server-leaving"
 LEAVING_TRUE = b"1"
+STORE_ERA = b"store-era"
 MISDIRECTED = 421
 MIN_UNSIGNED_STATUS = 300
 USUAL_SLOWDOWN_PERCENT = 100.0
--- a/src/limedeck/platform/store.py
+++ b/src/limedeck/platform/store.py
@@ -2,42 +2,18 @@
 
 from __future__ import annotations
 
-import socket
 from collections.abc import Sequence
-from typing import TypeVar
 from urllib.parse import urlencode
 
 import msgspec
 
 from limedeck import clock, http_client
 from limedeck.identity import Seconds
+from limedeck.platform.headers import STORE_ERA
 from limedeck.routing.outcomes import AttemptFailed
-from limedeck.store.rows import (
-    ConditionFailed,
-    DroppedRow,
-    HistoryGone,
-    RowCondition,
-    RowKey,
-    RowStore,
-    RowWrite,
-    StoredRow,
-    StoreProtocolError,
-    StoreRefused,
-    StoreUnavailable,
-    TableChanges,
-    TableRead,
-    WriteResult,
-)
+from limedeck.store import eras, rows
 
 MS_PER_SECOND = 1000
-DEAD_PEER_OPTIONS = [
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 2500),
-]
-"""Close a connection within three seconds after the peer disappeared, even during a long poll."""
 OK = 200
 HISTORY_GONE = 410
 CONDITION_FAILED = 412
@@ -59,10 +35,7 @@
     now_s: float = 0.0
 
 
-Body = TypeVar("Body")
-
-
-class PlatformStore(RowStore):
+class PlatformStore(rows.RowStore):
     """Rows in the platform's store.
 
     Parameters
@@ -77,22 +50,27 @@
         self._address = address
         self._timeout = timeout
         self._client = http_client.HttpClient(
-            connect_timeout=timeout, socket_options=DEAD_PEER_OPTIONS
+            connect_timeout=timeout, socket_options=http_client.DEAD_PEER_OPTIONS
         )
+        self._eras = eras.EraTracker()
+
+    @property
+    def era(self) -> int:
+        return self._eras.current
 
-    async def read(self, table: str, part: str = "") -> TableRead:
-        rows: list[StoredRow] = []
+    async def read(self, table: str, part: str = "") -> rows.TableRead:
+        stored: list[rows.StoredRow] = []
         query = {"table": table, "part": part}
         while True:
             found = _decoded(await self._call("GET", "/v1/rows-get", query))
-            rows += [_stored(row) for row in found.rows]
+            stored += [_stored(row) for row in found.rows]
             if not found.has_more or not found.rows:
-                return TableRead(tuple(rows), found.ver, found.now_s)
+                return rows.TableRead(tuple(stored), found.ver, found.now_s)
             query["from"] = found.rows[-1].key_file + "\0"
 
     async def transact(
-        self, conditions: Sequence[RowCondition], writes: Sequence[RowWrite]
-    ) -> WriteResult:
+        self, conditions: Sequence[rows.RowCondition], writes: Sequence[rows.RowWrite]
+    ) -> rows.WriteResult:
         body = {
             "expected_revision": [{**_row_id(c.row), "ver": c.version} for c in conditions],
             "put": [{**_row_id(w.row), "value": w.value} for w in writes if w.value is not None],
@@ -101,18 +79,18 @@
         response = await self._call("POST", "/v1/rows-tx", {}, msgspec.json.encode(body))
         found = _decoded(response)
         if response.status == CONDITION_FAILED:
-            raise ConditionFailed(tuple(_stored(row) for row in found.rows if row.ver))
-        return WriteResult(found.ver, found.now_s)
+            raise rows.ConditionFailed(tuple(_stored(row) for row in found.rows if row.ver))
+        return rows.WriteResult(found.ver, found.now_s)
 
-    async def changes(self, table: str, after: int, wait: Seconds) -> TableChanges:
+    async def changes(self, table: str, after: int, wait: Seconds) -> rows.TableChanges:
         query = {"table": table, "after": str(after), "wait_ms": str(int(wait * MS_PER_SECOND))}
         response = await self._call("GET", "/v1/rows-feed", query, timeout=wait + self._timeout)
         if response.status == HISTORY_GONE:
-            raise HistoryGone
+            raise rows.HistoryGone
         found = _decoded(response)
-        return TableChanges(
+        return rows.TableChanges(
             rows=tuple(_stored(row) for row in found.rows if not row.gone),
-            dropped=tuple(DroppedRow(row.key_file, row.ver) for row in found.rows if row.gone),
+            dropped=tuple(rows.DroppedRow(row.key_file, row.ver) for row in found.rows if row.gone),
             version=found.ver,
         )
 
@@ -139,22 +117,23 @@
         try:
             response = await self._client.exchange(request, until)
         except AttemptFailed as error:
-            raise StoreUnavailable(str(error)) from error
+            raise rows.StoreUnavailable(str(error)) from error
+        self._eras.record([value for name, value in response.headers if name == STORE_ERA])
         if response.status not in (OK, HISTORY_GONE, CONDITION_FAILED):
-            raise StoreRefused(response.status)
+            raise rows.StoreRefused(response.status)
         return response
 
 
-def _row_id(row: RowKey) -> dict[str, str]:
+def _row_id(row: rows.RowKey) -> dict[str, str]:
     return {"table": row.table, "part": row.part, "key_file": row.key}
 
 
-def _stored(row: _Row) -> StoredRow:
-    return StoredRow(row.table, row.part, row.key_file, row.value, row.ver)
+def _stored(row: _Row) -> rows.StoredRow:
+    return rows.StoredRow(row.table, row.part, row.key_file, row.value, row.ver)
 
 
 def _decoded(response: http_client.HttpResponse) -> _Rows:
     try:
         return msgspec.json.decode(response.body, type=_Rows)
     except msgspec.DecodeError as error:
-        raise StoreProtocolError(str(error)) from error
+        raise rows.StoreProtocolError(str(error)) from error
--- a/src/limedeck/store/rows.py
+++ b/src/limedeck/store/rows.py
@@ -188,6 +188,11 @@
 class RowStore(ABC):
     """Rows in tables; every method may raise any `StoreError`."""
 
+    @property
+    def era(self) -> int:
+        """Latest known era of the store; zero for a store without eras."""
+        return 0
+
     @abstractmethod
     async def read(self, table: str, part: str = "") -> TableRead:
         """Read a consistent snapshot of all rows of one part of a table."""
