--- a/src/limedeck/model.py
+++ b/src/limedeck/model.py
@@ -122,6 +122,8 @@
         Whether it accepts no new requests.
     warmup
         How long it is slow after its start, in seconds.
+    sequence
+        Position of this entry among all that the back end has written; a later one is greater.
     """
 
     backend_id: str
@@ -132,6 +134,7 @@
     draining: bool = False
     warmup: Seconds = 0.0
     instance: str = ""
+    sequence: tuple[int, ...] = field(default=(), compare=False)
 
     @property
     def name(self) -> str:
--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -16,7 +16,7 @@
     Status,
 )
 from limedeck.clock import steady_clock
-from limedeck.forwarding.owners import OwnerMap
+from limedeck.forwarding.owners import OwnedRange, OwnerMap
 from limedeck.forwarding.quarantine import QuarantineLedger
 from limedeck.http_client import HttpClient
 from limedeck.identity import NEVER, Seconds
@@ -37,7 +37,6 @@
 from limedeck.ownership.service import ServiceOwnership
 from limedeck.ownership.timing import OwnershipTiming
 from limedeck.store.rows import (
-    ABSENT,
     ConditionFailed,
     RowCondition,
     RowKey,
@@ -70,6 +69,7 @@
 
     term: int
     core: ServiceOwnership
+    leads_since: Seconds
 
 
 class ControlHost:
@@ -130,6 +130,7 @@
         self._log = get_logger("control")
         self._next_own_loads: Seconds = 0.0
         self._next_balance_log: dict[str, Seconds] = {}
+        self._fencing_began: dict[str, Seconds] = {}
         self._max_tick_delay: Seconds = 0.0
         self._tasks: TaskGroup | None = None
 
@@ -243,6 +244,7 @@
     # ------------------------------------------------------------------ ticking
 
     def _tick(self, now: Seconds) -> None:
+        self.election.handle_era(self._store.era, now)
         command = self.election.handle_tick(now)
         if command is not None:
             self._start(self._election_calls.execute, command)
@@ -260,12 +262,13 @@
             self.handle_loads(self._state.collect_loads())
         may_renew = self.election.may_renew(now)
         may_yield = self.election.may_yield(now) and node_count > 1
-        may_move = self.election.store_silence(now) < MAX_STORE_SILENCE
+        may_move = self._may_move(now)
         for name, owned in list(self._services.items()):
             if not self.election.former_leaders():
                 owned.core.handle_former_leaders_ended(now)
             for order in owned.core.handle_tick(may_renew, now, may_yield, may_move):
                 self._start(self._execute_command, name, owned, order)
+            self._log_fencing(name, owned, now)
             self._log_changes(name, owned.core)
             self._log_balance(name, owned.core, now)
             self._publish(name, owned, now)
@@ -286,6 +289,7 @@
         if self._services:
             self._log.info("leadership_ended", term=self.election.term)
             self._services.clear()
+            self._fencing_began.clear()
             self._owners.clear()
             self.loads.clear()
             self._telemetry.leads.set(0)
@@ -299,8 +303,13 @@
                 self._opening.add(view.name)
                 self._start(self._open_service, view.name, term)
 
+    def _may_move(self, now: Seconds) -> bool:
+        """Whether the next owners of released keys can be recorded soon."""
+        is_confirmed = self.election.store_silence(now) < MAX_STORE_SILENCE
+        return is_confirmed and not self.election.is_election_lost
+
     def _refresh_listing(self, now: Seconds) -> None:
-        may_move = self.election.store_silence(now) < MAX_STORE_SILENCE
+        may_move = self._may_move(now)
         for name, owned in self._services.items():
             listed = self._state.directory.owner_candidates(name, now, may_move)
             owned.core.set_backends(listed, now)
@@ -352,6 +361,18 @@
         )
         self._max_tick_delay = 0.0
 
+    def _log_fencing(self, name: str, owned: _OwnedService, now: Seconds) -> None:
+        """Log that back ends may hold unknown keys after a changed era, and the end of that."""
+        began = self._fencing_began.get(name)
+        if owned.core.is_fencing and began is None:
+            self._fencing_began[name] = now
+            self._log.warning("era_fencing_began", service=name, term=owned.term)
+        elif began is not None and not owned.core.is_fencing:
+            del self._fencing_began[name]
+            self._log.warning(
+                "era_fencing_ended", service=name, term=owned.term, seconds=round(now - began, 3)
+            )
+
     def _log_changes(self, name: str, core: ServiceOwnership) -> None:
         for change in core.changes:
             self._telemetry.owner_changes.labels(change.cause.value).inc()
@@ -393,15 +414,35 @@
             self._key_positions,
             term,
             record,
-            row.version if row else ABSENT,
+            row.version if row else found.absent,
             self._timing,
             steady_clock(),
+            self._known_owners(name, record),
+            self._continued_core(name),
         )
-        self._services[name] = _OwnedService(term, core)
+        self._services[name] = _OwnedService(term, core, self.election.leads_since)
         self._log.info(
-            "service_opened", service=name, term=term, ranges=len(record.ranges) if record else 0
+            "service_opened",
+            service=name,
+            term=term,
+            ranges=len(record.ranges) if record else 0,
+            fencing=core.is_fencing,
         )
 
+    def _known_owners(self, name: str, record: AssignmentRecord | None) -> tuple[OwnedRange, ...]:
+        """Return the owners that this node knows from a leader, unless the record is newer."""
+        owners = self._state.service(name).owners
+        if record is not None and owners.version >> VERSION_BITS < record.term:
+            return ()
+        return owners.ranges
+
+    def _continued_core(self, name: str) -> ServiceOwnership | None:
+        """Return the core of an earlier term if this node has led without a break since."""
+        owned = self._services.get(name)
+        if owned is None or owned.leads_since != self.election.leads_since:
+            return None
+        return owned.core
+
     async def _execute_command(
         self, name: str, owned: _OwnedService, command: OwnershipCommand
     ) -> None:
@@ -430,7 +471,7 @@
                 found = next((item for item in error.rows if item.key == name), None)
                 self._log.info("record_conflict", service=name)
                 owned.core.handle_record_conflict(
-                    _parse_assignment(found), found.version if found else 0
+                    _parse_assignment(found), found.version if found else error.absent
                 )
                 return
             except StoreError as error:
--- a/src/limedeck/node/election_calls.py
+++ b/src/limedeck/node/election_calls.py
@@ -7,12 +7,14 @@
 
 from google.protobuf.message import DecodeError, Message
 
+from limedeck import versions
 from limedeck.api.control_pb2 import LeaderConfirmation, LeaderRecord
 from limedeck.clock import steady_clock
 from limedeck.errors import PlatformProtocolError
 from limedeck.identity import Seconds
 from limedeck.node.logs import get_logger
 from limedeck.node.telemetry import Telemetry
+from limedeck.ownership import terms
 from limedeck.ownership.election import (
     Campaign,
     Confirm,
@@ -22,7 +24,6 @@
     ReadLeader,
 )
 from limedeck.store.rows import (
-    ABSENT,
     ConditionFailed,
     RowCondition,
     RowKey,
@@ -73,6 +74,7 @@
         except StoreError as error:
             self._log.info("election_call_failed", problem=str(error))
             self._election.handle_store_failure(steady_clock())
+            self._election.handle_era(self._store.era, steady_clock())
             self._store_failed = True
             return
         if self._store_failed:
@@ -81,7 +83,7 @@
 
     async def _read_leader(self, command: ReadLeader) -> None:
         found = await self._store.read(LEADER_ROW.table, LEADER_ROW.part)
-        result = _leader_read_result(found.rows, found.store_time)
+        result = _leader_read_result(found.rows, found.absent, found.store_time)
         self._record_store_time(found.store_time)
         self._log.info(
             "leader_read",
@@ -91,6 +93,7 @@
             confirmation_age=result.confirmation_age,
         )
         known = self._election.term
+        self._election.handle_era(self._store.era, steady_clock())
         self._election.handle_leader_read(result, steady_clock())
         self._telemetry.term.set(self._election.term)
         if self._election.term > known:
@@ -102,7 +105,8 @@
         try:
             written = await self._store.transact([condition], [write])
         except ConditionFailed as error:
-            self._election.handle_leader_read(_leader_read_result(error.rows, 0.0), steady_clock())
+            result = _leader_read_result(error.rows, error.absent, 0.0)
+            self._election.handle_leader_read(result, steady_clock())
             return
         self._log.info("elected", term=command.record.term, why=command.why.value)
         self._record_store_time(written.store_time)
@@ -119,7 +123,8 @@
         try:
             written = await self._store.transact([condition], [write])
         except ConditionFailed as error:
-            self._election.handle_leader_read(_leader_read_result(error.rows, 0.0), steady_clock())
+            result = _leader_read_result(error.rows, error.absent, 0.0)
+            self._election.handle_leader_read(result, steady_clock())
             return
         self._record_store_time(written.store_time)
         self._election.handle_confirmed(sent_at)
@@ -128,9 +133,11 @@
         self.store_offset = store_time - steady_clock()
 
 
-def _leader_read_result(rows: tuple[StoredRow, ...], store_time: Seconds) -> LeaderReadResult:
+def _leader_read_result(
+    rows: tuple[StoredRow, ...], absent: versions.StoreVersion, store_time: Seconds
+) -> LeaderReadResult:
     record = None
-    version = ABSENT
+    version = absent
     age = None
     for row in rows:
         if row.key == LEADER_ROW.key:
@@ -139,7 +146,9 @@
     for row in rows:
         if row.key == CONFIRMATION_ROW.key and record is not None:
             confirmation = decode_record(row, LeaderConfirmation)
-            if confirmation.term == record.term:
+            is_current = terms.era_of(record.term) >= versions.era_of(version)
+            # The store's clock may have been set back with its rows.
+            if is_current and confirmation.term == record.term:
                 age = store_time - confirmation.confirmed_at
     return LeaderReadResult(record, version, age)
 
--- a/src/limedeck/node/peer_tables.py
+++ b/src/limedeck/node/peer_tables.py
@@ -5,7 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from limedeck import identity
+from limedeck import identity, versions
 
 if TYPE_CHECKING:
     from limedeck.store import replica
@@ -39,13 +39,16 @@
         Newest version that was sent on this connection.
     sent_at
         When it was sent.
+    held_sent_era
+        Latest era in which it was sent what this node holds on to against the store.
     """
 
-    version: int = 0
-    target: int | None = None
+    version: versions.StoreVersion = 0
+    target: versions.StoreVersion | None = None
     lacks_since: identity.Seconds = identity.NEVER
-    sent: int = 0
+    sent: versions.StoreVersion = 0
     sent_at: identity.Seconds = identity.NEVER
+    held_sent_era: int = 0
 
     def record_lag(self, table: replica.TableReplica, now: identity.Seconds) -> None:
         """Record whether the other replica lacks changes of this node's replica of the table."""
@@ -58,7 +61,7 @@
             self.target = table.newest
             self.lacks_since = now
 
-    def record_sent(self, version: int, now: identity.Seconds) -> None:
+    def record_sent(self, version: versions.StoreVersion, now: identity.Seconds) -> None:
         """Record that changes up to this version were sent."""
         self.sent = version
         self.sent_at = now
@@ -67,7 +70,7 @@
         """Whether the other node has yet to report a version that it was sent."""
         return self.version < self.sent and now - self.sent_at < ACKNOWLEDGEMENT_TIMEOUT
 
-    def known_version(self, now: identity.Seconds) -> int:
+    def known_version(self, now: identity.Seconds) -> versions.StoreVersion:
         """Return the version that the other replica reaches with all that is on its way to it."""
         return self.sent if self.is_acknowledgement_pending(now) else self.version
 
--- a/src/limedeck/node/quarantine_record.py
+++ b/src/limedeck/node/quarantine_record.py
@@ -28,6 +28,8 @@
 )
 
 QUARANTINE_ROW = RowKey("limedeck_quarantine", "", "requests")
+UNKNOWN_RECORD = frozenset({(0, -1)})
+"""Stands for a record that differs from every ledger, so that the leader writes it again."""
 CHECK_INTERVAL: Seconds = 1.0
 """Time between two checks, and so the shortest time between two writes. A call costs the store
 little, and callers repeat a request that crashes back ends after about this time."""
@@ -55,6 +57,7 @@
         self._store = store
         self._control = control
         self._stored: frozenset[tuple[int, int]] | None = None
+        self._stored_era = store.era
         self._log = get_logger("quarantine")
 
     async def run(self) -> None:
@@ -67,6 +70,10 @@
                 self._log.info("quarantine_record_missed", problem=str(error))
 
     async def _update(self) -> None:
+        if self._stored is not None and self._stored_era != self._store.era:
+            # The store has returned from a copy, which may lack the record or hold an older one.
+            self._stored = UNKNOWN_RECORD
+            self._stored_era = self._store.era
         if self._stored is None:
             if not self._hears_leader():
                 await self._read()
@@ -91,6 +98,7 @@
         ]
         self._ledger.apply(quarantines, self, now)
         self._stored = _record_keys(quarantines)
+        self._stored_era = self._store.era
         if quarantines:
             self._log.info("quarantine_record_read", requests=len(quarantines))
 
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -56,7 +56,7 @@
 )
 from limedeck.platform.store import PlatformStore
 from limedeck.store.feeds import FeedPolicy
-from limedeck.store.replica import Source
+from limedeck.store.replica import Source, WriterSequence
 from limedeck.store.rows import StoredRow
 
 MAINTENANCE_INTERVAL: Seconds = 0.5
@@ -290,6 +290,7 @@
             complete=lambda: None,
             batch_time=CONFIGURATION_BATCH_TIME,
             feed_wait=self._settings.store.feed_wait,
+            sequence_of=_configuration_sequence,
         )
 
     def _apply_configuration(self, configuration: Configuration, source: Source) -> None:
@@ -331,9 +332,24 @@
             complete,
             batch_time=BACKENDS_BATCH_TIME,
             feed_wait=self._settings.store.feed_wait,
+            sequence_of=_backend_sequence,
         )
 
 
 def _retry_allowance(settings: NodeSettings) -> RetryAllowance:
     retries = settings.retries
     return RetryAllowance(retries.ratio, retries.slack, retries.window)
+
+
+def _configuration_sequence(value: bytes) -> WriterSequence | None:
+    try:
+        return (read_configuration(value).version,)
+    except PlatformProtocolError:
+        return None
+
+
+def _backend_sequence(value: bytes) -> WriterSequence | None:
+    try:
+        return read_backend("", value).sequence
+    except PlatformProtocolError:
+        return None
--- a/src/limedeck/node/table_exchange.py
+++ b/src/limedeck/node/table_exchange.py
@@ -8,7 +8,7 @@
 import anyio
 from google.protobuf import message
 
-from limedeck import clock, errors
+from limedeck import clock, errors, versions
 from limedeck.api import control_pb2
 from limedeck.node import logs, peer_tables
 from limedeck.store import replica
@@ -78,6 +78,9 @@
             update = self._update_for(watcher.replica, peer, now)
             if update is not None:
                 peer_message.news.append(update)
+            held = self._held_update_for(watcher.replica, peer)
+            if held is not None:
+                peer_message.news.append(held)
 
     def apply(
         self,
@@ -121,6 +124,20 @@
         progress.record_sent(update.newest, now)
         return encoded
 
+    def _held_update_for(
+        self, table: replica.TableReplica, peer: peer_tables.PeerTables
+    ) -> control_pb2.TableNews | None:
+        """Return what the other node may have read from a copy of the store only, once an era."""
+        progress = peer.progress(table.table)
+        is_same_era = versions.era_of(progress.version) == table.era
+        if not is_same_era or progress.held_sent_era >= table.era:
+            return None
+        update = table.held_update()
+        if update is None:
+            return None
+        progress.held_sent_era = table.era
+        return _encode_update(update)
+
     def _log_late_update(
         self, peer: peer_tables.PeerTables, update: replica.TableUpdate, now: identity.Seconds
     ) -> None:
@@ -186,8 +203,10 @@
         """Apply the feed policy at intervals until cancelled."""
         while True:
             wanted = self._policy.feeds(self._leads(), clock.steady_clock())
+            now = clock.steady_clock()
             for watcher in self._watchers:
                 watcher.set_feeds(wanted, self._policy.temporary_feed_pause())
+                watcher.settle(now)
             await anyio.sleep(FEED_CHECK_INTERVAL)
 
 
--- a/src/limedeck/node/watchers.py
+++ b/src/limedeck/node/watchers.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
+import random
 from typing import TYPE_CHECKING
 
 import anyio
 
-from limedeck import clock, errors
+from limedeck import clock, errors, versions
 from limedeck.node import logs
 from limedeck.store import feeds, replica, rows
 
@@ -24,6 +25,9 @@
 more for an update or for its feed: two heartbeat intervals of the leader."""
 REFUSALS_LOGGED_PER_SECOND = 5
 """Limit for log lines about invalid rows; another writer may write many of them."""
+SETTLING_DELAY = (0.5, 2.5)
+"""Bounds in seconds of the time for which a node without feeds waits longer than one with feeds
+until it reads a table after a changed era; spreads the reads of hundreds of nodes."""
 TEMPORARY_FEED_WAIT: identity.Seconds = 2.0
 """Longest wait of a call for changes while no other node could reveal that the feed is dead."""
 
@@ -44,6 +48,8 @@
         Pause between two calls, so that changes close together arrive in one response.
     feed_wait
         Longest time that one call waits for a change.
+    sequence_of
+        Returns the writer's sequence in a row's value; None if it tells none.
     """
 
     table: str
@@ -52,25 +58,30 @@
     complete: Callable[[], None]
     batch_time: identity.Seconds
     feed_wait: identity.Seconds
+    sequence_of: Callable[[bytes], replica.WriterSequence | None] = lambda value: None
 
 
 class TableWatcher:
     """Keeps a replica of one table up to date for as long as the process runs."""
 
     def __init__(self, store: rows.RowStore, follower: TableSubscription) -> None:
-        self.replica = replica.TableReplica(follower.table, self._put, follower.remove)
+        self.replica = replica.TableReplica(
+            follower.table, self._put, follower.remove, follower.sequence_of
+        )
+        self.replica.on_held = self._record_held
         self._store = store
         self._follower = follower
-        self._feed_version: int | None = None
+        self._feed_version: versions.StoreVersion | None = None
         self._feeds = feeds.FeedMode.NONE
         self._temporary_feed_pause: identity.Seconds = 0.0
         self._read_wanted = False
         self._wake = anyio.Event()
         self._store_lost = False
-        self._lacked_version: int | None = None
+        self._lacked_version: versions.StoreVersion | None = None
         self._behind_since: identity.Seconds = 0.0
         self._step_scope: anyio.CancelScope | None = None
         self._refusals = logs.RateLimit(REFUSALS_LOGGED_PER_SECOND)
+        self._settling_delay = random.uniform(*SETTLING_DELAY)
         self._log = logs.get_logger("store")
 
     @property
@@ -79,7 +90,7 @@
         return self._follower.table
 
     @property
-    def newest(self) -> int:
+    def newest(self) -> versions.StoreVersion:
         """Version of the newest known change."""
         return self.replica.newest
 
@@ -139,7 +150,7 @@
             self._feed_version = self.replica.newest if self.replica.is_complete else None
             self._wake_up()
 
-    def handle_peer_version(self, newest: int, now: identity.Seconds) -> None:
+    def handle_peer_version(self, newest: versions.StoreVersion, now: identity.Seconds) -> None:
         """Handle the newest version of the table that another node knows.
 
         Without a feed, the other node sends the changes, and the table is read only if it does
@@ -149,6 +160,10 @@
         if not self._is_behind(newest):
             self._lacked_version = None
             self._read_wanted = False
+        elif self._is_feed_of_earlier_era(newest):
+            self._log.warning("era_told", table=self.table, era=versions.era_of(newest))
+            self._lacked_version = None
+            self._read_again()
         elif self._lacked_version is None or not self._is_behind(self._lacked_version):
             # Newer changes do not count: a feed that progresses is behind all through a storm.
             self._lacked_version = newest
@@ -158,7 +173,25 @@
             self._lacked_version = None
             self._read_again()
 
-    def _is_behind(self, newest: int) -> bool:
+    def _is_feed_of_earlier_era(self, newest: versions.StoreVersion) -> bool:
+        if self._feed_version is None or self._feeds is feeds.FeedMode.NONE:
+            return False
+        return versions.era_of(newest) > versions.era_of(self._feed_version)
+
+    def settle(self, now: identity.Seconds) -> None:
+        """Read the table if the store has returned from a copy and rows are still held since.
+
+        Nodes without feeds wait some more, each for another time: others send them most changes.
+        """
+        delay = 0.0 if self._feeds is not feeds.FeedMode.NONE else self._settling_delay
+        is_reading = self._read_wanted
+        if self._feeds is not feeds.FeedMode.NONE:
+            is_reading = self._feed_version is None
+        if self.replica.needs_settling(now - delay) and not is_reading:
+            self._log.info("table_settled", table=self.table, era=self.replica.era)
+            self._read_again()
+
+    def _is_behind(self, newest: versions.StoreVersion) -> bool:
         if self._feeds is feeds.FeedMode.NONE:
             return newest > self.replica.newest or not self.replica.is_complete
         return self._feed_version is not None and newest > self._feed_version
@@ -208,6 +241,17 @@
         found = await self._store.read(self.table)
         entries = [replica.Entry(row.key, row.version, row.value) for row in found.rows]
         now = clock.steady_clock()
+        era = versions.era_of(found.version)
+        if self.replica.is_complete and era > self.replica.era:
+            self._log.warning(
+                "era_changed",
+                table=self.table,
+                former=self.replica.era,
+                era=era,
+                after=versions.number_of(self.replica.newest),
+                version=versions.number_of(found.version),
+                rows=len(entries),
+            )
         self.replica.apply_snapshot(entries, found.version, replica.Source.STORE, now)
         self._feed_version = found.version
         self._read_wanted = False
@@ -220,6 +264,12 @@
             if self._refusals.allows():
                 self._log.error("row_refused", table=row.table, key=row.key, problem=str(exc))
 
+    def _record_held(self, key: str, is_held: bool) -> None:
+        if is_held:
+            self._log.info("row_held", table=self.table, key=key, era=self.replica.era)
+        else:
+            self._log.info("row_hold_ended", table=self.table, key=key, era=self.replica.era)
+
     def _record_store_lost(self, exc: rows.StoreError) -> None:
         if not self._store_lost:
             self._log.warning("store_lost", table=self.table, problem=str(exc))
--- a/src/limedeck/ownership/commands.py
+++ b/src/limedeck/ownership/commands.py
@@ -7,6 +7,7 @@
 from limedeck.api.control_pb2 import AssignmentRecord
 from limedeck.ownership.orders import Grant, Release
 from limedeck.ownership.ranges import OwnerChangeCause
+from limedeck.versions import StoreVersion
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,7 +29,7 @@
     """Command: write the owners, if the row has this version and the term is still current."""
 
     record: AssignmentRecord
-    row_version: int
+    row_version: StoreVersion
 
 
 OwnershipCommand = SendGrant | SendRelease | WriteRecord
--- a/src/limedeck/ownership/election.py
+++ b/src/limedeck/ownership/election.py
@@ -10,10 +10,12 @@
 
 import xxhash
 
+from limedeck import versions
 from limedeck.api.control_pb2 import FormerLeader, LeaderRecord
 from limedeck.identity import NEVER, Seconds
-from limedeck.ownership import candidate_priority
+from limedeck.ownership import candidate_priority, terms
 from limedeck.ownership.timing import OwnershipTiming
+from limedeck.versions import StoreVersion
 
 RETRY_INTERVAL: Seconds = 0.25
 """Interval between two reads of the leader's rows, and delay after the first failed call."""
@@ -43,12 +45,15 @@
         The leader has resigned, or its process says that it does not lead.
     STORE_UNREACHABLE
         The leader does not reach the store.
+    STORE_RETURNED
+        The store has returned from a copy, so that the leader's election may be lost.
     """
 
     NO_RECORD = "no-record"
     SILENT = "silent"
     DENIED = "denied"
     STORE_UNREACHABLE = "misses-store"
+    STORE_RETURNED = "store-returned"
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,7 +68,7 @@
     """Command: write this record if the row still has this version."""
 
     record: LeaderRecord
-    row_version: int
+    row_version: StoreVersion
     why: Suspicion
 
 
@@ -72,7 +77,7 @@
     """Command: confirm leadership in the store, if the term is still current."""
 
     term: int
-    row_version: int
+    row_version: StoreVersion
 
 
 ElectionCommand = ReadLeader | Campaign | Confirm
@@ -87,13 +92,13 @@
     record
         Record of the leader; None if there is none.
     row_version
-        Version of the record's row.
+        Version of the record's row; that of an absent row if there is no record.
     confirmation_age
         Age of the leader's last confirmation; None if there is none in this term.
     """
 
     record: LeaderRecord | None
-    row_version: int
+    row_version: StoreVersion
     confirmation_age: Seconds | None
 
 
@@ -146,7 +151,8 @@
         self._priority = candidate_priority.CandidatePriority(processor, timing.max_weak_node_delay)
         self.role = Role.FOLLOWER
         self.record: LeaderRecord | None = None
-        self.row_version = 0
+        self.row_version: StoreVersion = 0
+        self._era = 0
         self._identity = identity
         self._timing = timing
         self._leader_heard_at = now
@@ -185,6 +191,11 @@
             suspicion=None if leads else self._suspicion(now),
         )
 
+    @property
+    def leads_since(self) -> Seconds:
+        """When this node became the leader; the same in all terms that it leads without a break."""
+        return self._leads_since
+
     def store_silence(self, now: Seconds) -> Seconds:
         """Return the time since the store last confirmed this leader."""
         return now - self._confirmed_at
@@ -255,10 +266,11 @@
 
     def handle_peer_record(self, record: LeaderRecord, row_version: int, now: Seconds) -> None:
         """Handle a leader record that another node has read and sent."""
-        if record.term <= self.term or row_version <= self.row_version:
+        is_same_era = versions.era_of(row_version) == versions.era_of(self.row_version)
+        if record.term <= self.term or (is_same_era and row_version <= self.row_version):
             return
         self.record = record
-        self.row_version = row_version
+        self.row_version = max(row_version, self.row_version)
         self._record_new_term(now)
         self._update_role(now)
 
@@ -268,8 +280,10 @@
         self._failures = 0
         known = self.term
         if seen.row_version >= self.row_version:
-            self.record = seen.record
             self.row_version = seen.row_version
+            # A copy of the store may name a leader before the one that this node knows.
+            if seen.record is not None and seen.record.term >= known:
+                self.record = seen.record
         if self.term > known:
             self._record_new_term(now)
         self._confirmation_age = seen.confirmation_age
@@ -277,6 +291,21 @@
         self._next_call = now
         self._update_role(now)
 
+    def handle_era(self, era: int, now: Seconds) -> None:
+        """Handle the era of the store: what was read in an earlier one is not valid any more."""
+        if era <= self._era:
+            return
+        self._era = era
+        self._rows_read_at = NEVER
+        self._confirmation_age = None
+        if self.role is Role.LEADER:
+            self._next_call = now
+
+    @property
+    def is_election_lost(self) -> bool:
+        """Whether this node was elected in an earlier era, so that it has to be elected again."""
+        return self.role is Role.LEADER and terms.era_of(self.term) < self._era
+
     def _record_new_term(self, now: Seconds) -> None:
         """Drop what was known of the former leader: there is a later one."""
         self._leader_heard_at = now
@@ -357,9 +386,21 @@
         return command
 
     def _leader_tick(self, now: Seconds) -> ElectionCommand | None:
+        if self.is_election_lost:
+            return self._restore_leadership(now)
         self._next_call = now + self._timing.confirm_interval
         return Confirm(self.term, self.row_version)
 
+    def _restore_leadership(self, now: Seconds) -> ElectionCommand:
+        """Stand for election in the present era, while grants go on under the lost term."""
+        self._next_call = now + RETRY_INTERVAL
+        is_current = versions.era_of(self.row_version) == self._era
+        if not is_current or now - self._rows_read_at > MAX_READ_AGE:
+            return ReadLeader(Suspicion.STORE_RETURNED)
+        self._rows_read_at = NEVER
+        record = self._candidate_record(Suspicion.STORE_RETURNED)
+        return Campaign(record, self.row_version, Suspicion.STORE_RETURNED)
+
     def _follower_tick(self, now: Seconds) -> ElectionCommand | None:
         why = self._suspicion(now)
         if why is not Suspicion.DENIED:
@@ -414,7 +455,7 @@
         record = LeaderRecord()
         record.CopyFrom(self._identity)
         record.why = why.value
-        record.term = self.term + 1
+        record.term = terms.next_term(max(self.term, self._highest_peer_term), self._era)
         if self.record is not None:
             record.former.extend(_former_leaders(self.record, self._identity.node_id))
         return record
--- a/src/limedeck/ownership/recording.py
+++ b/src/limedeck/ownership/recording.py
@@ -9,6 +9,7 @@
 from limedeck.identity import Seconds
 from limedeck.ownership.commands import WriteRecord
 from limedeck.ownership.ranges import RangeState
+from limedeck.versions import StoreVersion
 
 OwnerChoice = tuple[RangeState, str]
 """A free range and its next owner."""
@@ -22,15 +23,31 @@
     sequence
         Sequence number of the record as it was read; zero if there is none.
     row_version
-        Version of the record's row as it was read; zero if there is none.
+        Version of the record's row as it was read; that of an absent row if there is none.
+    is_outdated
+        The record does not show the owners of keys, so that it is written again even if no range
+        gets another owner.
     """
 
-    def __init__(self, service: str, term: int, sequence: int, row_version: int) -> None:
+    def __init__(
+        self,
+        service: str,
+        term: int,
+        sequence: int,
+        row_version: StoreVersion,
+        is_outdated: bool = False,
+    ) -> None:
         self._service = service
         self._term = term
         self._sequence = sequence
         self._row_version = row_version
         self._pending: list[OwnerChoice] | None = None
+        self._is_outdated = is_outdated
+
+    @property
+    def must_write(self) -> bool:
+        """Whether the record has to be written even if no range gets another owner."""
+        return self._is_outdated
 
     @property
     def is_pending(self) -> bool:
@@ -48,12 +65,13 @@
         self._sequence += 1
         return WriteRecord(self._record(chosen, ranges), self._row_version)
 
-    def complete_write(self, row_version: int) -> Sequence[OwnerChoice]:
+    def complete_write(self, row_version: StoreVersion) -> Sequence[OwnerChoice]:
         """Complete the pending write; return the choices that it recorded."""
         pending = self._pending
         if pending is None:
             raise InvariantViolation("written-record-was-pending", self._service)
         self._pending = None
+        self._is_outdated = False
         self._row_version = row_version
         return pending
 
--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -7,6 +7,8 @@
    those of all grants sent for it (`releasing`). The range becomes free only by the owner's
    response, the end of every lease, or a later incarnation of the owner that refuses such grants
    (`barriers`).
+   If the record is of an earlier era of the store, it does this only once no back end can hold keys
+   that the leader does not know of (`era_fencing`).
 3. It writes the next owner of a free range to the record in the store (`recording`), and sends the
    grant only after that.
 4. It moves ranges to back ends that have capacity for their load (`balancing`).
@@ -15,16 +17,19 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import replace
 
 from limedeck.api.control_pb2 import AssignmentRecord
 from limedeck.forwarding.availability import LEAVING_OWNER_GRACE
 from limedeck.forwarding.owners import OwnedRange, merge_adjacent
 from limedeck.identity import NEVER, Seconds, is_later_incarnation
 from limedeck.model import Backend
+from limedeck.ownership import terms
 from limedeck.ownership.balancing import LoadBalance
 from limedeck.ownership.barriers import Barriers
 from limedeck.ownership.commands import OwnerChange, OwnershipCommand, SendGrant, SendRelease
+from limedeck.ownership.era_fencing import ENTRY_RETURN_TIME, EraFencing
 from limedeck.ownership.fences import FenceCounter
 from limedeck.ownership.key_load import KeyLoad
 from limedeck.ownership.orders import Grant, Release
@@ -36,6 +41,7 @@
 from limedeck.ownership.releasing import begin_release, due_releases, end_release
 from limedeck.ownership.renewal import Renewals
 from limedeck.ownership.timing import OwnershipTiming
+from limedeck.versions import StoreVersion
 
 
 class ServiceOwnership:
@@ -48,7 +54,13 @@
     term
         Term of this leader.
     record, row_version
-        Record in the store and the version of its row; None and zero if there is none.
+        Record in the store and the version of its row; None and that of an absent row if there is
+        none.
+    known_owners
+        Owners that this node knows from a leader, in the order of their keys; empty if it knows
+        none.
+    former
+        Core of the same service if this node has led without a break since an earlier era.
     """
 
     def __init__(
@@ -57,9 +69,11 @@
         key_positions: int,
         term: int,
         record: AssignmentRecord | None,
-        row_version: int,
+        row_version: StoreVersion,
         timing: OwnershipTiming,
         now: Seconds,
+        known_owners: Sequence[OwnedRange] = (),
+        former: ServiceOwnership | None = None,
     ) -> None:
         self.service = service
         self.changes: list[OwnerChange] = []
@@ -74,7 +88,15 @@
         self._liveness = OwnerLiveness(timing, now)
         self._renewals = Renewals(timing, self._liveness)
         self._balance = LoadBalance(key_positions, timing.balance_interval, now)
-        self._record = OwnerRecord(service, term, record.sequence if record else 0, row_version)
+        known = _owners_of(record) if record is not None else ()
+        is_outdated = bool(known or known_owners) and (
+            record is None or terms.era_of(record.term) < terms.era_of(term)
+        )
+        sequence = record.sequence if record is not None else 0
+        self._record = OwnerRecord(service, term, sequence, row_version, is_outdated)
+        self._fencing: EraFencing | None = None
+        self._fencing_since = now
+        self._renews_while_fencing = False
         self._backends: dict[str, Backend] = {}
         self._first_backend_at: Seconds | None = None
         self._last_new_backend_at: Seconds = now
@@ -85,8 +107,12 @@
         self._may_move = True
         self._draining_since: dict[str, Seconds] = {}
         self._failing: frozenset[str] = frozenset()
-        if record is not None:
-            self._take_over(record, now)
+        if former is not None and former.ranges and is_outdated:
+            self._continue(former, now)
+        elif is_outdated:
+            self._take_over_in_new_era(known_owners or known, bool(known_owners), now)
+        elif record is not None:
+            self._take_over(known, now)
 
     @property
     def ranges(self) -> list[RangeState]:
@@ -117,6 +143,8 @@
         new = self._backends.keys() - known
         if new:
             self._last_new_backend_at = now
+        if self._fencing is not None:
+            self._fencing.require(self._backends, self.ranges)
         if new and self.ranges:
             # Owners in the record need no barrier: they get grants under new fences anyway.
             self._barriers.require(new - {item.owner for item in self.ranges})
@@ -147,6 +175,8 @@
     ) -> None:
         """Handle a back end's response to a release."""
         self._liveness.record_order_response(order.backend_id)
+        if self._fencing is not None and self._fencing.handle_response(order, done, now):
+            return
         if self._barriers.handle_response(order, done, now):
             return
         for found in self._map.find_within(order):
@@ -160,6 +190,8 @@
     def handle_order_lost(self, order: Grant | Release, now: Seconds) -> None:
         """Handle an order without a response; the back end may still carry it out."""
         self._liveness.extend_avoidance(order.backend_id, now)
+        if isinstance(order, Release) and self._is_fencing_lost(order, now):
+            return
         if isinstance(order, Release) and self._barriers.handle_response(order, False, now):
             return
         for found in self._map.find_within(order):
@@ -170,6 +202,9 @@
                 found.target = NO_OWNER
                 self._liveness.avoid(order.backend_id, now)
 
+    def _is_fencing_lost(self, order: Release, now: Seconds) -> bool:
+        return self._fencing is not None and self._fencing.handle_response(order, False, now)
+
     def handle_record_written(self, row_version: int) -> None:
         """Handle the store's confirmation that the record was written."""
         for found, owner in self._record.complete_write(row_version):
@@ -195,6 +230,8 @@
             return
         self._former_leaders_ended = True
         latest = now + self._timing.longest_lease + self._timing.order_timeout
+        if self._fencing is not None:
+            self._fencing.shorten(latest)
         for item in self.ranges:
             item.held_until = min(item.held_until, latest)
 
@@ -237,6 +274,10 @@
             Whether released keys can be assigned soon. If not, no keys are moved for balance, and a
             leaving owner keeps its keys until nodes no longer send requests to it.
         """
+        if self._fencing is not None and not self._fencing.is_complete(now):
+            return self._tick_while_fencing(may_renew, now)
+        if self._fencing is not None:
+            self._end_fencing()
         if not self.ranges:
             self._assign_initially(now)
         self._range_counts = self._map.counts()
@@ -254,6 +295,41 @@
         self._commands = []
         return commands
 
+    def _tick_while_fencing(self, may_renew: bool, now: Seconds) -> list[OwnershipCommand]:
+        """Return orders that keep back ends from holding keys unknown to this leader.
+
+        A leader that goes on from an earlier era renews its grants meanwhile, under their fences.
+        """
+        assert self._fencing is not None
+        self._range_counts = self._map.counts()
+        commands: list[OwnershipCommand] = [SendRelease(item) for item in self._fencing.due(now)]
+        if self._renews_while_fencing and may_renew:
+            orders = (
+                self._renewals.due(found, now)
+                for found in self.ranges
+                if found.phase is Phase.OWNED
+            )
+            commands += [SendGrant(order) for order in orders if order is not None]
+        return commands
+
+    def _end_fencing(self) -> None:
+        """Go on with fences of this term: no back end holds keys that are not its own."""
+        self._fencing = None
+        for item in self.ranges:
+            item.fence = self._fences.next()
+            item.order_pending = False
+            item.next_order = NEVER
+
+    @property
+    def unfenced_backends(self) -> list[str]:
+        """Back ends that may hold keys unknown to this leader, for logs."""
+        return self._fencing.unconfirmed() if self._fencing is not None else []
+
+    @property
+    def is_fencing(self) -> bool:
+        """Whether no keys change their owner yet because back ends may hold others."""
+        return self._fencing is not None
+
     def move(self, moves: Iterable[PlannedMove]) -> None:
         """Release keys at their owners, to assign them to other back ends."""
         for planned in moves:
@@ -315,7 +391,7 @@
             return
         free = [item for item in self.ranges if item.phase is Phase.FREE]
         chosen = self._choose_owners(free, now)
-        if chosen:
+        if chosen or self._record.must_write:
             self._commands.append(self._record.write(chosen, self.ranges, now))
 
     def _choose_owners(self, free: list[RangeState], now: Seconds) -> list[OwnerChoice]:
@@ -357,10 +433,32 @@
 
     # ------------------------------------------------------------------ initial state
 
-    def _take_over(self, record: AssignmentRecord, now: Seconds) -> None:
-        """Start from another leader's record; grants of that leader may still be in force."""
+    def _take_over_in_new_era(
+        self, owners: Sequence[OwnedRange], is_known_from_leader: bool, now: Seconds
+    ) -> None:
+        """Start from what is known of owners of an earlier era; keys may have others by now."""
+        self._take_over(owners, now)
+        # A node that knows the owners knows the back ends too; another one waits for their entries.
+        not_before = now if is_known_from_leader else now + ENTRY_RETURN_TIME
+        longest = self._timing.max_unconfirmed_time + self._timing.longest_lease
+        self._begin_fencing(not_before, now + longest + self._timing.order_timeout, now)
+
+    def _continue(self, former: ServiceOwnership, now: Seconds) -> None:
+        """Go on from this leader's own core of an earlier era, whose grants are in force."""
+        for item in former.ranges:
+            self._map.add(replace(item, order_pending=False, next_order=NEVER))
+        self._renews_while_fencing = True
+        deadline = now + self._timing.longest_lease + self._timing.order_timeout
+        self._begin_fencing(now, deadline, now)
+
+    def _begin_fencing(self, not_before: Seconds, deadline: Seconds, now: Seconds) -> None:
+        self._fencing = EraFencing(self._key_positions, self._fences, not_before, deadline)
+        self._fencing_since = now
+
+    def _take_over(self, owners: Iterable[OwnedRange], now: Seconds) -> None:
+        """Start from another leader's owners; grants of that leader may still be in force."""
         longest = self._timing.max_unconfirmed_time + self._timing.longest_lease
-        for item in record.ranges:
+        for item in owners:
             state = RangeState(item.first, item.last, item.owner)
             state.phase = Phase.OWNED if item.owner else Phase.FREE
             state.fence = self._fences.next()
@@ -398,7 +496,16 @@
         return self._balance.typical_service_time(self._backends.keys())
 
     def _published_range(self, item: RangeState, now: Seconds) -> OwnedRange:
+        if self._fencing is not None and not self._renews_while_fencing:
+            # An owner refuses requests for keys that it does not hold, and may hold these.
+            if now < self._fencing_since + self._timing.lease:
+                return OwnedRange(item.first, item.last, item.owner)
+            return OwnedRange(item.first, item.last, NO_OWNER, self._fencing.deadline)
         owner = item.routable_owner
         if owner and self._liveness.is_unreachable(owner, now):
             return OwnedRange(item.first, item.last, NO_OWNER, item.held_until)
         return OwnedRange(item.first, item.last, owner)
+
+
+def _owners_of(record: AssignmentRecord) -> tuple[OwnedRange, ...]:
+    return tuple(OwnedRange(item.first, item.last, item.owner) for item in record.ranges)
--- a/src/limedeck/platform/messages.py
+++ b/src/limedeck/platform/messages.py
@@ -140,6 +140,7 @@
         slots=found.info.slots,
         draining=found.status.state == DRAINING,
         warmup=found.status.warmup_s_time,
+        sequence=(found.born or 0, found.status.sequence),
     )
 
 
--- a/src/limedeck/platform/store.py
+++ b/src/limedeck/platform/store.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from limedeck import clock, http_client
+from limedeck import clock, http_client, versions
 from limedeck.identity import Seconds
 from limedeck.platform.headers import STORE_ERA
 from limedeck.routing.outcomes import AttemptFailed
@@ -61,37 +61,52 @@
     async def read(self, table: str, part: str = "") -> rows.TableRead:
         stored: list[rows.StoredRow] = []
         query = {"table": table, "part": part}
+        version: versions.StoreVersion | None = None
         while True:
-            found = _decoded(await self._call("GET", "/v1/rows-get", query))
-            stored += [_stored(row) for row in found.rows]
+            response, era = await self._call("GET", "/v1/rows-get", query)
+            if version is not None:
+                self._eras.check_position(version)
+            found = _decoded(response)
+            stored += [_stored(row, era) for row in found.rows]
+            version = versions.store_version(era, found.ver)
             if not found.has_more or not found.rows:
-                return rows.TableRead(tuple(stored), found.ver, found.now_s)
+                return rows.TableRead(tuple(stored), version, found.now_s)
             query["from"] = found.rows[-1].key_file + "\0"
 
     async def transact(
         self, conditions: Sequence[rows.RowCondition], writes: Sequence[rows.RowWrite]
     ) -> rows.WriteResult:
+        self._eras.check_conditions(conditions)
         body = {
-            "expected_revision": [{**_row_id(c.row), "ver": c.version} for c in conditions],
+            "expected_revision": [
+                {**_row_id(c.row), "ver": versions.number_of(c.version)} for c in conditions
+            ],
             "put": [{**_row_id(w.row), "value": w.value} for w in writes if w.value is not None],
             "remove": [_row_id(w.row) for w in writes if w.value is None],
         }
-        response = await self._call("POST", "/v1/rows-tx", {}, msgspec.json.encode(body))
+        response, era = await self._call("POST", "/v1/rows-tx", {}, body=msgspec.json.encode(body))
+        self._eras.check_conditions(conditions)
         found = _decoded(response)
         if response.status == CONDITION_FAILED:
-            raise rows.ConditionFailed(tuple(_stored(row) for row in found.rows if row.ver))
-        return rows.WriteResult(found.ver, found.now_s)
-
-    async def changes(self, table: str, after: int, wait: Seconds) -> rows.TableChanges:
-        query = {"table": table, "after": str(after), "wait_ms": str(int(wait * MS_PER_SECOND))}
-        response = await self._call("GET", "/v1/rows-feed", query, timeout=wait + self._timeout)
-        if response.status == HISTORY_GONE:
-            raise rows.HistoryGone
+            current = tuple(_stored(row, era) for row in found.rows if row.ver)
+            raise rows.ConditionFailed(current, versions.start_of(era))
+        return rows.WriteResult(versions.store_version(era, found.ver), found.now_s)
+
+    async def changes(
+        self, table: str, after: versions.StoreVersion, wait: Seconds
+    ) -> rows.TableChanges:
+        self._eras.check_position(after)
+        position, wait_ms = versions.number_of(after), int(wait * MS_PER_SECOND)
+        query = {"table": table, "after": str(position), "wait_ms": str(wait_ms)}
+        response, era = await self._call("GET", "/v1/rows-feed", query, wait + self._timeout)
+        self._eras.check_position(after)
         found = _decoded(response)
+        changed = [_stored(row, era) for row in found.rows if not row.gone]
+        gone = [_stored(row, era) for row in found.rows if row.gone]
         return rows.TableChanges(
-            rows=tuple(_stored(row) for row in found.rows if not row.gone),
-            dropped=tuple(rows.DroppedRow(row.key_file, row.ver) for row in found.rows if row.gone),
-            version=found.ver,
+            rows=tuple(changed),
+            dropped=tuple(rows.DroppedRow(row.key, row.version) for row in gone),
+            version=versions.store_version(era, found.ver),
         )
 
     async def aclose(self) -> None:
@@ -102,9 +117,10 @@
         method: str,
         path: str,
         query: dict[str, str],
-        body: bytes | None = None,
         timeout: Seconds | None = None,
-    ) -> http_client.HttpResponse:
+        body: bytes | None = None,
+    ) -> tuple[http_client.HttpResponse, int]:
+        """Make a call; return the response and its era."""
         headers = [(b"host", self._address.encode())]
         if body is not None:
             headers.append((b"content-type", b"application/json"))
@@ -118,18 +134,21 @@
             response = await self._client.exchange(request, until)
         except AttemptFailed as error:
             raise rows.StoreUnavailable(str(error)) from error
-        self._eras.record([value for name, value in response.headers if name == STORE_ERA])
-        if response.status not in (OK, HISTORY_GONE, CONDITION_FAILED):
+        era = self._eras.record([value for name, value in response.headers if name == STORE_ERA])
+        if response.status == HISTORY_GONE:
+            raise rows.HistoryGone
+        if response.status not in (OK, CONDITION_FAILED):
             raise rows.StoreRefused(response.status)
-        return response
+        return response, era
 
 
 def _row_id(row: rows.RowKey) -> dict[str, str]:
     return {"table": row.table, "part": row.part, "key_file": row.key}
 
 
-def _stored(row: _Row) -> rows.StoredRow:
-    return rows.StoredRow(row.table, row.part, row.key_file, row.value, row.ver)
+def _stored(row: _Row, era: int) -> rows.StoredRow:
+    version = versions.store_version(era, row.ver)
+    return rows.StoredRow(row.table, row.part, row.key_file, row.value, version)
 
 
 def _decoded(response: http_client.HttpResponse) -> _Rows:
--- a/src/limedeck/store/rows.py
+++ b/src/limedeck/store/rows.py
@@ -6,11 +6,13 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from limedeck import versions
 from limedeck.errors import LimedeckError
 from limedeck.identity import Seconds
+from limedeck.versions import StoreVersion
 
-ABSENT = 0
-"""Version of a row that does not exist."""
+ABSENT: StoreVersion = 0
+"""Version of a row that does not exist, in a store without eras."""
 
 
 class StoreError(LimedeckError):
@@ -67,6 +69,31 @@
     """The feed cannot continue from this version; the whole table has to be read again."""
 
 
+@dataclass
+class EraChanged(StoreError):
+    """The store has returned from a copy since the conditions of a transaction were read.
+
+    The transaction may have been committed: a version of the earlier era may name another row now.
+    """
+
+    conditions_era: int
+    era: int
+
+    def __str__(self) -> str:
+        return f"the store is in era {self.era}, the conditions are of era {self.conditions_era}"
+
+
+@dataclass
+class EarlierEra(StoreError):
+    """The response is of an era before one that the store has already begun."""
+
+    response_era: int
+    era: int
+
+    def __str__(self) -> str:
+        return f"response of era {self.response_era} after one of era {self.era}"
+
+
 @dataclass(frozen=True, slots=True)
 class StoredRow:
     """A row.
@@ -74,14 +101,15 @@
     Parameters
     ----------
     version
-        Version of the transaction that wrote the row; the store has one counter for all tables.
+        Version of the transaction that wrote the row, in the era in which it was read; the store
+        has one counter for all tables.
     """
 
     table: str
     part: str
     key: str
     value: bytes
-    version: int
+    version: StoreVersion
 
 
 @dataclass
@@ -92,9 +120,12 @@
     ----------
     rows
         Current rows of the conditions; absent ones are left out.
+    absent
+        Version of a row that does not exist, in the current era.
     """
 
     rows: tuple[StoredRow, ...]
+    absent: StoreVersion = ABSENT
 
     def __str__(self) -> str:
         return f"transaction condition not met; {len(self.rows)} rows of its conditions exist"
@@ -111,10 +142,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RowCondition:
-    """A row must have this version, or not exist (`ABSENT`)."""
+    """A row must have this version; that of an absent row: it must not exist."""
 
     row: RowKey
-    version: int
+    version: StoreVersion
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,16 +169,21 @@
     """
 
     rows: tuple[StoredRow, ...]
-    version: int
+    version: StoreVersion
     store_time: Seconds
 
+    @property
+    def absent(self) -> StoreVersion:
+        """Version of a row that does not exist, in the era of this read."""
+        return versions.start_of(versions.era_of(self.version))
+
 
 @dataclass(frozen=True, slots=True)
 class DroppedRow:
     """A dropped row, and the version of the transaction that dropped it."""
 
     key: str
-    version: int
+    version: StoreVersion
 
 
 @dataclass(frozen=True, slots=True)
@@ -166,7 +202,7 @@
 
     rows: tuple[StoredRow, ...]
     dropped: tuple[DroppedRow, ...]
-    version: int
+    version: StoreVersion
 
 
 @dataclass(frozen=True, slots=True)
@@ -181,7 +217,7 @@
         The store's steady clock, in seconds.
     """
 
-    version: int
+    version: StoreVersion
     store_time: Seconds
 
 
@@ -207,16 +243,18 @@
         ------
         ConditionFailed
             A condition was not met; nothing was written.
+        EraChanged
+            A condition is of an earlier era than the store.
         """
 
     @abstractmethod
-    async def changes(self, table: str, after: int, wait: Seconds) -> TableChanges:
+    async def changes(self, table: str, after: StoreVersion, wait: Seconds) -> TableChanges:
         """Return the changes of a table since a version; wait for one for at most `wait`.
 
         Raises
         ------
         HistoryGone
-            The store no longer keeps the changes since that version.
+            The store no longer keeps the changes since that version, or is in a later era.
         """
 
     @abstractmethod
--- a/src/limedeck_lab/ownership/sabotage.py
+++ b/src/limedeck_lab/ownership/sabotage.py
@@ -8,11 +8,13 @@
 from typing import Any
 from unittest import mock
 
+from limedeck import versions
 from limedeck.forwarding import permits
-from limedeck.ownership import barriers, service
+from limedeck.ownership import barriers, era_fencing, service, terms
 from limedeck.ownership.fences import SEQUENCE_BITS, FenceCounter
 from limedeck.ownership.ranges import Phase, RangeState
 from limedeck.ownership.timing import OwnershipTiming
+from limedeck.store import replica
 
 TWO_OWNERS = "two owners"
 PERMITS = "permits"
@@ -84,6 +86,41 @@
         yield
 
 
+@contextmanager
+def _era_ignored() -> Iterator[None]:
+    """Versions of the store are compared as if it never returned from a copy."""
+    with mock.patch.object(versions, "store_version", lambda era, number: number):
+        yield
+
+
+@contextmanager
+def _term_reused() -> Iterator[None]:
+    """Terms, and with them fences, are counted on from the copy's record."""
+    with mock.patch.object(terms, "next_term", lambda term, era: term + 1):
+        yield
+
+
+@contextmanager
+def _record_trusted() -> Iterator[None]:
+    """The copy's record of owners is taken for what back ends hold."""
+
+    def complete(self: era_fencing.EraFencing, now: float) -> bool:
+        return True
+
+    with mock.patch.object(era_fencing.EraFencing, "is_complete", complete):
+        yield
+
+
+@contextmanager
+def _missing_entry_gone() -> Iterator[None]:
+    """Back ends that the copy does not list are taken for gone at once."""
+    with (
+        mock.patch.object(replica, "ROW_RETURN_TIME", 0.0),
+        mock.patch.object(service, "ENTRY_RETURN_TIME", 0.0),
+    ):
+        yield
+
+
 @dataclasses.dataclass(frozen=True)
 class Sabotage:
     """A rule that is broken on purpose.
@@ -108,5 +145,9 @@
     "grant-before-release": Sabotage(_grant_before_release),
     "no-barriers": Sabotage(_no_barriers, "backend_reborn"),
     "early-give-up": Sabotage(_early_give_up, "owner_of_old_leader_reborn"),
+    "era-ignored": Sabotage(_era_ignored, "store_returns_all_killed"),
+    "term-reused": Sabotage(_term_reused, "store_returns_all_killed"),
+    "record-trusted": Sabotage(_record_trusted, "store_returns_all_killed"),
+    "missing-entry-gone": Sabotage(_missing_entry_gone, "store_returns_all_killed"),
     "full-rate-unconfirmed": Sabotage(_full_rate_unconfirmed, "holder_of_old_leader", PERMITS),
 }
--- a/tests/unit/test_election.py
+++ b/tests/unit/test_election.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from limedeck import staggering
+from limedeck import staggering, versions
 from limedeck.api.control_pb2 import LeaderRecord
-from limedeck.ownership import candidate_priority
+from limedeck.ownership import candidate_priority, terms
 from limedeck.ownership.election import (
     Campaign,
     Confirm,
@@ -402,3 +402,53 @@
     core.handle_elected(command.record, 51, now)
     assert core.role is Role.LEADER
     assert not core.is_ineligible(now)
+
+
+def leader_in_era_one() -> ElectionCore:
+    core = ElectionCore(ME, TIMING, 100.0)
+    core.handle_era(1, 100.0)
+    absent = versions.start_of(1)
+    campaign, now = campaign_of(core, LeaderReadResult(None, absent, None), 100.0)
+    core.handle_elected(campaign.record, versions.store_version(1, 50), now)
+    return core
+
+
+def test_a_leader_whose_election_is_lost_is_elected_again_without_a_break() -> None:
+    core = leader_in_era_one()
+    term, since = core.term, core.leads_since
+    core.handle_era(2, 110.0)
+    assert core.handle_tick(110.0) == ReadLeader(Suspicion.STORE_RETURNED)
+    copy = versions.store_version(2, 3)
+    former = LeaderRecord(term=1, node_id="node-b", incarnation=22)
+    core.handle_leader_read(LeaderReadResult(former, copy, None), 110.0)
+    assert core.role is Role.LEADER
+    campaign = core.handle_tick(110.0)
+    assert isinstance(campaign, Campaign)
+    assert campaign.row_version == copy
+    assert campaign.record.term > term
+    core.handle_elected(campaign.record, versions.store_version(2, 4), 110.1)
+    assert core.leads_since == since
+    command, _ = next_command(core, 110.1, 111.0)
+    assert command == Confirm(core.term, versions.store_version(2, 4))
+
+
+def test_of_two_leaders_after_a_return_one_stops() -> None:
+    core = leader_in_era_one()
+    core.handle_era(2, 110.0)
+    core.handle_tick(110.0)
+    other = LeaderRecord(term=terms.next_term(9, 2), node_id="node-b", incarnation=22)
+    version = versions.store_version(2, 4)
+    core.handle_leader_read(LeaderReadResult(other, version, None), 110.0)
+    assert core.role is Role.FOLLOWER
+    assert not core.may_renew(110.0)
+    assert core.record == other
+
+
+def test_a_copy_does_not_bring_back_a_leader_of_an_earlier_term() -> None:
+    core = ElectionCore(ME, TIMING, 100.0)
+    core.handle_leader_read(LeaderReadResult(OTHER, versions.store_version(1, 40), 0.1), 100.0)
+    earlier = LeaderRecord(term=3, node_id="node-c", incarnation=33)
+    core.handle_era(2, 101.0)
+    core.handle_leader_read(LeaderReadResult(earlier, versions.store_version(2, 5), None), 101.0)
+    assert core.record == OTHER
+    assert core.row_version == versions.store_version(2, 5)
--- a/tests/unit/test_service_ownership.py
+++ b/tests/unit/test_service_ownership.py
@@ -9,8 +9,11 @@
 
 from limedeck.api.control_pb2 import AssignmentRecord, OwnedKeys
 from limedeck.forwarding.availability import LEAVING_OWNER_GRACE
+from limedeck.forwarding.owners import OwnedRange
 from limedeck.model import Backend
+from limedeck.ownership import terms
 from limedeck.ownership.commands import OwnershipCommand, SendGrant, SendRelease, WriteRecord
+from limedeck.ownership.era_fencing import ENTRY_RETURN_TIME
 from limedeck.ownership.key_load import KeyLoad
 from limedeck.ownership.orders import Grant, Release
 from limedeck.ownership.planning import BalancePlan, OwnedPiece, PlannedMove
@@ -641,3 +644,84 @@
     driver = CoreDriver(core, {"b@2"})
     driver.run(TIMING.max_unconfirmed_time - 0.1)
     assert driver.records == []
+
+
+def driver_after_return(
+    backends: list[str],
+    unresponsive: set[str] | None = None,
+    known: tuple[OwnedRange, ...] = (),
+    former: ServiceOwnership | None = None,
+) -> CoreDriver:
+    """A leader of era 2 whose store shows a record of era 1: a owns the lower half, b the upper."""
+    record = AssignmentRecord(
+        term=1 << terms.NUMBER_BITS | 1,
+        sequence=4,
+        ranges=[
+            OwnedKeys(first=0, last=49, owner="a"),
+            OwnedKeys(first=50, last=99, owner="b"),
+        ],
+    )
+    term = 2 << terms.NUMBER_BITS | 1
+    core = ServiceOwnership("service", KEYS, term, record, 9, TIMING, 0.0, known, former)
+    core.set_backends([backend(name) for name in backends], 0.0)
+    return CoreDriver(core, unresponsive)
+
+
+KNOWN = (OwnedRange(0, 49, "c"), OwnedRange(50, 99, "b"))
+
+
+def test_no_key_is_granted_after_a_return_before_all_others_have_released_it() -> None:
+    driver = driver_after_return(["a", "b", "c"], known=KNOWN)
+    driver.run(0.3)
+    first_orders = [item for _, item in driver.orders[:3]]
+    assert all(isinstance(item, Release) for item in first_orders)
+    released = {(item.backend_id, item.first, item.last) for item in first_orders}
+    assert released == {("a", 0, 99), ("b", 0, 49), ("c", 50, 99)}
+    assert driver.owners() == [(0, 49, "c"), (50, 99, "b")]
+
+
+def test_a_record_of_an_earlier_era_is_written_again() -> None:
+    driver = driver_after_return(["a", "b", "c"], known=KNOWN)
+    driver.run(0.3)
+    assert [item.owner for item in driver.records[0][1].ranges] == ["c", "b"]
+    assert terms.era_of(driver.records[0][1].term) == 2
+
+
+def test_a_silent_back_end_that_may_hold_keys_is_waited_for_after_a_return() -> None:
+    driver = driver_after_return(["a", "b", "c"], {"a"}, KNOWN)
+    driver.run(TIMING.max_unconfirmed_time)
+    assert not any(isinstance(item, Grant) for _, item in driver.orders)
+    last = driver.core.published(driver.now)[0]
+    assert (last.owner, last.free_at) != ("c", None), "callers learn when to come back"
+    driver.run(TIMING.max_unconfirmed_time + 4.0)
+    assert driver.owners() == [(0, 49, "c"), (50, 99, "b")]
+
+
+def test_the_end_of_all_former_leaders_shortens_the_wait_after_a_return() -> None:
+    driver = driver_after_return(["a", "b", "c"], {"a"}, KNOWN)
+    driver.core.handle_former_leaders_ended(0.0)
+    driver.run(TIMING.longest_lease + 2 * TIMING.order_timeout)
+    assert driver.owners() == [(0, 49, "c"), (50, 99, "b")]
+
+
+def test_a_leader_that_goes_on_after_a_return_keeps_renewing_under_its_fences() -> None:
+    former = driver_after_takeover(set())
+    former.run(1.0)
+    fences = {item.fence for _, item in former.orders if isinstance(item, Grant)}
+    driver = driver_after_return(["a", "b", "c"], {"c"}, former=former.core)
+    driver.run(2.0)
+    grants = [item for _, item in driver.orders if isinstance(item, Grant)]
+    assert {item.fence for item in grants} <= fences
+    assert {item.backend_id for item in grants} == {"a", "b"}
+    assert driver.owners() == [(0, 49, "a"), (50, 99, "b")]
+    driver.run(4.0)
+    assert min(item.fence for _, item in driver.orders[-4:]) > max(fences)
+
+
+def test_a_node_that_knows_no_owners_waits_for_entries_after_a_return() -> None:
+    driver = driver_after_return(["a", "b"])
+    driver.run(ENTRY_RETURN_TIME - 0.5)
+    driver.core.set_backends([backend("a"), backend("b"), backend("d")], driver.now)
+    driver.run(ENTRY_RETURN_TIME + 0.5)
+    assert ("d", 0, 99) in {(item.backend_id, item.first, item.last) for _, item in driver.orders}
+    assert driver.owners() == [(0, 49, "a"), (50, 99, "b")]
