A connection whose long body was not sent whole is not used for another request

What callers could see: the bytes of one request read by a back end as the rest of another's body.

Cause: _Connection._body_sent stayed true from an earlier long body on the same connection. A second long body that was answered before it was sent whole then left the connection in the pool.

Evidence: test_the_unsent_rest_of_a_long_body_is_never_read_from_the_next_request failed before: the server read the third request's head behind part of the second body.

Change: it is reset when an exchange begins.

--- a/src/limedeck/http_client.py
+++ b/src/limedeck/http_client.py
@@ -116,6 +116,7 @@
     async def exchange(self, request: HttpRequest) -> HttpResponse:
         """Send a request and read the complete response."""
         head = self._encode_head(request)
+        self._body_sent = False
         self._parser = http_codec.ResponseParser(request.method == b"HEAD")
         if len(request.body) <= SMALL_BODY_BYTES:
             await self._send(head + request.body)
--- a/tests/unit/test_http_client.py
+++ b/tests/unit/test_http_client.py
@@ -374,3 +374,47 @@
         await connection.reset()
         with pytest.raises((anyio.ClosedResourceError, anyio.BrokenResourceError)):
             await connection.stream.send(b"x")
+
+
+async def test_the_unsent_rest_of_a_long_body_is_never_read_from_the_next_request() -> None:
+    """A response may precede the end of a body; a former long body was sent whole."""
+    received: list[bytearray] = []
+    long_body = b"b" * (8 << 20)
+
+    async def serve(stream: SocketStream) -> None:
+        connection = bytearray()
+        received.append(connection)
+        count = 0
+        async with stream:
+            with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+                while True:
+                    connection += await stream.receive(1 << 20)
+                    if count == 0 and len(connection) > len(long_body):
+                        count = 1
+                        await stream.send(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+                        connection.clear()
+                    elif count == 1 and connection:
+                        count = 2
+                        await stream.send(b"HTTP/1.1 413 Too Large\r\ncontent-length: 0\r\n\r\n")
+                        await anyio.sleep(0.1)
+                    elif b"GET /third" in connection:
+                        await stream.send(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+
+    def post() -> HttpRequest:
+        headers = [(b"host", b"h"), (b"content-length", b"%d" % len(long_body))]
+        return HttpRequest(address, b"POST", b"/long", headers, long_body)
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    address = f"127.0.0.1:{listener.extra(SocketAttribute.local_port)}"
+    client = HttpClient()
+    async with listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, serve)
+        for status in (200, 413):
+            response = await client.exchange(post(), steady_clock() + EXCHANGE_TIMEOUT)
+            assert response.status == status
+        third = HttpRequest(address, b"GET", b"/third", [(b"host", b"h")])
+        response = await client.exchange(third, steady_clock() + EXCHANGE_TIMEOUT)
+        assert response.status == 200
+        assert b"GET /third" not in received[0]
+        await client.aclose()
+        tasks.cancel_scope.cancel()
