A settings file that was just taken up is not reloaded again by SIGHUP

Cause: the check each 0.5 s reloads the file between its writing and SIGHUP, and reload read it unconditionally.

Evidence: test_a_file_that_was_just_reloaded_is_not_reloaded_again_by_the_signal failed before, with two reloaded lines for one change.

Change: reload compares the file with the one that was loaded last, and logs settings_unchanged. An invalid file is refused again on each signal.

--- a/src/limedeck/node/reload.py
+++ b/src/limedeck/node/reload.py
@@ -33,6 +33,7 @@
         self.on_change: Callable[[settings.NodeSettings], None] = lambda changed: None
         self._path = path
         self._stamp = self._read_stamp()
+        self._loaded_stamp = self._stamp
         self._log = logs.get_logger("settings")
 
     def reload_if_changed(self) -> None:
@@ -41,13 +42,22 @@
             self.reload()
 
     def reload(self) -> None:
-        """Reload the file; if it is invalid, the settings in force are kept."""
+        """Reload the file unless it is the one that was loaded last.
+
+        If it is invalid, the settings in force are kept.
+        """
         self._stamp = self._read_stamp()
+        if self._stamp is not None and self._stamp == self._loaded_stamp:
+            # The periodic check may have reloaded the file just before a signal requests it.
+            self._log.info("settings_unchanged")
+            return
         try:
             loaded = settings.load_node_settings(self._path)
         except errors.SettingsError as exc:
             self._log.error("settings_refused", problem=str(exc))
+            self._loaded_stamp = None
             return
+        self._loaded_stamp = self._stamp
         changed = _changed_sections(self.in_force, loaded)
         applied = {name: getattr(loaded, name) for name in changed if name in RELOADABLE_SECTIONS}
         self.in_force = msgspec.structs.replace(self.in_force, **applied)
--- a/tests/unit/test_reload.py
+++ b/tests/unit/test_reload.py
@@ -76,3 +76,33 @@
     found = timing.timing_for_longest_lease(longest)
     assert found.lease == lease
     assert found.renewal_interval <= found.lease / 4
+
+
+def reload_events(capsys: pytest.CaptureFixture[str]) -> list[str]:
+    names = ("reloaded", "settings_unchanged", "settings_refused")
+    lines = capsys.readouterr().out.splitlines()
+    return [name for line in lines for name in names if name in line]
+
+
+def test_a_file_that_was_just_reloaded_is_not_reloaded_again_by_the_signal(
+    path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    file, applied = open_file(path)
+    path.write_text(TEXT.replace("slack = 60", "slack = 600").replace('"z"', '"y"'))
+    file.reload_if_changed()
+    file.reload()
+    assert reload_events(capsys) == ["reloaded", "settings_unchanged"]
+    assert len(applied) == 1
+
+
+def test_an_invalid_file_is_refused_again_on_each_signal(
+    path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    file, _ = open_file(path)
+    path.write_text("node = [")
+    file.reload_if_changed()
+    file.reload()
+    assert reload_events(capsys) == ["settings_refused", "settings_refused"]
+    path.write_text(TEXT)
+    file.reload()
+    assert reload_events(capsys) == ["reloaded"]
