A row that changes between two pages of a read is not missed

What a node could believe: an older configuration or entry until the row's next change.

Cause: the pages of a read are separate calls, and the read returned the version of the last page, from which the feed went on. A change of a row of an earlier page meanwhile was in neither.

Evidence: test_a_row_that_changes_between_two_pages_of_a_read_is_in_the_feed_after_it failed before.

Change: the read returns the version of the first page; the feed may announce rows twice.

--- a/src/limedeck/platform/store.py
+++ b/src/limedeck/platform/store.py
@@ -68,7 +68,8 @@
                 self._eras.check_position(version)
             found = _decoded(response)
             stored += [_stored(row, era) for row in found.rows]
-            version = versions.store_version(era, found.ver)
+            # Changes after the first page are announced again: later pages may show some of them.
+            version = version or versions.store_version(era, found.ver)
             if not found.has_more or not found.rows:
                 return rows.TableRead(tuple(stored), version, found.now_s)
             query["from"] = found.rows[-1].key_file + "\0"
--- a/tests/contract/test_platform_store.py
+++ b/tests/contract/test_platform_store.py
@@ -8,6 +8,8 @@
 import anyio
 import anyio.lowlevel
 import pytest
+from starlette.requests import Request
+from starlette.responses import Response
 
 from limedeck import versions
 from limedeck.platform.store import PlatformStore
@@ -193,3 +195,22 @@
         tasks.start_soon(change_era)
         with pytest.raises(HistoryGone):
             await store.read("t")
+
+
+async def test_a_row_that_changes_between_two_pages_of_a_read_is_in_the_feed_after_it() -> None:
+    stand_in = RowStoreStandIn(WORDS, page=1)
+    for key in ("a", "b"):
+        stand_in.put("t", key, b"1")
+    answered = stand_in._read
+
+    async def change_after_first_page(request: Request) -> Response:
+        response = await answered(request)
+        if "from" not in request.query_params:
+            stand_in.put("t", "a", b"2")
+        return response
+
+    stand_in._read = change_after_first_page  # type: ignore[method-assign]
+    async with connected(stand_in) as store:
+        found = await store.read("t")
+        changes = await store.changes("t", found.version, 1.0)
+        assert [row.key for row in changes.rows] == ["a"]
