--- a/src/limedeck/node/inspection.py
+++ b/src/limedeck/node/inspection.py
@@ -73,6 +73,7 @@
                     key=lambda item: (item.backend.service, item.backend.backend_id),
                 )
             ],
+            store_era=self._election.era,
         )
 
     def assignment(self, service: str) -> AssignmentView:
--- a/src/limedeck/ownership/election.py
+++ b/src/limedeck/ownership/election.py
@@ -152,7 +152,7 @@
         self.role = Role.FOLLOWER
         self.record: LeaderRecord | None = None
         self.row_version: StoreVersion = 0
-        self._era = 0
+        self.era = 0
         self._identity = identity
         self._timing = timing
         self._leader_heard_at = now
@@ -293,9 +293,9 @@
 
     def handle_era(self, era: int, now: Seconds) -> None:
         """Handle the era of the store: what was read in an earlier one is not valid any more."""
-        if era <= self._era:
+        if era <= self.era:
             return
-        self._era = era
+        self.era = era
         self._rows_read_at = NEVER
         self._confirmation_age = None
         if self.role is Role.LEADER:
@@ -304,7 +304,7 @@
     @property
     def is_election_lost(self) -> bool:
         """Whether this node was elected in an earlier era, so that it has to be elected again."""
-        return self.role is Role.LEADER and terms.era_of(self.term) < self._era
+        return self.role is Role.LEADER and terms.era_of(self.term) < self.era
 
     def _record_new_term(self, now: Seconds) -> None:
         """Drop what was known of the former leader: there is a later one."""
@@ -394,7 +394,7 @@
     def _restore_leadership(self, now: Seconds) -> ElectionCommand:
         """Stand for election in the present era, while grants go on under the lost term."""
         self._next_call = now + RETRY_INTERVAL
-        is_current = versions.era_of(self.row_version) == self._era
+        is_current = versions.era_of(self.row_version) == self.era
         if not is_current or now - self._rows_read_at > MAX_READ_AGE:
             return ReadLeader(Suspicion.STORE_RETURNED)
         self._rows_read_at = NEVER
@@ -455,7 +455,7 @@
         record = LeaderRecord()
         record.CopyFrom(self._identity)
         record.why = why.value
-        record.term = terms.next_term(max(self.term, self._highest_peer_term), self._era)
+        record.term = terms.next_term(max(self.term, self._highest_peer_term), self.era)
         if self.record is not None:
             record.former.extend(_former_leaders(self.record, self._identity.node_id))
         return record
--- a/src/limedeck/ownership/era_fencing.py
+++ b/src/limedeck/ownership/era_fencing.py
@@ -68,19 +68,13 @@
             if backend_id not in self._orders:
                 self._orders[backend_id] = list(self._foreign_keys(backend_id, ranges))
 
-    def unconfirmed(self) -> list[str]:
-        """Return the back ends that may hold other keys than their own."""
-        return [
-            backend_id
-            for backend_id, orders in self._orders.items()
-            if not all(order.is_done for order in orders)
-        ]
-
     def is_complete(self, now: Seconds) -> bool:
         """Whether no back end can hold keys of another owner."""
         if now >= self.deadline:
             return True
-        return bool(self._orders) and now >= self._not_before and not self.unconfirmed()
+        if not self._orders or now < self._not_before:
+            return False
+        return all(order.is_done for orders in self._orders.values() for order in orders)
 
     def due(self, now: Seconds) -> list[Release]:
         """Return the orders that are due."""
--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -275,7 +275,7 @@
             leaving owner keeps its keys until nodes no longer send requests to it.
         """
         if self._fencing is not None and not self._fencing.is_complete(now):
-            return self._tick_while_fencing(may_renew, now)
+            return self._tick_while_fencing(self._fencing, may_renew, now)
         if self._fencing is not None:
             self._end_fencing()
         if not self.ranges:
@@ -295,14 +295,15 @@
         self._commands = []
         return commands
 
-    def _tick_while_fencing(self, may_renew: bool, now: Seconds) -> list[OwnershipCommand]:
+    def _tick_while_fencing(
+        self, fencing: EraFencing, may_renew: bool, now: Seconds
+    ) -> list[OwnershipCommand]:
         """Return orders that keep back ends from holding keys unknown to this leader.
 
         A leader that goes on from an earlier era renews its grants meanwhile, under their fences.
         """
-        assert self._fencing is not None
         self._range_counts = self._map.counts()
-        commands: list[OwnershipCommand] = [SendRelease(item) for item in self._fencing.due(now)]
+        commands: list[OwnershipCommand] = [SendRelease(item) for item in fencing.due(now)]
         if self._renews_while_fencing and may_renew:
             orders = (
                 self._renewals.due(found, now)
@@ -320,11 +321,6 @@
             item.order_pending = False
             item.next_order = NEVER
 
-    @property
-    def unfenced_backends(self) -> list[str]:
-        """Back ends that may hold keys unknown to this leader, for logs."""
-        return self._fencing.unconfirmed() if self._fencing is not None else []
-
     @property
     def is_fencing(self) -> bool:
         """Whether no keys change their owner yet because back ends may hold others."""
--- a/src/limedeck/views.py
+++ b/src/limedeck/views.py
@@ -78,6 +78,8 @@
         Whether the node is the leader.
     nodes
         Number of nodes according to the leader; zero if unknown.
+    store_era
+        How often the store has returned from a copy, as far as the node knows.
     """
 
     node: str
@@ -91,6 +93,7 @@
     leader: LeaderView | None
     services: list[ServiceView]
     backends: list[BackendView]
+    store_era: int = 0
 
 
 class RangeView(msgspec.Struct, frozen=True):
--- a/tests/unit/test_inspection.py
+++ b/tests/unit/test_inspection.py
@@ -52,6 +52,12 @@
     assert status.configuration == 7
 
 
+def test_status_shows_the_era_of_the_store() -> None:
+    core = ElectionCore(ME, OwnershipTiming(), 0.0)
+    core.handle_era(3, 0.5)
+    assert inspector(core=core).status(1.0).store_era == 3
+
+
 def test_follower_shows_the_leader_its_reason_and_the_suspicion() -> None:
     core = ElectionCore(ME, OwnershipTiming(), 0.0)
     core.handle_leader_read(LeaderReadResult(OTHER, 40, 0.1), 10.0)
