The soak's store returns from copies; the stand-in takes the header's name from its tests

A new kind of step: the store is away for up to 3 s and returns from a copy up to 6 s older; the operator's rows are written again at once, back ends' entries within 1.8 s, and entries of ended ones lapse.

--- a/src/limedeck/node/watchers.py
+++ b/src/limedeck/node/watchers.py
@@ -161,7 +161,7 @@
             self._lacked_version = None
             self._read_wanted = False
         elif self._is_feed_of_earlier_era(newest):
-            self._log.warning("era_told", table=self.table, era=versions.era_of(newest))
+            self._log.warning("era_announced", table=self.table, era=versions.era_of(newest))
             self._lacked_version = None
             self._read_again()
         elif self._lacked_version is None or not self._is_behind(self._lacked_version):
--- a/src/limedeck_lab/standins/row_store.py
+++ b/src/limedeck_lab/standins/row_store.py
@@ -46,7 +46,7 @@
     key: str
     version: str
     more: str
-    era: str = "Store-Era"
+    era: str
 
 
 @dataclass(frozen=True)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 import contextlib
 import random
 import signal
@@ -34,6 +35,10 @@
 """
 CRASH_TIMEOUT = 4.0
 """Seconds for one of these attempts."""
+COPY_AGE_SECONDS = (0.5, 6.0)
+ENTRY_RETURN_SECONDS = (0.2, 1.8)
+LAPSE_SECONDS = 1.5
+"""Seconds until entries lapse of back ends that have ended."""
 WARMUP_SECONDS = (2.0, 5.0)
 COLD_RATE = 4.0
 """Requests per second that a cold back end takes."""
@@ -159,6 +164,7 @@
             Kind.LIMIT: self._change_limit,
             Kind.LEAVE: self._leave,
             Kind.BACKOFF: self._request_backoff,
+            Kind.RETURN_STORE: self._return_store,
         }[drawn.kind]
         for number in range(drawn.steps):
             if ended.wait(drawn.gap):
@@ -393,6 +399,32 @@
         self._judge.record_unplanned_fault()
         self._site.store.forgotten = self._site.store.version
 
+    def _return_store(self, source: random.Random) -> None:
+        """The store is away, and returns from a copy; writers write their rows again soon after."""
+        store = self._site.store
+        seconds = source.uniform(*FAULT_SECONDS)
+        self._judge.record_unplanned_fault(seconds)
+        with self._evacuating, self._lock:
+            operator_rows = {key: row for key, row in store.rows.items() if key[0] == "op"}
+            store.away = True
+            time.sleep(seconds)
+            store.return_from_copy(seconds + source.uniform(*COPY_AGE_SECONDS))
+            store.away = False
+            for key in [key for key in store.rows if key[0] == "op" and key not in operator_rows]:
+                store.drop(*key)
+            for (table, _, name), (value, _) in operator_rows.items():
+                store.put(table, name, base64.b64decode(value))
+        time.sleep(source.uniform(*ENTRY_RETURN_SECONDS))
+        for upstream in self._site.upstreams:
+            if not upstream.down:
+                self._site.list_upstream(upstream)
+        self._judge.record_unplanned_fault(LAPSE_SECONDS)
+        time.sleep(LAPSE_SECONDS)
+        names = {upstream.name for upstream in self._site.upstreams}
+        for key in [key for key in store.rows if key[0] == "servers" and key[2] not in names]:
+            if not key[2].startswith(FOREIGN_ENTRY_PREFIX):
+                store.drop(*key)
+
     def _record_held_up(self, seconds: float) -> None:
         self._site.record_held_up(seconds)
         self._judge.record_unplanned_fault(seconds)
--- a/tests/soak/series.py
+++ b/tests/soak/series.py
@@ -34,9 +34,12 @@
     LIMIT = "limit"
     LEAVE = "leave"
     BACKOFF = "rest"
+    RETURN_STORE = "store-returns"
 
 
-KINDS_V4 = tuple(kind for kind in Kind if kind not in (Kind.LEAVE, Kind.BACKOFF))
+KINDS_V5 = tuple(kind for kind in Kind if kind is not Kind.RETURN_STORE)
+"""Kinds for seeds recorded before `RETURN_STORE` was added: 440001 and later."""
+KINDS_V4 = tuple(kind for kind in KINDS_V5 if kind not in (Kind.LEAVE, Kind.BACKOFF))
 """Kinds for seeds recorded before `LEAVE` and `BACKOFF` were added: 420001 and later."""
 KINDS_V3 = tuple(kind for kind in KINDS_V4 if kind is not Kind.LIMIT)
 """Kinds for seeds recorded before `LIMIT` was added: 380001 and later."""
--- a/tests/system/platform_site.py
+++ b/tests/system/platform_site.py
@@ -36,6 +36,7 @@
     key="key_file",
     version="ver",
     more="has_more",
+    era="Store-Era",
 )
 KEYS = 65_536
 SERVICE_SECONDS = 0.02
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -15,6 +15,13 @@
     series.Kind.STOP,
     series.Kind.LIMIT,
 )
+STORE_RETURNS = (
+    series.Kind.RETURN_STORE,
+    series.Kind.KILL,
+    series.Kind.CONFIGURE,
+    series.Kind.DRAIN,
+    series.Kind.STOP,
+)
 
 
 @pytest.mark.parametrize(
@@ -37,6 +44,7 @@
         # The store refused all nodes while back ends restarted cold, so that no node knew of it.
         (420021, 20.0, series.KINDS_V4),
         (460001, 20.0, LEAVING_AND_BACKOFF),
+        (520001, 20.0, STORE_RETURNS),
     ],
     ids=[
         "planned",
@@ -46,6 +54,7 @@
         "limits",
         "store-away-while-cold",
         "leaving-and-backoff",
+        "store-returns",
     ],
 )
 def test_no_promise_is_broken(
