Held rows are collected once per change, not for each message to each node

With hundreds of followers a leader looked through all rows for each status after each changed era, and for good where nothing was held: read in the diff, no figure of it was taken. A replica is settled as soon as nothing is held when the time for writers is over.

--- a/src/limedeck/store/replica.py
+++ b/src/limedeck/store/replica.py
@@ -130,6 +130,7 @@
         self._history_start: versions.StoreVersion = 0
         self._settles_at: identity.Seconds = identity.NEVER
         self._is_settled = True
+        self._held_entries: tuple[Entry, ...] | None = ()
 
     @property
     def era(self) -> int:
@@ -170,6 +171,7 @@
     def _begin_era(self, era: int, now: identity.Seconds) -> None:
         if era > self.era:
             self.newest = versions.start_of(era)
+            self._held_entries = None
             self._settles_at = now + ROW_RETURN_TIME
             self._is_settled = False
 
@@ -235,14 +237,19 @@
 
     def held_update(self) -> TableUpdate | None:
         """Return what this replica holds on to against the store, for a replica of the same era."""
-        held = tuple(item.entry for item in self._entries.values() if self._is_held(item))
-        return TableUpdate(self.table, held, self.newest) if held else None
+        if self._held_entries is None:
+            found = (item.entry for item in self._entries.values() if self._is_held(item))
+            self._held_entries = tuple(found)
+        if not self._held_entries:
+            return None
+        return TableUpdate(self.table, self._held_entries, self.newest)
 
     def needs_settling(self, now: identity.Seconds) -> bool:
         """Whether the table has to be read to settle what this replica still holds."""
         if self._is_settled or now < self._settles_at:
             return False
-        return any(map(self._is_held, self._entries.values()))
+        self._is_settled = self.held_update() is None
+        return not self._is_settled
 
     def _is_held(self, item: _LearnedEntry) -> bool:
         is_of_earlier_era = versions.era_of(item.entry.version) < self.era
@@ -267,6 +274,8 @@
         if entry.value is None and known is not None:
             learned.dropped_sequence = self._known_sequence(known)
         self._entries[entry.key] = learned
+        if self._held_entries or versions.era_of(entry.version) < self.era:
+            self._held_entries = None
         self.newest = max(self.newest, entry.version)
         if entry.value is not None:
             self._dropped.pop(entry.key, None)
@@ -325,6 +334,7 @@
         if not known.is_held:
             self.on_held(entry.key, True)
         known.is_held = True
+        self._held_entries = None
         known.entry = dataclasses.replace(known.entry, version=entry.version)
         if known.entry.value is None:
             sequences = filter(None, (known.dropped_sequence, self._sequence(entry)))
