A settings file that changed while the node started is reloaded by SIGHUP

What operators could see: no reload after SIGHUP, if the file had changed between its reading and the start of its watch.

--- a/src/limedeck/node/reload.py
+++ b/src/limedeck/node/reload.py
@@ -33,7 +33,8 @@
         self.on_change: Callable[[settings.NodeSettings], None] = lambda changed: None
         self._path = path
         self._stamp = self._read_stamp()
-        self._loaded_stamp = self._stamp
+        # The file may have changed since `in_force` was read from it.
+        self._loaded_stamp: tuple[int, int] | None = None
         self._log = logs.get_logger("settings")
 
     def reload_if_changed(self) -> None:
--- a/tests/unit/test_reload.py
+++ b/tests/unit/test_reload.py
@@ -106,3 +106,13 @@
     path.write_text(TEXT)
     file.reload()
     assert reload_events(capsys) == ["reloaded"]
+
+
+def test_a_file_that_changed_while_the_node_started_is_reloaded_by_the_signal(
+    path: pathlib.Path,
+) -> None:
+    in_force = settings.load_node_settings(str(path))
+    path.write_text(TEXT.replace("slack = 60", "slack = 600"))
+    file = reload.SettingsFile(str(path), in_force)
+    file.reload()
+    assert file.in_force.retries.slack == 600
