--- a/src/limedeck_lab/explain/meanings.py
+++ b/src/limedeck_lab/explain/meanings.py
@@ -53,6 +53,7 @@
     Suspicion.SILENT: "the one before was silent",
     Suspicion.DENIED: "the one before had ended or given it up",
     Suspicion.STORE_UNREACHABLE: "the one before could not reach the store",
+    Suspicion.STORE_RETURNED: "its election was lost when the store returned from a copy",
 }
 
 
--- a/src/limedeck_lab/ownership/sabotage.py
+++ b/src/limedeck_lab/ownership/sabotage.py
@@ -17,6 +17,7 @@
 from limedeck.store import replica
 
 TWO_OWNERS = "two owners"
+WITHOUT_OWNER = "without an owner"
 PERMITS = "permits"
 
 
@@ -145,7 +146,7 @@
     "grant-before-release": Sabotage(_grant_before_release),
     "no-barriers": Sabotage(_no_barriers, "backend_reborn"),
     "early-give-up": Sabotage(_early_give_up, "owner_of_old_leader_reborn"),
-    "era-ignored": Sabotage(_era_ignored, "store_returns_all_killed"),
+    "era-ignored": Sabotage(_era_ignored, "store_returns_all_killed", WITHOUT_OWNER),
     "term-reused": Sabotage(_term_reused, "store_returns_all_killed"),
     "record-trusted": Sabotage(_record_trusted, "store_returns_all_killed"),
     "missing-entry-gone": Sabotage(_missing_entry_gone, "store_returns_all_killed"),
