Nodes log which back ends they reach, as shown by probes

A round of connections to four back ends follows a failure that a broken link can cause (no connection, sent bytes that are not acknowledged, a reset while no back end responds) or 0.25 s without a response from any back end while requests are outstanding. If none is reached, the node is partitioned; if some are, those that are not are unreached from this node. Log lines partition_began, partition_ended, back_end_unreached, back_end_reached; gauges limedeck_partitioned and limedeck_unreached_back_ends; limedeck node status shows both. Nothing uses the belief yet.

--- a/src/limedeck/cli/nodes.py
+++ b/src/limedeck/cli/nodes.py
@@ -140,6 +140,8 @@
         return "stopping"
     if view.isolated:
         return "isolated: it has not heard from a valid leader"
+    if view.partitioned:
+        return "partitioned: it reaches no back end"
     return "ready" if view.ready else "not ready"
 
 
--- a/src/limedeck/forwarding/backends.py
+++ b/src/limedeck/forwarding/backends.py
@@ -13,6 +13,7 @@
 from limedeck.forwarding.leaving import LeavingLedger
 from limedeck.forwarding.limits import LimitLedger
 from limedeck.forwarding.load_leveling import levelling_shares
+from limedeck.forwarding.reachability import Reachability
 from limedeck.forwarding.request_cost import ServiceWork
 from limedeck.identity import Seconds
 from limedeck.model import Backend
@@ -69,6 +70,8 @@
         Back-off periods that back ends have requested from this node.
     availability
         Checks of whether back ends may receive requests.
+    reachability
+        Which back ends this node reaches.
 
     Parameters
     ----------
@@ -89,6 +92,7 @@
         self._cold_rates: dict[str, float] = {}
         self._draining_ids: set[str] = set()
         self._store_confirmed_at: Seconds | None = None
+        self.reachability = Reachability(node_id)
         self.limits = LimitLedger()
         self.leaving = LeavingLedger()
         self.backoffs = BackoffLedger(node_id)
--- a/src/limedeck/http_client.py
+++ b/src/limedeck/http_client.py
@@ -288,15 +288,22 @@
             if until <= now:
                 scope.cancel()
 
-    async def try_connect(self, address: str, until: Seconds) -> None:
+    async def try_connect(self, address: str, until: Seconds, watched: bool = False) -> None:
         """Check that a server accepts connections: open one and close it.
 
+        Parameters
+        ----------
+        watched
+            Wait `EARLY_RESET_WINDOW` for a reset of the connection.
+
         Raises
         ------
         AttemptFailed
-            No connection was established by `until` (on this node's clock).
+            No connection was established by `until` (on this node's clock), or it was reset.
         """
         connection = await self._open(address, until)
+        if watched:
+            await _wait_for_early_reset(connection)
         await connection.aclose()
 
     async def close_idle(self, addresses: set[str]) -> None:
--- a/src/limedeck/node/gateway.py
+++ b/src/limedeck/node/gateway.py
@@ -21,11 +21,12 @@
 from limedeck.forwarding.request_content import RequestContent
 from limedeck.forwarding.request_guard import RequestGuard
 from limedeck.forwarding.routes import choose_service
-from limedeck.http_client import HttpClient, HttpRequest, HttpResponse
+from limedeck.http_client import HttpResponse
 from limedeck.identity import Seconds
 from limedeck.model import Route
 from limedeck.node import response_reader
 from limedeck.node.asgi import Receive, Scope, Send
+from limedeck.node.backend_paths import BackendPaths, BackendRequest
 from limedeck.node.crash_watch import CrashWatch
 from limedeck.node.permit_exchange import PermitExchange
 from limedeck.node.request_log import RequestLog
@@ -103,7 +104,7 @@
         self,
         state: NodeState,
         protocol: CallerProtocol,
-        client: HttpClient,
+        paths: BackendPaths,
         log: RequestLog,
         watch: CrashWatch,
         permits: PermitExchange,
@@ -112,7 +113,7 @@
         self._watch = watch
         self._state = state
         self._protocol = protocol
-        self._client = client
+        self._paths = paths
         self._log = log
         self._reader = response_reader.ResponseReader(state.directory, protocol, log)
         self._open_requests: set[_Call] = set()
@@ -285,12 +286,11 @@
     ) -> HttpResponse | tuple[FailurePhase, bool]:
         backend = attempt.state.backend
         started = steady_clock()
-        added = self._protocol.attempt_headers(backend.name, attempt.until - started)
-        request = HttpRequest(
-            backend.address,
+        request = BackendRequest(
+            backend,
             call.content.method,
             call.content.target,
-            call.headers + added,
+            call.headers,
             call.content.body,
             # A busy back end resets some new connections. If the reset comes before the request is
             # sent, the caller can be told that it has not run.
@@ -298,7 +298,7 @@
         )
         attempt.state.outstanding += 1
         try:
-            response = await self._client.exchange(request, attempt.until)
+            response = await self._paths.exchange(request, attempt.until)
         except AttemptFailed as error:
             self._record_failed_attempt(call, attempt, error)
             self._log.record_lost_attempt(
--- a/src/limedeck/node/inspection.py
+++ b/src/limedeck/node/inspection.py
@@ -74,6 +74,7 @@
                 )
             ],
             store_era=self._election.era,
+            partitioned=state.directory.reachability.is_partitioned,
         )
 
     def assignment(self, service: str) -> AssignmentView:
@@ -134,6 +135,7 @@
             "backing-off": directory.availability.check_backoff(state, now) is not None,
             "limited": directory.limits.rate(state.backend.backend_id) is not None,
             "passed-over": state.is_ejected(now),
+            "unreached": directory.reachability.is_unreached(state.backend.backend_id),
         }
         return [name for name, applies in conditions.items() if applies]
 
--- /dev/null
+++ b/src/limedeck/node/reachability_monitor.py
@@ -0,0 +1,123 @@
+"""Probes back ends by connections, and logs what this node reaches."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import anyio
+from anyio.abc import TaskGroup
+
+from limedeck.clock import steady_clock
+from limedeck.forwarding import reachability
+from limedeck.forwarding.backend_state import BackendState
+from limedeck.http_client import HttpClient
+from limedeck.identity import Seconds
+from limedeck.node.logs import RateLimit, get_logger
+from limedeck.node.notifier import Notifier
+from limedeck.node.state import NodeState
+from limedeck.node.telemetry import Telemetry
+from limedeck.routing.outcomes import AttemptFailed, FailurePhase
+
+CHECK_INTERVAL: Seconds = 0.05
+PROBE_TIMEOUT: Seconds = 0.25
+"""Time in which a connection must be established; many round trips within a region."""
+MAX_PROBE_DELAY: Seconds = 0.2
+"""A probe that took this much longer than its timeout was not measured: the process was paused."""
+MAX_LINES_PER_SECOND = 10
+"""Lines about single back ends; a fleet has hundreds."""
+
+
+class ReachabilityMonitor:
+    """Runs the probes of one node.
+
+    Attributes
+    ----------
+    oldest_request
+        Returns since when the oldest outstanding request has been waiting; None if there is none.
+    on_partition
+        Called when a partition of this node begins or ends.
+    """
+
+    def __init__(self, state: NodeState, client: HttpClient, telemetry: Telemetry) -> None:
+        self.oldest_request: Callable[[], Seconds | None] = lambda: None
+        self.on_partition: Callable[[], None] = lambda: None
+        self._state = state
+        self._reachability = state.directory.reachability
+        self._client = client
+        self._telemetry = telemetry
+        self._tasks: TaskGroup | None = None
+        self._rounds = Notifier()
+        self._line_limit = RateLimit(MAX_LINES_PER_SECOND)
+        self._log = get_logger("reachability")
+
+    async def run(self) -> None:
+        """Start rounds of probes when they are due, until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            while True:
+                self._start_due_probes()
+                await anyio.sleep(CHECK_INTERVAL)
+
+    def suspect(self, backend_id: str) -> None:
+        """Probe a back end soon: an attempt failed in a way that a broken link could cause."""
+        self._reachability.suspect(backend_id)
+        self._start_due_probes()
+
+    async def wait_for_round(self, timeout: Seconds) -> None:
+        """Wait until the current or next round of probes has ended, for at most `timeout`."""
+        await self._rounds.wait_past(self._rounds.count, timeout)
+
+    def _start_due_probes(self) -> None:
+        if self._tasks is None:
+            return
+        listed = {state.backend.backend_id: state for state in self._state.directory.all_states()}
+        now = steady_clock()
+        for backend_id in self._reachability.next_probes(listed, self.oldest_request(), now):
+            self._tasks.start_soon(self._probe, listed[backend_id])
+
+    async def _probe(self, state: BackendState) -> None:
+        outcome = reachability.ProbeOutcome.UNKNOWN
+        try:
+            outcome = await self._connect(state.backend.address)
+        finally:
+            now = steady_clock()
+            rounds = self._reachability.rounds
+            events = self._reachability.handle_probe(state.backend.backend_id, outcome, now)
+            for event in events:
+                self._record_event(event)
+            if self._reachability.rounds != rounds:
+                self._rounds.notify()
+
+    async def _connect(self, address: str) -> reachability.ProbeOutcome:
+        started = steady_clock()
+        try:
+            await self._client.try_connect(address, started + PROBE_TIMEOUT, watched=True)
+        except AttemptFailed as error:
+            if error.phase is FailurePhase.TURNED_AWAY:
+                return reachability.ProbeOutcome.TURNED_AWAY
+            if steady_clock() - started > PROBE_TIMEOUT + MAX_PROBE_DELAY:
+                return reachability.ProbeOutcome.UNKNOWN
+            return reachability.ProbeOutcome.UNREACHED
+        return reachability.ProbeOutcome.REACHED
+
+    def _record_event(self, event: reachability.ReachabilityEvent) -> None:
+        match event:
+            case reachability.PartitionBegan():
+                self._telemetry.partitioned.set(1)
+                self._log.warning("partition_began", probed=list(event.probed))
+                self.on_partition()
+            case reachability.PartitionEnded():
+                self._telemetry.partitioned.set(0)
+                self._log.warning("partition_ended", seconds=round(event.lasted, 3))
+                self.on_partition()
+            case reachability.BackendUnreached():
+                if self._line_limit.allows():
+                    self._log.warning("back_end_unreached", backend=event.backend_id)
+            case reachability.BackendReached():
+                if self._line_limit.allows():
+                    self._log.info(
+                        "back_end_reached",
+                        backend=event.backend_id,
+                        seconds=round(event.lasted, 3),
+                    )
+        self._telemetry.unreached.set(len(self._reachability.unreached_backends))
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -20,6 +20,7 @@
 from limedeck.http_client import HttpClient
 from limedeck.identity import Seconds
 from limedeck.model import Configuration
+from limedeck.node.backend_paths import BackendPaths
 from limedeck.node.control import ControlHost
 from limedeck.node.crash_gossip import CrashGossip
 from limedeck.node.crash_watch import CrashWatch
@@ -33,6 +34,7 @@
 from limedeck.node.listener import open_listener, stop_accepting
 from limedeck.node.logs import BoundedWriter, get_logger
 from limedeck.node.quarantine_record import QuarantineRecordKeeper
+from limedeck.node.reachability_monitor import ReachabilityMonitor
 from limedeck.node.readiness import ReadinessApplication
 from limedeck.node.reload import SettingsFile
 from limedeck.node.request_log import RequestLog
@@ -117,10 +119,12 @@
         )
         self._file.on_change = self._apply_settings
         watch = CrashWatch(self._state, backend_client, self._telemetry)
+        monitor = ReachabilityMonitor(self._state, backend_client, self._telemetry)
+        paths = BackendPaths(self._state.directory, self._protocol, backend_client, monitor)
         gateway = CallerGateway(
             self._state,
             self._protocol,
-            backend_client,
+            paths,
             self._request_log,
             watch,
             control.permits,
@@ -128,6 +132,7 @@
         async with anyio.create_task_group() as tasks:
             self._start_control(tasks, control, store)
             tasks.start_soon(watch.run)
+            tasks.start_soon(monitor.run)
             clients = (backend_client, order_client)
             tasks.start_soon(SuspensionWatch(clients, self._telemetry).run)
             tasks.start_soon(self._run_maintenance, backend_client)
--- a/src/limedeck/node/telemetry.py
+++ b/src/limedeck/node/telemetry.py
@@ -82,6 +82,14 @@
             ["service"],
             registry=registry,
         )
+        self.partitioned = Gauge(
+            "limedeck_partitioned", "1 while this node reaches no back end", registry=registry
+        )
+        self.unreached = Gauge(
+            "limedeck_unreached_back_ends",
+            "Back ends that this node does not reach while it reaches others",
+            registry=registry,
+        )
         self.orders = Counter(
             "limedeck_orders", "Grants and releases", ["kind", "result"], registry=registry
         )
--- a/src/limedeck/views.py
+++ b/src/limedeck/views.py
@@ -80,6 +80,8 @@
         Number of nodes according to the leader; zero if unknown.
     store_era
         How often the store has returned from a copy, as far as the node knows.
+    partitioned
+        Whether the node reaches no back end.
     """
 
     node: str
@@ -94,6 +96,7 @@
     services: list[ServiceView]
     backends: list[BackendView]
     store_era: int = 0
+    partitioned: bool = False
 
 
 class RangeView(msgspec.Struct, frozen=True):
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -15,9 +15,11 @@
 from limedeck.identity import Seconds
 from limedeck.model import Backend, Configuration, Route, Service, Target
 from limedeck.node import (
+    backend_paths,
     crash_watch,
     gateway,
     permit_exchange,
+    reachability_monitor,
     request_log,
     settings,
     state,
@@ -69,10 +71,12 @@
 
 def make_gateway(node: state.NodeState, client: http_client.HttpClient) -> gateway.CallerGateway:
     counted = telemetry.Telemetry()
+    protocol = headers.PlatformProtocol()
+    monitor = reachability_monitor.ReachabilityMonitor(node, client, counted)
     return gateway.CallerGateway(
         node,
-        headers.PlatformProtocol(),
-        client,
+        protocol,
+        backend_paths.BackendPaths(node.directory, protocol, client, monitor),
         request_log.RequestLog(settings.LogSection(), counted),
         crash_watch.CrashWatch(node, client, counted),
         permit_exchange.PermitExchange(node.directory, make_follower()),
--- /dev/null
+++ b/tests/unit/test_reachability.py
@@ -0,0 +1,131 @@
+"""What a node concludes from probes about the back ends that it reaches."""
+
+from __future__ import annotations
+
+import pytest
+
+from limedeck.forwarding.reachability import (
+    SILENCE,
+    BackendReached,
+    BackendUnreached,
+    PartitionBegan,
+    PartitionEnded,
+    ProbeOutcome,
+    Reachability,
+    ReachabilityEvent,
+)
+
+LISTED = [f"b{number}" for number in range(8)]
+
+
+def run_round(
+    core: Reachability, outcome: ProbeOutcome, now: float, *exceptions: str
+) -> list[ReachabilityEvent]:
+    """Run a round in which all probes but those of the exceptions have the same outcome."""
+    events: list[ReachabilityEvent] = []
+    for backend_id in core.next_probes(LISTED, None, now):
+        found = ProbeOutcome.UNREACHED if backend_id in exceptions else outcome
+        events += core.handle_probe(backend_id, found, now)
+    return events
+
+
+def partitioned_node() -> Reachability:
+    core = Reachability("n")
+    core.suspect("b1")
+    run_round(core, ProbeOutcome.UNREACHED, 1.0)
+    assert core.is_partitioned
+    return core
+
+
+def test_node_without_failures_sends_no_probes() -> None:
+    core = Reachability("n")
+    core.record_response(10.0)
+    assert core.next_probes(LISTED, 9.0, 10.0 + SILENCE / 2) == []
+    assert core.next_probes(LISTED, None, 20.0) == []
+
+
+def test_silence_of_all_back_ends_causes_probes() -> None:
+    core = Reachability("n")
+    core.record_response(10.0)
+    assert core.next_probes(LISTED, 9.0, 10.0 + SILENCE)
+
+
+def test_failed_back_end_does_not_make_the_node_partitioned() -> None:
+    core = Reachability("n")
+    core.suspect("b1")
+    events = run_round(core, ProbeOutcome.REACHED, 1.0, "b1")
+    assert events == [BackendUnreached("b1")]
+    assert not core.is_partitioned
+    assert core.is_unreached("b1")
+    assert not core.is_unreached("b2")
+    assert run_round(core, ProbeOutcome.REACHED, 3.0) == [BackendReached("b1", 2.0)]
+    assert not core.is_unreached("b1")
+
+
+def test_node_that_reaches_none_of_the_probed_back_ends_is_partitioned() -> None:
+    core = Reachability("n")
+    core.suspect("b1")
+    (event,) = run_round(core, ProbeOutcome.UNREACHED, 1.0)
+    assert isinstance(event, PartitionBegan)
+    assert "b1" in event.probed
+    assert all(core.is_unreached(backend_id) for backend_id in LISTED)
+
+
+def test_response_on_an_open_connection_does_not_end_a_partition() -> None:
+    core = partitioned_node()
+    core.record_response(1.1)
+    assert core.is_partitioned
+
+
+def test_one_reached_back_end_ends_a_partition() -> None:
+    core = partitioned_node()
+    assert run_round(core, ProbeOutcome.REACHED, 3.0) == [PartitionEnded(2.0)]
+    assert not core.is_unreached("b1")
+
+
+def test_overloaded_back_ends_that_reset_connections_do_not_make_a_partition() -> None:
+    core = Reachability("n")
+    core.record_response(0.95)
+    core.suspect("b1")
+    assert run_round(core, ProbeOutcome.TURNED_AWAY, 1.0) == []
+    assert not core.is_partitioned
+
+
+def test_resets_of_all_connections_while_no_back_end_responds_make_a_partition() -> None:
+    core = Reachability("n")
+    core.record_response(0.5)
+    core.suspect("b1")
+    run_round(core, ProbeOutcome.TURNED_AWAY, 1.0)
+    assert core.is_partitioned
+
+
+def test_probes_of_a_paused_process_show_nothing() -> None:
+    core = Reachability("n")
+    core.suspect("b1")
+    assert run_round(core, ProbeOutcome.UNKNOWN, 1.0) == []
+    assert not core.is_partitioned
+
+
+@pytest.mark.parametrize("count", [1, 2, 300])
+def test_rounds_are_bounded_and_spread_over_all_back_ends(count: int) -> None:
+    listed = [f"b{number}" for number in range(count)]
+    core = Reachability("n")
+    probed = set()
+    now = 0.0
+    core.suspect("b0")
+    for _ in range(40):
+        now += 0.3
+        chosen = core.next_probes(listed, None, now)
+        assert len(chosen) == len(set(chosen)) == min(count, 4)
+        probed |= set(chosen)
+        for backend_id in chosen:
+            core.handle_probe(backend_id, ProbeOutcome.UNREACHED, now)
+    assert len(probed) >= min(count, 80)
+
+
+def test_unlisted_back_end_is_forgotten() -> None:
+    core = Reachability("n")
+    core.suspect("b1")
+    run_round(core, ProbeOutcome.REACHED, 1.0, "b1")
+    core.next_probes([item for item in LISTED if item != "b1"], None, 1.1)
+    assert not core.is_unreached("b1")
