Failing test: callers of partitioned nodes are not served

Five node processes with IP addresses of their own behind proxies that cut three of them off from all back ends for 8 s: connections hang, are reset, or live on while new ones hang; with and without the leader among them.

A hanging connection is one whose segments are dropped by a kernel filter on the source address, so that neither connections nor bytes are acknowledged.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -4,6 +4,9 @@
 
 import dataclasses
 import enum
+import socket
+import struct
+from collections.abc import Collection
 
 import anyio
 import anyio.abc
@@ -25,6 +28,26 @@
     SILENT = "silent"
 
 
+class Cut(enum.Enum):
+    """What happens to connections from hosts that are cut off.
+
+    HANG
+        Nothing arrives, on open connections and on new ones.
+    RESET
+        Open connections and new ones are reset.
+    KEEP_OPEN
+        Open connections go on, and new ones hang.
+    """
+
+    HANG = "hang"
+    RESET = "reset"
+    KEEP_OPEN = "keep-open"
+
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of `SO_LINGER` with which closing a socket resets the connection."""
+
+
 @dataclasses.dataclass
 class FaultyProxy:
     """Forwards connections from one address to another.
@@ -38,6 +61,9 @@
     address: str
     target: str
     mode: Mode = Mode.PASS
+    _cut: Cut | None = None
+    _cut_hosts: frozenset[str] = frozenset()
+    _connections: dict[anyio.abc.SocketStream, str] = dataclasses.field(default_factory=dict)
     _streams: set[anyio.abc.SocketStream] = dataclasses.field(default_factory=set)
     _restart_delay: float = 0.0
     _listener: anyio.abc.Listener[anyio.abc.SocketStream] | None = None
@@ -60,6 +86,7 @@
         while True:
             listener = await anyio.create_tcp_listener(local_host=host, local_port=int(port))
             self._listener = listener
+            self._filter(listener)
             async with listener:
                 try:
                     await listener.serve(self._forward_connection)
@@ -68,6 +95,42 @@
                     pass
             await anyio.sleep(self._restart_delay)
 
+    async def cut_off(self, hosts: Collection[str], cut: Cut) -> None:
+        """Cut off connections from these IP addresses until `reconnect`."""
+        self._cut = cut
+        self._cut_hosts = frozenset(hosts)
+        if self._listener is not None:
+            self._filter(self._listener)
+        for stream, host in list(self._connections.items()):
+            if host not in self._cut_hosts:
+                continue
+            if cut is Cut.HANG:
+                silent_socket.drop_incoming(stream.extra(anyio.abc.SocketAttribute.raw_socket))
+            elif cut is Cut.RESET:
+                await _reset(stream)
+
+    async def reconnect(self) -> None:
+        """End a cut; connections that hung are reset."""
+        hung = self._cut_hosts if self._cut is Cut.HANG else frozenset()
+        self._cut = None
+        self._cut_hosts = frozenset()
+        if self._listener is not None:
+            self._filter(self._listener)
+        for stream, host in list(self._connections.items()):
+            if host in hung:
+                await _reset(stream)
+
+    def _filter(self, listener: anyio.abc.Listener[anyio.abc.SocketStream]) -> None:
+        """Let new connections from hosts that are cut off hang."""
+        hosts = frozenset() if self._cut is Cut.RESET else self._cut_hosts
+        raw = listener.extra(anyio.abc.SocketAttribute.raw_socket)
+        try:
+            silent_socket.drop_from(raw, hosts)
+        except OSError:
+            # There is no filter to detach.
+            if hosts:
+                raise
+
     async def reset_all(self) -> None:
         """Close all connections forcefully."""
         for stream in list(self._streams):
@@ -80,18 +143,24 @@
 
     async def _forward_connection(self, caller: anyio.abc.SocketStream) -> None:
         host, _, port = self.target.rpartition(":")
+        source = caller.extra(anyio.abc.SocketAttribute.remote_address)[0]
+        if self._cut is Cut.RESET and source in self._cut_hosts:
+            await _reset(caller)
+            return
         try:
             target = await anyio.connect_tcp(host, int(port))
         except OSError:
             await anyio.aclose_forcefully(caller)
             return
         self._streams |= {caller, target}
+        self._connections[caller] = str(source)
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._pump, caller, target, False, tasks.cancel_scope)
                 tasks.start_soon(self._pump, target, caller, True, tasks.cancel_scope)
         finally:
             self._streams -= {caller, target}
+            del self._connections[caller]
             with anyio.CancelScope(shield=True):
                 await anyio.aclose_forcefully(caller)
                 await anyio.aclose_forcefully(target)
@@ -113,3 +182,9 @@
                 await sink.send(data)
         except (OSError, anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
             scope.cancel()
+
+
+async def _reset(stream: anyio.abc.SocketStream) -> None:
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    await anyio.aclose_forcefully(stream)
--- a/tests/system/paced_callers.py
+++ b/tests/system/paced_callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 import itertools
 import threading
 import time
@@ -18,6 +19,29 @@
 REQUEST_TIMEOUT_SECONDS = 4.0
 
 
+@dataclasses.dataclass(frozen=True)
+class CallResult:
+    """The result of one request.
+
+    Parameters
+    ----------
+    node
+        Address of the node for its callers.
+    sent_at
+        On the test's clock, in seconds.
+    took
+        Seconds until the response, or until the caller gave up.
+    status
+        Status of the response; zero: no response.
+    """
+
+    request: str
+    node: str
+    sent_at: float
+    took: float
+    status: int
+
+
 class PacedCallers:
     """Callers of one path.
 
@@ -36,6 +60,8 @@
         When and to which node each request was sent, by request id.
     slowest_refusal
         Longest time in seconds until a response with status 503.
+    results
+        One for each request, in the order of their ends.
     """
 
     def __init__(
@@ -44,6 +70,7 @@
         self.statuses: Counter[int] = Counter()
         self.sent: dict[str, statement_judging.SentRequest] = {}
         self.slowest_refusal = 0.0
+        self.results: list[CallResult] = []
         self._site = site
         self._path = path
         self._interval = THREADS / rate
@@ -79,6 +106,7 @@
         began = time.monotonic()
         with self._lock:
             key = next(self._keys)
+        request = ""
         try:
             response = self._site.send(client, node, self._path, key)
             status = response.status_code
@@ -87,7 +115,9 @@
         except httpx.HTTPError:
             status = 0
         elapsed = time.monotonic() - began
+        result = CallResult(request, node.callers, began, elapsed, status)
         with self._lock:
             self.statuses[status] += 1
+            self.results.append(result)
             if status == httpx.codes.SERVICE_UNAVAILABLE:
                 self.slowest_refusal = max(self.slowest_refusal, elapsed)
--- a/tests/system/platform_site.py
+++ b/tests/system/platform_site.py
@@ -10,7 +10,7 @@
 import json
 import signal
 import time
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Collection, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -25,7 +25,7 @@
 from limedeck_lab.processes import ManagedProcess, ProcessGroup, free_ports, wait_until
 from limedeck_lab.standins.row_store import RowStoreStandIn, StoreWords
 from tests.soak import suspendable_node
-from tests.soak.proxy import FaultyProxy
+from tests.soak.proxy import Cut, FaultyProxy
 from tests.soak.suspendable_node import SuspendedTime
 
 WORDS = StoreWords(
@@ -385,12 +385,15 @@
         Addresses for callers' requests and for readiness, metrics and operators' queries.
     settings
         The settings file.
+    host
+        IP address of its connections to back ends, the store and other nodes.
     """
 
     process: ManagedProcess
     callers: str
     readiness: str
     settings: Path
+    host: str = "127.0.0.1"
 
     def is_ready(self) -> bool:
         """Whether its readiness endpoint answers with status 200."""
@@ -525,6 +528,21 @@
             "x-shard-key": str(key),
         }
 
+    def cut_off(
+        self, nodes: Collection[NodeProcess], cut: Cut, keyed: tuple[bool, ...] = (True, False)
+    ) -> None:
+        """Cut nodes off from all upstreams, or from those of the keyed or the unkeyed service."""
+        hosts = [node.host for node in nodes]
+        for upstream in self.upstreams:
+            if upstream.proxy is not None and upstream.keyed in keyed:
+                self.start_soon(upstream.proxy.cut_off, hosts, cut)
+
+    def reconnect(self) -> None:
+        """End a cut."""
+        for upstream in self.upstreams:
+            if upstream.proxy is not None:
+                self.start_soon(upstream.proxy.reconnect)
+
     def all_keys_are_owned(self) -> bool:
         """Whether some upstream has a lease for each key of a sample."""
         keyed = [upstream for upstream in self.upstreams if upstream.keyed]
@@ -551,12 +569,12 @@
 ROUTES = [route("/keyed/", "keyed"), route("/plain/", "plain", "unsafe")]
 
 
-def _settings(site_store: str, number: int, ports: list[int]) -> str:
+def _settings(site_store: str, number: int, ports: list[int], host: str) -> str:
     return f"""
 [node]
 id = "node-{number}"
 zone = "z1"
-ip = "127.0.0.1"
+ip = "{host}"
 callers = "127.0.0.1:{ports[0]}"
 readiness = "127.0.0.1:{ports[1]}"
 first_peer_port = {ports[2]}
@@ -579,6 +597,7 @@
     restart: int = 0,
     suspended: SuspendedTime | None = None,
     ports: list[int] | None = None,
+    has_own_host: bool = False,
 ) -> NodeProcess:
     """Start one node.
 
@@ -592,20 +611,25 @@
         Suspended time of the node's machine; if given, the machine can be suspended.
     ports
         Ports that a restarted node keeps; free ones are chosen if none are given.
+    has_own_host
+        Whether the node has an IP address of its own, by which proxies know it.
     """
     ports = ports or free_ports(3)
+    host = f"127.0.1.{number + 1}" if has_own_host else "127.0.0.1"
     settings = folder / f"node-{number}-{restart}.toml"
-    settings.write_text(_settings(store, number, ports))
+    settings.write_text(_settings(store, number, ports, host))
     module, arguments = "limedeck.node", ["--settings", str(settings)]
     if suspended is not None:
         module = suspendable_node.__name__
         arguments = [str(suspended.path), *arguments]
     process = processes.start(f"node-{number}-{restart}", module, arguments)
-    return NodeProcess(process, f"127.0.0.1:{ports[0]}", f"127.0.0.1:{ports[1]}", settings)
+    return NodeProcess(process, f"127.0.0.1:{ports[0]}", f"127.0.0.1:{ports[1]}", settings, host)
 
 
 @contextmanager
-def running_site(folder: Path, keyed: int = 3, plain: int = 2, nodes: int = 3) -> Iterator[Site]:
+def running_site(
+    folder: Path, keyed: int = 3, plain: int = 2, nodes: int = 3, own_hosts: bool = False
+) -> Iterator[Site]:
     """Run a site until the block ends.
 
     Parameters
@@ -614,6 +638,8 @@
         For settings files and logs.
     keyed, plain, nodes
         Numbers of upstreams of the keyed and the unkeyed service, and of nodes.
+    own_hosts
+        Whether each node has an IP address of its own, so that it can be cut off from upstreams.
     """
     site = Site()
     count = keyed + plain
@@ -639,7 +665,9 @@
         futures += [portal.start_task_soon(proxy.serve, ended) for proxy in proxies]
         try:
             site.start_soon = portal.start_task_soon
-            site.launch_node = functools.partial(start_node, processes, folder, store_address)
+            site.launch_node = functools.partial(
+                start_node, processes, folder, store_address, has_own_host=own_hosts
+            )
             for number in range(nodes):
                 site.nodes.append(site.launch_node(number, 0))
             wait_until(lambda: all(node.is_ready() for node in site.nodes), "nodes are ready")
