Requests at nodes that reach no back end go through nodes that reach them

Cause: a node has one way to a back end only, its own.

An attempt at a back end that this node does not reach is made by another node, over HTTP on a port between nodes; everything else about the request is decided where its caller is, so that attempts, budgets and permits are counted once, and the other node sends to the back end itself or not at all. The leader names to each node up to eight nodes that are not partitioned. If no connection to a back end can be established nothing was sent, and the same attempt is made through another node at once. Attempts that hang when the partition is found are aborted if they may be repeated. A back end whose port is refused counts as exited only if another node is refused too. With no node left requests are refused at once.

--- a/src/limedeck/forwarding/backends.py
+++ b/src/limedeck/forwarding/backends.py
@@ -10,6 +10,7 @@
 from limedeck.forwarding.backend_state import BackendState
 from limedeck.forwarding.backoffs import BackoffLedger
 from limedeck.forwarding.hashing import hash_fraction
+from limedeck.forwarding.intermediaries import Intermediaries
 from limedeck.forwarding.leaving import LeavingLedger
 from limedeck.forwarding.limits import LimitLedger
 from limedeck.forwarding.load_leveling import levelling_shares
@@ -38,6 +39,8 @@
 MAX_CONFIRMATION_AGE: Seconds = 1.5
 """A leader whose last confirmation by the store is at least this old cannot assign owners. Longer
 than two confirmation intervals."""
+RECENT_CONTACT: Seconds = 1.0
+"""Time since the last response within which connections that are open are still used."""
 MIN_ARRIVALS = 0.1
 """Lower bound of the arrivals to be shared, for times with hardly any requests: the best back end
 gets all of them."""
@@ -72,6 +75,8 @@
         Checks of whether back ends may receive requests.
     reachability
         Which back ends this node reaches.
+    intermediaries
+        Nodes through which it reaches the others.
 
     Parameters
     ----------
@@ -93,6 +98,7 @@
         self._draining_ids: set[str] = set()
         self._store_confirmed_at: Seconds | None = None
         self.reachability = Reachability(node_id)
+        self.intermediaries = Intermediaries(zone)
         self.limits = LimitLedger()
         self.leaving = LeavingLedger()
         self.backoffs = BackoffLedger(node_id)
@@ -181,6 +187,12 @@
         confirmed_at = self._store_confirmed_at
         return confirmed_at is None or now - confirmed_at < MAX_CONFIRMATION_AGE
 
+    def is_cut_off(self, now: Seconds) -> bool:
+        """Whether no back end can be reached, by this node or through another one."""
+        is_partitioned = self.reachability.is_partitioned
+        has_contact = self.reachability.had_contact_since(now - RECENT_CONTACT)
+        return is_partitioned and not has_contact and not self.intermediaries.has_any(now)
+
     def soonest_available_of(self, service: str, now: Seconds) -> Unavailable | None:
         """Return the cause that ends first; None if a back end may be used or none exist."""
         return self.availability.soonest_available(self.of_service(service), now)
--- a/src/limedeck/forwarding/reachability.py
+++ b/src/limedeck/forwarding/reachability.py
@@ -22,11 +22,10 @@
 SILENCE: Seconds = 0.25
 """Time without a response from any back end, while requests are outstanding, that causes probes."""
 MIN_ROUND_INTERVAL: Seconds = 0.25
-"""Time between two rounds while a back end is unreached or this node is partitioned, and the time
-in which the end of a partition is detected."""
+"""Time between two rounds while a back end is unreached, this node is partitioned, or no back end
+has responded since the last round; the time in which the end of a partition is detected."""
 CALM_ROUND_INTERVAL: Seconds = 1.0
-"""Time between two rounds after one that reached all its back ends: an overloaded back end fails
-many requests."""
+"""Time between two rounds otherwise: an overloaded back end fails many requests."""
 
 
 class ProbeOutcome(enum.Enum):
@@ -112,7 +111,7 @@
         self._suspects: dict[str, None] = {}
         self._responded_at: Seconds = NEVER
         self._reached_at: Seconds = NEVER
-        self._next_round: Seconds = NEVER
+        self._round_ended_at: Seconds = NEVER
         self._pending: set[str] = set()
         self._outcomes: dict[str, ProbeOutcome] = {}
 
@@ -156,9 +155,9 @@
             Since when the oldest outstanding request has been waiting; None if there is none.
         """
         self._unreached = {key: at for key, at in self._unreached.items() if key in listed}
-        if self._pending or now < self._next_round or not listed:
+        if self._pending or now < self._round_ended_at + self._round_interval or not listed:
             return []
-        if not (self._suspects or self._needs_probes or self._is_silent(waiting_since, now)):
+        if not (self._suspects or self._needs_probes or self.is_silent(waiting_since, now)):
             return []
         chosen = self._choose(sorted(listed))
         self._pending = set(chosen)
@@ -169,7 +168,14 @@
     def _needs_probes(self) -> bool:
         return self.is_partitioned or bool(self._unreached)
 
-    def _is_silent(self, waiting_since: Seconds | None, now: Seconds) -> bool:
+    @property
+    def _round_interval(self) -> Seconds:
+        has_response = self._responded_at >= self._round_ended_at
+        is_calm = has_response and not self._needs_probes
+        return CALM_ROUND_INTERVAL if is_calm else MIN_ROUND_INTERVAL
+
+    def is_silent(self, waiting_since: Seconds | None, now: Seconds) -> bool:
+        """Whether no back end has responded for `SILENCE` while requests are outstanding."""
         if waiting_since is None:
             return False
         return now - max(waiting_since, self._responded_at, self._reached_at) >= SILENCE
@@ -220,8 +226,7 @@
             self._partitioned_at = now
             self._unreached.clear()
             events.append(PartitionBegan(tuple(sorted(self._outcomes))))
-        interval = MIN_ROUND_INTERVAL if self._needs_probes else CALM_ROUND_INTERVAL
-        self._next_round = now + interval
+        self._round_ended_at = now
         return events
 
     def _record_unreached(self, now: Seconds) -> list[ReachabilityEvent]:
--- a/src/limedeck/forwarding/refusals.py
+++ b/src/limedeck/forwarding/refusals.py
@@ -21,6 +21,9 @@
 """For keys that cannot be assigned an owner until the store confirms a leader again."""
 NO_BACKEND_RETRY_AFTER: Seconds = 1.0
 """For a service whose back ends are all leaving, so that new ones must start."""
+CUT_OFF_RETRY_AFTER: Seconds = 0.5
+"""For a node that reaches no back end itself or through others; twice the time in which it finds
+that it does again."""
 BACKOFF_MOVE_TIME: Seconds = 1.0
 """For keys of an owner that requests back-off. The leader moves them within this time if the owner
 requests back-off from more nodes than it serves."""
@@ -84,5 +87,10 @@
     return claim.refuse(RefusalReason.NO_BACKEND, NO_OWNER_RETRY_AFTER)
 
 
+def cut_off(claim: Claim) -> Refuse:
+    """Refuse a request at a node that reaches no back end, while no other node is known to."""
+    return claim.refuse(RefusalReason.UNREACHABLE, CUT_OFF_RETRY_AFTER + _spread(claim))
+
+
 def _spread(claim: Claim) -> Seconds:
     return RETRY_SPREAD * hash_fraction(claim.request_id)
--- a/src/limedeck/forwarding/request.py
+++ b/src/limedeck/forwarding/request.py
@@ -132,6 +132,8 @@
         """Decide what to do: at the start, after a `Wait`, and after a failure."""
         if now + MIN_ATTEMPT_TIME >= self.claim.until:
             return self._refuse(RefusalReason.TIMED_OUT, RETRY_AFTER)
+        if self._directory.is_cut_off(now):
+            return refusals.cut_off(self.claim)
         guard_command = self._check_guard(self.guard, now) if self.guard else None
         if guard_command is not None:
             return guard_command
--- a/src/limedeck/http_client.py
+++ b/src/limedeck/http_client.py
@@ -288,13 +288,13 @@
             if until <= now:
                 scope.cancel()
 
-    async def try_connect(self, address: str, until: Seconds, watched: bool = False) -> None:
+    async def try_connect(self, address: str, until: Seconds, watch_time: Seconds = 0.0) -> None:
         """Check that a server accepts connections: open one and close it.
 
         Parameters
         ----------
-        watched
-            Wait `EARLY_RESET_WINDOW` for a reset of the connection.
+        watch_time
+            Time for which the connection must stay open, in seconds.
 
         Raises
         ------
@@ -302,8 +302,8 @@
             No connection was established by `until` (on this node's clock), or it was reset.
         """
         connection = await self._open(address, until)
-        if watched:
-            await _wait_for_early_reset(connection)
+        if watch_time:
+            await _wait_for_early_reset(connection, watch_time)
         await connection.aclose()
 
     async def close_idle(self, addresses: set[str]) -> None:
@@ -383,8 +383,10 @@
     return error is not None
 
 
-async def _wait_for_early_reset(connection: _Connection) -> None:
-    await anyio.sleep(EARLY_RESET_WINDOW)
+async def _wait_for_early_reset(
+    connection: _Connection, window: Seconds = EARLY_RESET_WINDOW
+) -> None:
+    await anyio.sleep(window)
     if not connection.has_no_input():
         await connection.aclose()
         raise AttemptFailed(FailurePhase.TURNED_AWAY, "reset before the request was sent")
--- a/src/limedeck/node/backend_paths.py
+++ b/src/limedeck/node/backend_paths.py
@@ -1,20 +1,31 @@
-"""Sends attempts to back ends, and records what they show about which of them are reached."""
+"""Sends attempts to back ends: directly, or through a node that reaches them."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
+import anyio
+
 from limedeck.clock import steady_clock
 from limedeck.forwarding.backends import BackendDirectory
 from limedeck.forwarding.protocol import CallerProtocol, Headers
 from limedeck.http_client import UNACKNOWLEDGED, HttpClient, HttpRequest, HttpResponse
 from limedeck.identity import Seconds
 from limedeck.model import Backend
-from limedeck.node.reachability_monitor import ReachabilityMonitor
+from limedeck.node.intermediary_client import (
+    NO_INTERMEDIARY,
+    ForwardedRequest,
+    IntermediaryClient,
+)
+from limedeck.node.intermediary_messages import ForwardedAttempt
+from limedeck.node.reachability_monitor import PROBE_TIMEOUT, ReachabilityMonitor
+from limedeck.node.telemetry import Telemetry
 from limedeck.routing.outcomes import SURELY_NOT_RUN, AttemptFailed, FailurePhase
 
 RECENT_CONTACT: Seconds = 0.1
 """A reset is not taken for a sign of a broken link if another back end has responded since then."""
+ABORTED = "aborted: this node reaches no back end"
+"""Problem of an attempt that was aborted to be made through another node."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,18 +34,31 @@
 
     Parameters
     ----------
+    repeatable
+        Whether the attempt may be aborted, to be made again through another node.
     watched
         See `HttpRequest`.
     """
 
     backend: Backend
+    request_id: bytes
     method: bytes
     target: bytes
     headers: Headers
     body: bytes
+    repeatable: bool
     watched: bool
 
 
+@dataclass(slots=True, eq=False)
+class _DirectExchange:
+    """An attempt on a connection of this node that has no response yet."""
+
+    started_at: Seconds
+    repeatable: bool
+    scope: anyio.CancelScope
+
+
 class BackendPaths:
     """The ways on which this node reaches back ends."""
 
@@ -44,34 +68,133 @@
         protocol: CallerProtocol,
         client: HttpClient,
         monitor: ReachabilityMonitor,
+        through_others: IntermediaryClient,
+        telemetry: Telemetry,
     ) -> None:
         self._reachability = directory.reachability
+        self._intermediaries = directory.intermediaries
         self._protocol = protocol
         self._client = client
         self._monitor = monitor
-        self._waiting: dict[object, Seconds] = {}
+        self._through_others = through_others
+        self._telemetry = telemetry
+        self._waiting: set[_DirectExchange] = set()
         monitor.oldest_request = self._oldest_request
+        monitor.on_partition_began = self._abort_hanging_exchanges
 
     async def exchange(self, request: BackendRequest, until: Seconds) -> HttpResponse:
         """Send a request to its back end, and wait for the complete response.
 
+        If no connection to the back end can be established, nothing has been sent, and the same
+        attempt is made through another node.
+
         Raises
         ------
         AttemptFailed
             There is no complete response by `until` (on this node's clock).
         """
-        waiting = object()
-        self._waiting[waiting] = steady_clock()
+        backend_id = request.backend.backend_id
+        direct: AttemptFailed | None = None
+        if self._is_direct(backend_id):
+            try:
+                return await self._exchange_directly(request, until)
+            except AttemptFailed as error:
+                if error.phase is not FailurePhase.NOT_CONNECTED:
+                    raise
+                direct = error
+        if self._intermediaries.is_backend_failed(backend_id, steady_clock()):
+            raise direct or AttemptFailed(FailurePhase.NOT_CONNECTED, NO_INTERMEDIARY)
+        try:
+            return await self._exchange_through_others(request, until)
+        except AttemptFailed as error:
+            if direct is not None and error.problem == NO_INTERMEDIARY:
+                raise await self._confirm_refusal(direct) from error
+            raise
+
+    def _is_direct(self, backend_id: str) -> bool:
+        """Whether an attempt is made on a connection of this node first."""
+        if not self._reachability.is_unreached(backend_id):
+            return True
+        now = steady_clock()
+        if self._reachability.is_partitioned:
+            # Open connections may still work.
+            return not self._intermediaries.has_any(now)
+        # The back end may have come back.
+        return self._intermediaries.is_backend_failed(backend_id, now)
+
+    async def check_port(self, backend: Backend, until: Seconds) -> None:
+        """Check that a back end accepts connections, of this node or of another one.
+
+        Raises
+        ------
+        AttemptFailed
+            It accepts none; `by_other_end` tells whether this is due to the back end.
+        """
+        direct: AttemptFailed | None = None
+        if not self._reachability.is_partitioned:
+            try:
+                await self._client.try_connect(backend.address, until)
+                return
+            except AttemptFailed as error:
+                self._monitor.suspect(backend.backend_id)
+                direct = error
+        try:
+            await self._through_others.probe(backend.backend_id, until + PROBE_TIMEOUT)
+        except AttemptFailed as error:
+            if direct is not None and error.problem == NO_INTERMEDIARY:
+                raise await self._confirm_refusal(direct) from error
+            raise
+
+    async def _confirm_refusal(self, error: AttemptFailed) -> AttemptFailed:
+        """Return a failed connection that counts as refused only if this node reaches others."""
+        if error.by_other_end:
+            await self._monitor.wait_for_round(PROBE_TIMEOUT)
+        if self._reachability.is_partitioned:
+            return AttemptFailed(error.phase, error.problem)
+        return error
+
+    async def _exchange_directly(self, request: BackendRequest, until: Seconds) -> HttpResponse:
+        with anyio.CancelScope() as scope:
+            waiting = _DirectExchange(steady_clock(), request.repeatable, scope)
+            self._waiting.add(waiting)
+            try:
+                response = await self._client.exchange(self._encode(request, until), until)
+            except AttemptFailed as error:
+                if self.may_be_broken_link(error):
+                    self._monitor.suspect(request.backend.backend_id)
+                raise
+            finally:
+                self._waiting.discard(waiting)
+            self._reachability.record_response(steady_clock())
+            return response
+        raise AttemptFailed(FailurePhase.AWAITING, ABORTED)
+
+    async def _exchange_through_others(
+        self, request: BackendRequest, until: Seconds
+    ) -> HttpResponse:
+        time_left = until - steady_clock()
+        attempt = ForwardedAttempt(
+            request.backend.backend_id,
+            time_left,
+            repeatable=request.repeatable,
+            watched=request.watched,
+        )
+        forwarded = ForwardedRequest(
+            attempt,
+            request.request_id,
+            request.method,
+            request.target,
+            request.headers + self._protocol.attempt_headers(request.backend.name, time_left),
+            request.body,
+        )
+        result = "answered"
         try:
-            response = await self._client.exchange(self._encode(request, until), until)
+            return await self._through_others.exchange(forwarded, until)
         except AttemptFailed as error:
-            if self._may_be_broken_link(error):
-                self._monitor.suspect(request.backend.backend_id)
+            result = error.phase.value
             raise
         finally:
-            del self._waiting[waiting]
-        self._reachability.record_response(steady_clock())
-        return response
+            self._telemetry.forwarded_attempts.labels("through-others", result).inc()
 
     def _encode(self, request: BackendRequest, until: Seconds) -> HttpRequest:
         backend = request.backend
@@ -85,7 +208,8 @@
             request.watched,
         )
 
-    def _may_be_broken_link(self, error: AttemptFailed) -> bool:
+    def may_be_broken_link(self, error: AttemptFailed) -> bool:
+        """Whether a failure could be due to this node's link rather than to the back end."""
         if error.phase is FailurePhase.NOT_CONNECTED or error.problem == UNACKNOWLEDGED:
             return True
         is_reset = error.by_other_end and error.phase not in SURELY_NOT_RUN
@@ -94,4 +218,11 @@
         )
 
     def _oldest_request(self) -> Seconds | None:
-        return min(self._waiting.values(), default=None)
+        return min((item.started_at for item in self._waiting), default=None)
+
+    def _abort_hanging_exchanges(self) -> None:
+        """Abort repeatable attempts if no connection works: they would wait for their deadlines."""
+        if self._reachability.is_silent(self._oldest_request(), steady_clock()):
+            for item in self._waiting:
+                if item.repeatable:
+                    item.scope.cancel()
--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -16,11 +16,17 @@
     Status,
 )
 from limedeck.clock import steady_clock
+from limedeck.forwarding.intermediaries import Intermediary
 from limedeck.forwarding.owners import OwnedRange, OwnerMap
 from limedeck.forwarding.quarantine import QuarantineLedger
 from limedeck.http_client import HttpClient
 from limedeck.identity import NEVER, Seconds
-from limedeck.node import load_exchange, order_sender, permit_exchange
+from limedeck.node import (
+    fleet_intermediaries,
+    load_exchange,
+    order_sender,
+    permit_exchange,
+)
 from limedeck.node.connection_updates import ConnectionUpdates
 from limedeck.node.election_calls import LEADER_ROW, ElectionCalls, decode_record
 from limedeck.node.logs import get_logger
@@ -101,6 +107,8 @@
         self.election = ElectionCore(identity, timing, steady_clock(), processor, first_start)
         self.loads = load_exchange.LoadExchange(state.directory, identity.node_id)
         self.permits = permit_exchange.PermitExchange(state.directory, self.election)
+        self.intermediaries = fleet_intermediaries.FleetIntermediaries(identity.node_id)
+        self.intermediary_address = ""
         self.processor = processor
         self.fleet: Callable[[], candidate_priority.Fleet] = lambda: (
             candidate_priority.describe_fleet([processor])
@@ -139,6 +147,22 @@
         """Whether this node leads, as far as it knows."""
         return self.election.role is Role.LEADER
 
+    @property
+    def is_partitioned(self) -> bool:
+        """Whether this node reaches no back end."""
+        return self._state.directory.reachability.is_partitioned
+
+    def set_intermediary(self, intermediary: Intermediary) -> None:
+        """Set where this node accepts the attempts of other nodes."""
+        self.intermediary_address = intermediary.address
+        self.intermediaries.set_own(intermediary)
+
+    def handle_partition_changed(self) -> None:
+        """Report a changed partition of this node to the leader, or to all nodes as the leader."""
+        self.intermediaries.record_own_partition(self.is_partitioned)
+        self.permits.notifier.notify()
+        self.on_leader()
+
     @property
     def quarantine(self) -> QuarantineLedger:
         """This node's ledger of requests that crash back ends."""
@@ -205,6 +229,10 @@
             self._state.record_leader(status.store_silence, status.node_count, now)
             if status.HasField("backend_totals"):
                 self.loads.handle_totals(status.backend_totals, now)
+            if status.intermediaries:
+                self._state.directory.intermediaries.set_known(
+                    fleet_intermediaries.read_intermediaries(status.intermediaries)
+                )
             if status.peers:
                 own = self._identity.peer_address
                 self._state.peers = tuple(peer for peer in status.peers if peer != own)
--- a/src/limedeck/node/crash_watch.py
+++ b/src/limedeck/node/crash_watch.py
@@ -7,9 +7,9 @@
 
 from limedeck.clock import steady_clock
 from limedeck.forwarding import quarantine_updates, request_content
-from limedeck.http_client import HttpClient
 from limedeck.identity import NEVER, Seconds
 from limedeck.model import Backend
+from limedeck.node.backend_paths import BackendPaths
 from limedeck.node.logs import RateLimit, get_logger
 from limedeck.node.state import NodeState
 from limedeck.node.telemetry import Telemetry
@@ -35,10 +35,10 @@
     a busy back end would count against all requests that it was processing.
     """
 
-    def __init__(self, state: NodeState, client: HttpClient, telemetry: Telemetry) -> None:
+    def __init__(self, state: NodeState, paths: BackendPaths, telemetry: Telemetry) -> None:
         self._state = state
         self._ledger = state.quarantine
-        self._client = client
+        self._paths = paths
         self._telemetry = telemetry
         self._probed_at: dict[str, Seconds] = {}
         self._tasks: TaskGroup | None = None
@@ -93,7 +93,7 @@
             await anyio.sleep(delay)
             try:
                 until = steady_clock() + PROBE_TIMEOUT
-                await self._client.try_connect(backend.address, until)
+                await self._paths.check_port(backend, until)
             except AttemptFailed as error:
                 self._log.info("port_looked_at", backend=backend.backend_id, problem=error.problem)
                 if error.by_other_end:
--- a/src/limedeck/node/followers.py
+++ b/src/limedeck/node/followers.py
@@ -7,11 +7,11 @@
 import anyio
 from anyio.abc import SocketStream
 
-from limedeck.api.control_pb2 import ControlMessage, Report
+from limedeck.api.control_pb2 import ControlMessage, IntermediaryNode, Report
 from limedeck.clock import steady_clock
 from limedeck.forwarding.owners import OwnerMap
 from limedeck.identity import Seconds
-from limedeck.node import backend_loads
+from limedeck.node import backend_loads, fleet_intermediaries
 from limedeck.node.connection_updates import ConnectionUpdates
 from limedeck.node.connections import CONNECTION_ERRORS, RECEIVE_TIMEOUT, FrameSender
 from limedeck.node.control import ControlHost
@@ -130,6 +130,7 @@
                 )
                 self._table_exchange.apply(message.report, peer, steady_clock())
                 self._record_follower(message.report, stream, peer)
+                self._record_reachability(message.report)
         except CONNECTION_ERRORS as error:
             self._log.info("follower_left", node=node, problem=type(error).__name__)
         finally:
@@ -139,6 +140,7 @@
                 del self._zones[node]
                 del self._processors[node]
                 self._addresses.pop(node, None)
+                self._control.intermediaries.forget(node)
                 self._record_membership()
 
     def _record_follower(self, report: Report, stream: SocketStream, peer: PeerTables) -> None:
@@ -156,6 +158,12 @@
         if not was_known:
             self._notify_all()
 
+    def _record_reachability(self, report: Report) -> None:
+        known = self._control.intermediaries.changes
+        self._control.intermediaries.record_report(report)
+        if self._control.intermediaries.changes != known:
+            self._notify_all()
+
     def _status_pause(self) -> Seconds:
         """Return the pause between statuses, which grows with the number of nodes.
 
@@ -163,6 +171,11 @@
         """
         return min(STATUS_SEND_TIME * self.node_count(), self._timing.heartbeat_interval)
 
+    def _intermediaries_for(self, peer: PeerTables) -> list[IntermediaryNode]:
+        node = peer.node_id or ""
+        chosen = self._control.intermediaries.choose_for(node, self._zones.get(node, ""))
+        return fleet_intermediaries.write_intermediaries(chosen)
+
     async def _send_statuses(
         self,
         sender: FrameSender,
@@ -173,6 +186,7 @@
         next_peers = steady_clock() + FIRST_PEERS_DELAY
         sent_owners: dict[str, OwnerMap] = {}
         sent_totals = backend_loads.SentTotals()
+        known_partitions = self._control.intermediaries.changes
         try:
             while True:
                 known = self._notifier.count
@@ -184,9 +198,12 @@
                 status.owners.extend(self._control.owners_since(sent_owners))
                 self._table_exchange.fill(status, peer, steady_clock())
                 updates.fill(status, steady_clock())
-                if steady_clock() >= next_peers:
+                partitions = self._control.intermediaries.changes
+                if steady_clock() >= next_peers or partitions != known_partitions:
                     next_peers = steady_clock() + PEERS_INTERVAL
+                    known_partitions = partitions
                     status.peers.extend(sample_peers(list(self._addresses.values()), self._random))
+                    status.intermediaries.extend(self._intermediaries_for(peer))
                 await sender.send(ControlMessage(status=status))
                 await anyio.sleep(self._status_pause())
                 await self._notifier.wait_past(known, self._timing.heartbeat_interval)
--- a/src/limedeck/node/gateway.py
+++ b/src/limedeck/node/gateway.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Any
 
 import anyio
 
@@ -24,7 +23,7 @@
 from limedeck.http_client import HttpResponse
 from limedeck.identity import Seconds
 from limedeck.model import Route
-from limedeck.node import response_reader
+from limedeck.node import http_messages, response_reader
 from limedeck.node.asgi import Receive, Scope, Send
 from limedeck.node.backend_paths import BackendPaths, BackendRequest
 from limedeck.node.crash_watch import CrashWatch
@@ -33,19 +32,6 @@
 from limedeck.node.state import NodeState
 from limedeck.routing.outcomes import SURELY_NOT_RUN, AttemptFailed, FailurePhase, Outcome
 
-HOP_BY_HOP_HEADERS = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"expect",
-    }
-)
-"""Headers that apply to a single connection and are not forwarded."""
 NO_ROUTE_STATUS = 404
 BAD_REQUEST_STATUS = 400
 TOO_LARGE_STATUS = 413
@@ -59,14 +45,6 @@
 MAX_REQUEST_TIME: Seconds = 3600.0
 
 
-class CallerLeft(Exception):
-    """The caller closed its connection before it had sent its whole request."""
-
-
-class BodyTooLarge(Exception):
-    """The request's body exceeds the size limit."""
-
-
 @dataclass(slots=True, eq=False)
 class _Call:
     """A caller's request and the state of its processing.
@@ -153,10 +131,10 @@
             await self._respond(send, NO_ROUTE_STATUS if route is None else BAD_REQUEST_STATUS)
             return
         try:
-            body = await _read_body(receive, configuration.limits.body_bytes)
-        except CallerLeft:
+            body = await http_messages.read_body(receive, configuration.limits.body_bytes)
+        except http_messages.CallerLeft:
             return
-        except BodyTooLarge:
+        except http_messages.BodyTooLarge:
             await self._respond(send, TOO_LARGE_STATUS)
             return
         call = self._create_call(scope, headers, route, request_id, body, now)
@@ -199,12 +177,10 @@
         return _Call(request_id, content, forwarded, route, core, now)
 
     def _forwarded_headers(self, headers: Headers, body: bytes) -> Headers:
-        connection_options = _connection_options(headers)
-        excluded = HOP_BY_HOP_HEADERS | self._protocol.reserved_headers | connection_options
         forwarded = [
             (name, value)
-            for name, value in headers
-            if name not in excluded and name != b"content-length"
+            for name, value in http_messages.end_to_end_headers(headers)
+            if name not in self._protocol.reserved_headers
         ]
         had_body = any(name in (b"content-length", b"transfer-encoding") for name, _ in headers)
         if body or had_body:
@@ -288,10 +264,12 @@
         started = steady_clock()
         request = BackendRequest(
             backend,
+            call.request_id,
             call.content.method,
             call.content.target,
             call.headers,
             call.content.body,
+            call.route.repeatable,
             # A busy back end resets some new connections. If the reset comes before the request is
             # sent, the caller can be told that it has not run.
             watched=not call.route.repeatable or attempt.ahead >= backend.slots,
@@ -339,13 +317,7 @@
             attempt.state.record_failure(now, own_fault=attempt.ahead < backend.slots)
 
     async def _forward_response(self, send: Send, response: HttpResponse) -> None:
-        excluded = HOP_BY_HOP_HEADERS | _connection_options(response.headers)
-        headers = [
-            (name, value)
-            for name, value in response.headers
-            if name not in excluded and name != b"content-length"
-        ]
-        headers.append((b"content-length", b"%d" % len(response.body)))
+        headers = http_messages.end_to_end_headers(response.headers)
         await self._send(send, response.status, headers, response.body)
 
     async def _refuse(self, send: Send, refuse: Refuse) -> None:
@@ -357,7 +329,7 @@
         )
 
     async def _respond(self, send: Send, status: int, retry_after: Seconds | None = None) -> None:
-        headers = [(b"content-length", b"0")]
+        headers: Headers = []
         if retry_after is not None:
             headers.append(self._protocol.retry_after(retry_after))
         await self._send(send, status, headers, b"")
@@ -365,40 +337,11 @@
     async def _send(self, send: Send, status: int, headers: Headers, body: bytes) -> None:
         if self._state.stopping or self._state.is_isolated(steady_clock()):
             headers.append((b"connection", b"close"))
-        await send({"type": "http.response.start", "status": status, "headers": headers})
-        await send({"type": "http.response.body", "body": body})
+        await http_messages.send_response(send, status, headers, body)
 
 
 def _request_content(scope: Scope, host: str, body: bytes, position: int | None) -> RequestContent:
-    target = scope["raw_path"]
-    if scope["query_string"]:
-        target += b"?" + scope["query_string"]
+    target = http_messages.request_target(scope)
     client = scope.get("client")
     caller = client[0] if client else ""
     return RequestContent(scope["method"].encode(), host, target, caller, body, position)
-
-
-async def _read_body(receive: Receive, limit: int) -> bytes:
-    parts: list[bytes] = []
-    size = 0
-    while True:
-        message: dict[str, Any] = await receive()
-        if message["type"] == "http.disconnect":
-            raise CallerLeft
-        parts.append(message.get("body", b""))
-        size += len(parts[-1])
-        if size > limit:
-            raise BodyTooLarge
-        if not message.get("more_body", False):
-            return b"".join(parts)
-
-
-def _connection_options(headers: Headers) -> frozenset[bytes]:
-    """Return the header names that the Connection header lists as hop-by-hop."""
-    names = [
-        part.strip().lower()
-        for name, value in headers
-        if name == b"connection"
-        for part in value.split(b",")
-    ]
-    return frozenset(names)
--- /dev/null
+++ b/src/limedeck/node/intermediary_client.py
@@ -0,0 +1,115 @@
+"""Makes attempts through other nodes."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from limedeck.clock import steady_clock
+from limedeck.forwarding.intermediaries import Intermediaries, Intermediary
+from limedeck.forwarding.protocol import Headers
+from limedeck.http_client import HttpClient, HttpRequest, HttpResponse
+from limedeck.identity import Seconds
+from limedeck.node import intermediary_messages as messages
+from limedeck.routing.outcomes import AttemptFailed, FailurePhase
+
+MAX_UNABLE = 4
+"""Nodes that are asked in vain for one attempt: half of those that the leader names."""
+MAX_UNREACHED = 2
+"""Intermediaries that must fail to connect to a back end before it counts as failed."""
+PROBE_TARGET = b"/"
+NO_INTERMEDIARY = "no other node reaches it"
+"""Problem of an attempt for which there was no intermediary."""
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardedRequest:
+    """A request as it is to be sent to the back end, and the attempt that it is part of."""
+
+    attempt: messages.ForwardedAttempt
+    request_id: bytes
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes = b""
+
+
+class IntermediaryClient:
+    """The attempts that one node makes through others."""
+
+    def __init__(self, intermediaries: Intermediaries, client: HttpClient) -> None:
+        self._intermediaries = intermediaries
+        self._client = client
+
+    async def exchange(self, request: ForwardedRequest, until: Seconds) -> HttpResponse:
+        """Have another node make an attempt, and return the back end's response.
+
+        Raises
+        ------
+        AttemptFailed
+            There is no complete response by `until` (on this node's clock). The phase tells whether
+            the request may have run, also if the connection to the other node was lost.
+        """
+        tried: set[str] = set()
+        failures: list[AttemptFailed] = []
+        while len(tried) < MAX_UNABLE and len(failures) < MAX_UNREACHED:
+            chosen = self._choose(request, tried)
+            if chosen is None:
+                break
+            tried.add(chosen.address)
+            try:
+                response = await self._exchange_through(chosen, request, until)
+            except messages.IntermediaryUnable:
+                self._intermediaries.avoid(chosen.address, steady_clock())
+                continue
+            except AttemptFailed as error:
+                if error.phase is not FailurePhase.NOT_CONNECTED:
+                    raise
+                failures.append(error)
+                continue
+            self._intermediaries.record_served_backend(request.attempt.backend_id)
+            return response
+        if not failures:
+            raise AttemptFailed(FailurePhase.NOT_CONNECTED, NO_INTERMEDIARY)
+        self._intermediaries.record_failed_backend(request.attempt.backend_id, steady_clock())
+        raise failures[0]
+
+    async def probe(self, backend_id: str, until: Seconds) -> None:
+        """Have another node connect to a back end.
+
+        Raises
+        ------
+        AttemptFailed
+            No other node has connected to it by `until` (on this node's clock).
+        """
+        attempt = messages.ForwardedAttempt(
+            backend_id, until - steady_clock(), messages.AttemptKind.PROBE
+        )
+        request = ForwardedRequest(attempt, backend_id.encode(), b"GET", PROBE_TARGET, [])
+        await self.exchange(request, until)
+
+    def _choose(self, request: ForwardedRequest, tried: Collection[str]) -> Intermediary | None:
+        return self._intermediaries.choose(request.request_id, tried, steady_clock())
+
+    async def _exchange_through(
+        self, chosen: Intermediary, request: ForwardedRequest, until: Seconds
+    ) -> HttpResponse:
+        headers = messages.without_attempt_headers(request.headers)
+        sent = HttpRequest(
+            chosen.address,
+            request.method,
+            request.target,
+            headers + messages.attempt_headers(request.attempt),
+            request.body,
+        )
+        self._intermediaries.record_sent(chosen.address)
+        try:
+            response = await self._client.exchange(sent, until)
+        except AttemptFailed as error:
+            if error.phase is FailurePhase.NOT_CONNECTED:
+                raise messages.IntermediaryUnable from error
+            # The other node was lost, not the back end.
+            raise AttemptFailed(error.phase, error.problem) from error
+        finally:
+            self._intermediaries.record_ended(chosen.address)
+        return messages.read_result(response)
--- a/src/limedeck/node/leader_link.py
+++ b/src/limedeck/node/leader_link.py
@@ -54,6 +54,7 @@
         self._updates = control.connection_updates()
         self._next_key_report: Seconds = 0.0
         self._status_received_at: Seconds = NEVER
+        self._reported_partition = False
         self._log = get_logger("peers")
 
     @property
@@ -105,15 +106,18 @@
         """Send a report at each interval, and urgent updates and permit requests immediately."""
         permits = self._control.permits
         address = self._identity.peer_address
+        intermediary_address = self._control.intermediary_address
         next_report: Seconds = NEVER
         try:
             while True:
                 known = permits.notifier.count
-                if steady_clock() >= next_report or self._updates.has_urgent_updates:
+                is_urgent = self._updates.has_urgent_updates or self._has_unreported_partition
+                if steady_clock() >= next_report or is_urgent:
                     next_report = steady_clock() + REPORT_INTERVAL
                     message = ControlMessage(report=self._report())
                     message.report.peer_address = address
-                    address = ""
+                    message.report.intermediary_address = intermediary_address
+                    address = intermediary_address = ""
                     await sender.send(message)
                 requests = permits.take_requests()
                 if requests is not None:
@@ -137,11 +141,17 @@
             zone=self._zone,
             backend_loads=self._control.loads.report(now),
             processor=self._control.processor,
+            partitioned=self._control.is_partitioned,
         )
+        self._reported_partition = report.partitioned
         self._table_exchange.fill(report, self._peer, now)
         self._updates.fill(report, now)
         return report
 
+    @property
+    def _has_unreported_partition(self) -> bool:
+        return self._control.is_partitioned is not self._reported_partition
+
     async def _read_statuses(self, stream: SocketStream, leader: LeaderRecord) -> None:
         reader = FrameReader(stream, ControlMessage)
         while self._control.election.record == leader:
--- a/src/limedeck/node/reachability_monitor.py
+++ b/src/limedeck/node/reachability_monitor.py
@@ -21,6 +21,8 @@
 CHECK_INTERVAL: Seconds = 0.05
 PROBE_TIMEOUT: Seconds = 0.25
 """Time in which a connection must be established; many round trips within a region."""
+PROBE_WATCH_TIME: Seconds = 0.1
+"""Time for which the connection of a probe must stay open: a reset may arrive after it opened."""
 MAX_PROBE_DELAY: Seconds = 0.2
 """A probe that took this much longer than its timeout was not measured: the process was paused."""
 MAX_LINES_PER_SECOND = 10
@@ -34,13 +36,16 @@
     ----------
     oldest_request
         Returns since when the oldest outstanding request has been waiting; None if there is none.
-    on_partition
-        Called when a partition of this node begins or ends.
+    on_partition_began
+        Called when this node finds that it reaches no back end.
+    on_partition_changed
+        Called when a partition of this node begins or ends, after `on_partition_began`.
     """
 
     def __init__(self, state: NodeState, client: HttpClient, telemetry: Telemetry) -> None:
         self.oldest_request: Callable[[], Seconds | None] = lambda: None
-        self.on_partition: Callable[[], None] = lambda: None
+        self.on_partition_began: Callable[[], None] = lambda: None
+        self.on_partition_changed: Callable[[], None] = lambda: None
         self._state = state
         self._reachability = state.directory.reachability
         self._client = client
@@ -91,11 +96,11 @@
     async def _connect(self, address: str) -> reachability.ProbeOutcome:
         started = steady_clock()
         try:
-            await self._client.try_connect(address, started + PROBE_TIMEOUT, watched=True)
+            await self._client.try_connect(address, started + PROBE_TIMEOUT, PROBE_WATCH_TIME)
         except AttemptFailed as error:
             if error.phase is FailurePhase.TURNED_AWAY:
                 return reachability.ProbeOutcome.TURNED_AWAY
-            if steady_clock() - started > PROBE_TIMEOUT + MAX_PROBE_DELAY:
+            if steady_clock() - started > PROBE_TIMEOUT + PROBE_WATCH_TIME + MAX_PROBE_DELAY:
                 return reachability.ProbeOutcome.UNKNOWN
             return reachability.ProbeOutcome.UNREACHED
         return reachability.ProbeOutcome.REACHED
@@ -105,11 +110,12 @@
             case reachability.PartitionBegan():
                 self._telemetry.partitioned.set(1)
                 self._log.warning("partition_began", probed=list(event.probed))
-                self.on_partition()
+                self.on_partition_began()
+                self.on_partition_changed()
             case reachability.PartitionEnded():
                 self._telemetry.partitioned.set(0)
                 self._log.warning("partition_ended", seconds=round(event.lasted, 3))
-                self.on_partition()
+                self.on_partition_changed()
             case reachability.BackendUnreached():
                 if self._line_limit.allows():
                     self._log.warning("back_end_unreached", backend=event.backend_id)
--- a/src/limedeck/node/response_reader.py
+++ b/src/limedeck/node/response_reader.py
@@ -88,6 +88,14 @@
             return ResponseResult(FailurePhase.ERROR_RESPONSE, now, metadata.load)
         return ResponseResult(None, now, metadata.load)
 
+    def read_statements(
+        self, request_id: bytes, attempt: Attempt, response: HttpResponse, requested_at: Seconds
+    ) -> None:
+        """Record only the statements of a response, which another node classifies."""
+        metadata = self._protocol.response_metadata(response.status, response.headers)
+        if metadata.request_id == request_id and metadata.is_from_backend:
+            self._record_statements(attempt, metadata, response, requested_at, steady_clock())
+
     def _record_statements(
         self,
         attempt: Attempt,
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -17,6 +17,7 @@
 from limedeck.errors import PlatformProtocolError
 from limedeck.forwarding.budget import RetryAllowance
 from limedeck.forwarding.hashing import hash_fraction
+from limedeck.forwarding.intermediaries import Intermediary
 from limedeck.http_client import HttpClient
 from limedeck.identity import Seconds
 from limedeck.model import Configuration
@@ -30,6 +31,8 @@
 from limedeck.node.http_server import serve
 from limedeck.node.inspection import InspectionApplication, NodeInspector
 from limedeck.node.instrumented_store import InstrumentedStore
+from limedeck.node.intermediary_client import IntermediaryClient
+from limedeck.node.intermediary_server import IntermediaryServer
 from limedeck.node.leader_link import LeaderLink
 from limedeck.node.listener import open_listener, stop_accepting
 from limedeck.node.logs import BoundedWriter, get_logger
@@ -38,6 +41,7 @@
 from limedeck.node.readiness import ReadinessApplication
 from limedeck.node.reload import SettingsFile
 from limedeck.node.request_log import RequestLog
+from limedeck.node.response_reader import ResponseReader
 from limedeck.node.settings import NodeSettings
 from limedeck.node.state import NodeState
 from limedeck.node.statement_log import StatementLog
@@ -118,9 +122,18 @@
             settings.node.first_start,
         )
         self._file.on_change = self._apply_settings
-        watch = CrashWatch(self._state, backend_client, self._telemetry)
+        peer_client = HttpClient(settings.node.ip)
+        directory = self._state.directory
         monitor = ReachabilityMonitor(self._state, backend_client, self._telemetry)
-        paths = BackendPaths(self._state.directory, self._protocol, backend_client, monitor)
+        paths = BackendPaths(
+            directory,
+            self._protocol,
+            backend_client,
+            monitor,
+            IntermediaryClient(directory.intermediaries, peer_client),
+            self._telemetry,
+        )
+        watch = CrashWatch(self._state, paths, self._telemetry)
         gateway = CallerGateway(
             self._state,
             self._protocol,
@@ -129,13 +142,23 @@
             watch,
             control.permits,
         )
+        monitor.on_partition_changed = control.handle_partition_changed
         async with anyio.create_task_group() as tasks:
             self._start_control(tasks, control, store)
             tasks.start_soon(watch.run)
             tasks.start_soon(monitor.run)
-            clients = (backend_client, order_client)
+            intermediary = IntermediaryServer(
+                self._state,
+                self._protocol,
+                backend_client,
+                ResponseReader(directory, self._protocol, self._request_log),
+                monitor,
+                self._telemetry,
+            )
+            self._start_intermediary(tasks, control, intermediary)
+            clients = (backend_client, order_client, peer_client)
             tasks.start_soon(SuspensionWatch(clients, self._telemetry).run)
-            tasks.start_soon(self._run_maintenance, backend_client)
+            tasks.start_soon(self._run_maintenance, backend_client, peer_client)
             tasks.start_soon(self._log_store_calls, store)
             await self._serve_until_stopped(gateway, control)
             tasks.cancel_scope.cancel()
@@ -172,6 +195,17 @@
         for watcher in watchers:
             tasks.start_soon(watcher.run)
 
+    def _start_intermediary(
+        self, tasks: TaskGroup, control: ControlHost, application: IntermediaryServer
+    ) -> None:
+        """Accept attempts of other nodes, until the process exits."""
+        node = self._settings.node
+        listener = open_listener(f"{node.ip}:{node.intermediary_port}")
+        host, port = listener.getsockname()[:2]
+        control.set_intermediary(Intermediary(f"{host}:{port}", node.zone))
+        stop = anyio.Event()
+        tasks.start_soon(serve, application, listener, stop, SERVER_SHUTDOWN_TIMEOUT)
+
     def _start_quarantine(
         self, tasks: TaskGroup, control: ControlHost, store: InstrumentedStore, link: LeaderLink
     ) -> None:
@@ -255,11 +289,13 @@
                 self._log.info("store_calls", seconds=STORE_CALLS_INTERVAL, calls=dict(new))
             logged = Counter(store.counts)
 
-    async def _run_maintenance(self, client: HttpClient) -> None:
+    async def _run_maintenance(self, client: HttpClient, peer_client: HttpClient) -> None:
         statement_log = StatementLog(self._state.directory, self._telemetry)
         while True:
             await anyio.sleep(MAINTENANCE_INTERVAL)
-            await client.close_idle(self._state.directory.addresses())
+            directory = self._state.directory
+            await client.close_idle(directory.addresses())
+            await peer_client.close_idle({item.address for item in directory.intermediaries.known})
             self._update_gauges()
             statement_log.log_events(steady_clock())
             self._writer.flush()
--- a/src/limedeck/node/settings.py
+++ b/src/limedeck/node/settings.py
@@ -25,6 +25,8 @@
 
     Parameters
     ----------
+    intermediary_port
+        The port on which the node accepts attempts of other nodes; 0: any free one.
     cpu_share, cpus
         The fraction of the processor that the node may use, and the speed of the processor as a
         multiple of one core.
@@ -41,6 +43,7 @@
     readiness: Address
     first_peer_port: int
     metrics_port: int = 0
+    intermediary_port: int = 0
     cpu_share: Positive = 1.0
     cpus: Positive = 1.0
     link_mbps: Positive = 10.0
--- a/src/limedeck/node/telemetry.py
+++ b/src/limedeck/node/telemetry.py
@@ -90,6 +90,12 @@
             "Back ends that this node does not reach while it reaches others",
             registry=registry,
         )
+        self.forwarded_attempts = Counter(
+            "limedeck_forwarded_attempts",
+            "Attempts through another node, and those made for other nodes, by how they ended",
+            ["direction", "result"],
+            registry=registry,
+        )
         self.orders = Counter(
             "limedeck_orders", "Grants and releases", ["kind", "result"], registry=registry
         )
--- a/tests/unit/test_crash_watch.py
+++ b/tests/unit/test_crash_watch.py
@@ -10,7 +10,7 @@
 from limedeck.model import Backend
 from limedeck.node import crash_watch, state, telemetry
 from limedeck_lab import processes
-from tests.unit import polling
+from tests.unit import backend_access, polling
 
 pytestmark = pytest.mark.anyio
 CONTENT = request_content.RequestContent(b"GET", "h", b"/x", "127.0.0.1", b"")
@@ -22,7 +22,9 @@
 
 
 def make_watch(node: state.NodeState) -> crash_watch.CrashWatch:
-    return crash_watch.CrashWatch(node, http_client.HttpClient(), telemetry.Telemetry())
+    return crash_watch.CrashWatch(
+        node, backend_access.paths_of(node, http_client.HttpClient()), telemetry.Telemetry()
+    )
 
 
 def node_with(backend: Backend) -> state.NodeState:
--- a/tests/unit/test_deadly_requests.py
+++ b/tests/unit/test_deadly_requests.py
@@ -19,6 +19,7 @@
 from limedeck.forwarding import budget, crashes, quarantine, request_content, request_guard
 from limedeck.model import Backend
 from limedeck.node import crash_watch, state, telemetry
+from tests.unit import backend_access
 
 BODY = b"{}"
 MAX_WIDENINGS = 2
@@ -32,7 +33,9 @@
         allowance = budget.RetryAllowance(0.2, 30.0, 10.0)
         self.node = state.NodeState("z1", "n", allowance)
         client = http_client.HttpClient()
-        self.watch = crash_watch.CrashWatch(self.node, client, telemetry.Telemetry())
+        self.watch = crash_watch.CrashWatch(
+            self.node, backend_access.paths_of(self.node, client), telemetry.Telemetry()
+        )
         self.now = clock.steady_clock()
         self._names = (f"b{number}" for number in itertools.count())
 
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -15,11 +15,9 @@
 from limedeck.identity import Seconds
 from limedeck.model import Backend, Configuration, Route, Service, Target
 from limedeck.node import (
-    backend_paths,
     crash_watch,
     gateway,
     permit_exchange,
-    reachability_monitor,
     request_log,
     settings,
     state,
@@ -27,6 +25,7 @@
 )
 from limedeck.ownership import election, timing
 from limedeck.platform import headers
+from tests.unit import backend_access
 
 pytestmark = pytest.mark.anyio
 REQUEST_ID = b"0123456789abcdef"
@@ -71,14 +70,13 @@
 
 def make_gateway(node: state.NodeState, client: http_client.HttpClient) -> gateway.CallerGateway:
     counted = telemetry.Telemetry()
-    protocol = headers.PlatformProtocol()
-    monitor = reachability_monitor.ReachabilityMonitor(node, client, counted)
+    paths = backend_access.paths_of(node, client)
     return gateway.CallerGateway(
         node,
-        protocol,
-        backend_paths.BackendPaths(node.directory, protocol, client, monitor),
+        headers.PlatformProtocol(),
+        paths,
         request_log.RequestLog(settings.LogSection(), counted),
-        crash_watch.CrashWatch(node, client, counted),
+        crash_watch.CrashWatch(node, paths, counted),
         permit_exchange.PermitExchange(node.directory, make_follower()),
     )
 
@@ -257,7 +255,11 @@
         node.quarantine.record_lost_request(f"b{number}", content.fingerprints, now)
         node.quarantine.record_process_exit(f"b{number}", now)
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(crash_watch.CrashWatch(node, client, telemetry.Telemetry()).run)
+        tasks.start_soon(
+            crash_watch.CrashWatch(
+                node, backend_access.paths_of(node, client), telemetry.Telemetry()
+            ).run
+        )
         assert await send_to(make_gateway(node, client)) == gateway.NOT_RUN_STATUS
         tasks.cancel_scope.cancel()
     assert client.requested == []
--- a/tests/unit/test_reachability.py
+++ b/tests/unit/test_reachability.py
@@ -4,6 +4,10 @@
 
 import pytest
 
+from limedeck.forwarding.backends import BackendDirectory
+from limedeck.forwarding.budget import RetryAllowance, RetryBudget
+from limedeck.forwarding.commands import Attempt, RefusalReason, Refuse
+from limedeck.forwarding.intermediaries import Intermediary
 from limedeck.forwarding.reachability import (
     SILENCE,
     BackendReached,
@@ -14,6 +18,9 @@
     Reachability,
     ReachabilityEvent,
 )
+from limedeck.forwarding.request import RequestCore, ServiceView
+from limedeck.model import Backend, Route, Target
+from limedeck.routing.outcomes import Outcome
 
 LISTED = [f"b{number}" for number in range(8)]
 
@@ -129,3 +136,20 @@
     run_round(core, ProbeOutcome.REACHED, 1.0, "b1")
     core.next_probes([item for item in LISTED if item != "b1"], None, 1.1)
     assert not core.is_unreached("b1")
+
+
+def test_node_without_any_way_to_back_ends_refuses_at_once_and_truly() -> None:
+    directory = BackendDirectory("z1", "n")
+    directory.put(Backend("b", "s", "127.0.0.1:1", "z1", 2), 0.0)
+    route = Route("r", "host", "/", True, 5.0, 1.0, 3, 1, (Target("s", 1),))
+    service = ServiceView("s", False, RetryBudget(RetryAllowance(0.2, 30.0, 10.0)))
+    directory.reachability.suspect("b")
+    for backend_id in directory.reachability.next_probes(["b"], None, 5.0):
+        directory.reachability.handle_probe(backend_id, ProbeOutcome.UNREACHED, 5.0)
+    core = RequestCore(b"id", route, service, directory, None, 8.0, 5.1)
+    command = core.next_command(5.1, 1)
+    assert isinstance(command, Refuse)
+    assert (command.outcome, command.reason) == (Outcome.NOT_RUN, RefusalReason.UNREACHABLE)
+    assert 0.0 < command.retry_after < 1.0
+    directory.intermediaries.set_known([Intermediary("10.0.0.1:1", "z1")])
+    assert isinstance(core.next_command(5.2, 1), Attempt)
