A leader that reaches no back end gives up the lead to a node that does

Cause: who leads is decided without regard to what it reaches. The leader yielded only when other nodes' reports showed that most owners answer them, after 2.5 s of leading; its successor was drawn from all nodes, cut off or not, and took keys from owners that did not answer it.

A partitioned leader yields at once if the store confirms it and another node reports that it is not partitioned. A partitioned node stands for election two seconds after the others; a node without contact to back ends in the last second probes before it stands. A leader that yielded for this may be elected again as soon as it reaches back ends. If all nodes are cut off the leader stays, takes no keys from owners, and renews them when links heal.

--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -31,14 +31,12 @@
 from limedeck.node.election_calls import LEADER_ROW, ElectionCalls, decode_record
 from limedeck.node.logs import get_logger
 from limedeck.node.owner_changes import PublishedOwners, read_owners
+from limedeck.node.reachability_monitor import ReachabilityMonitor
 from limedeck.node.state import NodeState
 from limedeck.node.telemetry import Telemetry
 from limedeck.ownership import candidate_priority
 from limedeck.ownership.commands import OwnershipCommand, SendGrant, SendRelease, WriteRecord
-from limedeck.ownership.election import (
-    ElectionCore,
-    Role,
-)
+from limedeck.ownership.election import Campaign, ElectionCommand, ElectionCore, Role
 from limedeck.ownership.orders import OrderProtocol
 from limedeck.ownership.service import ServiceOwnership
 from limedeck.ownership.timing import OwnershipTiming
@@ -66,6 +64,8 @@
 move will then be recorded soon. Above the interval of confirmations."""
 OWN_LOADS_INTERVAL: Seconds = 0.5
 """The leader counts its own requests by key as often as other nodes report theirs."""
+RECENT_CONTACT: Seconds = 1.0
+"""A node that has had no response from a back end for this long probes before it is elected."""
 VERSION_BITS = 32
 
 
@@ -101,9 +101,11 @@
         client: HttpClient,
         timing: OwnershipTiming,
         telemetry: Telemetry,
+        monitor: ReachabilityMonitor,
         processor: float = 1.0,
         first_start: bool = True,
     ) -> None:
+        self._monitor = monitor
         self.election = ElectionCore(identity, timing, steady_clock(), processor, first_start)
         self.loads = load_exchange.LoadExchange(state.directory, identity.node_id)
         self.permits = permit_exchange.PermitExchange(state.directory, self.election)
@@ -127,7 +129,7 @@
         self._store = store
         self._key_positions = key_positions
         self._order_sender = order_sender.OrderSender(
-            state.directory, orders, client, timing.order_timeout, telemetry
+            state.directory, orders, client, timing.order_timeout, telemetry, monitor
         )
         self._timing = timing
         self._telemetry = telemetry
@@ -205,7 +207,7 @@
             strong_count=fleet.strong_count,
             store_silence=silence,
             incarnation=self._identity.incarnation,
-            resigned=self.election.is_ineligible(now),
+            resigned=self.election.has_resigned(now),
             clock=now,
             leader=record,
             leader_row_version=self.election.row_version if record is not None else 0,
@@ -273,9 +275,10 @@
 
     def _tick(self, now: Seconds) -> None:
         self.election.handle_era(self._store.era, now)
+        self.election.is_partitioned = self.is_partitioned
         command = self.election.handle_tick(now)
         if command is not None:
-            self._start(self._election_calls.execute, command)
+            self._start(self._execute_election_command, command)
         self.permits.handle_tick(now)
         if not self.leads:
             self._end_leadership()
@@ -283,6 +286,9 @@
         node_count = self.fleet().node_count
         self._state.record_leader(self.election.store_silence(now), node_count, now)
         self._open_services()
+        if self.election.must_yield_to_reaching_nodes(self.intermediaries.count_reaching(), now):
+            self._yield_leadership("", self.election.term, now)
+            return
         self._refresh_listing(now)
         self._refresh_totals(now)
         if now >= self._next_own_loads:
@@ -292,6 +298,7 @@
         may_yield = self.election.may_yield(now) and node_count > 1
         may_move = self._may_move(now)
         for name, owned in list(self._services.items()):
+            owned.core.set_partitioned(self.is_partitioned)
             if not self.election.former_leaders():
                 owned.core.handle_former_leaders_ended(now)
             for order in owned.core.handle_tick(may_renew, now, may_yield, may_move):
@@ -304,15 +311,27 @@
                 self._log.warning("fenced_off", service=name, term=owned.term)
                 self.election.step_down()
             elif owned.core.should_yield:
-                self._yield_leadership(name, owned, now)
+                self._yield_leadership(name, owned.term, now)
         self._telemetry.leads.set(1)
 
-    def _yield_leadership(self, name: str, owned: _OwnedService, now: Seconds) -> None:
+    def _yield_leadership(self, service: str, term: int, now: Seconds) -> None:
         """Let another node lead, and notify all followers of this one."""
-        self._log.warning("leadership_yielded", service=name, term=owned.term)
+        self._log.warning(
+            "leadership_yielded", service=service, term=term, partitioned=self.is_partitioned
+        )
         self.election.yield_leadership(now)
         self.on_leader()
 
+    async def _execute_election_command(self, command: ElectionCommand) -> None:
+        """Execute a command, unless this node would lead without reaching any back end."""
+        if isinstance(command, Campaign) and not self.leads and not self.is_partitioned:
+            await self._monitor.ensure_contact(RECENT_CONTACT)
+            if self.is_partitioned:
+                self._log.info("campaign_dropped", term=command.record.term)
+                self.election.handle_campaign_dropped()
+                return
+        await self._election_calls.execute(command)
+
     def _end_leadership(self) -> None:
         if self._services:
             self._log.info("leadership_ended", term=self.election.term)
@@ -334,7 +353,7 @@
     def _may_move(self, now: Seconds) -> bool:
         """Whether the next owners of released keys can be recorded soon."""
         is_confirmed = self.election.store_silence(now) < MAX_STORE_SILENCE
-        return is_confirmed and not self.election.is_election_lost
+        return is_confirmed and not self.election.is_election_lost and not self.is_partitioned
 
     def _refresh_listing(self, now: Seconds) -> None:
         may_move = self._may_move(now)
--- a/src/limedeck/node/order_sender.py
+++ b/src/limedeck/node/order_sender.py
@@ -8,6 +8,7 @@
 from limedeck.http_client import HttpClient, HttpRequest, HttpResponse
 from limedeck.identity import Seconds
 from limedeck.node.logs import get_logger
+from limedeck.node.reachability_monitor import ReachabilityMonitor
 from limedeck.node.telemetry import Telemetry
 from limedeck.ownership.orders import Grant, OrderProtocol, Release
 from limedeck.ownership.service import ServiceOwnership
@@ -37,7 +38,9 @@
         client: HttpClient,
         timeout: Seconds,
         telemetry: Telemetry,
+        monitor: ReachabilityMonitor,
     ) -> None:
+        self._monitor = monitor
         self._directory = directory
         self._orders = orders
         self._client = client
@@ -54,6 +57,7 @@
         except AttemptFailed as error:
             self._record_lost_order(name, core, order, str(error))
             return
+        self._directory.reachability.record_response(steady_clock())
         done = self._orders.is_done(response.status)
         fenced_off = self._orders.is_fenced_off(response.status)
         if done or fenced_off:
@@ -100,6 +104,7 @@
         kind = "grant" if isinstance(order, Grant) else "release"
         self._telemetry.orders.labels(kind, "lost").inc()
         self._log.info("order_lost", service=name, kind=kind, problem=problem, **_log_fields(order))
+        self._monitor.suspect(order.backend_id)
         core.handle_order_lost(order, steady_clock())
 
     def _order_request(self, backend_id: str, order: Grant | Release) -> HttpRequest:
--- a/src/limedeck/node/reachability_monitor.py
+++ b/src/limedeck/node/reachability_monitor.py
@@ -68,6 +68,15 @@
         self._reachability.suspect(backend_id)
         self._start_due_probes()
 
+    async def ensure_contact(self, max_age: Seconds) -> None:
+        """Probe back ends if none was in contact with this node for `max_age`."""
+        if self._reachability.had_contact_since(steady_clock() - max_age):
+            return
+        states = self._state.directory.all_states()
+        if states:
+            self.suspect(next(iter(states)).backend.backend_id)
+            await self.wait_for_round(PROBE_TIMEOUT + PROBE_WATCH_TIME + MAX_PROBE_DELAY)
+
     async def wait_for_round(self, timeout: Seconds) -> None:
         """Wait until the current or next round of probes has ended, for at most `timeout`."""
         await self._rounds.wait_past(self._rounds.count, timeout)
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -109,6 +109,9 @@
         store = InstrumentedStore(platform_store, self._telemetry)
         backend_client = HttpClient(settings.node.ip)
         order_client = HttpClient(settings.node.ip)
+        peer_client = HttpClient(settings.node.ip)
+        directory = self._state.directory
+        monitor = ReachabilityMonitor(self._state, backend_client, self._telemetry)
         control = ControlHost(
             self._identity,
             self._state,
@@ -118,13 +121,11 @@
             order_client,
             self._timing,
             self._telemetry,
+            monitor,
             settings.node.processor,
             settings.node.first_start,
         )
         self._file.on_change = self._apply_settings
-        peer_client = HttpClient(settings.node.ip)
-        directory = self._state.directory
-        monitor = ReachabilityMonitor(self._state, backend_client, self._telemetry)
         paths = BackendPaths(
             directory,
             self._protocol,
--- a/src/limedeck/ownership/election.py
+++ b/src/limedeck/ownership/election.py
@@ -138,6 +138,11 @@
     first_start
         Whether the whole system starts for the first time. Nodes then look for a leader at
         staggered times; otherwise there is a leader, which the node looks for at once.
+
+    Attributes
+    ----------
+    is_partitioned
+        Whether this node reaches no back end; it then stands for election after the others.
     """
 
     def __init__(
@@ -150,6 +155,7 @@
     ) -> None:
         self._priority = candidate_priority.CandidatePriority(processor, timing.max_weak_node_delay)
         self.role = Role.FOLLOWER
+        self.is_partitioned = False
         self.record: LeaderRecord | None = None
         self.row_version: StoreVersion = 0
         self.era = 0
@@ -159,6 +165,8 @@
         self._term_known_at = now
         self._denied = False
         self._denied_since: Seconds | None = None
+        self._stands_from: Seconds | None = None
+        self._yielded_term = 0
         self._leader_store_unreachable = False
         self._confirmation_age: Seconds | None = None
         self._rows_read_at: Seconds = NEVER
@@ -210,10 +218,26 @@
         is_confirmed = self.store_silence(now) < self._timing.stale_confirmation
         return self.role is Role.LEADER and long_enough and is_confirmed
 
+    def must_yield_to_reaching_nodes(self, reaching_nodes: int, now: Seconds) -> bool:
+        """Whether this leader reaches no back end, and a node that does can be elected.
+
+        Parameters
+        ----------
+        reaching_nodes
+            Number of other nodes that report that they reach back ends.
+        """
+        is_confirmed = self.store_silence(now) < self._timing.stale_confirmation
+        leads = self.role is Role.LEADER
+        return leads and self.is_partitioned and is_confirmed and reaching_nodes > 0
+
     def is_ineligible(self, now: Seconds) -> bool:
         """Whether this node does not stand for election: it has yielded, or is about to stop."""
         return self._is_stopping or now < self._ineligible_until
 
+    def has_resigned(self, now: Seconds) -> bool:
+        """Whether this node led in the term that it knows, or does not stand for election."""
+        return self.is_ineligible(now) or 0 < self.term == self._yielded_term
+
     def may_renew(self, now: Seconds) -> bool:
         """Whether this node leads and may renew grants."""
         leads = self.role is Role.LEADER
@@ -375,7 +399,9 @@
         """Stop leading, and let other nodes stand first: they may reach owners that this cannot."""
         self.role = Role.FOLLOWER
         self._denied = True
-        self._ineligible_until = now + self._timing.yield_cooldown
+        self._yielded_term = self.term
+        if not self.is_partitioned:
+            self._ineligible_until = now + self._timing.yield_cooldown
 
     def handle_tick(self, now: Seconds) -> ElectionCommand | None:
         """Return the call to the store that is due, if any."""
@@ -405,17 +431,32 @@
         why = self._suspicion(now)
         if why is not Suspicion.DENIED:
             self._denied_since = None
+        stands = self._may_stand(why, now)
         if why is None or not self._is_turn(why, now):
             return None
-        freshness = RESIGNED_READ_INTERVAL if self.is_ineligible(now) else MAX_READ_AGE
+        freshness = MAX_READ_AGE if stands else RESIGNED_READ_INTERVAL
         if now - self._rows_read_at > freshness:
             self._next_call = now + RETRY_INTERVAL
             return ReadLeader(why)
-        if not self.is_ineligible(now) and self._may_replace_leader(why, now):
+        if stands and self._may_replace_leader(why, now):
             self._rows_read_at = NEVER
             return Campaign(self._candidate_record(why), self.row_version, why)
         return None
 
+    def _may_stand(self, why: Suspicion | None, now: Seconds) -> bool:
+        """Whether this node may stand for election now, if it is its turn."""
+        if why is None or not self.is_partitioned:
+            self._stands_from = None
+        elif self._stands_from is None:
+            self._stands_from = now + self._timing.partitioned_candidate_delay
+        return not self.is_ineligible(now) and (
+            self._stands_from is None or now >= self._stands_from
+        )
+
+    def handle_campaign_dropped(self) -> None:
+        """Handle that a campaign was not made, since this node has turned out to be partitioned."""
+        self._is_call_pending = False
+
     def _suspicion(self, now: Seconds) -> Suspicion | None:
         if self.record is None:
             return Suspicion.NO_RECORD
--- a/src/limedeck/ownership/owner_liveness.py
+++ b/src/limedeck/ownership/owner_liveness.py
@@ -35,6 +35,16 @@
         self._requested_at: dict[str, Seconds] = {}
         self._responded_at: dict[str, Seconds] = {}
         self._avoided_until: dict[str, Seconds] = {}
+        self._is_partitioned = False
+
+    def set_partitioned(self, is_partitioned: bool) -> None:
+        """Set whether this leader reaches no back end, so that it cannot judge any of them.
+
+        Time-outs begin anew when it reaches back ends again.
+        """
+        if self._is_partitioned and not is_partitioned:
+            self._requested_at.clear()
+        self._is_partitioned = is_partitioned
 
     def record_order_sent(self, backend_id: str, now: Seconds) -> None:
         """Record that an order is sent; time-outs count from the first one without a response."""
@@ -60,7 +70,9 @@
     def is_presumed_failed(self, backend_id: str, now: Seconds) -> bool:
         """Whether the back end has not responded for `owner_timeout`, and loses its keys."""
         requested_at = self._requested_at.get(backend_id)
-        return requested_at is not None and now - requested_at > self._timing.owner_timeout
+        if requested_at is None or self._is_partitioned:
+            return False
+        return now - requested_at > self._timing.owner_timeout
 
     def is_unresponsive(self, backend_id: str, now: Seconds) -> bool:
         """Whether the back end has not responded to orders for `unresponsive_timeout`."""
@@ -70,7 +82,7 @@
     def is_unreachable(self, backend_id: str, now: Seconds) -> bool:
         """Whether the back end responds neither to this node nor, by their reports, to others."""
         requested_at = self._requested_at.get(backend_id)
-        if requested_at is None:
+        if requested_at is None or self._is_partitioned:
             return False
         # Nodes that have not yet connected to a new leader send it no reports.
         since = max(requested_at, self._taken_over_at + self._timing.follower_reconnect_time)
--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -251,6 +251,10 @@
         """Record when a node last reported a response of the back end to a request."""
         self._liveness.record_last_response(backend_id, responded_at)
 
+    def set_partitioned(self, is_partitioned: bool) -> None:
+        """Set whether this leader reaches no back end; owners then keep their keys."""
+        self._liveness.set_partitioned(is_partitioned)
+
     def set_failing_backends(self, backend_ids: Iterable[str]) -> None:
         """Set the back ends that fail more often than others; they lose their keys if possible."""
         self._failing = frozenset(backend_ids)
--- a/src/limedeck/ownership/timing.py
+++ b/src/limedeck/ownership/timing.py
@@ -64,6 +64,9 @@
     yield_cooldown
         Time for which a leader that has yielded does not stand for election; longer than another
         node takes to be elected and to grant all keys again.
+    partitioned_candidate_delay
+        Delay by which a node that reaches no back end stands for election later than the others.
+        By then, a node that reaches some has been elected if there is one.
     discovery_quiet_time
         Time without a new back end after which keys are assigned for the first time.
     max_discovery_time
@@ -94,6 +97,7 @@
     unconfirmed_leader_timeout: Seconds = 2.0
     min_leadership_time: Seconds = 2.5
     yield_cooldown: Seconds = 5.0
+    partitioned_candidate_delay: Seconds = 2.0
     discovery_quiet_time: Seconds = 0.8
     max_discovery_time: Seconds = 5.0
     balance_interval: Seconds = 0.5
--- a/src/limedeck_lab/ownership/faults.py
+++ b/src/limedeck_lab/ownership/faults.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Generator
+from collections.abc import Callable, Generator, Iterable
 from typing import TYPE_CHECKING
 
 import simpy
@@ -49,6 +49,14 @@
     "store_returns_twice",
 )
 """Faults in which the store returns from a copy some seconds old, after owners have changed."""
+PARTITION_FAULTS = (
+    "leader_partitioned",
+    "most_partitioned",
+    "all_partitioned",
+    "partitioned_twice",
+    "partitioned_successor_killed",
+)
+"""Faults in which nodes reach no back end, while the store and other nodes reach them."""
 
 
 class WorldFaults:
@@ -315,3 +323,47 @@
         yield from self._store_away()
         yield from self._change_owners()
         yield from self._store_away()
+
+    # ------------------------------------------------------------------ partitions
+
+    def _partition(
+        self, nodes: Iterable[SimulatedNode], low: Seconds, high: Seconds
+    ) -> Generator[simpy.Event, object, None]:
+        """Cut nodes off from all back ends for a time."""
+        cut = list(nodes)
+        for node in cut:
+            node.reaches_backends = False
+        yield self._pause(low, high)
+        for node in cut:
+            node.reaches_backends = True
+
+    def _most_nodes(self) -> list[SimulatedNode]:
+        """Return the leader and most of the other nodes, but not all."""
+        leader = self._leader()
+        others = [node for node in self._world.nodes.values() if node is not leader]
+        count = max(2 * len(others) // 3, 1)
+        return [leader, *self._world.random.sample(others, min(count, len(others) - 1))]
+
+    def leader_partitioned(self) -> Generator[simpy.Event, object, None]:
+        yield from self._partition([self._leader()], 1.0, 9.0)
+
+    def most_partitioned(self) -> Generator[simpy.Event, object, None]:
+        yield from self._partition(self._most_nodes(), 1.0, 9.0)
+
+    def all_partitioned(self) -> Generator[simpy.Event, object, None]:
+        yield from self._partition(self._world.nodes.values(), 0.5, 5.0)
+
+    def partitioned_twice(self) -> Generator[simpy.Event, object, None]:
+        yield from self._partition(self._most_nodes(), 1.0, 4.0)
+        yield self._pause(0.1, 2.0)
+        yield from self._partition(self._most_nodes(), 1.0, 4.0)
+
+    def partitioned_successor_killed(self) -> Generator[simpy.Event, object, None]:
+        """The node that took over the lead is killed while the former leader is still cut off."""
+        cut = self._most_nodes()
+        self._world.environment.process(self._partition(cut, 6.0, 9.0))
+        yield self._pause(1.5, 3.0)
+        leader = self._leader()
+        self._world.kill_node(leader.node_id)
+        yield self._pause(0.3, 4.0)
+        self._restart(leader)
--- a/src/limedeck_lab/ownership/node.py
+++ b/src/limedeck_lab/ownership/node.py
@@ -50,6 +50,8 @@
 ORDER_PROCESSING_TIME: Seconds = 0.0005
 """Processor time for sending an order, and again for reading its response."""
 RECORD_RETRY_DELAY: Seconds = 0.1
+PARTITION_DETECTION_TIME: Seconds = 0.55
+"""Time in which a node finds that it reaches no back end: silence, a round of probes, a tick."""
 OWNERS_VERSION_BITS = 32
 """Bits of an owner map's version for its number within the leader's term."""
 
@@ -67,6 +69,7 @@
         self.reaches_store = True
         self.reaches_backends = True
         self.reaches_nodes = True
+        self._backends_lost_at: Seconds | None = None
         self.slowdown = 0.0
         """Multiple of `ORDER_PROCESSING_TIME` that orders take; at 0 they take no time."""
         self._processor = simpy.Resource(world.environment)
@@ -98,10 +101,13 @@
         if self.reaches_store or self.reaches_nodes:
             self._see_listing(now)
         self._receive_heartbeat(now)
+        self.election.is_partitioned = self._detects_partition(now)
         if self.reaches_store:
             self.election.handle_era(self._known_era, now)
         command = self.election.handle_tick(now)
-        if command is not None:
+        if isinstance(command, Campaign) and self._probes_in_vain():
+            self.election.handle_campaign_dropped()
+        elif command is not None:
             self._start(self._election_call(command))
         self.permit_issuer.handle_tick(now)
         if self.election.role is not Role.LEADER:
@@ -118,6 +124,30 @@
             return
         self._lead(self.core, now)
 
+    def _detects_partition(self, now: Seconds) -> bool:
+        if self.reaches_backends:
+            self._backends_lost_at = None
+            return False
+        if self._backends_lost_at is None:
+            self._backends_lost_at = now
+        return now - self._backends_lost_at >= PARTITION_DETECTION_TIME
+
+    def _probes_in_vain(self) -> bool:
+        """Whether a node that does not know that it is partitioned probes before it stands."""
+        leads = self.election.role is Role.LEADER
+        return not (self.reaches_backends or self.election.is_partitioned or leads)
+
+    def _count_reaching(self) -> int:
+        """Count the other nodes that report that they reach back ends."""
+        return sum(
+            node is not self
+            and node.up
+            and not node.paused
+            and node.reaches_nodes
+            and not node.election.is_partitioned
+            for node in self.world.nodes.values()
+        )
+
     def _see_listing(self, now: Seconds) -> None:
         """Learn of back ends as a node's replica does, which holds rows after a changed era."""
         listing = self.world.listing()
@@ -133,13 +163,18 @@
         self._backends_seen = listing
 
     def _lead(self, core: ServiceOwnership, now: Seconds) -> None:
+        reaching = self._count_reaching() if self.reaches_nodes else 0
+        if self.election.must_yield_to_reaching_nodes(reaching, now):
+            self.election.yield_leadership(now)
+            return
+        core.set_partitioned(self.election.is_partitioned)
         self._query_former_leaders()
         if not self.election.former_leaders():
             core.handle_former_leaders_ended(now)
         core.set_backends(self._backends_seen.values(), now)
         self._receive_response_reports(core, now)
         may_yield = self.election.may_yield(now) and len(self.world.nodes) > 1
-        may_move = not self.election.is_election_lost
+        may_move = not (self.election.is_election_lost or self.election.is_partitioned)
         for command in core.handle_tick(self.election.may_renew(now), now, may_yield, may_move):
             if isinstance(command, SendGrant):
                 self._start(self._grant(core, command.order))
@@ -158,7 +193,8 @@
 
     def _receive_response_reports(self, core: ServiceOwnership, now: Seconds) -> None:
         """Record the back ends that respond to requests, as other nodes report."""
-        if not self.reaches_nodes:
+        reporting = [node for node in self.world.nodes.values() if node.reaches_backends]
+        if not self.reaches_nodes or not reporting:
             return
         for backend in self.world.backends.values():
             if backend.reachable and backend.serves(now):
@@ -194,9 +230,8 @@
                 self._known_owners = leader._known_owners
         else:
             incarnation = leader.identity.incarnation
-            self.election.handle_denial(
-                record.term, incarnation, leader.election.is_ineligible(now)
-            )
+            has_resigned = leader.election.has_resigned(now)
+            self.election.handle_denial(record.term, incarnation, has_resigned)
 
     # ------------------------------------------------------------------ store
 
--- a/src/limedeck_lab/ownership/runs.py
+++ b/src/limedeck_lab/ownership/runs.py
@@ -11,7 +11,7 @@
 from limedeck.identity import Seconds
 from limedeck.ownership.timing import OwnershipTiming
 from limedeck_lab.ownership.faults import FAULTS
-from limedeck_lab.ownership.sabotage import PERMITS, SABOTAGES, TWO_OWNERS
+from limedeck_lab.ownership.sabotage import PERMITS, SABOTAGES, TWO_OWNERS, WITHOUT_OWNER
 from limedeck_lab.ownership.world import RATE_LIMIT, World
 
 PERMIT_WINDOW: Seconds = 4.0
@@ -31,6 +31,8 @@
         Simulated time during which faults happen.
     sabotage
         A name in `SABOTAGES`, or empty.
+    max_without_owner
+        Longest time that a key may have no owner, in seconds; None: no bound.
     """
 
     seed: int
@@ -39,6 +41,7 @@
     nodes: int = 3
     backends: int = 5
     sabotage: str = ""
+    max_without_owner: Seconds | None = None
 
 
 @dataclass(frozen=True)
@@ -94,7 +97,7 @@
     most_permits = world.max_permits_issued(PERMIT_WINDOW + PERMIT_LIFETIME)
     return RunReport(
         plan,
-        tuple(_violations(world, most_permits)),
+        tuple(_violations(plan, world, most_permits)),
         dict(sorted(world.fault_counts.items())),
         world.longest_without_owner,
         most_permits,
@@ -103,11 +106,16 @@
     )
 
 
-def _violations(world: World, most_permits: int) -> list[str]:
+def _violations(plan: RunPlan, world: World, most_permits: int) -> list[str]:
     found = [f"{TWO_OWNERS}: {item}" for item in world.found[:MAX_REPORTED_DOUBLE_OWNERS]]
     unserved = world.unserved()
     if unserved:
         found.append(f"{len(unserved)} keys without an owner in the end")
+    longest = world.longest_without_owner
+    if plan.max_without_owner is not None and longest > plan.max_without_owner:
+        found.append(
+            f"a key {WITHOUT_OWNER} for {longest:.2f} s, allowed {plan.max_without_owner:g} s"
+        )
     if most_permits > MAX_PERMITS:
         found.append(f"{most_permits} {PERMITS} where {MAX_PERMITS:g} are allowed")
     return found
--- a/src/limedeck_lab/ownership/sabotage.py
+++ b/src/limedeck_lab/ownership/sabotage.py
@@ -10,7 +10,14 @@
 
 from limedeck import versions
 from limedeck.forwarding import permits
-from limedeck.ownership import barriers, era_fencing, service, terms
+from limedeck.ownership import (
+    barriers,
+    election,
+    era_fencing,
+    owner_liveness,
+    service,
+    terms,
+)
 from limedeck.ownership.fences import SEQUENCE_BITS, FenceCounter
 from limedeck.ownership.ranges import Phase, RangeState
 from limedeck.ownership.timing import OwnershipTiming
@@ -122,6 +129,35 @@
         yield
 
 
+@contextmanager
+def _partitioned_leader_stays() -> Iterator[None]:
+    def stays(self: election.ElectionCore, reaching_nodes: int, now: float) -> bool:
+        return False
+
+    def blameless(self: owner_liveness.OwnerLiveness, owners: object, now: float) -> bool:
+        return False
+
+    with (
+        mock.patch.object(election.ElectionCore, "must_yield_to_reaching_nodes", stays),
+        mock.patch.object(owner_liveness.OwnerLiveness, "is_leader_at_fault", blameless),
+    ):
+        yield
+
+
+@contextmanager
+def _partitioned_node_stands() -> Iterator[None]:
+    """A node stands for election, and stays the leader, without regard to what it reaches."""
+
+    def may_stand(self: election.ElectionCore, why: object, now: float) -> bool:
+        return not self.is_ineligible(now)
+
+    with (
+        _partitioned_leader_stays(),
+        mock.patch.object(election.ElectionCore, "_may_stand", may_stand),
+    ):
+        yield
+
+
 @dataclasses.dataclass(frozen=True)
 class Sabotage:
     """A rule that is broken on purpose.
@@ -150,5 +186,11 @@
     "term-reused": Sabotage(_term_reused, "store_returns_all_killed"),
     "record-trusted": Sabotage(_record_trusted, "store_returns_all_killed"),
     "missing-entry-gone": Sabotage(_missing_entry_gone, "store_returns_all_killed"),
+    "partitioned-leader-stays": Sabotage(
+        _partitioned_leader_stays, "most_partitioned", WITHOUT_OWNER
+    ),
+    "partitioned-node-stands": Sabotage(
+        _partitioned_node_stands, "partitioned_twice", WITHOUT_OWNER
+    ),
     "full-rate-unconfirmed": Sabotage(_full_rate_unconfirmed, "holder_of_old_leader", PERMITS),
 }
--- a/tests/unit/test_ownership_world.py
+++ b/tests/unit/test_ownership_world.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from limedeck_lab.ownership.faults import FAULTS, FAULTS_RUN_ALONE, STORE_RETURN_FAULTS
+from limedeck_lab.ownership.faults import (
+    FAULTS,
+    FAULTS_RUN_ALONE,
+    PARTITION_FAULTS,
+    STORE_RETURN_FAULTS,
+)
 from limedeck_lab.ownership.runs import (
     MAX_PERMITS,
     RunPlan,
@@ -16,19 +21,28 @@
 
 SEEDS = range(1, 13)
 SECONDS = 60.0
+FLEET_SECONDS = 16.0
 SABOTAGE_SEEDS = range(1, 6)
 STORE_RETURN_SEEDS = range(1, 7)
+PARTITION_SEEDS = range(1, 4)
 MAX_ELECTION_TIME = 3.0
 """Seconds within which a lost leader must have a successor."""
 MAX_GRANT_TIME = 1.0
 """Seconds within which the successor must have granted free keys to an owner."""
+MAX_TIME_WITHOUT_LEASE = 1.0
+"""Seconds for which keys may have no owner because the leader reaches no back end."""
+LED_FROM_ELSEWHERE = ("leader_partitioned", "most_partitioned", "partitioned_twice")
+"""Faults in which some node reaches all owners at any time."""
 CAUGHT_IN_EACH_SEED = SABOTAGES.keys() - {"no-barriers", "early-give-up", "term-reused"}
 """Sabotages that every seed detects; the others are detected by at least one of the seeds."""
 
 
 def run(seed: int, only: str = "", sabotage: str = "") -> RunReport:
     faults = (only,) if only else FAULTS
-    return run_plan(RunPlan(seed, SECONDS, faults, sabotage=sabotage))
+    max_without_owner = MAX_TIME_WITHOUT_LEASE if only in LED_FROM_ELSEWHERE else None
+    return run_plan(
+        RunPlan(seed, SECONDS, faults, sabotage=sabotage, max_without_owner=max_without_owner)
+    )
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -92,3 +106,17 @@
 @pytest.mark.parametrize("seed", STORE_RETURN_SEEDS)
 def test_no_key_has_two_owners_after_the_store_returned_from_a_copy(seed: int, fault: str) -> None:
     assert run(seed, fault).violations == ()
+
+
+@pytest.mark.parametrize("fault", PARTITION_FAULTS)
+@pytest.mark.parametrize("seed", PARTITION_SEEDS)
+def test_lead_moves_to_a_node_that_reaches_the_owners(seed: int, fault: str) -> None:
+    assert run(seed, fault).violations == ()
+
+
+@pytest.mark.parametrize("nodes", [3, 11, 74, 195])
+def test_lead_moves_to_a_node_that_reaches_the_owners_in_fleets(nodes: int) -> None:
+    plan = RunPlan(
+        1, FLEET_SECONDS, ("most_partitioned",), nodes, max_without_owner=MAX_TIME_WITHOUT_LEASE
+    )
+    assert run_plan(plan).violations == ()
--- a/tests/unit/test_statuses.py
+++ b/tests/unit/test_statuses.py
@@ -11,7 +11,14 @@
 from limedeck.forwarding import budget
 from limedeck.forwarding.protocol import LoadReport
 from limedeck.model import Backend
-from limedeck.node import backend_loads, control, state, table_exchange, telemetry
+from limedeck.node import (
+    backend_loads,
+    control,
+    reachability_monitor,
+    state,
+    table_exchange,
+    telemetry,
+)
 from limedeck.node.followers import FollowerConnections
 from limedeck.ownership.timing import OwnershipTiming
 from limedeck.platform.grants import PlatformOrders
@@ -22,15 +29,17 @@
 
 def leader() -> tuple[control.ControlHost, state.NodeState]:
     node = state.NodeState("z1", "n", budget.RetryAllowance(0.2, 30.0, 10.0))
+    client, counted = http_client.HttpClient(), telemetry.Telemetry()
     host = control.ControlHost(
         LeaderRecord(node_id="n", incarnation=secrets.randbits(16), peer_address="127.0.0.1:1"),
         node,
         test_watchers.ScriptedStore(),
         PlatformOrders(),
         100,
-        http_client.HttpClient(),
+        client,
         TIMING,
-        telemetry.Telemetry(),
+        counted,
+        reachability_monitor.ReachabilityMonitor(node, client, counted),
     )
     return host, node
 
