What partitioned nodes see of back ends does not judge them

Cause: the leader adds up the failed attempts of all nodes, also of those whose own links are lost.

Reports of partitioned nodes count without their failures. A failure that a broken link can cause is reported only after a round of probes has shown that the node reaches others; a node that finds that it is partitioned forgets the failures that it has recorded, and records no more.

test_load_exchange.py and test_partition_judgements.py: without the changes the watched back end is excluded, and the failures are reported.

--- a/src/limedeck/forwarding/backend_state.py
+++ b/src/limedeck/forwarding/backend_state.py
@@ -238,6 +238,17 @@
             self.ejected_until = now + min(span, MAX_EJECTION_TIME)
             self.ejections += 1
 
+    def record_own_fault(self) -> None:
+        """Report a failure that was recorded before it was known to be the back end's own."""
+        self._own_faults += 1
+
+    def clear_failures(self) -> None:
+        """Forget failed attempts and their ejection: they were not the back end's fault."""
+        self.failures = 0
+        self.ejections = 0
+        self.ejected_until = NEVER
+        self._own_faults = 0
+
     def record_process_exit(self, now: Seconds) -> None:
         """Record that no process listens at its address: it is ejected without another failure."""
         self.failures = max(self.failures, FAILURES_TO_EJECT - 1)
--- a/src/limedeck/node/backend_paths.py
+++ b/src/limedeck/node/backend_paths.py
@@ -7,6 +7,7 @@
 import anyio
 
 from limedeck.clock import steady_clock
+from limedeck.forwarding.backend_state import BackendState
 from limedeck.forwarding.backends import BackendDirectory
 from limedeck.forwarding.protocol import CallerProtocol, Headers
 from limedeck.http_client import UNACKNOWLEDGED, HttpClient, HttpRequest, HttpResponse
@@ -71,6 +72,7 @@
         through_others: IntermediaryClient,
         telemetry: Telemetry,
     ) -> None:
+        self._directory = directory
         self._reachability = directory.reachability
         self._intermediaries = directory.intermediaries
         self._protocol = protocol
@@ -80,7 +82,7 @@
         self._telemetry = telemetry
         self._waiting: set[_DirectExchange] = set()
         monitor.oldest_request = self._oldest_request
-        monitor.on_partition_began = self._abort_hanging_exchanges
+        monitor.on_partition_began = self._handle_partition_began
 
     async def exchange(self, request: BackendRequest, until: Seconds) -> HttpResponse:
         """Send a request to its back end, and wait for the complete response.
@@ -217,11 +219,35 @@
             steady_clock() - RECENT_CONTACT
         )
 
+    def record_failure(
+        self, state: BackendState, error: AttemptFailed, own_fault: bool, now: Seconds
+    ) -> None:
+        """Record a failed attempt at a back end, unless this node's links are at fault.
+
+        Parameters
+        ----------
+        own_fault
+            Whether the back end is not known to be overloaded.
+        """
+        if self._reachability.is_partitioned:
+            return
+        if not self.may_be_broken_link(error):
+            state.record_failure(now, own_fault)
+            return
+        state.record_failure(now, own_fault=False)
+        if own_fault:
+            self._monitor.defer_fault(state)
+
     def _oldest_request(self) -> Seconds | None:
         return min((item.started_at for item in self._waiting), default=None)
 
-    def _abort_hanging_exchanges(self) -> None:
-        """Abort repeatable attempts if no connection works: they would wait for their deadlines."""
+    def _handle_partition_began(self) -> None:
+        """Forget failed attempts, and abort repeatable ones if no connection works.
+
+        Hanging attempts would wait for their deadlines.
+        """
+        for state in self._directory.all_states():
+            state.clear_failures()
         if self._reachability.is_silent(self._oldest_request(), steady_clock()):
             for item in self._waiting:
                 if item.repeatable:
--- a/src/limedeck/node/followers.py
+++ b/src/limedeck/node/followers.py
@@ -126,7 +126,10 @@
                 self._control.handle_report_term(message.report.term)
                 self._control.handle_loads(message.report.loads)
                 self._control.loads.handle_report(
-                    node, message.report.backend_loads, steady_clock()
+                    node,
+                    message.report.backend_loads,
+                    steady_clock(),
+                    message.report.partitioned,
                 )
                 self._table_exchange.apply(message.report, peer, steady_clock())
                 self._record_follower(message.report, stream, peer)
--- a/src/limedeck/node/gateway.py
+++ b/src/limedeck/node/gateway.py
@@ -314,7 +314,8 @@
         if error.by_other_end and error.phase not in SURELY_NOT_RUN:
             self._watch.record_lost_request(backend, call.content)
         if now < attempt.until:
-            attempt.state.record_failure(now, own_fault=attempt.ahead < backend.slots)
+            is_overloaded = attempt.ahead >= backend.slots
+            self._paths.record_failure(attempt.state, error, not is_overloaded, now)
 
     async def _forward_response(self, send: Send, response: HttpResponse) -> None:
         headers = http_messages.end_to_end_headers(response.headers)
--- a/src/limedeck/node/load_exchange.py
+++ b/src/limedeck/node/load_exchange.py
@@ -58,13 +58,26 @@
 
     # ------------------------------------------------------------------ as the leader
 
-    def handle_report(self, node: str, message: control_pb2.BackendLoads, now: Seconds) -> None:
-        """Record a node's report."""
+    def handle_report(
+        self,
+        node: str,
+        message: control_pb2.BackendLoads,
+        now: Seconds,
+        is_partitioned: bool = False,
+    ) -> None:
+        """Record a node's report.
+
+        Parameters
+        ----------
+        is_partitioned
+            Whether the node reaches no back end; its failed attempts are then due to its own links.
+        """
         reports = backend_loads.read_report(message)
         self._fleet_load.record_report(node, reports, now)
         self._backoffs.record_report(node, reports, now)
         for report in reports:
-            self._outliers.record(report.backend, report.answers, report.failures, now)
+            failures = 0 if is_partitioned else report.failures
+            self._outliers.record(report.backend, report.answers, failures, now)
 
     def handle_follower_left(self, node: str) -> None:
         """Forget the reports of a node that is no longer connected."""
@@ -81,7 +94,8 @@
         elif now < self._next_totals:
             return {}
         self._next_totals = now + TOTALS_INTERVAL
-        self.handle_report(self._node_id, self.report(now), now)
+        is_partitioned = self._directory.reachability.is_partitioned
+        self.handle_report(self._node_id, self.report(now), now, is_partitioned)
         listed = {
             backend_loads.backend_hash(state.backend.backend_id): state.backend
             for state in self._directory.all_states()
--- a/src/limedeck/node/reachability_monitor.py
+++ b/src/limedeck/node/reachability_monitor.py
@@ -52,6 +52,7 @@
         self._telemetry = telemetry
         self._tasks: TaskGroup | None = None
         self._rounds = Notifier()
+        self._deferred_faults: list[BackendState] = []
         self._line_limit = RateLimit(MAX_LINES_PER_SECOND)
         self._log = get_logger("reachability")
 
@@ -68,6 +69,18 @@
         self._reachability.suspect(backend_id)
         self._start_due_probes()
 
+    def defer_fault(self, state: BackendState) -> None:
+        """Report a failure as the back end's own after a round that finds no partition."""
+        self._deferred_faults.append(state)
+        self.suspect(state.backend.backend_id)
+
+    def _end_round(self) -> None:
+        if not self._reachability.is_partitioned:
+            for state in self._deferred_faults:
+                state.record_own_fault()
+        self._deferred_faults.clear()
+        self._rounds.notify()
+
     async def ensure_contact(self, max_age: Seconds) -> None:
         """Probe back ends if none was in contact with this node for `max_age`."""
         if self._reachability.had_contact_since(steady_clock() - max_age):
@@ -100,7 +113,7 @@
             for event in events:
                 self._record_event(event)
             if self._reachability.rounds != rounds:
-                self._rounds.notify()
+                self._end_round()
 
     async def _connect(self, address: str) -> reachability.ProbeOutcome:
         started = steady_clock()
--- a/tests/unit/backend_access.py
+++ b/tests/unit/backend_access.py
@@ -13,14 +13,19 @@
 from limedeck.platform import headers
 
 
-def paths_of(node: state.NodeState, client: http_client.HttpClient) -> backend_paths.BackendPaths:
+def paths_of(
+    node: state.NodeState,
+    client: http_client.HttpClient,
+    monitor: reachability_monitor.ReachabilityMonitor | None = None,
+) -> backend_paths.BackendPaths:
     """Return paths on which a node uses one client for back ends and other nodes."""
     counted = telemetry.Telemetry()
+    monitor = monitor or reachability_monitor.ReachabilityMonitor(node, client, counted)
     return backend_paths.BackendPaths(
         node.directory,
         headers.PlatformProtocol(),
         client,
-        reachability_monitor.ReachabilityMonitor(node, client, counted),
+        monitor,
         intermediary_client.IntermediaryClient(node.directory.intermediaries, client),
         counted,
     )
--- a/tests/unit/test_load_exchange.py
+++ b/tests/unit/test_load_exchange.py
@@ -119,3 +119,15 @@
     totals = leader.totals([1, 2])
     aged = fleet_load.with_decayed_service_times(totals, {1: "s", 2: "s"}, 100.5)
     assert [item.service_time for item in aged] == [0.05, 0.02]
+
+
+@pytest.mark.parametrize("partitioned", [True, False])
+def test_failures_at_partitioned_nodes_exclude_no_back_end(partitioned: bool) -> None:
+    exchange = leader()
+    for number in range(6):
+        now = number * load_exchange.TOTALS_INTERVAL
+        sound = report(*((name, 0, 4, 0) for name in ["watched", *OTHERS]))
+        exchange.handle_report("sound", sound, now)
+        exchange.handle_report("cut-off", report(("watched", 0, 0, 6)), now, partitioned)
+        totals = exchange.refresh(now)
+    assert totals["watched"].excluded is not partitioned
--- /dev/null
+++ b/tests/unit/test_partition_judgements.py
@@ -0,0 +1,113 @@
+"""What a node that reaches no back end concludes about back ends, for itself and for others."""
+
+from __future__ import annotations
+
+import socket
+
+import anyio
+import pytest
+
+from limedeck import clock, http_client
+from limedeck.forwarding import budget
+from limedeck.forwarding.backend_state import FAILURES_TO_EJECT, BackendState
+from limedeck.forwarding.reachability import ProbeOutcome
+from limedeck.model import Backend
+from limedeck.node import backend_paths, reachability_monitor, state, telemetry
+from limedeck.routing.outcomes import AttemptFailed, FailurePhase
+from tests.unit import backend_access
+
+pytestmark = pytest.mark.anyio
+NOT_CONNECTED = AttemptFailed(FailurePhase.NOT_CONNECTED, "TimeoutError")
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+class PartitionableNode:
+    """A node with back ends at the given ports, and its monitor."""
+
+    def __init__(self, ports: list[int]) -> None:
+        self.node = state.NodeState("z1", "n", budget.RetryAllowance(0.2, 30.0, 10.0))
+        for port in ports:
+            backend = Backend(f"b{port}", "s", f"127.0.0.1:{port}", "z1", 2)
+            self.node.directory.put(backend, 0.0)
+        client = http_client.HttpClient()
+        counted = telemetry.Telemetry()
+        self.monitor = reachability_monitor.ReachabilityMonitor(self.node, client, counted)
+        self.paths = backend_access.paths_of(self.node, client, self.monitor)
+
+    @property
+    def backends(self) -> list[BackendState]:
+        return list(self.node.directory.all_states())
+
+    def partition(self) -> None:
+        core = self.node.directory.reachability
+        core.suspect(self.backends[0].backend.backend_id)
+        listed = {item.backend.backend_id for item in self.backends}
+        for backend_id in core.next_probes(listed, None, clock.steady_clock()):
+            core.handle_probe(backend_id, ProbeOutcome.UNREACHED, clock.steady_clock())
+        assert core.is_partitioned
+
+
+def bound_socket(listens: bool) -> socket.socket:
+    found = socket.socket()
+    found.bind(("127.0.0.1", 0))
+    if listens:
+        found.listen()
+    return found
+
+
+def fail_often(paths: backend_paths.BackendPaths, backend: BackendState) -> None:
+    for _ in range(FAILURES_TO_EJECT):
+        paths.record_failure(backend, NOT_CONNECTED, True, clock.steady_clock())
+
+
+async def test_partitioned_node_ejects_and_reports_no_back_end() -> None:
+    tested = PartitionableNode([1])
+    tested.partition()
+    (backend,) = tested.backends
+    fail_often(tested.paths, backend)
+    assert not backend.is_ejected(clock.steady_clock())
+    assert backend.take_sample() is None
+
+
+@pytest.mark.parametrize("others_listen", [True, False], ids=["failed", "partitioned"])
+async def test_failure_is_reported_once_probes_show_that_it_is_the_back_ends(
+    others_listen: bool,
+) -> None:
+    sockets = [bound_socket(listens) for listens in (False, others_listen, others_listen)]
+    tested = PartitionableNode([item.getsockname()[1] for item in sockets])
+    failed = tested.backends[0]
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(tested.monitor.run)
+        await anyio.sleep(0.0)
+        fail_often(tested.paths, failed)
+        assert failed.take_sample() is None
+        await tested.monitor.wait_for_round(2.0)
+        tasks.cancel_scope.cancel()
+    for item in sockets:
+        item.close()
+    assert tested.node.directory.reachability.is_partitioned is not others_listen
+    sample = failed.take_sample()
+    assert (sample is not None and sample.failures > 0) is others_listen
+    assert failed.is_ejected(clock.steady_clock()) is others_listen
+
+
+@pytest.mark.parametrize("others_listen", [True, False], ids=["exited", "partitioned"])
+async def test_refused_port_is_an_exit_only_if_the_node_reaches_others(
+    others_listen: bool,
+) -> None:
+    sockets = [bound_socket(listens) for listens in (False, others_listen, others_listen)]
+    tested = PartitionableNode([item.getsockname()[1] for item in sockets])
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(tested.monitor.run)
+        await anyio.sleep(0.0)
+        with pytest.raises(AttemptFailed) as caught:
+            until = clock.steady_clock() + 1.0
+            await tested.paths.check_port(tested.backends[0].backend, until)
+        tasks.cancel_scope.cancel()
+    for item in sockets:
+        item.close()
+    assert caught.value.by_other_end is others_listen
