Responses in progress are bounded together, not only each by itself

Back ends in trouble may send bodies without end. Up to 64 MiB were kept of each, however many were being received: with one of six back ends sending 25 MB/s, nodes grew to 294 MB in 8 s at 60 requests a second (machines have 300 MB).

All clients of a node share a bound of 32 MiB for responses that are being received; if it is exceeded the largest one is given up, counted as the back end's failure and its connection reset, so that small responses go on. One body may have 16 MiB. The parts of a body are kept in one buffer.

tests/system/test_endless_responses.py failed before (294 MB, bound 200) and passes; at least nine tenths of the requests are served meanwhile (its bound). test_response_memory.py: 40 endless responses at once stay within the bound.

--- a/src/limedeck/http_client.py
+++ b/src/limedeck/http_client.py
@@ -19,7 +19,7 @@
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
 
-from limedeck import http_codec
+from limedeck import http_codec, response_memory
 from limedeck.clock import steady_clock
 from limedeck.forwarding.protocol import Headers
 from limedeck.identity import Seconds
@@ -43,6 +43,8 @@
 without the option, a request with 20 s left failed after 20 s (test_silent_connections.py)."""
 UNACKNOWLEDGED = "unacknowledged"
 """Problem of an attempt whose connection was ended by `UNACKNOWLEDGED_TIMEOUT`."""
+TOO_LARGE = "the responses in progress exceed the memory for them"
+"""Problem of an attempt whose response was the largest one in progress."""
 DEADLINE_EXCEEDED = "out of time"
 """Problem of an attempt that was aborted at its deadline."""
 CONNECTION_REFUSED = "connection refused"
@@ -100,8 +102,9 @@
 class _Connection:
     """A connection, and the parser of its latest response."""
 
-    def __init__(self, stream: SocketStream) -> None:
+    def __init__(self, stream: SocketStream, memory: response_memory.ResponseMemory) -> None:
         self.stream = stream
+        self._memory = memory
         self._parser = http_codec.ResponseParser()
         self.idle_until: Seconds = 0.0
         self._body_sent = False
@@ -161,11 +164,19 @@
             return
 
     async def _receive(self) -> HttpResponse:
+        try:
+            with self._memory.reservation() as reservation:
+                return await self._receive_within(reservation)
+        except response_memory.ResponseTooLarge as error:
+            raise AttemptFailed(FailurePhase.RECEIVING, TOO_LARGE, by_other_end=True) from error
+
+    async def _receive_within(self, reservation: response_memory.Reservation) -> HttpResponse:
         parser = self._parser
         while not parser.is_complete:
             phase = FailurePhase.RECEIVING if parser.has_head else FailurePhase.AWAITING
             try:
                 parser.feed(await self.stream.receive(MAX_READ_BYTES))
+                reservation.grow_to(parser.body_size)
             except anyio.EndOfStream:
                 self._handle_end_of_stream(parser, phase)
             except http_codec.BadResponse as error:
@@ -220,6 +231,8 @@
         Longest time to wait until a connection is established, in seconds.
     socket_options
         Level, name and value of options set on each connection, as for `socket.setsockopt`.
+    memory
+        Memory for the responses in progress, which several clients may share.
     """
 
     def __init__(
@@ -227,7 +240,9 @@
         local_host: str | None = None,
         connect_timeout: Seconds = CONNECT_TIMEOUT,
         socket_options: Sequence[SocketOption] = DEAD_CONNECTION_OPTIONS,
+        memory: response_memory.ResponseMemory | None = None,
     ) -> None:
+        self._memory = memory or response_memory.ResponseMemory()
         self._local_host = local_host
         self._connect_timeout = connect_timeout
         self._socket_options = socket_options
@@ -362,7 +377,7 @@
         try:
             for option in self._socket_options:
                 stream.extra(SocketAttribute.raw_socket).setsockopt(*option)
-            return _Connection(stream)
+            return _Connection(stream, self._memory)
         except MISSING_SOCKET_ERRORS as error:
             await anyio.aclose_forcefully(stream)
             raise AttemptFailed(FailurePhase.TURNED_AWAY, "reset right after opening") from error
--- a/src/limedeck/http_codec.py
+++ b/src/limedeck/http_codec.py
@@ -15,7 +15,7 @@
 from limedeck.forwarding.protocol import Headers
 
 MAX_HEAD_SIZE = 65_536
-MAX_BODY_SIZE = 64 << 20
+MAX_BODY_SIZE = 16 << 20
 NO_CONTENT_STATUSES = frozenset({204, 304})
 FIRST_FINAL_STATUS = 200
 SWITCHING_PROTOCOLS = 101
@@ -88,8 +88,7 @@
         self.headers: Headers = []
         self._is_head_request = is_head_request
         self._parser = httptools.HttpResponseParser(self)
-        self._body_parts: list[bytes] = []
-        self._body_size = 0
+        self._body = bytearray()
         self._head_size = 0
         self._is_interim = False
         self._keeps_alive = False
@@ -98,7 +97,12 @@
     @property
     def body(self) -> bytes:
         """The part of the body received so far."""
-        return b"".join(self._body_parts)
+        return bytes(self._body)
+
+    @property
+    def body_size(self) -> int:
+        """Number of bytes of the body received so far."""
+        return len(self._body)
 
     @property
     def is_reusable(self) -> bool:
@@ -124,7 +128,7 @@
             self._has_surplus = True
         if not self.has_head and self._head_size > MAX_HEAD_SIZE:
             raise BadResponse(f"response head larger than {MAX_HEAD_SIZE} bytes")
-        if self._body_size > MAX_BODY_SIZE:
+        if self.body_size > MAX_BODY_SIZE:
             raise BadResponse(f"response body larger than {MAX_BODY_SIZE} bytes")
 
     def feed_end(self) -> None:
@@ -175,8 +179,7 @@
         if self.is_complete:
             self._has_surplus = True
             return
-        self._body_parts.append(data)
-        self._body_size += len(data)
+        self._body += data
 
     def on_message_complete(self) -> None:
         """Handle the end of a response; an interim response is followed by another one."""
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -61,6 +61,7 @@
     read_configuration,
 )
 from limedeck.platform.store import PlatformStore
+from limedeck.response_memory import ResponseMemory
 from limedeck.store.feeds import FeedPolicy
 from limedeck.store.replica import Source, WriterSequence
 from limedeck.store.rows import StoredRow
@@ -107,9 +108,10 @@
         self._log.info("started", node=settings.node.id, zone=settings.node.zone)
         platform_store = PlatformStore(settings.store.address, settings.store.timeout)
         store = InstrumentedStore(platform_store, self._telemetry)
-        backend_client = HttpClient(settings.node.ip)
-        order_client = HttpClient(settings.node.ip)
-        peer_client = HttpClient(settings.node.ip)
+        memory = ResponseMemory()
+        backend_client = HttpClient(settings.node.ip, memory=memory)
+        order_client = HttpClient(settings.node.ip, memory=memory)
+        peer_client = HttpClient(settings.node.ip, memory=memory)
         directory = self._state.directory
         monitor = ReachabilityMonitor(self._state, backend_client, self._telemetry)
         control = ControlHost(
--- a/tests/system/platform_site.py
+++ b/tests/system/platform_site.py
@@ -42,6 +42,12 @@
 SERVICE_SECONDS = 0.02
 CRASH_MARKER = b"crash"
 """A request whose body contains this crashes each upstream that runs it."""
+ENDLESS_CHUNK = 1 << 20
+"""Bytes that a response without end sends at a time."""
+ENDLESS_INTERVAL = 0.04
+"""Seconds between two of these: slow enough for many such responses at the same time."""
+ENDLESS_SECONDS = 5.0
+"""Seconds after which such a response ends, if its receiver does not close the connection."""
 DOWN_SECONDS = 2.0
 """Seconds until an upstream that has crashed is back."""
 Application = Callable[[dict[str, Any], Any, Any], Awaitable[None]]
@@ -96,6 +102,10 @@
         Whether its entry states that it is draining.
     silent
         Whether it sends no response within 5 s to any request or order.
+    endless
+        Whether the bodies of its responses to requests never end.
+    endless_bytes
+        Bytes of such bodies that it has sent.
     """
 
     name: str
@@ -122,6 +132,8 @@
     down: bool = False
     draining: bool = False
     silent: bool = False
+    endless: bool = False
+    endless_bytes: int = 0
     held: dict[tuple[int, int], tuple[int, float]] = field(default_factory=dict)
     released: list[tuple[tuple[int, int], int]] = field(default_factory=list)
 
@@ -201,6 +213,9 @@
             await self._crash(self.proxy)
             return
         signed = [*echo, (b"x-upstream-signature", self.name.encode())]
+        if self.endless:
+            await self._send_without_end(signed, send)
+            return
         if self.leaving:
             signed.append((b"server-leaving", b"1"))
             self.leaving_responses.append(self._arrival(request_id))
@@ -209,6 +224,15 @@
             self.limit_responses.append(Arrival(time.monotonic(), request_id.decode()))
         await _respond(send, 200, [*signed, *limited], request_id + b":" + body)
 
+    async def _send_without_end(self, headers: list[tuple[bytes, bytes]], send: Any) -> None:
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        deadline = time.monotonic() + ENDLESS_SECONDS
+        while time.monotonic() < deadline:
+            body = {"type": "http.response.body", "body": bytes(ENDLESS_CHUNK), "more_body": True}
+            await send(body)
+            self.endless_bytes += ENDLESS_CHUNK
+            await anyio.sleep(ENDLESS_INTERVAL)
+
     def _arrival(self, request_id: bytes) -> Arrival:
         return Arrival(time.monotonic(), request_id.decode(), self.restarts)
 
