Back ends of one service that a node does not reach are found together

Causes: the back ends that a round of probes compares with could all be of the lost service; each back end was found only after a request had hung there for 0.9 s; a node that could not help for one back end counted as proof that this has failed; a leader did not know any intermediaries itself, and lists of them were up to 5 s old.

A round compares with the back ends that responded last, and includes two others of the suspected services; if several of a service are unreached the rest of it is probed at once. A response that is four times as late as usual causes a round, every 4 s at most while these find nothing. A node that knows that it does not reach a back end says so, and is asked for others.

--- a/src/limedeck/forwarding/intermediaries.py
+++ b/src/limedeck/forwarding/intermediaries.py
@@ -50,6 +50,7 @@
         self._outstanding: Counter[str] = Counter()
         self._avoided_until: dict[str, Seconds] = {}
         self._failed_until: dict[str, Seconds] = {}
+        self._unreached_until: dict[tuple[str, str], Seconds] = {}
 
     @property
     def known(self) -> tuple[Intermediary, ...]:
@@ -69,19 +70,23 @@
         return any(not self._is_avoided(item, now) for item in self._known)
 
     def choose(
-        self, request_id: bytes, excluded: Collection[str], now: Seconds
+        self, backend_id: str, request_id: bytes, excluded: Collection[str], now: Seconds
     ) -> Intermediary | None:
         """Choose the less busy of two random intermediaries, of this zone if there are any.
 
         Parameters
         ----------
+        backend_id
+            The back end to be reached.
         excluded
             Addresses of those that were tried for this request.
         """
         left = [
             item
             for item in self._known
-            if item.address not in excluded and not self._is_avoided(item, now)
+            if item.address not in excluded
+            and not self._is_avoided(item, now)
+            and now >= self._unreached_until.get((item.address, backend_id), NEVER)
         ]
         near = [item for item in left if item.zone == self._zone] or left
         if not near:
@@ -108,6 +113,13 @@
         """Record that an intermediary cannot be used now."""
         self._avoided_until[address] = now + AVOIDANCE_TIME
 
+    def record_unreached(self, address: str, backend_id: str, now: Seconds) -> None:
+        """Record that an intermediary does not reach a back end."""
+        self._unreached_until = {
+            key: until for key, until in self._unreached_until.items() if until > now
+        }
+        self._unreached_until[address, backend_id] = now + AVOIDANCE_TIME
+
     def record_failed_backend(self, backend_id: str, now: Seconds) -> None:
         """Record that neither this node nor an intermediary reaches a back end."""
         self._failed_until = {key: at for key, at in self._failed_until.items() if at > now}
--- a/src/limedeck/node/backend_paths.py
+++ b/src/limedeck/node/backend_paths.py
@@ -10,6 +10,7 @@
 from limedeck.forwarding.backend_state import BackendState
 from limedeck.forwarding.backends import BackendDirectory
 from limedeck.forwarding.protocol import CallerProtocol, Headers
+from limedeck.forwarding.reachability import SILENCE
 from limedeck.http_client import UNACKNOWLEDGED, HttpClient, HttpRequest, HttpResponse
 from limedeck.identity import Seconds
 from limedeck.model import Backend
@@ -25,7 +26,9 @@
 
 RECENT_CONTACT: Seconds = 0.1
 """A reset is not taken for a sign of a broken link if another back end has responded since then."""
-ABORTED = "aborted: this node reaches no back end"
+OVERDUE_FACTOR = 4.0
+"""Multiple of a back end's mean service time after which it is probed."""
+ABORTED = "aborted: this node does not reach the back end"
 """Problem of an attempt that was aborted to be made through another node."""
 
 
@@ -55,6 +58,7 @@
 class _DirectExchange:
     """An attempt on a connection of this node that has no response yet."""
 
+    backend_id: str
     started_at: Seconds
     repeatable: bool
     scope: anyio.CancelScope
@@ -82,7 +86,8 @@
         self._telemetry = telemetry
         self._waiting: set[_DirectExchange] = set()
         monitor.oldest_request = self._oldest_request
-        monitor.on_partition_began = self._handle_partition_began
+        monitor.overdue_backends = self._overdue_backends
+        monitor.on_unreached = self._handle_unreached
 
     async def exchange(self, request: BackendRequest, until: Seconds) -> HttpResponse:
         """Send a request to its back end, and wait for the complete response.
@@ -157,17 +162,18 @@
 
     async def _exchange_directly(self, request: BackendRequest, until: Seconds) -> HttpResponse:
         with anyio.CancelScope() as scope:
-            waiting = _DirectExchange(steady_clock(), request.repeatable, scope)
+            backend_id = request.backend.backend_id
+            waiting = _DirectExchange(backend_id, steady_clock(), request.repeatable, scope)
             self._waiting.add(waiting)
             try:
                 response = await self._client.exchange(self._encode(request, until), until)
             except AttemptFailed as error:
                 if self.may_be_broken_link(error):
-                    self._monitor.suspect(request.backend.backend_id)
+                    self._monitor.suspect(backend_id)
                 raise
             finally:
                 self._waiting.discard(waiting)
-            self._reachability.record_response(steady_clock())
+            self._reachability.record_response(backend_id, steady_clock())
             return response
         raise AttemptFailed(FailurePhase.AWAITING, ABORTED)
 
@@ -241,14 +247,30 @@
     def _oldest_request(self) -> Seconds | None:
         return min((item.started_at for item in self._waiting), default=None)
 
-    def _handle_partition_began(self) -> None:
-        """Forget failed attempts, and abort repeatable ones if no connection works.
+    def _overdue_backends(self, now: Seconds) -> list[str]:
+        """Return back ends with requests that wait for much longer than they usually take."""
+        overdue = set()
+        for item in self._waiting:
+            state = self._directory.find(item.backend_id)
+            usual = state.service_time or 0.0 if state is not None else 0.0
+            if now - item.started_at >= max(SILENCE, OVERDUE_FACTOR * usual):
+                overdue.add(item.backend_id)
+        return sorted(overdue)
 
-        Hanging attempts would wait for their deadlines.
+    def _handle_unreached(self, backend_id: str | None) -> None:
+        """Abort repeatable attempts that hang: they would wait for their deadlines.
+
+        Parameters
+        ----------
+        backend_id
+            The back end that is not reached; None if none is. Failures recorded before are then
+            forgotten.
         """
-        for state in self._directory.all_states():
-            state.clear_failures()
-        if self._reachability.is_silent(self._oldest_request(), steady_clock()):
-            for item in self._waiting:
-                if item.repeatable:
-                    item.scope.cancel()
+        if backend_id is None:
+            for state in self._directory.all_states():
+                state.clear_failures()
+            if not self._reachability.is_silent(self._oldest_request(), steady_clock()):
+                return
+        for item in self._waiting:
+            if item.repeatable and backend_id in (None, item.backend_id):
+                item.scope.cancel()
--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -111,6 +111,7 @@
         self.permits = permit_exchange.PermitExchange(state.directory, self.election)
         self.intermediaries = fleet_intermediaries.FleetIntermediaries(identity.node_id)
         self.intermediary_address = ""
+        self._used_changes = 0
         self.processor = processor
         self.fleet: Callable[[], candidate_priority.Fleet] = lambda: (
             candidate_priority.describe_fleet([processor])
@@ -285,6 +286,7 @@
             return
         node_count = self.fleet().node_count
         self._state.record_leader(self.election.store_silence(now), node_count, now)
+        self._use_intermediaries()
         self._open_services()
         if self.election.must_yield_to_reaching_nodes(self.intermediaries.count_reaching(), now):
             self._yield_leadership("", self.election.term, now)
@@ -314,6 +316,14 @@
                 self._yield_leadership(name, owned.term, now)
         self._telemetry.leads.set(1)
 
+    def _use_intermediaries(self) -> None:
+        """Take this leader's own intermediaries from those that it names to others."""
+        if self._used_changes != self.intermediaries.changes:
+            self._used_changes = self.intermediaries.changes
+            zone = self.intermediaries.own_zone
+            chosen = self.intermediaries.choose_for(self._identity.node_id, zone)
+            self._state.directory.intermediaries.set_known(chosen)
+
     def _yield_leadership(self, service: str, term: int, now: Seconds) -> None:
         """Let another node lead, and notify all followers of this one."""
         self._log.warning(
--- a/src/limedeck/node/fleet_intermediaries.py
+++ b/src/limedeck/node/fleet_intermediaries.py
@@ -25,11 +25,14 @@
     Attributes
     ----------
     changes
-        Number of changes of the nodes that are partitioned.
+        Number of changes of the nodes that others can use.
+    partition_changes
+        Number of those in which a partition of a node began or ended.
     """
 
     def __init__(self, own_node: str) -> None:
         self.changes = 0
+        self.partition_changes = 0
         self._own_node = own_node
         self._known: dict[str, Intermediary] = {}
         self._partitioned: set[str] = set()
@@ -39,6 +42,12 @@
         """Set where this node accepts the attempts of others."""
         self._known[self._own_node] = intermediary
 
+    @property
+    def own_zone(self) -> str:
+        """This node's zone; empty before `set_own`."""
+        own = self._known.get(self._own_node)
+        return own.zone if own is not None else ""
+
     def record_own_partition(self, is_partitioned: bool) -> None:
         """Record whether this node is partitioned."""
         self._record_partition(self._own_node, is_partitioned)
@@ -46,6 +55,7 @@
     def record_report(self, report: Report) -> None:
         """Record what a follower reports about itself."""
         if report.intermediary_address:
+            self.changes += 1
             self._known[report.node_id] = Intermediary(report.intermediary_address, report.zone)
         self._record_partition(report.node_id, report.partitioned)
 
@@ -53,6 +63,7 @@
         if is_partitioned == (node in self._partitioned):
             return
         self.changes += 1
+        self.partition_changes += 1
         if is_partitioned:
             self._partitioned.add(node)
         else:
@@ -60,7 +71,8 @@
 
     def forget(self, node: str) -> None:
         """Forget a node that does not follow this one any more."""
-        self._known.pop(node, None)
+        if self._known.pop(node, None) is not None:
+            self.changes += 1
         self._partitioned.discard(node)
 
     def is_partitioned(self, node: str) -> bool:
--- a/src/limedeck/node/followers.py
+++ b/src/limedeck/node/followers.py
@@ -162,9 +162,9 @@
             self._notify_all()
 
     def _record_reachability(self, report: Report) -> None:
-        known = self._control.intermediaries.changes
+        known = self._control.intermediaries.partition_changes
         self._control.intermediaries.record_report(report)
-        if self._control.intermediaries.changes != known:
+        if self._control.intermediaries.partition_changes != known:
             self._notify_all()
 
     def _status_pause(self) -> Seconds:
@@ -174,8 +174,7 @@
         """
         return min(STATUS_SEND_TIME * self.node_count(), self._timing.heartbeat_interval)
 
-    def _intermediaries_for(self, peer: PeerTables) -> list[IntermediaryNode]:
-        node = peer.node_id or ""
+    def _intermediaries_for(self, node: str) -> list[IntermediaryNode]:
         chosen = self._control.intermediaries.choose_for(node, self._zones.get(node, ""))
         return fleet_intermediaries.write_intermediaries(chosen)
 
@@ -189,7 +188,7 @@
         next_peers = steady_clock() + FIRST_PEERS_DELAY
         sent_owners: dict[str, OwnerMap] = {}
         sent_totals = backend_loads.SentTotals()
-        known_partitions = self._control.intermediaries.changes
+        sent_changes = -1
         try:
             while True:
                 known = self._notifier.count
@@ -201,12 +200,14 @@
                 status.owners.extend(self._control.owners_since(sent_owners))
                 self._table_exchange.fill(status, peer, steady_clock())
                 updates.fill(status, steady_clock())
-                partitions = self._control.intermediaries.changes
-                if steady_clock() >= next_peers or partitions != known_partitions:
+                is_due = steady_clock() >= next_peers
+                if is_due:
                     next_peers = steady_clock() + PEERS_INTERVAL
-                    known_partitions = partitions
                     status.peers.extend(sample_peers(list(self._addresses.values()), self._random))
-                    status.intermediaries.extend(self._intermediaries_for(peer))
+                changes = self._control.intermediaries.changes
+                if peer.node_id is not None and (is_due or changes != sent_changes):
+                    sent_changes = changes
+                    status.intermediaries.extend(self._intermediaries_for(peer.node_id))
                 await sender.send(ControlMessage(status=status))
                 await anyio.sleep(self._status_pause())
                 await self._notifier.wait_past(known, self._timing.heartbeat_interval)
--- a/src/limedeck/node/intermediary_client.py
+++ b/src/limedeck/node/intermediary_client.py
@@ -13,10 +13,10 @@
 from limedeck.node import intermediary_messages as messages
 from limedeck.routing.outcomes import AttemptFailed, FailurePhase
 
-MAX_UNABLE = 4
-"""Nodes that are asked in vain for one attempt: half of those that the leader names."""
-MAX_UNREACHED = 2
-"""Intermediaries that must fail to connect to a back end before it counts as failed."""
+MAX_TRIED = 4
+"""Nodes that are asked for one attempt: half of those that the leader names."""
+MAX_FAILED_CONNECTIONS = 2
+"""Intermediaries that must try to connect to a back end in vain before it counts as failed."""
 PROBE_TARGET = b"/"
 NO_INTERMEDIARY = "no other node reaches it"
 """Problem of an attempt for which there was no intermediary."""
@@ -50,9 +50,10 @@
             There is no complete response by `until` (on this node's clock). The phase tells whether
             the request may have run, also if the connection to the other node was lost.
         """
+        backend_id = request.attempt.backend_id
         tried: set[str] = set()
         failures: list[AttemptFailed] = []
-        while len(tried) < MAX_UNABLE and len(failures) < MAX_UNREACHED:
+        while len(tried) < MAX_TRIED and len(failures) < MAX_FAILED_CONNECTIONS:
             chosen = self._choose(request, tried)
             if chosen is None:
                 break
@@ -65,13 +66,15 @@
             except AttemptFailed as error:
                 if error.phase is not FailurePhase.NOT_CONNECTED:
                     raise
-                failures.append(error)
+                self._intermediaries.record_unreached(chosen.address, backend_id, steady_clock())
+                if error.problem != messages.UNREACHED:
+                    failures.append(error)
                 continue
-            self._intermediaries.record_served_backend(request.attempt.backend_id)
+            self._intermediaries.record_served_backend(backend_id)
             return response
         if not failures:
             raise AttemptFailed(FailurePhase.NOT_CONNECTED, NO_INTERMEDIARY)
-        self._intermediaries.record_failed_backend(request.attempt.backend_id, steady_clock())
+        self._intermediaries.record_failed_backend(backend_id, steady_clock())
         raise failures[0]
 
     async def probe(self, backend_id: str, until: Seconds) -> None:
@@ -89,7 +92,8 @@
         await self.exchange(request, until)
 
     def _choose(self, request: ForwardedRequest, tried: Collection[str]) -> Intermediary | None:
-        return self._intermediaries.choose(request.request_id, tried, steady_clock())
+        backend_id = request.attempt.backend_id
+        return self._intermediaries.choose(backend_id, request.request_id, tried, steady_clock())
 
     async def _exchange_through(
         self, chosen: Intermediary, request: ForwardedRequest, until: Seconds
--- a/src/limedeck/node/intermediary_messages.py
+++ b/src/limedeck/node/intermediary_messages.py
@@ -29,6 +29,8 @@
 NO = b"0"
 MS_PER_SECOND = 1000.0
 NO_RESPONSE_STATUS = 502
+UNREACHED = "unreached"
+"""Problem of an attempt at a back end that the other node knows not to reach either."""
 MAX_TIME_LEFT_DIGITS = 9
 
 
--- a/src/limedeck/node/intermediary_server.py
+++ b/src/limedeck/node/intermediary_server.py
@@ -27,8 +27,6 @@
 """Attempts for other nodes in progress at a time; with more, they have to ask another node."""
 BAD_REQUEST_STATUS = 400
 PROBED_STATUS = 204
-UNREACHED = "unreached"
-"""Problem of an attempt at a back end that this node does not reach either."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,7 +137,7 @@
         backend_id = target.backend.backend_id
         try:
             if self._state.directory.reachability.is_unreached(backend_id):
-                raise AttemptFailed(FailurePhase.NOT_CONNECTED, UNREACHED)
+                raise AttemptFailed(FailurePhase.NOT_CONNECTED, messages.UNREACHED)
             response = await self._attempt(attempt, target, request, until)
         except AttemptFailed as error:
             if error.phase is FailurePhase.NOT_CONNECTED:
@@ -166,7 +164,9 @@
             return HttpResponse(PROBED_STATUS, [], b"")
         started = steady_clock()
         response = await self._client.exchange(request, until)
-        self._state.directory.reachability.record_response(steady_clock())
+        self._state.directory.reachability.record_response(
+            target.backend.backend_id, steady_clock()
+        )
         request_id = self._protocol.request_id(dict(request.headers))
         if request_id is not None:
             self._reader.read_statements(request_id, Attempt(target, until), response, started)
--- a/src/limedeck/node/order_sender.py
+++ b/src/limedeck/node/order_sender.py
@@ -57,7 +57,7 @@
         except AttemptFailed as error:
             self._record_lost_order(name, core, order, str(error))
             return
-        self._directory.reachability.record_response(steady_clock())
+        self._directory.reachability.record_response(order.backend_id, steady_clock())
         done = self._orders.is_done(response.status)
         fenced_off = self._orders.is_fenced_off(response.status)
         if done or fenced_off:
--- a/src/limedeck/node/reachability_monitor.py
+++ b/src/limedeck/node/reachability_monitor.py
@@ -36,15 +36,18 @@
     ----------
     oldest_request
         Returns since when the oldest outstanding request has been waiting; None if there is none.
-    on_partition_began
-        Called when this node finds that it reaches no back end.
+    overdue_backends
+        Returns back ends that have not responded for much longer than usual.
+    on_unreached
+        Called when this node finds that it does not reach a back end, or none at all (None).
     on_partition_changed
-        Called when a partition of this node begins or ends, after `on_partition_began`.
+        Called when a partition of this node begins or ends, after `on_unreached`.
     """
 
     def __init__(self, state: NodeState, client: HttpClient, telemetry: Telemetry) -> None:
         self.oldest_request: Callable[[], Seconds | None] = lambda: None
-        self.on_partition_began: Callable[[], None] = lambda: None
+        self.overdue_backends: Callable[[Seconds], list[str]] = lambda now: []
+        self.on_unreached: Callable[[str | None], None] = lambda backend_id: None
         self.on_partition_changed: Callable[[], None] = lambda: None
         self._state = state
         self._reachability = state.directory.reachability
@@ -97,10 +100,12 @@
     def _start_due_probes(self) -> None:
         if self._tasks is None:
             return
-        listed = {state.backend.backend_id: state for state in self._state.directory.all_states()}
+        states = {state.backend.backend_id: state for state in self._state.directory.all_states()}
+        listed = {key: state.backend.service for key, state in states.items()}
         now = steady_clock()
+        self._reachability.suspect_overdue(self.overdue_backends(now), now)
         for backend_id in self._reachability.next_probes(listed, self.oldest_request(), now):
-            self._tasks.start_soon(self._probe, listed[backend_id])
+            self._tasks.start_soon(self._probe, states[backend_id])
 
     async def _probe(self, state: BackendState) -> None:
         outcome = reachability.ProbeOutcome.UNKNOWN
@@ -132,13 +137,14 @@
             case reachability.PartitionBegan():
                 self._telemetry.partitioned.set(1)
                 self._log.warning("partition_began", probed=list(event.probed))
-                self.on_partition_began()
+                self.on_unreached(None)
                 self.on_partition_changed()
             case reachability.PartitionEnded():
                 self._telemetry.partitioned.set(0)
                 self._log.warning("partition_ended", seconds=round(event.lasted, 3))
                 self.on_partition_changed()
             case reachability.BackendUnreached():
+                self.on_unreached(event.backend_id)
                 if self._line_limit.allows():
                     self._log.warning("back_end_unreached", backend=event.backend_id)
             case reachability.BackendReached():
