A partitioned node stands last also when the store returns

Cause: the two seconds by which a partitioned node stands later began when it first missed the leader, and had passed when an election became possible. They begin anew with each call that the store does not answer.

--- a/src/limedeck/ownership/election.py
+++ b/src/limedeck/ownership/election.py
@@ -359,6 +359,8 @@
         """Handle a failed call to the store, which may have taken effect."""
         self._is_call_pending = False
         self._confirmation_age = None
+        # No node can be elected without the store, so that the delay begins when it is back.
+        self._stands_from = None
         self._failures += 1
         pause = RETRY_INTERVAL * 2.0 ** min(self._failures - 1, 10)
         self._next_call = now + min(pause, MAX_RETRY_INTERVAL)
--- a/tests/unit/test_partitioned_leader.py
+++ b/tests/unit/test_partitioned_leader.py
@@ -76,6 +76,20 @@
     assert isinstance(commands[-1], Campaign)
 
 
+def test_partitioned_candidate_lets_others_stand_first_when_the_store_returns() -> None:
+    core = follower()
+    core.is_partitioned = True
+    core.handle_denial(4, 99, True)
+    now = 1.1
+    while now < 8.0:
+        if core.handle_tick(now) is not None:
+            core.handle_store_failure(now)
+        now += TICK
+    early = run_until(core, now, now + TIMING.partitioned_candidate_delay - 5 * TICK)
+    assert any(isinstance(item, ReadLeader) for item in early)
+    assert not any(isinstance(item, Campaign) for item in early)
+
+
 def test_candidate_whose_partition_has_ended_stands_at_once() -> None:
     core = follower()
     core.is_partitioned = True
