Soak and system tests of partitioned nodes: twice in a row, most of nine nodes, all, kills, store away

The soak gets the step partition: some, most or all nodes cut off for 1 to 6 s, hanging, reset or living on.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -35,6 +35,7 @@
 """
 CRASH_TIMEOUT = 4.0
 """Seconds for one of these attempts."""
+PARTITION_SECONDS = (1.0, 6.0)
 COPY_AGE_SECONDS = (0.5, 6.0)
 ENTRY_RETURN_SECONDS = (0.2, 1.8)
 LAPSE_SECONDS = 1.5
@@ -133,6 +134,7 @@
         self._suspendable = suspendable
         self._suspending = threading.Lock()
         self._evacuating = threading.Lock()
+        self._partitioning = threading.Lock()
         self._site = site
         self._judge = judge
         self._nodes = nodes
@@ -165,6 +167,7 @@
             Kind.LEAVE: self._leave,
             Kind.BACKOFF: self._request_backoff,
             Kind.RETURN_STORE: self._return_store,
+            Kind.PARTITION: self._partition,
         }[drawn.kind]
         for number in range(drawn.steps):
             if ended.wait(drawn.gap):
@@ -425,6 +428,24 @@
             if not key[2].startswith(FOREIGN_ENTRY_PREFIX):
                 store.drop(*key)
 
+    def _partition(self, source: random.Random) -> None:
+        """Cut some nodes, most or all of them off from all back ends for a while."""
+        nodes = self._site.nodes
+        count = source.choice([1, len(nodes) // 2, len(nodes) - 1, len(nodes)])
+        hosts = [node.host for node in source.sample(nodes, max(count, 1))]
+        cut = source.choice(list(proxy.Cut))
+        seconds = source.uniform(*PARTITION_SECONDS)
+        with self._partitioning:
+            self._record_held_up(seconds)
+            for upstream in self._site.upstreams:
+                if upstream.proxy is not None:
+                    self._portal.call(upstream.proxy.cut_off, hosts, cut)
+            time.sleep(seconds)
+            for upstream in self._site.upstreams:
+                if upstream.proxy is not None:
+                    self._portal.call(upstream.proxy.reconnect)
+            self._judge.record_unplanned_fault()
+
     def _record_held_up(self, seconds: float) -> None:
         self._site.record_held_up(seconds)
         self._judge.record_unplanned_fault(seconds)
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -104,8 +104,9 @@
         for stream, host in list(self._connections.items()):
             if host not in self._cut_hosts:
                 continue
-            if cut is Cut.HANG:
-                silent_socket.drop_incoming(stream.extra(anyio.abc.SocketAttribute.raw_socket))
+            raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            if cut is Cut.HANG and raw.fileno() >= 0:
+                silent_socket.drop_incoming(raw)
             elif cut is Cut.RESET:
                 await _reset(stream)
 
@@ -124,6 +125,9 @@
         """Let new connections from hosts that are cut off hang."""
         hosts = frozenset() if self._cut is Cut.RESET else self._cut_hosts
         raw = listener.extra(anyio.abc.SocketAttribute.raw_socket)
+        if raw.fileno() < 0:
+            # `crash` has closed it; the next listener is filtered when it opens.
+            return
         try:
             silent_socket.drop_from(raw, hosts)
         except OSError:
@@ -186,5 +190,6 @@
 
 async def _reset(stream: anyio.abc.SocketStream) -> None:
     raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    if raw.fileno() >= 0:
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
     await anyio.aclose_forcefully(stream)
--- a/tests/soak/series.py
+++ b/tests/soak/series.py
@@ -35,9 +35,12 @@
     LEAVE = "leave"
     BACKOFF = "rest"
     RETURN_STORE = "store-returns"
+    PARTITION = "partition"
 
 
-KINDS_V5 = tuple(kind for kind in Kind if kind is not Kind.RETURN_STORE)
+KINDS_V6 = tuple(kind for kind in Kind if kind is not Kind.PARTITION)
+"""Kinds for seeds recorded before `PARTITION` was added: 520001 and later."""
+KINDS_V5 = tuple(kind for kind in KINDS_V6 if kind is not Kind.RETURN_STORE)
 """Kinds for seeds recorded before `RETURN_STORE` was added: 440001 and later."""
 KINDS_V4 = tuple(kind for kind in KINDS_V5 if kind not in (Kind.LEAVE, Kind.BACKOFF))
 """Kinds for seeds recorded before `LEAVE` and `BACKOFF` were added: 420001 and later."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -229,7 +229,14 @@
         suspended = self._suspendable.get(number)
         ports = self._ports.get(number)
         node = platform_site.start_node(
-            self._group, self._folder, store, number, incarnation, suspended, ports
+            self._group,
+            self._folder,
+            store,
+            number,
+            incarnation,
+            suspended,
+            ports,
+            has_own_host=series.Kind.PARTITION in self._kinds,
         )
         self.judge.record_node_start(node.callers)
         return node
--- a/tests/system/test_partitioned_nodes.py
+++ b/tests/system/test_partitioned_nodes.py
@@ -7,6 +7,7 @@
 
 import contextlib
 import dataclasses
+import signal
 import time
 from collections import Counter
 from collections.abc import Collection, Iterable, Iterator
@@ -14,6 +15,7 @@
 
 import pytest
 
+from tests.soak import statement_judging
 from tests.soak.proxy import Cut
 from tests.system import platform_site
 from tests.system.paced_callers import CallResult, PacedCallers
@@ -32,6 +34,12 @@
 """Least part of the requests at nodes cut off that is served before `DETECTION_SECONDS`."""
 SERVED_SHARE = 0.97
 """Least part that is served later, at every node."""
+IMMEDIATE_SECONDS = 1.0
+"""Half of the time that callers wait."""
+LIMIT = b"4"
+"""Requests per second that a back end states as its limit."""
+LIMIT_WINDOW = 4.0
+MAX_LIMITED_ARRIVALS = 1.5 * 4 * LIMIT_WINDOW + 5
 KEYS = range(0, platform_site.KEYS, 997)
 
 
@@ -81,6 +89,7 @@
         return share_served(results)
 
     def assert_served_everywhere(self) -> None:
+        """Requests at nodes cut off are served, as are those at others and after healing."""
         for callers in (self.keyed, self.unkeyed):
             early = self.served(callers, True, self.cut_at, self.detected_at)
             later = self.served(callers, True, self.detected_at, self.healed_at)
@@ -151,3 +160,98 @@
         pass
     observed.assert_promises_kept()
     observed.assert_served_everywhere()
+
+
+def test_callers_are_served_if_only_the_back_ends_of_one_service_are_cut_off(
+    site: platform_site.Site,
+) -> None:
+    nodes = nodes_to_cut(site, CUT_OFF, leader_included=True)
+    with observed_cut(site, nodes, Cut.HANG, keyed=(False,)) as observed:
+        pass
+    observed.assert_promises_kept()
+    observed.assert_served_everywhere()
+
+
+def test_callers_are_served_though_a_node_that_reaches_the_back_ends_is_killed(
+    site: platform_site.Site,
+) -> None:
+    nodes = nodes_to_cut(site, CUT_OFF, leader_included=True)
+    with observed_cut(site, nodes, Cut.HANG) as observed:
+        time.sleep(DETECTION_SECONDS)
+        killed = next(node for node in site.nodes if node not in nodes)
+        killed.process.signal(signal.SIGKILL)
+        observed.cut_at = time.monotonic()
+    observed.assert_promises_kept()
+    observed.assert_served_everywhere()
+
+
+def test_callers_are_served_while_links_are_lost_twice_in_a_row(
+    site: platform_site.Site,
+) -> None:
+    nodes = nodes_to_cut(site, CUT_OFF, leader_included=True)
+    others = nodes_to_cut(site, CUT_OFF, leader_included=False)
+    with observed_cut(site, nodes, Cut.RESET) as observed:
+        time.sleep(2.0)
+        site.reconnect()
+        time.sleep(1.0)
+        observed.cut_nodes = [*nodes, *(node for node in others if node not in nodes)][:4]
+        observed.cut_at = time.monotonic()
+        site.cut_off(observed.cut_nodes, Cut.HANG)
+    observed.assert_promises_kept()
+    observed.assert_served_everywhere()
+
+
+def test_nodes_that_are_all_cut_off_refuse_at_once_and_keys_keep_their_owners(
+    site: platform_site.Site,
+) -> None:
+    owners = {upstream.name: set(upstream.held) for upstream in site.upstreams if upstream.keyed}
+    with observed_cut(site, site.nodes, Cut.HANG) as observed:
+        pass
+    observed.assert_promises_kept()
+    for callers in (observed.keyed, observed.unkeyed):
+        late = [
+            item
+            for item in callers.results
+            if observed.detected_at <= item.sent_at < observed.healed_at - 0.5
+        ]
+        assert {item.status for item in late} == {503}
+        assert max(item.took for item in late) < IMMEDIATE_SECONDS
+        healed = observed.served(callers, None, observed.recovered_at, observed.ended_at)
+        assert healed >= SERVED_SHARE
+    after = {upstream.name: set(upstream.held) for upstream in site.upstreams if upstream.keyed}
+    assert after == owners
+
+
+def test_callers_are_served_while_the_store_is_away_too(site: platform_site.Site) -> None:
+    nodes = nodes_to_cut(site, CUT_OFF, leader_included=False)
+    with observed_cut(site, nodes, Cut.HANG) as observed:
+        site.store.away = True
+        time.sleep(CUT_SECONDS - 1.0)
+        site.store.away = False
+    observed.assert_promises_kept()
+    observed.assert_served_everywhere()
+
+
+def test_most_nodes_of_a_larger_site_are_served_through_the_few_left(tmp_path: Path) -> None:
+    with platform_site.running_site(tmp_path, KEYED, UNKEYED, nodes=9, own_hosts=True) as site:
+        nodes = nodes_to_cut(site, 7, leader_included=True)
+        with observed_cut(site, nodes, Cut.HANG) as observed:
+            pass
+    observed.assert_promises_kept()
+    observed.assert_served_everywhere()
+
+
+def test_what_a_back_end_states_holds_at_nodes_that_reach_it_through_others(
+    site: platform_site.Site,
+) -> None:
+    nodes = nodes_to_cut(site, CUT_OFF, leader_included=True)
+    leaving, limited = [item for item in site.upstreams if not item.keyed][:2]
+    with observed_cut(site, nodes, Cut.HANG) as observed:
+        time.sleep(1.5)
+        leaving.leaving = True
+        limited.state_limit(LIMIT)
+    sent = observed.unkeyed.sent
+    assert leaving.leaving_responses
+    assert statement_judging.requests_after_leaving([leaving], sent) == []
+    assert limited.max_arrivals(LIMIT_WINDOW, observed.detected_at) <= MAX_LIMITED_ARRIVALS
+    observed.assert_promises_kept()
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -22,6 +22,14 @@
     series.Kind.DRAIN,
     series.Kind.STOP,
 )
+PARTITIONS = (
+    series.Kind.PARTITION,
+    series.Kind.KILL,
+    series.Kind.STOP,
+    series.Kind.STORE_FAULTS,
+    series.Kind.CRASH,
+    series.Kind.RETURN_STORE,
+)
 
 
 @pytest.mark.parametrize(
@@ -45,6 +53,7 @@
         (420021, 20.0, series.KINDS_V4),
         (460001, 20.0, LEAVING_AND_BACKOFF),
         (520001, 20.0, STORE_RETURNS),
+        (610001, 20.0, PARTITIONS),
     ],
     ids=[
         "planned",
@@ -55,6 +64,7 @@
         "store-away-while-cold",
         "leaving-and-backoff",
         "store-returns",
+        "partitions",
     ],
 )
 def test_no_promise_is_broken(
