Attempts that are out of time do not rule intermediaries out; calm nodes list no back ends

Read while the diff was gone over, not seen in a run: connecting to another node with no time left fails at once, and that node was then avoided for a second. The check for due probes, twenty times a second, built a table of all back ends even if there was nothing to probe.

--- a/src/limedeck/forwarding/reachability.py
+++ b/src/limedeck/forwarding/reachability.py
@@ -164,6 +164,12 @@
             self._suspects.update(overdue)
             self._has_overdue = True
 
+    def is_round_due(self, waiting_since: Seconds | None, now: Seconds) -> bool:
+        """Whether a round of probes is due; see `next_probes`."""
+        if self._pending or now < self._round_ended_at + self._round_interval:
+            return False
+        return bool(self._suspects) or self._needs_probes or self.is_silent(waiting_since, now)
+
     def next_probes(
         self, listed: Mapping[str, str], waiting_since: Seconds | None, now: Seconds
     ) -> list[str]:
@@ -178,13 +184,11 @@
         """
         self._unreached = {key: at for key, at in self._unreached.items() if key in listed}
         self._suspects = {key: None for key in self._suspects if key in listed}
-        if self._pending or now < self._round_ended_at + self._round_interval or not listed:
+        if not listed or not self.is_round_due(waiting_since, now):
             return []
         self._responses = {key: at for key, at in self._responses.items() if key in listed}
         self._services = listed
         needs_others = bool(self._suspects) or self.is_silent(waiting_since, now)
-        if not needs_others and not self._needs_probes:
-            return []
         chosen = self._choose_suspects()
         if needs_others:
             chosen += self._choose_siblings(chosen)
--- a/src/limedeck/node/intermediary_client.py
+++ b/src/limedeck/node/intermediary_client.py
@@ -61,6 +61,8 @@
             try:
                 response = await self._exchange_through(chosen, request, until)
             except messages.IntermediaryUnable:
+                if steady_clock() >= until:
+                    break
                 self._intermediaries.avoid(chosen.address, steady_clock())
                 continue
             except AttemptFailed as error:
--- a/src/limedeck/node/reachability_monitor.py
+++ b/src/limedeck/node/reachability_monitor.py
@@ -100,11 +100,14 @@
     def _start_due_probes(self) -> None:
         if self._tasks is None:
             return
-        states = {state.backend.backend_id: state for state in self._state.directory.all_states()}
-        listed = {key: state.backend.service for key, state in states.items()}
         now = steady_clock()
+        waiting_since = self.oldest_request()
         self._reachability.suspect_overdue(self.overdue_backends(now), now)
-        for backend_id in self._reachability.next_probes(listed, self.oldest_request(), now):
+        if not self._reachability.is_round_due(waiting_since, now):
+            return
+        states = {state.backend.backend_id: state for state in self._state.directory.all_states()}
+        listed = {key: state.backend.service for key, state in states.items()}
+        for backend_id in self._reachability.next_probes(listed, waiting_since, now):
             self._tasks.start_soon(self._probe, states[backend_id])
 
     async def _probe(self, state: BackendState) -> None:
