--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -20,11 +20,12 @@
 from limedeck.forwarding.owners import OwnedRange, OwnerMap
 from limedeck.forwarding.quarantine import QuarantineLedger
 from limedeck.http_client import HttpClient
-from limedeck.identity import NEVER, Seconds
+from limedeck.identity import Seconds
 from limedeck.node import (
     fleet_intermediaries,
     load_exchange,
     order_sender,
+    ownership_log,
     permit_exchange,
 )
 from limedeck.node.connection_updates import ConnectionUpdates
@@ -36,7 +37,12 @@
 from limedeck.node.telemetry import Telemetry
 from limedeck.ownership import candidate_priority
 from limedeck.ownership.commands import OwnershipCommand, SendGrant, SendRelease, WriteRecord
-from limedeck.ownership.election import Campaign, ElectionCommand, ElectionCore, Role
+from limedeck.ownership.election import ElectionCore
+from limedeck.ownership.election_events import (
+    Campaign,
+    ElectionCommand,
+    Role,
+)
 from limedeck.ownership.orders import OrderProtocol
 from limedeck.ownership.service import ServiceOwnership
 from limedeck.ownership.timing import OwnershipTiming
@@ -53,10 +59,6 @@
 ASSIGNMENT_TABLE = "limedeck_assignment"
 TICK_INTERVAL: Seconds = 0.05
 """Interval between checks for due work: a tenth of the renewal interval."""
-BALANCE_LOG_INTERVAL: Seconds = 1.0
-"""Interval between `balance` log lines of one service; on-call reads them by the second."""
-MAX_LOGGED_BACKENDS = 12
-"""Number of back ends, those with the highest use, that a `balance` log line names."""
 RECORD_RETRY_DELAY: Seconds = 0.1
 """Short, because keys wait for the record meanwhile and a call costs the store little."""
 MAX_STORE_SILENCE: Seconds = 1.0
@@ -140,9 +142,7 @@
         self._owners = PublishedOwners()
         self._log = get_logger("control")
         self._next_own_loads: Seconds = 0.0
-        self._next_balance_log: dict[str, Seconds] = {}
-        self._fencing_began: dict[str, Seconds] = {}
-        self._max_tick_delay: Seconds = 0.0
+        self._ownership_log = ownership_log.OwnershipLog(telemetry)
         self._tasks: TaskGroup | None = None
 
     @property
@@ -192,7 +192,7 @@
                 due = steady_clock() + TICK_INTERVAL
                 self._tick(steady_clock())
                 await anyio.sleep(TICK_INTERVAL)
-                self._max_tick_delay = max(self._max_tick_delay, steady_clock() - due)
+                self._ownership_log.record_tick_delay(steady_clock() - due)
 
     def status(self) -> Status:
         """Return this node's status for the nodes that follow it, without owners."""
@@ -305,9 +305,7 @@
                 owned.core.handle_former_leaders_ended(now)
             for order in owned.core.handle_tick(may_renew, now, may_yield, may_move):
                 self._start(self._execute_command, name, owned, order)
-            self._log_fencing(name, owned, now)
-            self._log_changes(name, owned.core)
-            self._log_balance(name, owned.core, now)
+            self._ownership_log.record_tick(name, owned.term, owned.core, now)
             self._publish(name, owned, now)
             if owned.core.fenced_off:
                 self._log.warning("fenced_off", service=name, term=owned.term)
@@ -346,7 +344,7 @@
         if self._services:
             self._log.info("leadership_ended", term=self.election.term)
             self._services.clear()
-            self._fencing_began.clear()
+            self._ownership_log.clear()
             self._owners.clear()
             self.loads.clear()
             self._telemetry.leads.set(0)
@@ -400,50 +398,6 @@
         self._state.set_owners(name, owners)
         self.on_owners()
 
-    def _log_balance(self, name: str, core: ServiceOwnership, now: Seconds) -> None:
-        if now < self._next_balance_log.get(name, NEVER) or not core.uses:
-            return
-        self._next_balance_log[name] = now + BALANCE_LOG_INTERVAL
-        by_use = sorted(core.uses.items(), key=lambda item: -item[1])
-        self._log.info(
-            "balance",
-            service=name,
-            pieces=len(core.ranges),
-            mean=round(sum(core.uses.values()) / len(core.uses), 2),
-            service_time=round(core.typical_service_time(), 4),
-            owners=len(core.uses),
-            unheard=core.unresponsive_owners(now),
-            tick_delay=round(self._max_tick_delay, 3),
-            uses={backend_id: round(use, 2) for backend_id, use in by_use[:MAX_LOGGED_BACKENDS]},
-        )
-        self._max_tick_delay = 0.0
-
-    def _log_fencing(self, name: str, owned: _OwnedService, now: Seconds) -> None:
-        """Log that back ends may hold unknown keys after a changed era, and the end of that."""
-        began = self._fencing_began.get(name)
-        if owned.core.is_fencing and began is None:
-            self._fencing_began[name] = now
-            self._log.warning("era_fencing_began", service=name, term=owned.term)
-        elif began is not None and not owned.core.is_fencing:
-            del self._fencing_began[name]
-            self._log.warning(
-                "era_fencing_ended", service=name, term=owned.term, seconds=round(now - began, 3)
-            )
-
-    def _log_changes(self, name: str, core: ServiceOwnership) -> None:
-        for change in core.changes:
-            self._telemetry.owner_changes.labels(change.cause.value).inc()
-            self._log.info(
-                "owner_changed",
-                service=name,
-                first=change.first,
-                last=change.last,
-                former=change.former,
-                owner=change.owner,
-                cause=change.cause.value,
-            )
-        core.changes.clear()
-
     def _start(
         self, function: Callable[..., Coroutine[object, object, None]], *arguments: object
     ) -> None:
--- a/src/limedeck/node/election_calls.py
+++ b/src/limedeck/node/election_calls.py
@@ -15,11 +15,11 @@
 from limedeck.node.logs import get_logger
 from limedeck.node.telemetry import Telemetry
 from limedeck.ownership import terms
-from limedeck.ownership.election import (
+from limedeck.ownership.election import ElectionCore
+from limedeck.ownership.election_events import (
     Campaign,
     Confirm,
     ElectionCommand,
-    ElectionCore,
     LeaderReadResult,
     ReadLeader,
 )
--- a/src/limedeck/node/inspection.py
+++ b/src/limedeck/node/inspection.py
@@ -12,7 +12,11 @@
 from limedeck.identity import Seconds
 from limedeck.node.asgi import Receive, Scope, Send
 from limedeck.node.state import NodeState
-from limedeck.ownership.election import ElectionCore, Leadership, Role
+from limedeck.ownership.election import ElectionCore
+from limedeck.ownership.election_events import (
+    Leadership,
+    Role,
+)
 from limedeck.views import (
     ASSIGNMENT_PATH,
     LOCATE_PATH,
--- a/src/limedeck/ownership/leader_permits.py
+++ b/src/limedeck/ownership/leader_permits.py
@@ -4,7 +4,10 @@
 
 from limedeck.forwarding.permits import PermitDenied, PermitIssuer, PermitRequest, PermitResponse
 from limedeck.identity import Seconds
-from limedeck.ownership.election import ElectionCore, Role
+from limedeck.ownership.election import ElectionCore
+from limedeck.ownership.election_events import (
+    Role,
+)
 
 NO_RESPONSE_RETRY_DELAY: Seconds = 0.3
 """Delay before a node without a leader's response requests a permit again; about the time of an
--- a/src/limedeck_lab/explain/meanings.py
+++ b/src/limedeck_lab/explain/meanings.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from limedeck.forwarding.commands import RefusalReason
-from limedeck.ownership.election import Suspicion
+from limedeck.ownership.election_events import (
+    Suspicion,
+)
 from limedeck.ownership.ranges import OwnerChangeCause
 from limedeck.routing.outcomes import FailurePhase, Outcome
 
--- a/src/limedeck_lab/ownership/node.py
+++ b/src/limedeck_lab/ownership/node.py
@@ -14,11 +14,11 @@
 from limedeck.model import Backend
 from limedeck.ownership import terms
 from limedeck.ownership.commands import SendGrant, SendRelease, WriteRecord
-from limedeck.ownership.election import (
+from limedeck.ownership.election import ElectionCore
+from limedeck.ownership.election_events import (
     Campaign,
     Confirm,
     ElectionCommand,
-    ElectionCore,
     LeaderReadResult,
     ReadLeader,
     Role,
--- a/tests/system/test_node_questions.py
+++ b/tests/system/test_node_questions.py
@@ -13,7 +13,9 @@
 from cleo.testers.application_tester import ApplicationTester
 
 from limedeck.cli.application import build_application
-from limedeck.ownership.election import Suspicion
+from limedeck.ownership.election_events import (
+    Suspicion,
+)
 from limedeck_lab.processes import wait_until
 from tests.system import platform_site
 from tests.system.test_crashing_requests import is_leader
--- a/tests/unit/test_election.py
+++ b/tests/unit/test_election.py
@@ -7,10 +7,10 @@
 from limedeck import staggering, versions
 from limedeck.api.control_pb2 import LeaderRecord
 from limedeck.ownership import candidate_priority, terms
-from limedeck.ownership.election import (
+from limedeck.ownership.election import ElectionCore
+from limedeck.ownership.election_events import (
     Campaign,
     Confirm,
-    ElectionCore,
     LeaderReadResult,
     ReadLeader,
     Role,
--- a/tests/unit/test_explain.py
+++ b/tests/unit/test_explain.py
@@ -9,7 +9,9 @@
 import pytest
 
 from limedeck.forwarding.commands import RefusalReason
-from limedeck.ownership.election import Suspicion
+from limedeck.ownership.election_events import (
+    Suspicion,
+)
 from limedeck.ownership.ranges import OwnerChangeCause
 from limedeck.routing.outcomes import FailurePhase, Outcome
 from limedeck_lab.explain import meanings
--- a/tests/unit/test_inspection.py
+++ b/tests/unit/test_inspection.py
@@ -16,7 +16,11 @@
 from limedeck.model import Backend, Configuration, Service
 from limedeck.node.inspection import InspectionApplication, NodeInspector, NotShown
 from limedeck.node.state import NodeState
-from limedeck.ownership.election import Campaign, ElectionCore, LeaderReadResult
+from limedeck.ownership.election import ElectionCore
+from limedeck.ownership.election_events import (
+    Campaign,
+    LeaderReadResult,
+)
 from limedeck.ownership.timing import OwnershipTiming
 from limedeck.views import ASSIGNMENT_PATH, LOCATE_PATH, STATUS_PATH, LocationView, StatusView
 
--- a/tests/unit/test_partitioned_leader.py
+++ b/tests/unit/test_partitioned_leader.py
@@ -6,11 +6,11 @@
 
 from limedeck.api.control_pb2 import LeaderRecord
 from limedeck.identity import Seconds
-from limedeck.ownership.election import (
+from limedeck.ownership.election import ElectionCore
+from limedeck.ownership.election_events import (
     Campaign,
     Confirm,
     ElectionCommand,
-    ElectionCore,
     LeaderReadResult,
     ReadLeader,
     Role,
