Slow requests at a quiet node cause few probes

Read while the diff was gone over: with one request of some seconds outstanding and no other traffic, a node probed two back ends every 0.35 s for as long as it took. Silence counts from when a response is late for its back end, and a round that reached all back ends is followed by none for a second. test_reachability.py: at most 5 rounds in 5 s.

--- a/src/limedeck/forwarding/reachability.py
+++ b/src/limedeck/forwarding/reachability.py
@@ -27,8 +27,9 @@
 MIN_UNREACHED_OF_SERVICE = 2
 """Unreached back ends of a service from which on its others are probed; one may have failed."""
 MIN_ROUND_INTERVAL: Seconds = 0.25
-"""Time between two rounds while a back end is unreached, this node is partitioned, or no back end
-has responded since the last round; the time in which the end of a partition is detected."""
+"""Time between two rounds while a back end is unreached or this node is partitioned, or after a
+round that did not reach all its back ends if none has responded since; the time in which the end of
+a partition is detected."""
 CALM_ROUND_INTERVAL: Seconds = 1.0
 """Time between two rounds otherwise: an overloaded back end fails many requests."""
 OVERDUE_ROUND_INTERVAL: Seconds = 4.0
@@ -123,6 +124,7 @@
         self._round_ended_at: Seconds = NEVER
         self._overdue_reached_at: Seconds = NEVER
         self._has_overdue = False
+        self._has_reached_all = False
         self._found_unreached = False
         self._services: Mapping[str, str] = {}
         self._includes_others = False
@@ -207,8 +209,8 @@
     def _round_interval(self) -> Seconds:
         if self._suspects and self._found_unreached:
             return 0.0
-        has_response = self._responded_at >= self._round_ended_at
-        is_calm = has_response and not self._needs_probes
+        has_contact = self._has_reached_all or self._responded_at >= self._round_ended_at
+        is_calm = has_contact and not self._needs_probes
         return CALM_ROUND_INTERVAL if is_calm else MIN_ROUND_INTERVAL
 
     def is_silent(self, waiting_since: Seconds | None, now: Seconds) -> bool:
@@ -287,7 +289,8 @@
             self._partitioned_at = now
             events.append(PartitionBegan(tuple(sorted(self._outcomes))))
         self._round_ended_at = now
-        if outcomes == {ProbeOutcome.REACHED} and self._has_overdue:
+        self._has_reached_all = outcomes == {ProbeOutcome.REACHED}
+        if self._has_reached_all and self._has_overdue:
             self._overdue_reached_at = now
             self._has_overdue = False
         return events
--- a/src/limedeck/node/backend_paths.py
+++ b/src/limedeck/node/backend_paths.py
@@ -245,17 +245,20 @@
             self._monitor.defer_fault(state)
 
     def _oldest_request(self) -> Seconds | None:
-        return min((item.started_at for item in self._waiting), default=None)
+        return min((self._waits_since(item) for item in self._waiting), default=None)
+
+    def _waits_since(self, item: _DirectExchange) -> Seconds:
+        """Return from when on an attempt counts as unanswered: later if it usually takes long."""
+        state = self._directory.find(item.backend_id)
+        usual = state.service_time if state is not None else None
+        return item.started_at + max(OVERDUE_FACTOR * (usual or 0.0) - SILENCE, 0.0)
 
     def _overdue_backends(self, now: Seconds) -> list[str]:
         """Return back ends with requests that wait for much longer than they usually take."""
-        overdue = set()
-        for item in self._waiting:
-            state = self._directory.find(item.backend_id)
-            usual = state.service_time or 0.0 if state is not None else 0.0
-            if now - item.started_at >= max(SILENCE, OVERDUE_FACTOR * usual):
-                overdue.add(item.backend_id)
-        return sorted(overdue)
+        late = {
+            item.backend_id for item in self._waiting if now - self._waits_since(item) >= SILENCE
+        }
+        return sorted(late)
 
     def _handle_unreached(self, backend_id: str | None) -> None:
         """Abort repeatable attempts that hang: they would wait for their deadlines.
--- a/tests/unit/test_reachability.py
+++ b/tests/unit/test_reachability.py
@@ -194,3 +194,16 @@
         assert not core.is_partitioned
     assert set(core.unreached_backends) <= lost
     assert len(core.unreached_backends) >= 0.9 * count
+
+
+def test_slow_request_at_a_quiet_node_causes_few_probes() -> None:
+    core = Reachability("n")
+    core.record_response("b7", 10.0)
+    rounds = 0
+    for tick in range(100):
+        now = 10.0 + tick * 0.05
+        chosen = core.next_probes(LISTED, 10.0, now)
+        rounds += bool(chosen)
+        for backend_id in chosen:
+            core.handle_probe(backend_id, ProbeOutcome.REACHED, now)
+    assert 1 <= rounds <= 5
