A back end that probes find to have exited counts as exited, and is cold from its return on

Cause, by the nodes' logs: a probe found the back end unreached before any attempt was refused; its requests then went to other nodes, which did not reach it either, and no node recorded the exit, so that none let it be cold after its return at 3309.5.

A back end that is found unreached is checked as one that drops a connection is: refused here, and not reached by another node, it has exited. Reached again, its exit cooldown begins anew.

--- a/src/limedeck/forwarding/backend_state.py
+++ b/src/limedeck/forwarding/backend_state.py
@@ -256,6 +256,12 @@
         self._exited_at = now
         self._exit_cooldown_until = now + EXIT_COOLDOWN
 
+    def restart_exit_cooldown(self, now: Seconds) -> None:
+        """Restart its exit cooldown, if it is in one: it has just been reached again."""
+        if now < self._exit_cooldown_until:
+            self._exited_at = now
+            self._exit_cooldown_until = now + EXIT_COOLDOWN
+
     def extend_exit_cooldown(self, now: Seconds) -> None:
         """Extend its exit cooldown while the store is unreachable and its entry cannot change."""
         if now < self._exit_cooldown_until:
--- a/src/limedeck/node/backend_paths.py
+++ b/src/limedeck/node/backend_paths.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import anyio
@@ -65,7 +66,14 @@
 
 
 class BackendPaths:
-    """The ways on which this node reaches back ends."""
+    """The ways on which this node reaches back ends.
+
+    Attributes
+    ----------
+    on_backend_unreached
+        Called when probes have shown that this node does not reach a back end, while it reaches
+        others.
+    """
 
     def __init__(
         self,
@@ -84,10 +92,12 @@
         self._monitor = monitor
         self._through_others = through_others
         self._telemetry = telemetry
+        self.on_backend_unreached: Callable[[Backend], None] = lambda backend: None
         self._waiting: set[_DirectExchange] = set()
         monitor.oldest_request = self._oldest_request
         monitor.overdue_backends = self._overdue_backends
         monitor.on_unreached = self._handle_unreached
+        monitor.on_reached = self._handle_reached
 
     async def exchange(self, request: BackendRequest, until: Seconds) -> HttpResponse:
         """Send a request to its back end, and wait for the complete response.
@@ -274,6 +284,16 @@
                 state.clear_failures()
             if not self._reachability.is_silent(self._oldest_request(), steady_clock()):
                 return
+        else:
+            unreached = self._directory.find(backend_id)
+            if unreached is not None:
+                self.on_backend_unreached(unreached.backend)
         for item in self._waiting:
             if item.repeatable and backend_id in (None, item.backend_id):
                 item.scope.cancel()
+
+    def _handle_reached(self, backend_id: str) -> None:
+        """Let a back end that exited be cold for a while from its return on."""
+        state = self._directory.find(backend_id)
+        if state is not None:
+            state.restart_exit_cooldown(steady_clock())
--- a/src/limedeck/node/crash_watch.py
+++ b/src/limedeck/node/crash_watch.py
@@ -39,6 +39,7 @@
         self._state = state
         self._ledger = state.quarantine
         self._paths = paths
+        paths.on_backend_unreached = self.check_exit
         self._telemetry = telemetry
         self._probed_at: dict[str, Seconds] = {}
         self._tasks: TaskGroup | None = None
@@ -64,6 +65,18 @@
             self._probed_at[backend.backend_id] = now
             self._tasks.start_soon(self._probe_port, backend)
 
+    def check_exit(self, backend: Backend) -> None:
+        """Find out whether a back end that this node does not reach has exited."""
+        if self._tasks is not None:
+            self._tasks.start_soon(self._check_exit, backend)
+
+    async def _check_exit(self, backend: Backend) -> None:
+        try:
+            await self._paths.check_port(backend, steady_clock() + PROBE_TIMEOUT)
+        except AttemptFailed as error:
+            if error.by_other_end:
+                self.record_refused_connection(backend)
+
     def record_refused_connection(self, backend: Backend) -> None:
         """Record that no process listens at a back end's address.
 
--- a/src/limedeck/node/reachability_monitor.py
+++ b/src/limedeck/node/reachability_monitor.py
@@ -40,6 +40,8 @@
         Returns back ends that have not responded for much longer than usual.
     on_unreached
         Called when this node finds that it does not reach a back end, or none at all (None).
+    on_reached
+        Called when this node reaches a back end again.
     on_partition_changed
         Called when a partition of this node begins or ends, after `on_unreached`.
     """
@@ -48,6 +50,7 @@
         self.oldest_request: Callable[[], Seconds | None] = lambda: None
         self.overdue_backends: Callable[[Seconds], list[str]] = lambda now: []
         self.on_unreached: Callable[[str | None], None] = lambda backend_id: None
+        self.on_reached: Callable[[str], None] = lambda backend_id: None
         self.on_partition_changed: Callable[[], None] = lambda: None
         self._state = state
         self._reachability = state.directory.reachability
@@ -151,6 +154,7 @@
                 if self._line_limit.allows():
                     self._log.warning("back_end_unreached", backend=event.backend_id)
             case reachability.BackendReached():
+                self.on_reached(event.backend_id)
                 if self._line_limit.allows():
                     self._log.info(
                         "back_end_reached",
--- a/tests/unit/test_partition_judgements.py
+++ b/tests/unit/test_partition_judgements.py
@@ -9,10 +9,16 @@
 
 from limedeck import clock, http_client
 from limedeck.forwarding import budget
-from limedeck.forwarding.backend_state import FAILURES_TO_EJECT, BackendState
+from limedeck.forwarding.backend_state import EXIT_COOLDOWN, FAILURES_TO_EJECT, BackendState
 from limedeck.forwarding.reachability import ProbeOutcome
 from limedeck.model import Backend
-from limedeck.node import backend_paths, reachability_monitor, state, telemetry
+from limedeck.node import (
+    backend_paths,
+    crash_watch,
+    reachability_monitor,
+    state,
+    telemetry,
+)
 from limedeck.routing.outcomes import AttemptFailed, FailurePhase
 from tests.unit import backend_access
 
@@ -111,3 +117,30 @@
     for item in sockets:
         item.close()
     assert caught.value.by_other_end is others_listen
+
+
+@pytest.mark.parametrize("others_listen", [True, False], ids=["exited", "partitioned"])
+async def test_back_end_found_by_a_probe_to_have_exited_is_cold_from_its_return_on(
+    others_listen: bool,
+) -> None:
+    sockets = [bound_socket(listens) for listens in (False, others_listen, others_listen)]
+    tested = PartitionableNode([item.getsockname()[1] for item in sockets])
+    exited = tested.backends[0]
+    exited.cold_rate = 4.0
+    watch = crash_watch.CrashWatch(tested.node, tested.paths, telemetry.Telemetry())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(tested.monitor.run)
+        tasks.start_soon(watch.run)
+        await anyio.sleep(0.0)
+        tested.monitor.suspect(exited.backend.backend_id)
+        await tested.monitor.wait_for_round(2.0)
+        await anyio.sleep(1.0)
+        assert exited.is_cold(clock.steady_clock()) is others_listen
+        if others_listen:
+            sockets[0].listen()
+            await tested.monitor.wait_for_round(2.0)
+            remaining = exited.remaining_cold_time(clock.steady_clock())
+            assert remaining > EXIT_COOLDOWN - 0.6
+        tasks.cancel_scope.cancel()
+    for item in sockets:
+        item.close()
