--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -104,8 +104,8 @@
         for stream, host in list(self._connections.items()):
             if host not in self._cut_hosts:
                 continue
-            raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-            if cut is Cut.HANG and raw.fileno() >= 0:
+            raw = stream.extra(anyio.abc.SocketAttribute.raw_socket, None)
+            if cut is Cut.HANG and raw is not None and raw.fileno() >= 0:
                 silent_socket.drop_incoming(raw)
             elif cut is Cut.RESET:
                 await _reset(stream)
@@ -147,7 +147,8 @@
 
     async def _forward_connection(self, caller: anyio.abc.SocketStream) -> None:
         host, _, port = self.target.rpartition(":")
-        source = caller.extra(anyio.abc.SocketAttribute.remote_address)[0]
+        # A connection that was reset already has no address any more.
+        source = str(caller.extra(anyio.abc.SocketAttribute.remote_address, ("",))[0])
         if self._cut is Cut.RESET and source in self._cut_hosts:
             await _reset(caller)
             return
@@ -157,7 +158,7 @@
             await anyio.aclose_forcefully(caller)
             return
         self._streams |= {caller, target}
-        self._connections[caller] = str(source)
+        self._connections[caller] = source
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._pump, caller, target, False, tasks.cancel_scope)
@@ -189,7 +190,7 @@
 
 
 async def _reset(stream: anyio.abc.SocketStream) -> None:
-    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-    if raw.fileno() >= 0:
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket, None)
+    if raw is not None and raw.fileno() >= 0:
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
     await anyio.aclose_forcefully(stream)
