--- a/src/limedeck/forwarding/request.py
+++ b/src/limedeck/forwarding/request.py
@@ -25,7 +25,7 @@
 from limedeck.forwarding.request_guard import RequestGuard
 from limedeck.forwarding.request_permits import RequestPermits
 from limedeck.identity import Seconds
-from limedeck.model import Route
+from limedeck.model import Configuration, Route
 from limedeck.routing.outcomes import (
     REJECTED_PHASES,
     SURELY_NOT_RUN,
@@ -65,6 +65,8 @@
         Requests by key since the last report; client retries are not counted again.
     longest_waits
         By route, the longest time that a caller was ready to wait, in seconds.
+    routes
+        The configured routes that lead to this service.
     """
 
     name: str
@@ -73,6 +75,15 @@
     owners: OwnerMap = field(default_factory=OwnerMap)
     key_counts: Counter[int] = field(default_factory=Counter)
     longest_waits: dict[str, Seconds] = field(default_factory=dict)
+    routes: tuple[Route, ...] = ()
+
+    def set_routes(self, configuration: Configuration) -> None:
+        """Take the routes that lead to this service from a configuration."""
+        self.routes = tuple(
+            route
+            for route in configuration.routes
+            if any(target.service == self.name for target in route.targets)
+        )
 
     def record_wait(self, route: str, wait: Seconds) -> bool:
         """Record how long a caller will wait; return whether its request is taken for a client
--- a/src/limedeck/node/state.py
+++ b/src/limedeck/node/state.py
@@ -79,6 +79,7 @@
         for name, service in configuration.services.items():
             view = self.service(name)
             view.keyed = service.keyed
+            view.set_routes(configuration)
         self.directory.set_cold_rates(
             {name: service.cold_rate for name, service in configuration.services.items()}
         )
