Idle back ends are used again after a moment of slowness

Cause: a request is refused if its back end is expected to miss the objective, and that expectation is corrected only by responses. Once it stood above the objective, nothing was sent and no response came.

Change: a back end with a free slot refuses nothing because of its expected time: there is no queue to keep short, and only a request shows whether it is still slow. The newest responses of all back ends of a service lower the expected time at once (ServiceWork.speedup), since the service times of its single back ends still rest on older ones. The load that this lets through is bounded by the free slots, as all nodes count them together.

--- a/src/limedeck/forwarding/admission.py
+++ b/src/limedeck/forwarding/admission.py
@@ -92,6 +92,7 @@
         if (
             self.may_have_run
             or expected is None
+            or state.has_free_slot(now)
             or expected <= DEADLINE_REFUSAL_FACTOR * (self.until - now)
         ):
             return None
@@ -101,8 +102,11 @@
         """Refuse a request that would miss its objective, as long as a retry can meet it.
 
         This keeps the back end's queue short enough for the requests that it accepts. A client
-        retry with too little time left for another one is served, though late.
+        retry with too little time left for another one is served, though late. A back end with a
+        free slot has no queue to keep short, and only a request shows whether it is still slow.
         """
+        if state.has_free_slot(now):
+            return None
         elapsed = now - self.arrived_at
         objective = self.route.objective
         expected = state.expected_time_of(self.route.name, now)
--- a/src/limedeck/forwarding/backend_state.py
+++ b/src/limedeck/forwarding/backend_state.py
@@ -198,6 +198,7 @@
         if self.service_time is None:
             self.service_time = sample
         self.work.record(route, without_queue / self.service_time)
+        self.work.record_speedup(sample / self.service_time)
         self.service_time += LATENCY_SMOOTHING * (sample - self.service_time)
         self._responses += 1
         self._work_time += sample
@@ -306,6 +307,10 @@
         growth = current / (self._reported_outstanding + GROWTH_SMOOTHING_REQUESTS)
         return min(max(growth, 1.0 / MAX_GROWTH), MAX_GROWTH)
 
+    def has_free_slot(self, now: Seconds) -> bool:
+        """Whether it is expected to process one more request at once."""
+        return self.expected_load(now) < self.backend.slots
+
     def load_age(self, now: Seconds) -> Seconds:
         """Return the age of the newest data on other nodes' requests to it."""
         return now - max(self._load_reported_at, self._leader_data_at)
@@ -341,18 +346,21 @@
         relative
             Cost of the request, as a multiple of the mean over the service's requests.
         """
-        work = self.service_time or typical
+        return self._time_at(self.service_time or typical, now, relative)
+
+    def _time_at(self, service_time: Seconds, now: Seconds, relative: float) -> Seconds:
         slots = self.backend.slots
         ahead = self.expected_load(now)
         queued = max(ahead + 1.0 - slots, 0.0) / slots
         busy = min(ahead / slots, 1.0)
-        return work * (relative * (1.0 + 0.3 * busy) + queued) * self._warmup_factor(now)
+        return service_time * (relative * (1.0 + 0.3 * busy) + queued) * self._warmup_factor(now)
 
     def expected_time_of(self, route: str, now: Seconds) -> Seconds | None:
         """Return the time expected for a request of this route; None if too little is known."""
         if self.service_time is None or not self.work.is_measured(route):
             return None
-        return self.expected_time(now, self.service_time, self.work.relative(route))
+        service_time = self.service_time * self.work.speedup
+        return self._time_at(service_time, now, self.work.relative(route))
 
     def _warmup_factor(self, now: Seconds) -> float:
         age = now - self.first_listed_at
--- a/src/limedeck/forwarding/request_cost.py
+++ b/src/limedeck/forwarding/request_cost.py
@@ -8,6 +8,11 @@
 """Weight of one response among the earlier ones; about 20 give the mean of uneven work."""
 MIN_SAMPLES = 5
 """Responses after which a route counts as measured; with fewer, chance prevails."""
+SPEEDUP_SMOOTHING = 0.2
+"""Weight of one response in the speedup: a dozen responses of a service show that it is well again,
+while the service times of its single back ends still rest on older ones."""
+MIN_SPEEDUP = 0.6
+"""A speedup above this may be due to the variation of single requests, and is not used."""
 
 
 @dataclass(slots=True)
@@ -33,6 +38,7 @@
     def __init__(self) -> None:
         self._routes: dict[str, _Mean] = {}
         self._all = _Mean()
+        self._recent_ratio = 1.0
 
     def relative(self, route: str) -> float:
         """Return the relative cost of a request of this route; 1 until it is measured."""
@@ -49,3 +55,16 @@
         """Record that a request took `ratio` times the back end's mean time, excluding queueing."""
         self._routes.setdefault(route, _Mean()).add(ratio)
         self._all.add(ratio)
+
+    def record_speedup(self, ratio: float) -> None:
+        """Record that a request took `ratio` times what was expected of its back end."""
+        self._recent_ratio += SPEEDUP_SMOOTHING * (ratio - self._recent_ratio)
+
+    @property
+    def speedup(self) -> float:
+        """Factor of the time that requests take now, by the newest responses of all back ends.
+
+        Below 1 only: requests that are refused because they are expected to take long cannot show
+        that they no longer do.
+        """
+        return self._recent_ratio if self._recent_ratio < MIN_SPEEDUP else 1.0
--- a/tests/unit/load_world.py
+++ b/tests/unit/load_world.py
@@ -161,6 +161,7 @@
     reports_load: bool = True
     results: list[Result] = field(default_factory=list)
     rejected: Counter[str] = field(default_factory=Counter)
+    arrivals_at: list[float] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self.env = simpy.Environment()
@@ -217,6 +218,10 @@
         found = self.of(name, since, until)
         return sum(item.served for item in found) / len(found)
 
+    def backend_arrivals(self, since: float, until: float) -> int:
+        """Return how many requests reached back ends in a time."""
+        return sum(since <= at < until for at in self.arrivals_at)
+
     def utilization(self, until: float) -> float:
         """Return the part of the time for which slots were in use, over all back ends."""
         slots = self.slots * len(self.backends)
@@ -312,6 +317,7 @@
         state.outstanding += 1
         yield self.env.timeout(LINK_DELAY)
         backend.arrivals += 1
+        self.arrivals_at.append(self.env.now)
         if len(backend.slots.queue) >= backend.queue:
             self.rejected[state.backend.backend_id] += 1
             yield self.env.timeout(LINK_DELAY)
