A back end that rejects requests while it reports room fails, it is not full

Cause: every rejection set the estimate of the back end's load to a full queue, also if the rejection itself reported that it is nearly idle. Besides, the reported load was used only if it was recorded at the very same reading of the clock as the decision, which never holds outside of tests.

Change: a rejection with a reported load below two requests a slot counts as a failure: two in a row eject the back end at this node, and the leader's outlier detection learns of them. The report is that of the rejection if it is at most 0.05 s old. For keys whose requests get no turns an owner is taken for full as before.

--- a/src/limedeck/forwarding/backend_state.py
+++ b/src/limedeck/forwarding/backend_state.py
@@ -55,6 +55,8 @@
 after a report."""
 MIN_FULL_LOAD_PER_SLOT = 2.0
 """Requests for each slot from which a rejection shows a full queue; with fewer, it is a failure."""
+REJECTION_REPORT_AGE: Seconds = 0.05
+"""Age up to which a reported load is taken to be that of the rejection that is being handled."""
 ASSUMED_FULL_LOAD_PER_SLOT = 4.0
 """Requests for each slot that a back end is assumed to have, at least, when it rejects one."""
 
@@ -298,18 +300,33 @@
             latest = min(now, self._exited_at + MAX_EXIT_COOLDOWN_EXTENSION)
             self._exit_cooldown_until = max(self._exit_cooldown_until, latest + EXIT_COOLDOWN)
 
+    def record_rejection(self, now: Seconds) -> None:
+        """Record that it rejected a request without running it.
+
+        With a full queue it is busy; if it reports that it has room, it fails.
+        """
+        has_room = self.outstanding + self._other_requests < (
+            MIN_FULL_LOAD_PER_SLOT * self.backend.slots
+        )
+        if self._has_just_reported(now) and has_room:
+            self.record_failure(now)
+        else:
+            self.record_queue_full(now)
+
     def record_queue_full(self, now: Seconds) -> None:
         """Record that it rejected a request because its queue is full."""
-        if self.reports_load and self._load_reported_at == now:
+        has_report = self._has_just_reported(now)
+        if has_report:
             load = self.outstanding + self._other_requests
             if load >= MIN_FULL_LOAD_PER_SLOT * self.backend.slots:
                 self.full_load = load
         least = ASSUMED_FULL_LOAD_PER_SLOT * self.backend.slots - self.outstanding
-        self._other_requests = max(
-            self._other_requests if self._load_reported_at == now else 0.0, least, 0.0
-        )
+        self._other_requests = max(self._other_requests if has_report else 0.0, least, 0.0)
         self._load_reported_at = now
 
+    def _has_just_reported(self, now: Seconds) -> bool:
+        return self.reports_load and now - self._load_reported_at <= REJECTION_REPORT_AGE
+
     def expected_load(self, now: Seconds) -> float:
         """Return how many requests it is expected to have now."""
         return self.outstanding + self._expected_other_requests(now)
--- a/src/limedeck/forwarding/request.py
+++ b/src/limedeck/forwarding/request.py
@@ -217,7 +217,7 @@
         if backing_off is not None and phase in REJECTED_PHASES and not wrong_owner:
             self._backoff_rejections += 1
         elif phase in REJECTED_PHASES and not wrong_owner:
-            attempt.state.record_queue_full(now)
+            self._record_rejection(attempt.state, now)
             refusal = self._refusal_after_rejection(attempt.state, now)
             if refusal is not None:
                 return refusal
@@ -225,6 +225,13 @@
         self._not_before = now + (refusals.MAX_MOVE_WAIT if wrong_owner else RETRY_DELAY)
         return self.next_command(now, sharing_nodes)
 
+    def _record_rejection(self, state: BackendState, now: Seconds) -> None:
+        """Record a rejection; an owner is taken for full unless its requests wait for turns."""
+        if self.service.keyed and not self.service.mix.has_priorities:
+            state.record_queue_full(now)
+        else:
+            state.record_rejection(now)
+
     def _refusal_after_rejection(self, state: BackendState, now: Seconds) -> Refuse | None:
         """Refuse a request that the owner of its key rejected, if it would be served too late."""
         if not self.service.keyed or self.service.mix.has_priorities:
@@ -320,7 +327,7 @@
         if reason is RefusalReason.UNREACHABLE:
             return refusals.LOST_OWNER_RETRY_AFTER
         if reason is RefusalReason.REFUSED:
-            state.record_queue_full(now)
+            self._record_rejection(state, now)
             return self.claim.time_until_room(state, now)
         return RETRY_AFTER
 
