Turns: requests are refused early or kept, by what waits before them at all nodes

What callers got: requests without a turn waited at their nodes to the end of their time and were then refused (2.9 s at a deadline of 3 s), and held up those that their callers had sent behind them.

Change: a request that is not expected to get its turn within its objective, by the queue and by the requests that wait at all nodes, is refused within a quarter of the objective. Later it is kept, and may queue the longer the less time it has left. A client retry is kept if its turn is expected within 0.6 of its time.

--- a/src/limedeck/forwarding/admission.py
+++ b/src/limedeck/forwarding/admission.py
@@ -109,6 +109,8 @@
             now - self.first_arrived_at,
             self.until - now,
             state.work_time(self.route.name, now),
+            now - self.arrived_at,
+            self.is_client_retry,
             hash_fraction(self.request_id + struct.pack("d", state.leader_data_at)),
         )
         allowance = turn_decision.queue_allowance(demand(self.route), map(demand, sharing))
--- a/src/limedeck/forwarding/turn_decision.py
+++ b/src/limedeck/forwarding/turn_decision.py
@@ -29,6 +29,12 @@
 """Shortest time after which a waiting request asks again; a fraction of a short request."""
 MAX_TURN_DELAY: Seconds = 0.25
 """Longest such time: by then there are new totals from the leader."""
+EARLY_REFUSAL_FRACTION = 0.25
+"""Fraction of the objective within which a request is refused if it is not expected to get its turn
+in time. Later it waits on: its caller has too little time left for a return."""
+MAX_TURN_FRACTION = 0.6
+"""Part of its time within which the turn of a client retry has to be expected; it is refused
+otherwise. The rest is for the error of the expectation."""
 DEADLINE_MARGIN = 1.5
 """A request whose expected time is longer than this multiple of its remaining time is refused: its
 caller would wait until its deadline in vain. Above 1, since the work of one route varies: a request
@@ -88,11 +94,32 @@
         return NoTurn(queue.wait)
     is_late = request.is_late_after(queue.wait)
     if is_late:
-        allowance = Allowance(LATE_SHARE * allowance.longest_wait, is_reduced=True)
+        allowance = _late_allowance(request, allowance)
     if not queue.is_full and _has_turn(request, queue, allowance, is_late):
         return SendNow()
-    excess = queue.wait - allowance.longest_wait
-    return TurnAt(min(max(excess, MIN_TURN_DELAY), MAX_TURN_DELAY), is_late)
+    turn_in = max(queue.wait - allowance.longest_wait, 0.0) + queue.backlog_time(is_late)
+    if _is_refused(request, turn_in, is_late):
+        return NoTurn(turn_in)
+    return TurnAt(min(max(turn_in, MIN_TURN_DELAY), MAX_TURN_DELAY), is_late)
+
+
+def _late_allowance(request: TurnRequest, allowance: Allowance) -> Allowance:
+    """Return the allowance of a late request, which grows to the usual one with its time."""
+    used = min(request.waited / (request.waited + request.time_left), 1.0)
+    share = LATE_SHARE + (1.0 - LATE_SHARE) * min(2.0 * used, 1.0)
+    return Allowance(share * allowance.longest_wait, is_reduced=True)
+
+
+def _is_refused(request: TurnRequest, turn_in: Seconds, is_late: bool) -> bool:
+    """Whether a request without a turn is refused rather than waits for it.
+
+    A caller is sent back at once or not at all, so that it has time left for its return.
+    """
+    if request.waited > EARLY_REFUSAL_FRACTION * request.objective:
+        return False
+    if request.is_client_retry:
+        return turn_in + (request.work or 0.0) > MAX_TURN_FRACTION * request.time_left
+    return is_late or request.is_late_after(turn_in)
 
 
 def _has_turn(
--- a/src/limedeck/forwarding/turns.py
+++ b/src/limedeck/forwarding/turns.py
@@ -59,6 +59,11 @@
         """Whether one more request is expected to be processed at once."""
         return self.load < self.slots
 
+    def backlog_time(self, with_late: bool) -> Seconds:
+        """Return the time in which it could work off the requests that wait at nodes."""
+        waiting = self.waiting.total if with_late else self.waiting.in_time
+        return waiting * (self.service_time or 0.0) / self.slots
+
     def room_up_to(self, longest_wait: Seconds, service_time: Seconds) -> float:
         """Return how many more requests it may have until the queue is that long."""
         return self.slots * (1.0 + longest_wait / service_time) - self.load
@@ -78,6 +83,10 @@
         Time until the caller stops waiting.
     work
         Time that the back end is expected to take for it, without queueing; None if unknown.
+    waited
+        Time since it arrived at this node.
+    is_client_retry
+        Whether the caller has sent the same request before. Callers return once or twice only.
     draw
         A number from 0 to 1, of its own for each update of the totals.
     """
@@ -86,6 +95,8 @@
     age: Seconds
     time_left: Seconds
     work: Seconds | None
+    waited: Seconds = 0.0
+    is_client_retry: bool = False
     draw: float = 0.0
 
     def is_late_after(self, wait: Seconds) -> bool:
