Requests of one caller's connection run at the same time

Cause: uvicorn works on one request of a connection at a time. Requests that a caller sends before the first one is answered waited for each other while their deadlines ran.

Change: `PipelinedProtocol`, a protocol class over httptools for callers only, driven by a core without I/O, `ResponseOrder`. Requests whose routes are repeatable start at once, up to 64 of a connection; any other one runs alone, as the first unanswered one. Responses are written in the order of the requests; those that wait are counted, and reading pauses at 64 requests or 512 KiB. A closing response is the last: what had been begun behind it is cancelled, and nothing that isn't repeatable has been begun. A malformed or too large request is refused behind the responses before it. A caller who leaves is noticed also while its connection is not being read. A stopping node answers what it has received and closes behind the last one only; deadlines count from when a request was received.

Why it works: the order alone decides (next command from the recorded events), so that every order of ends is tested without a network. A connection with one request at a time goes the library's way; the order exists from the second unanswered request until all are answered.

--- a/src/limedeck/node/gateway.py
+++ b/src/limedeck/node/gateway.py
@@ -24,7 +24,7 @@
 from limedeck.identity import Seconds
 from limedeck.model import Route
 from limedeck.node import http_messages, response_reader
-from limedeck.node.asgi import Receive, Scope, Send
+from limedeck.node.asgi import CLOSE_BEHIND_LAST, OVERLAPPING, RECEIVED_AT, Receive, Scope, Send
 from limedeck.node.backend_paths import BackendPaths, BackendRequest
 from limedeck.node.crash_watch import CrashWatch
 from limedeck.node.permit_exchange import PermitExchange
@@ -45,6 +45,15 @@
 MAX_REQUEST_TIME: Seconds = 3600.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Caller:
+    """How to receive from a request's caller, and respond to it."""
+
+    scope: Scope
+    receive: Receive
+    send: Send
+
+
 @dataclass(slots=True, eq=False)
 class _Call:
     """A caller's request and the state of its processing.
@@ -108,38 +117,50 @@
             if call.scope is not None:
                 call.scope.cancel()
 
+    def may_overlap(self, scope: Scope) -> bool:
+        """Whether a request may run beside others of its connection: it is repeatable."""
+        routes = self._state.routes
+        if routes is None:
+            return False
+        route = routes.find(*_host_and_path(scope, dict(scope["headers"])))
+        return route is not None and route.repeatable
+
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Handle a request."""
         if scope["type"] != "http":
             return
+        caller = _Caller(scope, receive, send)
         now = steady_clock()
         headers = dict(scope["headers"])
         routes = self._state.routes
         configuration = self._state.configuration
         if self._state.closing:
-            await self._respond(send, NOT_RUN_STATUS, STOP_RETRY_AFTER)
+            await self._respond(caller, NOT_RUN_STATUS, STOP_RETRY_AFTER)
             return
         if routes is None or configuration is None:
-            await self._respond(send, NOT_RUN_STATUS, START_RETRY_AFTER)
+            await self._respond(caller, NOT_RUN_STATUS, START_RETRY_AFTER)
             return
-        path = scope["raw_path"].decode("latin-1").partition("?")[0]
-        host = headers.get(b"host", b"").decode("latin-1").lower().partition(":")[0]
+        host, path = _host_and_path(scope, headers)
         route = routes.find(host, path)
         request_id = self._protocol.request_id(headers)
         if route is None or request_id is None:
             self._log.record_unroutable(host, path, configuration.version, request_id)
-            await self._respond(send, NO_ROUTE_STATUS if route is None else BAD_REQUEST_STATUS)
+            await self._respond(caller, NO_ROUTE_STATUS if route is None else BAD_REQUEST_STATUS)
+            return
+        if scope.get(OVERLAPPING) and not route.repeatable:
+            # The configuration has changed since the request was received.
+            await self._respond(caller, NOT_RUN_STATUS, START_RETRY_AFTER)
             return
         try:
             body = await http_messages.read_body(receive, configuration.limits.body_bytes)
         except http_messages.CallerLeft:
             return
         except http_messages.BodyTooLarge:
-            await self._respond(send, TOO_LARGE_STATUS)
+            await self._respond(caller, TOO_LARGE_STATUS)
             return
         call = self._create_call(scope, headers, route, request_id, body, now)
         try:
-            await self._serve(call, receive, send)
+            await self._serve(call, caller)
         except Exception as error:
             self._log.record_internal_error(request_id, error)
             raise
@@ -154,7 +175,9 @@
         now: Seconds,
     ) -> _Call:
         time_left = self._protocol.time_left(headers)
-        deadline = now + min(time_left or MAX_REQUEST_TIME, MAX_REQUEST_TIME)
+        # Its caller has waited since then, if it waited for its turn on its connection.
+        received_at = scope.get(RECEIVED_AT, now)
+        deadline = received_at + min(time_left or MAX_REQUEST_TIME, MAX_REQUEST_TIME)
         service = self._state.service(choose_service(route, request_id))
         service.budget.record_request(now)
         position = self._protocol.key_position(headers) if service.keyed else None
@@ -174,7 +197,7 @@
             RequestGuard(self._state.quarantine, content),
         )
         forwarded = self._forwarded_headers(scope["headers"], body)
-        return _Call(request_id, content, forwarded, route, core, now)
+        return _Call(request_id, content, forwarded, route, core, received_at)
 
     def _forwarded_headers(self, headers: Headers, body: bytes) -> Headers:
         forwarded = [
@@ -187,25 +210,25 @@
             forwarded.append((b"content-length", b"%d" % len(body)))
         return forwarded
 
-    async def _serve(self, call: _Call, receive: Receive, send: Send) -> None:
+    async def _serve(self, call: _Call, caller: _Caller) -> None:
         self._state.in_flight += 1
         self._open_requests.add(call)
         try:
-            await self._serve_until_disconnect(call, receive, send)
+            await self._serve_until_disconnect(call, caller)
         finally:
             self._open_requests.discard(call)
             self._state.in_flight -= 1
             if self._state.stopping:
                 self._state.notify()
 
-    async def _serve_until_disconnect(self, call: _Call, receive: Receive, send: Send) -> None:
+    async def _serve_until_disconnect(self, call: _Call, caller: _Caller) -> None:
         """Serve a request; cancel it if it is repeatable and its caller disconnects."""
         result: HttpResponse | Refuse | None = None
         async with anyio.create_task_group() as tasks:
             call.scope = tasks.cancel_scope
 
             async def watch() -> None:
-                while (await receive())["type"] != "http.disconnect":
+                while (await caller.receive())["type"] != "http.disconnect":
                     pass
                 call.caller_left = True
                 if call.route.repeatable:
@@ -221,10 +244,10 @@
             return
         if isinstance(result, Refuse):
             self._log.record_refusal(call.request_id, call.core, result, call.arrived_at)
-            await self._refuse(send, result)
+            await self._refuse(caller, result)
             return
         self._log.record_response(call.request_id, call.core, result.status, call.arrived_at)
-        await self._forward_response(send, result)
+        await self._forward_response(caller, result)
 
     async def _run(self, call: _Call) -> HttpResponse | Refuse | None:
         core = call.core
@@ -317,28 +340,40 @@
             is_overloaded = attempt.ahead >= backend.slots
             self._paths.record_failure(attempt.state, error, not is_overloaded, now)
 
-    async def _forward_response(self, send: Send, response: HttpResponse) -> None:
+    async def _forward_response(self, caller: _Caller, response: HttpResponse) -> None:
         headers = http_messages.end_to_end_headers(response.headers)
-        await self._send(send, response.status, headers, response.body)
+        await self._send(caller, response.status, headers, response.body)
 
-    async def _refuse(self, send: Send, refuse: Refuse) -> None:
+    async def _refuse(self, caller: _Caller, refuse: Refuse) -> None:
         if refuse.outcome is Outcome.NOT_RUN:
-            await self._respond(send, NOT_RUN_STATUS, refuse.retry_after)
+            await self._respond(caller, NOT_RUN_STATUS, refuse.retry_after)
             return
         await self._respond(
-            send, TIMED_OUT_STATUS if refuse.reason is RefusalReason.TIMED_OUT else LOST_STATUS
+            caller, TIMED_OUT_STATUS if refuse.reason is RefusalReason.TIMED_OUT else LOST_STATUS
         )
 
-    async def _respond(self, send: Send, status: int, retry_after: Seconds | None = None) -> None:
+    async def _respond(
+        self, caller: _Caller, status: int, retry_after: Seconds | None = None
+    ) -> None:
         headers: Headers = []
         if retry_after is not None:
             headers.append(self._protocol.retry_after(retry_after))
-        await self._send(send, status, headers, b"")
+        await self._send(caller, status, headers, b"")
 
-    async def _send(self, send: Send, status: int, headers: Headers, body: bytes) -> None:
+    async def _send(self, caller: _Caller, status: int, headers: Headers, body: bytes) -> None:
         if self._state.stopping or self._state.is_isolated(steady_clock()):
-            headers.append((b"connection", b"close"))
-        await http_messages.send_response(send, status, headers, body)
+            close_behind_last = caller.scope.get(CLOSE_BEHIND_LAST)
+            if close_behind_last is None:
+                headers.append((b"connection", b"close"))
+            else:
+                close_behind_last()
+        await http_messages.send_response(caller.send, status, headers, body)
+
+
+def _host_and_path(scope: Scope, headers: dict[bytes, bytes]) -> tuple[str, str]:
+    path = scope["raw_path"].decode("latin-1").partition("?")[0]
+    host = headers.get(b"host", b"").decode("latin-1").lower().partition(":")[0]
+    return host, path
 
 
 def _request_content(scope: Scope, host: str, body: bytes, position: int | None) -> RequestContent:
--- a/src/limedeck/node/http_server.py
+++ b/src/limedeck/node/http_server.py
@@ -4,7 +4,7 @@
 
 import contextlib
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import anyio
 import uvicorn
@@ -39,8 +39,12 @@
             return
         self._head_bytes += len(data)
         if self._head_bytes > MAX_HEAD_SIZE and not self.transport.is_closing():
-            self.transport.write(HEAD_TOO_LARGE)
-            self.transport.close()
+            self.refuse_input(HEAD_TOO_LARGE, "head-too-large")
+
+    def refuse_input(self, response: bytes, cause: str) -> None:
+        """Respond to input that is no request, and close the connection."""
+        self.transport.write(response)
+        self.transport.close()
 
     def on_message_begin(self) -> None:
         """Start counting the bytes of a request's head."""
@@ -68,6 +72,7 @@
     listening: socket.socket,
     stop: anyio.Event,
     shutdown_timeout: Seconds,
+    protocol: Callable[..., BoundedProtocol] = BoundedProtocol,
 ) -> None:
     """Serve an application until the event is set, then close its connections.
 
@@ -75,10 +80,12 @@
     ----------
     shutdown_timeout
         Time after the event in which responses in progress are completed.
+    protocol
+        Creates what handles a connection.
     """
     config = uvicorn.Config(
         application,
-        http=BoundedProtocol,
+        http=protocol,  # type: ignore[arg-type]
         ws="none",
         lifespan="off",
         interface="asgi3",
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -37,6 +37,7 @@
 from limedeck.node.leader_link import LeaderLink
 from limedeck.node.listener import open_listener, stop_accepting
 from limedeck.node.logs import BoundedWriter, get_logger
+from limedeck.node.pipelined_protocol import caller_protocol
 from limedeck.node.quarantine_record import QuarantineRecordKeeper
 from limedeck.node.reachability_monitor import ReachabilityMonitor
 from limedeck.node.readiness import ReadinessApplication
@@ -238,7 +239,10 @@
             servers.start_soon(
                 serve, readiness, readiness_listener, readiness_stop, SERVER_SHUTDOWN_TIMEOUT
             )
-            servers.start_soon(serve, gateway, listener, callers_stop, SERVER_SHUTDOWN_TIMEOUT)
+            protocol = caller_protocol(gateway.may_overlap, self._telemetry)
+            servers.start_soon(
+                serve, gateway, listener, callers_stop, SERVER_SHUTDOWN_TIMEOUT, protocol
+            )
             await stop_requested.wait()
             self._log.info("stopping", node=node.id)
             await self._shut_down_gracefully(control, listener)
--- a/src/limedeck/node/telemetry.py
+++ b/src/limedeck/node/telemetry.py
@@ -5,6 +5,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 LATENCY_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
+DEPTH_BUCKETS = (2, 3, 5, 8, 16, 32, 64)
 
 
 class Telemetry:
@@ -102,6 +103,23 @@
             ["direction", "result"],
             registry=registry,
         )
+        self.pipelined_depth = Histogram(
+            "limedeck_pipelined_depth",
+            "Unanswered requests of a connection when one more was received behind them, with it",
+            buckets=DEPTH_BUCKETS,
+            registry=registry,
+        )
+        self.waiting_response_bytes = Gauge(
+            "limedeck_waiting_response_bytes",
+            "Bytes of responses that wait until earlier requests of their connections are answered",
+            registry=registry,
+        )
+        self.broken_connections = Counter(
+            "limedeck_broken_caller_connections",
+            "Connections of callers that were closed because of a bound or of malformed input",
+            ["cause"],
+            registry=registry,
+        )
         self.orders = Counter(
             "limedeck_orders", "Grants and releases", ["kind", "result"], registry=registry
         )
