Nothing more is begun for a caller who has left, also through other nodes

Cause: an unrepeatable request whose connection to the back end failed after its caller had left was still sent through another node, which might run it for nobody.

Change: an attempt knows whether its caller still waits (`is_wanted`); without one, no other node is asked, and a back end isn't taken for failed because the search ended early.

Why it works: the two places that begin something after an attempt has begun, `BackendPaths` and `IntermediaryClient`, ask before each step; the gateway's own loop did so already.

--- a/src/limedeck/node/backend_paths.py
+++ b/src/limedeck/node/backend_paths.py
@@ -19,6 +19,7 @@
     NO_INTERMEDIARY,
     ForwardedRequest,
     IntermediaryClient,
+    always,
 )
 from limedeck.node.intermediary_messages import ForwardedAttempt
 from limedeck.node.reachability_monitor import PROBE_TIMEOUT, ReachabilityMonitor
@@ -43,6 +44,8 @@
         Whether the attempt may be aborted, to be made again through another node.
     watched
         See `HttpRequest`.
+    is_wanted
+        Whether the caller still waits for the response; otherwise nothing more is begun.
     """
 
     backend: Backend
@@ -53,6 +56,7 @@
     body: bytes
     repeatable: bool
     watched: bool
+    is_wanted: Callable[[], bool] = always
 
 
 @dataclass(slots=True, eq=False)
@@ -119,7 +123,8 @@
                 if error.phase is not FailurePhase.NOT_CONNECTED:
                     raise
                 direct = error
-        if self._intermediaries.is_backend_failed(backend_id, steady_clock()):
+        is_failed = self._intermediaries.is_backend_failed(backend_id, steady_clock())
+        if is_failed or not request.is_wanted():
             raise direct or AttemptFailed(FailurePhase.NOT_CONNECTED, NO_INTERMEDIARY)
         try:
             return await self._exchange_through_others(request, until)
@@ -204,6 +209,7 @@
             request.target,
             request.headers + self._protocol.attempt_headers(request.backend.name, time_left),
             request.body,
+            request.is_wanted,
         )
         result = "answered"
         try:
--- a/src/limedeck/node/gateway.py
+++ b/src/limedeck/node/gateway.py
@@ -296,6 +296,7 @@
             # A busy back end resets some new connections. If the reset comes before the request is
             # sent, the caller can be told that it has not run.
             watched=not call.route.repeatable or attempt.ahead >= backend.slots,
+            is_wanted=lambda: not call.caller_left,
         )
         attempt.state.outstanding += 1
         try:
--- a/src/limedeck/node/intermediary_client.py
+++ b/src/limedeck/node/intermediary_client.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 from limedeck.clock import steady_clock
@@ -22,9 +22,20 @@
 """Problem of an attempt for which there was no intermediary."""
 
 
+def always() -> bool:
+    """Return True: a request whose caller is not known to have left is wanted."""
+    return True
+
+
 @dataclass(frozen=True, slots=True)
 class ForwardedRequest:
-    """A request as it is to be sent to the back end, and the attempt that it is part of."""
+    """A request as it is to be sent to the back end, and the attempt that it is part of.
+
+    Parameters
+    ----------
+    is_wanted
+        Whether the caller still waits for the response; otherwise no further node is asked.
+    """
 
     attempt: messages.ForwardedAttempt
     request_id: bytes
@@ -32,6 +43,7 @@
     target: bytes
     headers: Headers
     body: bytes = b""
+    is_wanted: Callable[[], bool] = always
 
 
 class IntermediaryClient:
@@ -53,7 +65,11 @@
         backend_id = request.attempt.backend_id
         tried: set[str] = set()
         failures: list[AttemptFailed] = []
-        while len(tried) < MAX_TRIED and len(failures) < MAX_FAILED_CONNECTIONS:
+        while (
+            len(tried) < MAX_TRIED
+            and len(failures) < MAX_FAILED_CONNECTIONS
+            and request.is_wanted()
+        ):
             chosen = self._choose(request, tried)
             if chosen is None:
                 break
@@ -76,7 +92,8 @@
             return response
         if not failures:
             raise AttemptFailed(FailurePhase.NOT_CONNECTED, NO_INTERMEDIARY)
-        self._intermediaries.record_failed_backend(backend_id, steady_clock())
+        if request.is_wanted():
+            self._intermediaries.record_failed_backend(backend_id, steady_clock())
         raise failures[0]
 
     async def probe(self, backend_id: str, until: Seconds) -> None:
