--- a/tests/system/platform_site.py
+++ b/tests/system/platform_site.py
@@ -106,6 +106,8 @@
         Whether the bodies of its responses to requests never end.
     endless_bytes
         Bytes of such bodies that it has sent.
+    service_seconds
+        Seconds for which it works on a request.
     """
 
     name: str
@@ -134,6 +136,7 @@
     silent: bool = False
     endless: bool = False
     endless_bytes: int = 0
+    service_seconds: float = SERVICE_SECONDS
     held: dict[tuple[int, int], tuple[int, float]] = field(default_factory=dict)
     released: list[tuple[tuple[int, int], int]] = field(default_factory=list)
 
@@ -207,7 +210,7 @@
         self.site.runs.append((request_id.decode(), self.name))
         if time.monotonic() < self.cold_until:
             self.cold_runs.append(time.monotonic())
-        await anyio.sleep(SERVICE_SECONDS)
+        await anyio.sleep(self.service_seconds)
         if CRASH_MARKER in body and self.proxy is not None and not self.down:
             self.site.crashes.append(Crash(time.monotonic(), body, self.name))
             await self._crash(self.proxy)
@@ -509,14 +512,14 @@
 
     def send(self, client: httpx.Client, node: NodeProcess, path: str, key: int) -> httpx.Response:
         """Send a GET request with a new request id."""
-        return client.get(f"http://{node.callers}{path}", headers=self._headers(key))
+        return client.get(f"http://{node.callers}{path}", headers=self.headers(key))
 
     def post(
         self, client: httpx.Client, node: NodeProcess, path: str, body: bytes, key: int = 0
     ) -> int:
         """Send a POST request with a new request id; return the status of the response."""
         url = f"http://{node.callers}{path}"
-        return client.post(url, headers=self._headers(key), content=body).status_code
+        return client.post(url, headers=self.headers(key), content=body).status_code
 
     def restart_cold(self, upstream: Upstream, warmup: float) -> None:
         """Crash an upstream, which restarts cold under the same name after `DOWN_SECONDS`.
@@ -543,7 +546,8 @@
         """Return when upstreams crashed while they ran a request with this body."""
         return [crash.at for crash in self.crashes if crash.body == body]
 
-    def _headers(self, key: int) -> dict[str, str]:
+    def headers(self, key: int) -> dict[str, str]:
+        """Return the headers of a new request."""
         self.sent += 1
         return {
             "host": "h.example",
