Requests wait for a moving key as long as their objective lets them

Cause: an owner hands keys over once the requests that it is running have ended.

Change: a request waits 0.35 of its objective for an owner, 0.4 s at least: with objectives up to 1.1 s nothing changes.

Test: tests/unit/test_availability.py, failed before (its figure for the objective of 3 s; the other case guards what stays).

--- a/src/limedeck/forwarding/refusals.py
+++ b/src/limedeck/forwarding/refusals.py
@@ -28,7 +28,12 @@
 """For keys of an owner that requests back-off. The leader moves them within this time if the owner
 requests back-off from more nodes than it serves."""
 MAX_MOVE_WAIT: Seconds = 0.4
-"""Longest time that a request waits for its key to be assigned an owner."""
+"""Longest time that a request waits for its key to be assigned an owner, unless its objective lets
+it wait for longer."""
+MOVE_WAIT_FRACTION = 0.35
+"""Fraction of its objective for which a request waits for an owner. An owner hands a key over once
+the requests that it is running have ended; where requests take long and callers expect that, a
+return would cost a caller one of its few retries for a move that is about to end."""
 RETRY_SPREAD: Seconds = 0.3
 """Interval over which retries are spread, so that the next owner can work off the backlog."""
 _OWNER_REASONS = {
@@ -39,6 +44,11 @@
 }
 
 
+def longest_move_wait(objective: Seconds) -> Seconds:
+    """Return how long a request with this objective waits for its key to be assigned an owner."""
+    return max(MAX_MOVE_WAIT, MOVE_WAIT_FRACTION * objective)
+
+
 def owner_unavailable(claim: Claim, unavailable: Unavailable, can_move: bool) -> Refuse:
     """Refuse a request whose key's owner may not receive it now.
 
--- a/src/limedeck/forwarding/request.py
+++ b/src/limedeck/forwarding/request.py
@@ -141,6 +141,7 @@
         self._backoff_rejections = 0
         self._directory = directory
         self._waiting_since: Seconds | None = None
+        self._longest_move_wait = refusals.longest_move_wait(route.objective)
         self._excluded: set[str] = set()
         self._stale_version = -1
         self._not_before: Seconds = now
@@ -260,7 +261,7 @@
         Callers make few retries, and would have used them up by then.
         """
         free_at = self.service.owners.free_at(position)
-        if free_at is None or free_at - now <= refusals.MAX_MOVE_WAIT:
+        if free_at is None or free_at - now <= self._longest_move_wait:
             return None
         spread = refusals.RETRY_SPREAD * hash_fraction(self.request_id)
         retry_after = free_at - now + NEW_OWNER_DELAY + spread
@@ -271,7 +272,7 @@
             return refusals.no_owner(self.claim)
         if self._waiting_since is None:
             self._waiting_since = now
-        wait_end = min(self._waiting_since + refusals.MAX_MOVE_WAIT, self.claim.until)
+        wait_end = min(self._waiting_since + self._longest_move_wait, self.claim.until)
         if now >= wait_end:
             return self._refuse(RefusalReason.NO_OWNER, refusals.NO_OWNER_RETRY_AFTER)
         return Wait(min(max(self._not_before, now + RETRY_DELAY), wait_end))
--- a/tests/unit/test_availability.py
+++ b/tests/unit/test_availability.py
@@ -21,7 +21,7 @@
 from limedeck.forwarding.limits import LimitStatement
 from limedeck.forwarding.owners import OwnedRange, OwnerMap
 from limedeck.forwarding.permits import Permit
-from limedeck.forwarding.refusals import MAX_MOVE_WAIT
+from limedeck.forwarding.refusals import MAX_MOVE_WAIT, MOVE_WAIT_FRACTION
 from limedeck.forwarding.request import MAX_BACKOFF_REJECTIONS, RequestCore, ServiceView
 from limedeck.model import Backend, Route, Target
 from limedeck.routing.outcomes import FailurePhase, Outcome
@@ -310,3 +310,30 @@
         sent = isinstance(first_command(directory, now, owner), Attempt)
         backoff = directory.backoffs.find("a")
         assert not sent or backoff is None or now >= backoff.ends_at
+
+
+# ---------------------------------------------------------------------- keys that move
+
+
+@pytest.mark.parametrize(
+    ("objective", "longest_wait"),
+    [(0.2, MAX_MOVE_WAIT), (3.0, MOVE_WAIT_FRACTION * 3.0)],
+)
+def test_a_request_waits_for_a_moving_key_as_long_as_its_objective_lets_it(
+    objective: float, longest_wait: float
+) -> None:
+    """Guards against callers that are sent back although their key's move is about to end.
+
+    Owners whose requests take half a second hand keys over only after they have ended.
+    """
+    view = ServiceView("s", True, RetryBudget(RetryAllowance(0.2, 30.0, 10.0)))
+    view.owners = OwnerMap(1, (OwnedRange(0, 9, ""),))
+    route = Route("r", "host", "/r/", True, 9.0, objective, 3, 1, (Target("s", 1),))
+    core = RequestCore(b"1", route, view, BackendDirectory("z1", "n1"), 5, 10.0, 1.0)
+    now = 1.0
+    command = core.next_command(now, 3)
+    while isinstance(command, Wait):
+        now = command.until
+        command = core.next_command(now, 3)
+    assert isinstance(command, Refuse) and command.reason is RefusalReason.NO_OWNER
+    assert now == pytest.approx(1.0 + longest_wait)
