--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	$(BIN)/limedeck-lab demo --site examples/kostanay.toml
 
 test: $(INSTALLED)
-	$(BIN)/python -m pytest
+	./scripts/run_tests.sh
 
 # Formatter, linter, types, import contracts, generated code.
 check: $(INSTALLED)
