The soak has a caller that pipelines

Cause: the soak's callers sent one request at a time, so that the order of responses, and what runs behind a closing one, was judged only without faults.

Change: one more caller sends two to six requests at once, safe and unsafe; the judge checks that each response belongs to its place, that requests behind a closing response count as unread, and that no unsafe one among them has run.

The parts' tests hold both ways (a wrong order and an unread one that ran are reported).

--- a/tests/soak/judging.py
+++ b/tests/soak/judging.py
@@ -101,6 +101,8 @@
         self._unsafe: set[str] = set()
         self._refused: set[str] = set()
         self._lost: list[tuple[str, callers.Outcome]] = []
+        self._unread: set[str] = set()
+        """Requests that were sent behind one whose response closed the connection."""
 
     # ------------------------------------------------------------------ faults and changes
 
@@ -165,6 +167,21 @@
             elif outcome.ending is not callers.Ending.NOT_CONNECTED and self._is_calm(outcome):
                 self._lost.append((request, outcome))
 
+    def record_pipelined(
+        self, requests: list[str], address: str, outcomes: list[callers.Outcome]
+    ) -> None:
+        """Record how requests ended that were sent at once, in the order in which they were sent.
+
+        Those behind a response that closes the connection count as not read.
+        """
+        closing = [outcome.closes for outcome in outcomes]
+        last = closing.index(True) if True in closing else len(outcomes) - 1
+        for request, outcome in zip(requests[: last + 1], outcomes, strict=False):
+            self.record_outcome(request, address, outcome, None)
+        with self._lock:
+            self._unread.update(requests[last + 1 :])
+            self._result.statuses["unread"] += len(requests) - last - 1
+
     def _judge_response(
         self, request: str, outcome: callers.Outcome, version: Version | None
     ) -> None:
@@ -214,6 +231,8 @@
         ran = collections.Counter(request for request, _ in self._site.runs)
         self.report_all("ran twice", [item for item in sorted(self._unsafe) if ran[item] > 1])
         self.report_all("refused and yet run", [item for item in self._refused if ran[item]])
+        unread = sorted(self._unread & self._unsafe)
+        self.report_all("not read and yet run", [item for item in unread if ran[item]])
         self.report_all("two owners", [str(pair) for pair in self._site.ownership_conflicts])
         self.report_all("no answer in a calm time", self._lost_in_calm(ran))
         most = self._site.max_requests_while_cold()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -34,6 +34,8 @@
 PLAIN_BACKENDS = 2
 CALLERS = 4
 MAX_CONNECTIONS_PER_CALLER = 8
+MAX_PIPELINED = 6
+"""Requests that a pipelining caller sends at once, at most."""
 REUSE_FRACTION = 0.7
 """Fraction of its requests that a caller sends on a connection that is already open."""
 HEALING_TIME = 12.0
@@ -93,6 +95,42 @@
         return opened
 
 
+class PipeliningCaller:
+    """Sends several requests at once until it is stopped, and reports their outcomes."""
+
+    def __init__(self, seed: int, number: int, site: judging.JudgedSite, judge: judging.Judge):
+        self._random = random.Random(seed * 1000 + number)
+        self._prefix = f"{number + 1:04x}"
+        self._sent = 0
+        self._site = site
+        self._judge = judge
+
+    def run(self, stopping: threading.Event) -> None:
+        """Send requests until the event is set."""
+        while not stopping.wait(self._random.uniform(0.05, 0.25)):
+            self._send_several()
+
+    def _send_several(self) -> None:
+        address = self._random.choice(self._site.nodes).callers
+        requests = [self._make_request() for _ in range(self._random.randint(2, MAX_PIPELINED))]
+        ids = [request.headers["x-attempt-id"] for request in requests]
+        for request_id, request in zip(ids, requests, strict=True):
+            self._judge.record_sent(request_id, address, request.path.startswith("/plain/"))
+        outcomes = callers.exchange_pipelined(address, requests)
+        self._judge.record_pipelined(ids, address, outcomes)
+
+    def _make_request(self) -> callers.Request:
+        self._sent += 1
+        path = self._random.choice(["/keyed/x", "/keyed/x", "/plain/x"])
+        headers = {
+            "host": "h.example",
+            "x-attempt-id": f"{self._prefix}{self._sent:012x}",
+            "x-deadline-ms": "2000",
+            "x-shard-key": str(self._random.randrange(platform_site.KEYS)),
+        }
+        return callers.Request(path, headers)
+
+
 class Soak:
     """One run of the fault soak.
 
@@ -168,7 +206,11 @@
     @contextlib.contextmanager
     def _running_callers(self) -> Iterator[None]:
         stopping = threading.Event()
-        each = [Caller(self.result.seed, i, self.site, self.judge) for i in range(CALLERS)]
+        seed = self.result.seed
+        each: list[Caller | PipeliningCaller] = [
+            Caller(seed, i, self.site, self.judge) for i in range(CALLERS)
+        ]
+        each.append(PipeliningCaller(seed, CALLERS, self.site, self.judge))
         threads = [threading.Thread(target=caller.run, args=(stopping,)) for caller in each]
         for thread in threads:
             thread.start()
--- a/tests/unit/test_soak_parts.py
+++ b/tests/unit/test_soak_parts.py
@@ -195,6 +195,46 @@
     assert {item.kind for item in series.plan(7, 60.0, series.PLANNED)} <= set(series.PLANNED)
 
 
+def responded(request: str, status: int = 200, closes: bool = False) -> callers.Outcome:
+    return callers.Outcome(
+        callers.Ending.RESPONDED, 0.0, 0.1, status, request, request.encode() + b":", closes
+    )
+
+
+def test_pipelined_responses_in_the_wrong_order_are_reported() -> None:
+    judged, result, _ = judge()
+    judged.record_pipelined(["a", "b"], "n", [responded("a"), responded("b")])
+    assert result.violations == []
+    judged.record_pipelined(["a", "b"], "n", [responded("b"), responded("a")])
+    assert len(result.violations) == 2
+
+
+@pytest.mark.parametrize(("is_unsafe", "violations"), [(True, 1), (False, 0)])
+def test_unsafe_request_behind_a_closing_response_must_not_run(
+    is_unsafe: bool, violations: int
+) -> None:
+    judged, result, site = judge()
+    for request in ("a", "b", "c"):
+        judged.record_sent(request, "n", is_unsafe)
+    site.runs += [("a", "i-0"), ("b", "i-0")]
+    unread = callers.Outcome(callers.Ending.CLOSED, 0.0, 0.1)
+    judged.record_pipelined(["a", "b", "c"], "n", [responded("a", closes=True), unread, unread])
+    assert result.statuses["unread"] == 2
+    judged.judge_end()
+    found = [item for item in result.violations if "not read" in item]
+    assert len(found) == violations
+
+
+def test_pipelined_request_that_is_not_answered_in_a_calm_time_is_reported() -> None:
+    judged, result, site = judge()
+    site.runs += [("b", "i-0")]
+    closed = callers.Outcome(callers.Ending.CLOSED, 1.0, 1.1)
+    judged.record_pipelined(["a", "b"], "n", [responded("a"), closed])
+    judged.judge_end()
+    assert [item for item in result.violations if "no answer" in item]
+    assert result.statuses["unread"] == 0
+
+
 def test_too_many_crashes_after_the_request_is_known_are_reported() -> None:
     result = judging.Result(1, 1)
     judge = judging.Judge(result, judging.JudgedSite())
