What a connection's responses were like counts in its next burst too

Cause: how many requests of a connection start at once goes by the largest response that has waited on it, and that was forgotten once all were answered: a caller that pipelines 1 MB responses in bursts got 64 at once each time.

Change: the connection keeps the figure from one `ResponseOrder` to the next.

The test failed before with five running where two fit the bound.

--- a/src/limedeck/node/pipelined_protocol.py
+++ b/src/limedeck/node/pipelined_protocol.py
@@ -130,6 +130,7 @@
         self._waiting_flow: _WaitingFlow | None = None
         self._current = -1
         self._counted_bytes = 0
+        self._largest_response = 0
         self._unparsed = b""
         self._is_input_ended = False
         self._leave_check: TimerHandle | None = None
@@ -308,7 +309,7 @@
     # ------------------------------------------------------------------ carrying out
 
     def _begin_order(self, first: RequestResponseCycle) -> ResponseOrder:
-        order = self._order = ResponseOrder()
+        order = self._order = ResponseOrder(self._largest_response)
         if self.flow.write_paused:
             order.pause_writing()
         self._waiting_flow = _WaitingFlow(self.transport, self.flow)
@@ -385,6 +386,8 @@
                 cycle.on_response = self.on_response_complete
 
     def _end_order(self) -> None:
+        if self._order is not None:
+            self._largest_response = self._order.largest_response
         self._order = None
         self._cycles.clear()
         self._waiting.clear()
--- a/src/limedeck/node/response_order.py
+++ b/src/limedeck/node/response_order.py
@@ -73,9 +73,20 @@
 
     Each event is recorded by a method; `next_command` then returns what is to be done until there
     is nothing left to do.
+
+    Parameters
+    ----------
+    largest_response
+        Bytes of the largest response that has waited on this connection before.
+
+    Attributes
+    ----------
+    largest_response
+        Bytes of the largest response that has waited on this connection. What may start beside
+        others goes by it.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, largest_response: int = 0) -> None:
         self._requests: deque[_Request] = deque()
         self._by_number: dict[int, _Request] = {}
         self._cancelled: deque[int] = deque()
@@ -85,7 +96,7 @@
         self._written: int | None = None
         self._held_bytes = 0
         self._waiting_bytes = 0
-        self._largest_response = 0
+        self.largest_response = largest_response
         self._is_writing_paused = False
         self._is_last_received = False
         self._must_close = False
@@ -159,7 +170,7 @@
             return
         request.is_finished = True
         self._finished += 1
-        self._largest_response = max(self._largest_response, request.waiting_bytes)
+        self.largest_response = max(self.largest_response, request.waiting_bytes)
         if closes:
             self._close_behind(request)
 
@@ -234,7 +245,7 @@
         if self._started >= MAX_OVERLAPPING:
             return False
         running = max(self._started - self._finished, 0)
-        expected = (running + 1) * self._largest_response
+        expected = (running + 1) * self.largest_response
         return self.held_bytes + expected < MAX_HELD_BYTES
 
     def _close_behind(self, request: _Request) -> None:
--- a/tests/unit/test_pipelined_protocol.py
+++ b/tests/unit/test_pipelined_protocol.py
@@ -314,6 +314,20 @@
     assert connection.metric("limedeck_waiting_response_bytes") == 0
 
 
+async def test_caller_of_large_responses_gets_fewer_at_a_time_from_then_on() -> None:
+    application = Application(is_gated=True)
+    application.body_size = response_order.MAX_HELD_BYTES // 3
+    connection = Connection(application)
+    await connection.send(*[get(f"/safe/{number}") for number in range(5)])
+    assert len(application.running) == 5
+    await connection.release(*[f"/safe/{number}" for number in reversed(range(5))])
+    assert len(connection.responses()) == 5
+    await connection.send(*[get(f"/safe/{number}") for number in range(5, 10)])
+    assert application.running == {"/safe/5", "/safe/6"}
+    await connection.release(*[f"/safe/{number}" for number in range(5, 10)])
+    assert len(connection.responses()) == 10
+
+
 async def test_responses_wait_while_the_caller_reads_slowly() -> None:
     connection = Connection(Application(is_gated=True))
     await connection.send(get("/safe/0") + get("/safe/1") + get("/safe/2"))
