One account of the memory that a node holds, with a bound from its machine

What was seen: 1,000 callers that read 2,000 bytes a second, with responses of 1 MB, brought a node to 234 MB (trial on the former code). The smallest machines have 160 MB.

Change: held_memory decides, without I/O, from the sizes and the node's clock: purposes, holders with age and progress, a bound from node.memory_mb, shares, and who is broken off: above their share slow readers, slowest first; above the bound these, then what is being received; what is read at a good pace last. memory_keeper carries it out. Requests are refused before their body is read (503, not run) if there is no room for it or for the response that their route usually brings; reading a body is paused for up to half a second first. Connections are counted by hooks in the server's protocol; the kernel's buffers of a connection have a size; large blocks are always mapped one by one. A reader must take something within 60 s. Without memory_mb only responses being received are bounded, as before.

--- a/src/limedeck/forwarding/commands.py
+++ b/src/limedeck/forwarding/commands.py
@@ -30,6 +30,7 @@
     LIMITED = "limited"
     LEAVING = "leaving"
     BACKING_OFF = "backing-off"
+    MEMORY_EXHAUSTED = "memory-exhausted"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/limedeck/http_client.py
+++ b/src/limedeck/http_client.py
@@ -66,6 +66,12 @@
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 2500),
 )
 """Close a connection within three seconds after the peer disappeared, even during a long poll."""
+RECEIVE_BUFFER_BYTES = 128 * 1024
+"""Kernel's buffer of responses on one connection if memory is bounded; without a size it grows to
+megabytes, outside the process's account."""
+BOUNDED_RECEIVE_OPTIONS: Sequence[SocketOption] = (
+    (socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
+)
 DEAD_CONNECTION_OPTIONS: Sequence[SocketOption] = (
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(UNACKNOWLEDGED_TIMEOUT * 1000)),
 )
@@ -165,7 +171,7 @@
 
     async def _receive(self) -> HttpResponse:
         try:
-            with self._memory.reservation() as reservation:
+            with self._memory.reservation(self._parser.take_body) as reservation:
                 return await self._receive_within(reservation)
         except response_memory.ResponseTooLarge as error:
             raise AttemptFailed(FailurePhase.RECEIVING, TOO_LARGE, by_other_end=True) from error
@@ -184,7 +190,7 @@
                 raise AttemptFailed(phase, str(error), by_other_end=True) from error
             except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
                 raise AttemptFailed(phase, _describe_error(error), by_other_end=True) from error
-        return HttpResponse(parser.status, parser.headers, parser.body)
+        return HttpResponse(parser.status, parser.headers, parser.take_body())
 
     def _handle_end_of_stream(self, parser: http_codec.ResponseParser, phase: FailurePhase) -> None:
         try:
--- a/src/limedeck/http_codec.py
+++ b/src/limedeck/http_codec.py
@@ -99,6 +99,12 @@
         """The part of the body received so far."""
         return bytes(self._body)
 
+    def take_body(self) -> bytes:
+        """Return the body and keep none of it: a connection keeps its parser while it is idle."""
+        body = bytes(self._body)
+        self._body = bytearray()
+        return body
+
     @property
     def body_size(self) -> int:
         """Number of bytes of the body received so far."""
--- a/src/limedeck/node/gateway.py
+++ b/src/limedeck/node/gateway.py
@@ -19,14 +19,18 @@
 from limedeck.forwarding.request import RequestCore
 from limedeck.forwarding.request_content import RequestContent
 from limedeck.forwarding.request_guard import RequestGuard
+from limedeck.forwarding.response_sizes import ResponseSizes
 from limedeck.forwarding.routes import choose_service
+from limedeck.held_memory import MemoryLimits, Purpose
 from limedeck.http_client import HttpResponse
 from limedeck.identity import Seconds
+from limedeck.memory_keeper import MemoryKeeper
 from limedeck.model import Route
 from limedeck.node import http_messages, response_reader
 from limedeck.node.asgi import CLOSE_BEHIND_LAST, OVERLAPPING, RECEIVED_AT, Receive, Scope, Send
 from limedeck.node.backend_paths import BackendPaths, BackendRequest
 from limedeck.node.crash_watch import CrashWatch
+from limedeck.node.exchange_memory import ExchangeMemory, MemoryExhausted
 from limedeck.node.permit_exchange import PermitExchange
 from limedeck.node.request_log import RequestLog
 from limedeck.node.state import NodeState
@@ -42,6 +46,8 @@
 """About the time in which a starting node has read its configuration."""
 STOP_RETRY_AFTER: Seconds = 0.02
 """Another node can take the request at once; the pause avoids a tight retry loop of a client."""
+MEMORY_RETRY_AFTER: Seconds = 0.25
+"""Time in which the slowest readers are known and broken off, so that there is memory again."""
 MAX_REQUEST_TIME: Seconds = 3600.0
 
 
@@ -77,6 +83,7 @@
     headers: Headers
     route: Route
     core: RequestCore
+    memory: ExchangeMemory
     arrived_at: Seconds
     caller_left: bool = False
     process_exiting: bool = False
@@ -95,7 +102,9 @@
         log: RequestLog,
         watch: CrashWatch,
         permits: PermitExchange,
+        memory: MemoryKeeper | None = None,
     ) -> None:
+        self._memory = memory if memory is not None else MemoryKeeper(MemoryLimits())
         self._permits = permits
         self._watch = watch
         self._state = state
@@ -104,6 +113,7 @@
         self._log = log
         self._reader = response_reader.ResponseReader(state.directory, protocol, log)
         self._open_requests: set[_Call] = set()
+        self._response_sizes = ResponseSizes()
 
     def cancel_open_requests(self) -> None:
         """Cancel the open requests and respond to each: this process is about to exit.
@@ -151,19 +161,26 @@
             # The configuration has changed since the request was received.
             await self._respond(caller, NOT_RUN_STATUS, START_RETRY_AFTER)
             return
+        memory = ExchangeMemory(self._memory, Purpose.REQUESTS)
         try:
-            body = await http_messages.read_body(receive, configuration.limits.body_bytes)
+            memory.check_room(headers)
+            limit = configuration.limits.body_bytes
+            body = await http_messages.read_body(receive, limit, memory)
+            await memory.expect_response(self._response_sizes.expected(route.name))
+            call = self._create_call(scope, headers, route, request_id, body, memory, now)
+            await self._serve(call, caller)
         except http_messages.CallerLeft:
             return
         except http_messages.BodyTooLarge:
             await self._respond(caller, TOO_LARGE_STATUS)
-            return
-        call = self._create_call(scope, headers, route, request_id, body, now)
-        try:
-            await self._serve(call, caller)
+        except MemoryExhausted as error:
+            self._log.record_memory_refusal(request_id, route, error, MEMORY_RETRY_AFTER, now)
+            await self._respond(caller, NOT_RUN_STATUS, MEMORY_RETRY_AFTER)
         except Exception as error:
             self._log.record_internal_error(request_id, error)
             raise
+        finally:
+            memory.close()
 
     def _create_call(
         self,
@@ -172,6 +189,7 @@
         route: Route,
         request_id: bytes,
         body: bytes,
+        memory: ExchangeMemory,
         now: Seconds,
     ) -> _Call:
         time_left = self._protocol.time_left(headers)
@@ -197,7 +215,7 @@
             RequestGuard(self._state.quarantine, content),
         )
         forwarded = self._forwarded_headers(scope["headers"], body)
-        return _Call(request_id, content, forwarded, route, core, received_at)
+        return _Call(request_id, content, forwarded, route, core, memory, received_at)
 
     def _forwarded_headers(self, headers: Headers, body: bytes) -> Headers:
         forwarded = [
@@ -323,8 +341,11 @@
             attempt.state.record_response(
                 duration, result.load, result.received_at, call.route.name, attempt.ahead
             )
+            call.memory.keep_response(len(response.body))
+            self._response_sizes.record(call.route.name, len(response.body))
             return response
         if result.phase is FailurePhase.ERROR_RESPONSE:
+            call.memory.keep_response(len(response.body))
             call.error_response = response
         return result.phase, result.wrong_owner
 
--- a/src/limedeck/node/http_messages.py
+++ b/src/limedeck/node/http_messages.py
@@ -6,6 +6,7 @@
 
 from limedeck.forwarding.protocol import Headers
 from limedeck.node.asgi import Receive, Scope, Send
+from limedeck.node.exchange_memory import SMALL_MESSAGE_BYTES, ExchangeMemory, MemoryExhausted
 
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -30,7 +31,7 @@
     """The request's body exceeds the size limit."""
 
 
-async def read_body(receive: Receive, limit: int) -> bytes:
+async def read_body(receive: Receive, limit: int, memory: ExchangeMemory) -> bytes:
     """Read a request's body of at most `limit` bytes.
 
     Raises
@@ -39,19 +40,38 @@
         The connection was closed before the body had arrived.
     BodyTooLarge
         The body is larger.
+    MemoryExhausted
+        There is no memory for the body.
     """
-    parts: list[bytes] = []
-    size = 0
+    first = await receive()
+    if first["type"] == "http.disconnect":
+        raise CallerLeft
+    body: bytes = first.get("body", b"")
+    if not first.get("more_body", False) and len(body) <= min(limit, SMALL_MESSAGE_BYTES):
+        return body
+    with memory.receiving_body():
+        return await _read_large_body(receive, limit, memory, body, first.get("more_body", False))
+    raise MemoryExhausted("a request's body was given up while it was received")
+
+
+async def _read_large_body(
+    receive: Receive, limit: int, memory: ExchangeMemory, first: bytes, more_follows: bool
+) -> bytes:
+    parts = [first]
+    size = len(first)
     while True:
+        if size > limit:
+            raise BodyTooLarge
+        memory.grow_body(size)
+        if not more_follows:
+            return b"".join(parts)
+        await memory.wait_for_room()
         message: dict[str, Any] = await receive()
         if message["type"] == "http.disconnect":
             raise CallerLeft
         parts.append(message.get("body", b""))
         size += len(parts[-1])
-        if size > limit:
-            raise BodyTooLarge
-        if not message.get("more_body", False):
-            return b"".join(parts)
+        more_follows = message.get("more_body", False)
 
 
 def request_target(scope: Scope) -> bytes:
--- a/src/limedeck/node/http_server.py
+++ b/src/limedeck/node/http_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import socket
 from collections.abc import Callable, Iterator
@@ -11,7 +12,7 @@
 from uvicorn.protocols.http import httptools_impl
 
 from limedeck.identity import Seconds
-from limedeck.node import asgi, listener
+from limedeck.node import asgi, connection_memory, listener
 
 IDLE_CONNECTION_TIMEOUT = 60
 """Time after which an idle connection of a caller is closed, in seconds."""
@@ -26,11 +27,43 @@
 )
 
 
+class ServerConfig(uvicorn.Config):
+    """The server's configuration, and the account that its connections count in."""
+
+    connection_memory: connection_memory.ConnectionMemory | None = None
+
+
 class BoundedProtocol(httptools_impl.HttpToolsProtocol):
     """A caller's connection, closed with status 431 if the head of a request is too large."""
 
     _is_reading_head = False
     _head_bytes = 0
+    _held: connection_memory.HeldConnection | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
+        """Begin to count what the connection holds."""
+        super().connection_made(transport)
+        memory = getattr(self.config, "connection_memory", None)
+        if memory is not None:
+            self._held = memory.open(transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Count the connection no more."""
+        if self._held is not None:
+            self._held.close()
+        super().connection_lost(exc)
+
+    def pause_writing(self) -> None:
+        """Count the bytes that wait for the caller to read them."""
+        if self._held is not None:
+            self._held.begin_unread()
+        super().pause_writing()
+
+    def resume_writing(self) -> None:
+        """Count no waiting bytes: the caller has read them."""
+        if self._held is not None:
+            self._held.end_unread()
+        super().resume_writing()
 
     def data_received(self, data: bytes) -> None:
         """Process received bytes and check the size of the head."""
@@ -73,6 +106,7 @@
     stop: anyio.Event,
     shutdown_timeout: Seconds,
     protocol: Callable[..., BoundedProtocol] = BoundedProtocol,
+    memory: connection_memory.ConnectionMemory | None = None,
 ) -> None:
     """Serve an application until the event is set, then close its connections.
 
@@ -82,8 +116,10 @@
         Time after the event in which responses in progress are completed.
     protocol
         Creates what handles a connection.
+    memory
+        The memory of the connections; None: it has no bound.
     """
-    config = uvicorn.Config(
+    config = ServerConfig(
         application,
         http=protocol,  # type: ignore[arg-type]
         ws="none",
@@ -99,6 +135,7 @@
         timeout_graceful_shutdown=shutdown_timeout,  # type: ignore[arg-type]
         backlog=listener.LISTEN_BACKLOG,
     )
+    config.connection_memory = memory
     server = EmbeddedServer(config)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_request_exit, stop, server)
--- a/src/limedeck/node/intermediary_server.py
+++ b/src/limedeck/node/intermediary_server.py
@@ -11,11 +11,14 @@
 from limedeck.forwarding.backend_state import BackendState
 from limedeck.forwarding.commands import Attempt
 from limedeck.forwarding.protocol import CallerProtocol, Headers
+from limedeck.held_memory import MemoryLimits, Purpose
 from limedeck.http_client import HttpClient, HttpRequest, HttpResponse
 from limedeck.identity import Seconds
+from limedeck.memory_keeper import MemoryKeeper
 from limedeck.node import http_messages
 from limedeck.node import intermediary_messages as messages
 from limedeck.node.asgi import Receive, Scope, Send
+from limedeck.node.exchange_memory import ExchangeMemory, MemoryExhausted
 from limedeck.node.logs import get_logger
 from limedeck.node.reachability_monitor import PROBE_TIMEOUT, ReachabilityMonitor
 from limedeck.node.response_reader import ResponseReader
@@ -53,7 +56,9 @@
         reader: ResponseReader,
         monitor: ReachabilityMonitor,
         telemetry: Telemetry,
+        memory: MemoryKeeper | None = None,
     ) -> None:
+        self._memory = memory if memory is not None else MemoryKeeper(MemoryLimits())
         self._state = state
         self._protocol = protocol
         self._client = client
@@ -67,13 +72,26 @@
         """Handle an attempt of another node."""
         if scope["type"] != "http":
             return
+        memory = ExchangeMemory(self._memory, Purpose.OTHER_NODES)
+        try:
+            await self._handle(scope, receive, send, memory)
+        finally:
+            memory.close()
+
+    async def _handle(
+        self, scope: Scope, receive: Receive, send: Send, memory: ExchangeMemory
+    ) -> None:
         configuration = self._state.configuration
         try:
             attempt = messages.read_attempt(scope["headers"])
+            memory.check_room(dict(scope["headers"]))
             limit = configuration.limits.body_bytes if configuration is not None else 0
-            body = await http_messages.read_body(receive, limit)
+            body = await http_messages.read_body(receive, limit, memory)
         except http_messages.CallerLeft:
             return
+        except MemoryExhausted:
+            await self._respond_unable(send)
+            return
         except (PeerProtocolError, http_messages.BodyTooLarge) as error:
             self._log.warning("forwarded_attempt_invalid", problem=str(error))
             await http_messages.send_response(send, BAD_REQUEST_STATUS, [], b"")
@@ -81,16 +99,21 @@
         until = steady_clock() + attempt.time_left
         target = self._state.directory.find(attempt.backend_id)
         if target is None or not self._is_able():
-            unable = messages.result_headers(messages.AttemptResult.UNABLE)
-            await http_messages.send_response(send, messages.NO_RESPONSE_STATUS, unable, b"")
+            await self._respond_unable(send)
             return
         request = self._encode(scope, attempt, target, body)
         response = await self._run_until_disconnect(attempt, target, request, until, receive)
         if response is not None:
+            memory.keep_response(len(response.body))
             await http_messages.send_response(
                 send, response.status, response.headers, response.body
             )
 
+    async def _respond_unable(self, send: Send) -> None:
+        """Respond that nothing was sent to the back end; the other node asks a further one."""
+        unable = messages.result_headers(messages.AttemptResult.UNABLE)
+        await http_messages.send_response(send, messages.NO_RESPONSE_STATUS, unable, b"")
+
     def _is_able(self) -> bool:
         is_partitioned = self._state.directory.reachability.is_partitioned
         is_stopping = self._state.stopping or self._state.closing
--- a/src/limedeck/node/listener.py
+++ b/src/limedeck/node/listener.py
@@ -16,13 +16,31 @@
 accepted just before."""
 
 
-def open_listener(address: str) -> socket.socket:
-    """Listen on an address."""
+SEND_BUFFER_BYTES = 32 * 1024
+"""Kernel's send buffer of a connection if memory is bounded, which the kernel doubles. Without a
+size the kernel takes megabytes for a caller that does not read, outside the node's account. At a
+round trip of 20 ms it still carries 3 MB a second."""
+RECEIVE_BUFFER_BYTES = 64 * 1024
+"""The same for what a caller sends while its connection is not read."""
+
+
+def open_listener(address: str, bounds_buffers: bool = False) -> socket.socket:
+    """Listen on an address.
+
+    Parameters
+    ----------
+    bounds_buffers
+        Whether the kernel's buffers of each connection have a fixed size.
+    """
     host, _, port = address.rpartition(":")
     host = host.strip("[]")
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     listener = socket.socket(family, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if bounds_buffers:
+        # Accepted connections inherit both; the window is negotiated from the second.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     listener.bind((host, int(port)))
     listener.setblocking(False)
     listener.listen(LISTEN_BACKLOG)
--- a/src/limedeck/node/main.py
+++ b/src/limedeck/node/main.py
@@ -13,6 +13,7 @@
 import anyio
 
 from limedeck.errors import SettingsError
+from limedeck.node import allocator
 from limedeck.node.logs import configure_logs
 from limedeck.node.reload import SettingsFile
 from limedeck.node.server import Node
@@ -34,6 +35,8 @@
     if options.check:
         print(f"{options.settings}: settings are good")
         return EXIT_OK
+    if settings.node.memory_mb:
+        allocator.map_large_blocks()
     writer = configure_logs(settings.log.level)
     node = Node(SettingsFile(options.settings, settings), writer)
     anyio.run(node.run, backend_options={"use_uvloop": True})
--- a/src/limedeck/node/request_log.py
+++ b/src/limedeck/node/request_log.py
@@ -10,15 +10,17 @@
 from limedeck.clock import steady_clock
 from limedeck.forwarding import request_content
 from limedeck.forwarding.availability import Unavailable
-from limedeck.forwarding.commands import LoadEstimate, Refuse
+from limedeck.forwarding.commands import LoadEstimate, RefusalReason, Refuse
 from limedeck.forwarding.permits import RateBound
 from limedeck.forwarding.request import RequestCore
+from limedeck.forwarding.routes import choose_service
 from limedeck.identity import Seconds
-from limedeck.model import Backend
+from limedeck.model import Backend, Route
+from limedeck.node.exchange_memory import MemoryExhausted
 from limedeck.node.logs import RateLimit, get_logger
 from limedeck.node.settings import LogSection
 from limedeck.node.telemetry import Telemetry
-from limedeck.routing.outcomes import SURELY_NOT_RUN, FailurePhase
+from limedeck.routing.outcomes import SURELY_NOT_RUN, FailurePhase, Outcome
 
 MAX_TARGET_LENGTH = 200
 """Characters of a path and query that are logged."""
@@ -65,6 +67,34 @@
                 **_detail_fields(refusal.details),
             )
 
+    def record_memory_refusal(
+        self,
+        request_id: bytes,
+        route: Route,
+        problem: MemoryExhausted,
+        retry_after: Seconds,
+        since: Seconds,
+    ) -> None:
+        """Record that a request is refused, or given up while it is read, for lack of memory."""
+        service = choose_service(route, request_id)
+        reason = RefusalReason.MEMORY_EXHAUSTED.value
+        outcome = Outcome.NOT_RUN.value
+        duration = steady_clock() - since
+        self._telemetry.requests.labels(service, f"{outcome}:{reason}").inc()
+        self._telemetry.request_seconds.labels(service).observe(duration)
+        if self._failure_limit.allows():
+            self._log.info(
+                "given_up",
+                request=request_id.decode("latin-1"),
+                service=service,
+                route=route.name,
+                took=round(duration, 4),
+                outcome=outcome,
+                reason=reason,
+                retry_after=retry_after,
+                problem=str(problem),
+            )
+
     def record_caller_left(self, request_id: bytes, core: RequestCore, since: Seconds) -> None:
         """Record that the caller closed its connection before the response."""
         self._count(core, "caller-left", steady_clock() - since)
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -19,17 +19,19 @@
 from limedeck.forwarding.hashing import hash_fraction
 from limedeck.forwarding.intermediaries import Intermediary
 from limedeck.forwarding.waiting_requests import NONE_WAITING
-from limedeck.http_client import HttpClient
+from limedeck.http_client import BOUNDED_RECEIVE_OPTIONS, DEAD_CONNECTION_OPTIONS, HttpClient
 from limedeck.identity import Seconds
+from limedeck.memory_keeper import MemoryKeeper
 from limedeck.model import Configuration
 from limedeck.node.backend_paths import BackendPaths
+from limedeck.node.connection_memory import ConnectionMemory
 from limedeck.node.control import ControlHost
 from limedeck.node.crash_gossip import CrashGossip
 from limedeck.node.crash_watch import CrashWatch
 from limedeck.node.followers import FollowerConnections
 from limedeck.node.former_leader_inquiry import FormerLeaderInquiry
 from limedeck.node.gateway import CallerGateway
-from limedeck.node.http_server import serve
+from limedeck.node.http_server import BoundedProtocol, serve
 from limedeck.node.inspection import InspectionApplication, NodeInspector
 from limedeck.node.instrumented_store import InstrumentedStore
 from limedeck.node.intermediary_client import IntermediaryClient
@@ -37,6 +39,7 @@
 from limedeck.node.leader_link import LeaderLink
 from limedeck.node.listener import open_listener, stop_accepting
 from limedeck.node.logs import BoundedWriter, get_logger
+from limedeck.node.memory_log import MemoryLog
 from limedeck.node.pipelined_protocol import caller_protocol
 from limedeck.node.quarantine_record import QuarantineRecordKeeper
 from limedeck.node.reachability_monitor import ReachabilityMonitor
@@ -95,6 +98,9 @@
         self._state = NodeState(node.zone, node.id, _retry_allowance(settings))
         self._telemetry = Telemetry()
         self._request_log = RequestLog(settings.log, self._telemetry)
+        self._memory_log = MemoryLog(self._telemetry)
+        self._memory_keeper = MemoryKeeper(node.memory_limits, self._memory_log.record_break_off)
+        self._connection_memory = ConnectionMemory(self._memory_keeper)
         self._log = get_logger("node")
         self._identity = LeaderRecord(
             node_id=node.id,
@@ -110,8 +116,11 @@
         self._log.info("started", node=settings.node.id, zone=settings.node.zone)
         platform_store = PlatformStore(settings.store.address, settings.store.timeout)
         store = InstrumentedStore(platform_store, self._telemetry)
-        memory = ResponseMemory()
-        backend_client = HttpClient(settings.node.ip, memory=memory)
+        memory = ResponseMemory(keeper=self._memory_keeper)
+        options = DEAD_CONNECTION_OPTIONS
+        if settings.node.memory_mb:
+            options = (*options, *BOUNDED_RECEIVE_OPTIONS)
+        backend_client = HttpClient(settings.node.ip, socket_options=options, memory=memory)
         order_client = HttpClient(settings.node.ip, memory=memory)
         peer_client = HttpClient(settings.node.ip, memory=memory)
         directory = self._state.directory
@@ -146,6 +155,7 @@
             self._request_log,
             watch,
             control.permits,
+            self._memory_keeper,
         )
         monitor.on_partition_changed = control.handle_partition_changed
         async with anyio.create_task_group() as tasks:
@@ -159,6 +169,7 @@
                 ResponseReader(directory, self._protocol, self._request_log),
                 monitor,
                 self._telemetry,
+                self._memory_keeper,
             )
             self._start_intermediary(tasks, control, intermediary)
             clients = (backend_client, order_client, peer_client)
@@ -209,7 +220,15 @@
         host, port = listener.getsockname()[:2]
         control.set_intermediary(Intermediary(f"{host}:{port}", node.zone))
         stop = anyio.Event()
-        tasks.start_soon(serve, application, listener, stop, SERVER_SHUTDOWN_TIMEOUT)
+        tasks.start_soon(
+            serve,
+            application,
+            listener,
+            stop,
+            SERVER_SHUTDOWN_TIMEOUT,
+            BoundedProtocol,
+            self._connection_memory,
+        )
 
     def _start_quarantine(
         self, tasks: TaskGroup, control: ControlHost, store: InstrumentedStore, link: LeaderLink
@@ -229,7 +248,7 @@
         node = self._settings.node
         readiness_stop = anyio.Event()
         callers_stop = anyio.Event()
-        listener = open_listener(node.callers)
+        listener = open_listener(node.callers, bounds_buffers=node.memory_mb > 0.0)
         readiness_listener = open_listener(node.readiness)
         inspector = NodeInspector(node.id, node.zone, self._state, control.election)
         inspection = InspectionApplication(inspector)
@@ -241,7 +260,13 @@
             )
             protocol = caller_protocol(gateway.may_overlap, self._telemetry)
             servers.start_soon(
-                serve, gateway, listener, callers_stop, SERVER_SHUTDOWN_TIMEOUT, protocol
+                serve,
+                gateway,
+                listener,
+                callers_stop,
+                SERVER_SHUTDOWN_TIMEOUT,
+                protocol,
+                self._connection_memory,
             )
             await stop_requested.wait()
             self._log.info("stopping", node=node.id)
@@ -304,6 +329,7 @@
             directory = self._state.directory
             await client.close_idle(directory.addresses())
             await peer_client.close_idle({item.address for item in directory.intermediaries.known})
+            self._memory_keeper.check_readers()
             self._update_gauges()
             statement_log.log_events(steady_clock())
             self._writer.flush()
@@ -312,6 +338,7 @@
     def _update_gauges(self) -> None:
         now = steady_clock()
         directory = self._state.directory
+        self._memory_log.update_gauges(self._memory_keeper.account)
         self._telemetry.evacuated.set(len(directory.availability.evacuated))
         self._update_waiting(now)
         self._telemetry.cold.set(sum(state.is_cold(now) for state in directory.all_states()))
--- a/src/limedeck/node/settings.py
+++ b/src/limedeck/node/settings.py
@@ -7,6 +7,8 @@
 import msgspec
 
 from limedeck.errors import InvalidSetting
+from limedeck.held_memory import MEGABYTE, MemoryLimits, Purpose, limits_for_machine
+from limedeck.response_memory import MAX_BYTES
 
 Address = Annotated[str, msgspec.Meta(pattern=r"^\d+\.\d+\.\d+\.\d+:\d+$")]
 Positive = Annotated[float, msgspec.Meta(gt=0)]
@@ -32,6 +34,9 @@
         multiple of one core.
     link_mbps
         The bandwidth of the node's network link in megabits per second.
+    memory_mb
+        The machine's memory in megabytes, which bounds what the node holds for callers and back
+        ends; zero: only responses that are being received have a bound.
     first_start
         Whether the whole system starts for the first time.
     """
@@ -47,6 +52,7 @@
     cpu_share: Positive = 1.0
     cpus: Positive = 1.0
     link_mbps: Positive = 10.0
+    memory_mb: NonNegative = 0.0
     first_start: bool = True
 
     @property
@@ -59,6 +65,13 @@
         """The bandwidth of the node's network link in bytes per second."""
         return self.link_mbps * BYTES_PER_MEGABIT
 
+    @property
+    def memory_limits(self) -> MemoryLimits:
+        """Bounds of what the node holds for callers and back ends."""
+        if not self.memory_mb:
+            return MemoryLimits(by_purpose={Purpose.RECEIVED: MAX_BYTES})
+        return limits_for_machine(int(self.memory_mb * MEGABYTE), MAX_BYTES)
+
 
 class StoreSection(Section, frozen=True):
     """The store's address; times are in seconds."""
--- a/src/limedeck/node/telemetry.py
+++ b/src/limedeck/node/telemetry.py
@@ -137,6 +137,18 @@
             ["kind", "table", "result"],
             registry=registry,
         )
+        self.held_bytes = Gauge(
+            "limedeck_held_bytes",
+            "Bytes held in memory for callers, back ends and other nodes",
+            ["purpose"],
+            registry=registry,
+        )
+        self.broken_off = Counter(
+            "limedeck_broken_off",
+            "Readers, responses and requests that were given up for their memory",
+            ["purpose", "cause"],
+            registry=registry,
+        )
         self.leads = Gauge("limedeck_leads", "1 while this node leads", registry=registry)
         self.term = Gauge("limedeck_term", "Newest term known", registry=registry)
         self.configuration = Gauge(
--- a/src/limedeck/response_memory.py
+++ b/src/limedeck/response_memory.py
@@ -7,13 +7,16 @@
 from __future__ import annotations
 
 import contextlib
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import anyio
 
+from limedeck.held_memory import MemoryLimits, Purpose
+from limedeck.memory_keeper import Hold, MemoryKeeper
+
 MAX_BYTES = 32 << 20
 """Bytes of all responses that are being received; about a tenth of a small machine's memory, since
-a complete response is copied twice on its way to the caller."""
+a complete response is copied on its way to the caller."""
 
 
 class ResponseTooLarge(Exception):
@@ -23,11 +26,13 @@
 class Reservation:
     """The bytes of one response that is being received."""
 
-    def __init__(self, memory: ResponseMemory, scope: anyio.CancelScope) -> None:
-        self.size = 0
-        self.is_revoked = False
-        self._memory = memory
-        self._scope = scope
+    def __init__(self, hold: Hold) -> None:
+        self._hold = hold
+
+    @property
+    def is_revoked(self) -> bool:
+        """Whether the response was given up."""
+        return not self._hold.is_open
 
     def grow_to(self, size: int) -> None:
         """Record how many bytes of the response have been received.
@@ -37,60 +42,58 @@
         ResponseTooLarge
             The response was given up.
         """
-        if not self.is_revoked:
-            self._memory.total += size - self.size
-            self.size = size
-        if self._memory.total > self._memory.limit:
-            self._memory.revoke_largest()
+        self._hold.resize(size)
         if self.is_revoked:
             raise ResponseTooLarge
 
-    def revoke(self) -> None:
-        """Give the response up."""
-        self._memory.total -= self.size
-        self.size = 0
-        self.is_revoked = True
-        self._scope.cancel()
-
 
 class ResponseMemory:
     """Memory for all responses in progress; the largest one is given up if it is exhausted.
 
-    Attributes
+    Parameters
     ----------
     limit
-        Bytes of all responses in progress together.
-    total
-        Bytes of them that have been received.
+        Bytes of all responses in progress together, if there is no keeper.
+    keeper
+        The account that the responses count in; None: one of their own.
     """
 
-    def __init__(self, limit: int = MAX_BYTES) -> None:
-        self.limit = limit
-        self.total = 0
-        self._reservations: set[Reservation] = set()
+    def __init__(self, limit: int = MAX_BYTES, keeper: MemoryKeeper | None = None) -> None:
+        limits = MemoryLimits(by_purpose={Purpose.RECEIVED: limit})
+        self._keeper = keeper if keeper is not None else MemoryKeeper(limits)
+
+    @property
+    def total(self) -> int:
+        """Bytes that have been received of all responses in progress."""
+        return self._keeper.account.totals[Purpose.RECEIVED]
 
     @contextlib.contextmanager
-    def reservation(self) -> Iterator[Reservation]:
+    def reservation(self, discard: Callable[[], object]) -> Iterator[Reservation]:
         """Reserve memory for a response while it is being received.
 
+        Parameters
+        ----------
+        discard
+            Frees what has been received; called at once when the response is given up, since its
+            task may take its turn only after many others have received more.
+
         Raises
         ------
         ResponseTooLarge
             The response was the largest one when the memory was exhausted.
         """
         with anyio.CancelScope() as scope:
-            reservation = Reservation(self, scope)
-            self._reservations.add(reservation)
+
+            def give_up() -> None:
+                discard()
+                scope.cancel()
+
+            hold = self._keeper.open(Purpose.RECEIVED, give_up)
+            reservation = Reservation(hold)
             try:
                 yield reservation
             finally:
-                self._reservations.discard(reservation)
-                self.total -= reservation.size
-        if reservation.is_revoked:
+                is_revoked = reservation.is_revoked
+                hold.close()
+        if is_revoked:
             raise ResponseTooLarge
-
-    def revoke_largest(self) -> None:
-        """Give the largest response up."""
-        largest = max(self._reservations, key=lambda item: item.size)
-        self._reservations.discard(largest)
-        largest.revoke()
--- a/src/limedeck_lab/explain/meanings.py
+++ b/src/limedeck_lab/explain/meanings.py
@@ -31,6 +31,7 @@
     RefusalReason.COLD: "its key's owner was cold",
     RefusalReason.LIMITED: "no back end that could run it had room: they name limits, or are cold",
     RefusalReason.BACKING_OFF: "every back end that could run it has requested back-off",
+    RefusalReason.MEMORY_EXHAUSTED: "the node had no memory for it or for its response",
     RefusalReason.LEAVING: "every back end that could run it is leaving",
 }
 PHASES = {
--- a/tests/system/platform_site.py
+++ b/tests/system/platform_site.py
@@ -108,6 +108,8 @@
         Bytes of such bodies that it has sent.
     service_seconds
         Seconds for which it works on a request.
+    large_path, large_bytes
+        Requests whose path begins so get a response of this size.
     """
 
     name: str
@@ -137,6 +139,8 @@
     endless: bool = False
     endless_bytes: int = 0
     service_seconds: float = SERVICE_SECONDS
+    large_path: str = ""
+    large_bytes: int = 0
     held: dict[tuple[int, int], tuple[int, float]] = field(default_factory=dict)
     released: list[tuple[tuple[int, int], int]] = field(default_factory=list)
 
@@ -163,7 +167,7 @@
         elif scope["path"] == "/v1/release":
             await self._release(json.loads(body), send)
         else:
-            await self._work(headers, body, send)
+            await self._work(scope["path"], headers, body, send)
 
     async def _grant(self, order: dict[str, Any], send: Any) -> None:
         span = (order["from"], order["target_version"])
@@ -188,7 +192,7 @@
         self.released.append((span, order["fence"]))
         await _respond(send, 200, [(b"x-handover", b"token")])
 
-    async def _work(self, headers: dict[bytes, bytes], body: bytes, send: Any) -> None:
+    async def _work(self, path: str, headers: dict[bytes, bytes], body: bytes, send: Any) -> None:
         request_id = headers[b"x-attempt-id"]
         if self.limit:
             self.arrivals.append(Arrival(time.monotonic(), request_id.decode()))
@@ -225,7 +229,13 @@
         limited = [(b"server-limit", self.limit)] if self.limit else []
         if limited:
             self.limit_responses.append(Arrival(time.monotonic(), request_id.decode()))
-        await _respond(send, 200, [*signed, *limited], request_id + b":" + body)
+        await _respond(send, 200, [*signed, *limited], self._content(path, request_id, body))
+
+    def _content(self, path: str, request_id: bytes, body: bytes) -> bytes:
+        """Return the body of the response to a request."""
+        if self.large_path and path.startswith(self.large_path):
+            return bytes(self.large_bytes)
+        return request_id + b":" + body
 
     async def _send_without_end(self, headers: list[tuple[bytes, bytes]], send: Any) -> None:
         await send({"type": "http.response.start", "status": 200, "headers": headers})
@@ -597,7 +607,7 @@
 ROUTES = [route("/keyed/", "keyed"), route("/plain/", "plain", "unsafe")]
 
 
-def _settings(site_store: str, number: int, ports: list[int], host: str) -> str:
+def _settings(site_store: str, number: int, ports: list[int], host: str, memory_mb: int) -> str:
     return f"""
 [node]
 id = "node-{number}"
@@ -606,6 +616,7 @@
 callers = "127.0.0.1:{ports[0]}"
 readiness = "127.0.0.1:{ports[1]}"
 first_peer_port = {ports[2]}
+memory_mb = {memory_mb}
 [store]
 address = "{site_store}"
 [retries]
@@ -626,6 +637,7 @@
     suspended: SuspendedTime | None = None,
     ports: list[int] | None = None,
     has_own_host: bool = False,
+    memory_mb: int = 0,
 ) -> NodeProcess:
     """Start one node.
 
@@ -641,11 +653,13 @@
         Ports that a restarted node keeps; free ones are chosen if none are given.
     has_own_host
         Whether the node has an IP address of its own, by which proxies know it.
+    memory_mb
+        Memory that the node is told its machine has, in megabytes; zero: it is not told.
     """
     ports = ports or free_ports(3)
     host = f"127.0.1.{number + 1}" if has_own_host else "127.0.0.1"
     settings = folder / f"node-{number}-{restart}.toml"
-    settings.write_text(_settings(store, number, ports, host))
+    settings.write_text(_settings(store, number, ports, host, memory_mb))
     module, arguments = "limedeck.node", ["--settings", str(settings)]
     if suspended is not None:
         module = suspendable_node.__name__
@@ -656,7 +670,12 @@
 
 @contextmanager
 def running_site(
-    folder: Path, keyed: int = 3, plain: int = 2, nodes: int = 3, own_hosts: bool = False
+    folder: Path,
+    keyed: int = 3,
+    plain: int = 2,
+    nodes: int = 3,
+    own_hosts: bool = False,
+    memory_mb: int = 0,
 ) -> Iterator[Site]:
     """Run a site until the block ends.
 
@@ -668,6 +687,8 @@
         Numbers of upstreams of the keyed and the unkeyed service, and of nodes.
     own_hosts
         Whether each node has an IP address of its own, so that it can be cut off from upstreams.
+    memory_mb
+        Memory that each node is told its machine has, in megabytes; zero: it is not told.
     """
     site = Site()
     count = keyed + plain
@@ -694,7 +715,12 @@
         try:
             site.start_soon = portal.start_task_soon
             site.launch_node = functools.partial(
-                start_node, processes, folder, store_address, has_own_host=own_hosts
+                start_node,
+                processes,
+                folder,
+                store_address,
+                has_own_host=own_hosts,
+                memory_mb=memory_mb,
             )
             for number in range(nodes):
                 site.nodes.append(site.launch_node(number, 0))
--- a/tests/unit/protocol_driver.py
+++ b/tests/unit/protocol_driver.py
@@ -10,10 +10,18 @@
 import uvicorn
 from uvicorn.server import ServerState
 
+from limedeck.held_memory import MemoryLimits, Purpose
+from limedeck.memory_keeper import MemoryKeeper
 from limedeck.node import asgi, http_messages, pipelined_protocol, telemetry
+from limedeck.node.exchange_memory import ExchangeMemory
 from limedeck.node.http_server import BoundedProtocol
 
 
+def unbounded_memory() -> ExchangeMemory:
+    """Return the memory of an exchange in a process without a bound."""
+    return ExchangeMemory(MemoryKeeper(MemoryLimits()), Purpose.REQUESTS)
+
+
 class FakeTransport(asyncio.Transport):
     """Keeps what is written."""
 
@@ -95,7 +103,7 @@
     async def _respond(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         path = scope["path"]
         try:
-            body = await http_messages.read_body(receive, 1 << 24)
+            body = await http_messages.read_body(receive, 1 << 24, unbounded_memory())
         except http_messages.CallerLeft:
             self.left.append(path)
             return
--- a/tests/unit/test_leaving_callers.py
+++ b/tests/unit/test_leaving_callers.py
@@ -31,6 +31,7 @@
 )
 from limedeck.platform import headers
 from limedeck.routing.outcomes import AttemptFailed, FailurePhase
+from tests.unit.protocol_driver import unbounded_memory
 from tests.unit.test_gateway import make_gateway, make_node_with_attempts
 
 pytestmark = pytest.mark.anyio
@@ -55,7 +56,7 @@
     async def __call__(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         request_id = dict(scope["headers"])[headers.REQUEST_ID]
         self.received.append(request_id)
-        await http_messages.read_body(receive, 1 << 20)
+        await http_messages.read_body(receive, 1 << 20, unbounded_memory())
         if len(self.received) <= self._failing:
             signed = [(headers.REQUEST_ID, request_id), (headers.SIGNATURE, b"s")]
             await http_messages.send_response(send, 500, signed, b"")
--- a/tests/unit/test_response_memory.py
+++ b/tests/unit/test_response_memory.py
@@ -100,7 +100,7 @@
 
     async def receive(name: str, sizes: list[int]) -> None:
         try:
-            with memory.reservation() as reservation:
+            with memory.reservation(lambda: None) as reservation:
                 for size in sizes:
                     reservation.grow_to(size)
                     await anyio.sleep(0.01)
@@ -117,7 +117,7 @@
 async def test_cancelled_exchange_frees_its_memory() -> None:
     memory = response_memory.ResponseMemory(LIMIT)
     with anyio.move_on_after(0.01):
-        with memory.reservation() as reservation:
+        with memory.reservation(lambda: None) as reservation:
             reservation.grow_to(LIMIT // 2)
             await anyio.sleep(5.0)
     assert memory.total == 0
