Links that accept connections and serve no request are partitions

A probe counts a connection that stays open for 0.1 s as reached.

Requests without a byte of a response at all tried back ends, while probes reach them, now raise a suspicion (`forwarding.exchange_evidence`). Attempts then go through other nodes, and two responses there confirm that this node is partitioned, with all that follows. Only a response on a connection of its own ends such a partition: one repeatable request each 0.25 s is sent there.

--- a/src/limedeck/forwarding/backends.py
+++ b/src/limedeck/forwarding/backends.py
@@ -187,8 +187,16 @@
         confirmed_at = self._store_confirmed_at
         return confirmed_at is None or now - confirmed_at < MAX_CONFIRMATION_AGE
 
-    def is_cut_off(self, now: Seconds) -> bool:
-        """Whether no back end can be reached, by this node or through another one."""
+    def is_cut_off(self, now: Seconds, is_repeatable: bool = False) -> bool:
+        """Whether no back end can be reached, by this node or through another one.
+
+        Parameters
+        ----------
+        is_repeatable
+            Whether the request could be used to find out whether a link works again.
+        """
+        if is_repeatable and self.reachability.exchanges.is_link_trial_due(now):
+            return False
         is_partitioned = self.reachability.is_partitioned
         has_contact = self.reachability.had_contact_since(now - RECENT_CONTACT)
         return is_partitioned and not has_contact and not self.intermediaries.has_any(now)
--- a/src/limedeck/forwarding/reachability.py
+++ b/src/limedeck/forwarding/reachability.py
@@ -3,27 +3,31 @@
 Three facts are kept apart: a node that reaches no back end is partitioned; a back end that this
 node does not reach while it reaches others is unreached; a back end that no node reaches has
 failed. A failed attempt only causes a round of probes, since it may be the fault of the back end,
-and a response only shows that an open connection works, while new ones may be refused.
+and a response only shows that an open connection works, while new ones may be refused. Where
+connections are accepted and no request gets a response, `exchange_evidence` decides instead, and
+only a response ends the partition.
 """
 
 from __future__ import annotations
 
-import enum
 from collections.abc import Collection, Iterable, Mapping
-from dataclasses import dataclass
 
-from limedeck.forwarding.hashing import hash_fraction
+from limedeck.forwarding import probe_choice
+from limedeck.forwarding.exchange_evidence import SILENCE, ExchangeEvidence, LinkBelief
+from limedeck.forwarding.reachability_events import (
+    BackendReached,
+    BackendUnreached,
+    ExchangesFailing,
+    PartitionBegan,
+    PartitionEnded,
+    PartitionEvidence,
+    ProbeOutcome,
+    ReachabilityEvent,
+)
 from limedeck.identity import NEVER, Seconds
 
-OTHERS_PER_ROUND = 2
-"""Back ends in a round of probes that are not suspected: they show whether the node itself is at
-fault."""
-SIBLINGS_PER_ROUND = 2
-"""Back ends in a round that are of the same services as the suspected ones."""
 MAX_SUSPECTS_PER_ROUND = 4
 """Suspected back ends in a round."""
-SILENCE: Seconds = 0.25
-"""Time without a response from any back end, while requests are outstanding, that causes probes."""
 MIN_UNREACHED_OF_SERVICE = 2
 """Unreached back ends of a service from which on its others are probed; one may have failed."""
 MIN_ROUND_INTERVAL: Seconds = 0.25
@@ -37,69 +41,6 @@
 back ends: those of an overloaded service are all late."""
 
 
-class ProbeOutcome(enum.Enum):
-    """Result of a probe.
-
-    REACHED
-        The connection was established and stayed open.
-    TURNED_AWAY
-        The connection was established and reset at once, as a back end with too many does.
-    UNREACHED
-        The connection was refused or was not established in time.
-    UNKNOWN
-        This process was paused meanwhile.
-    """
-
-    REACHED = "reached"
-    TURNED_AWAY = "turned-away"
-    UNREACHED = "unreached"
-    UNKNOWN = "unknown"
-
-
-@dataclass(frozen=True, slots=True)
-class PartitionBegan:
-    """Event: none of the probed back ends was reached."""
-
-    probed: tuple[str, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class PartitionEnded:
-    """Event: a back end was reached again.
-
-    Parameters
-    ----------
-    lasted
-        Seconds since the partition was detected.
-    """
-
-    lasted: Seconds
-
-
-@dataclass(frozen=True, slots=True)
-class BackendUnreached:
-    """Event: a back end was not reached, while others were."""
-
-    backend_id: str
-
-
-@dataclass(frozen=True, slots=True)
-class BackendReached:
-    """Event: an unreached back end was reached again.
-
-    Parameters
-    ----------
-    lasted
-        Seconds since it was found to be unreached.
-    """
-
-    backend_id: str
-    lasted: Seconds
-
-
-ReachabilityEvent = PartitionBegan | PartitionEnded | BackendUnreached | BackendReached
-
-
 class Reachability:
     """One node's belief about which back ends it reaches.
 
@@ -109,11 +50,14 @@
         Whether this node reaches no back end.
     rounds
         Number of rounds of probes that have ended.
+    exchanges
+        What failed requests show where connections are accepted.
     """
 
     def __init__(self, node_id: str) -> None:
         self.is_partitioned = False
         self.rounds = 0
+        self.exchanges = ExchangeEvidence()
         self._seed = node_id.encode()
         self._partitioned_at: Seconds = NEVER
         self._unreached: dict[str, Seconds] = {}
@@ -126,6 +70,7 @@
         self._has_overdue = False
         self._has_reached_all = False
         self._found_unreached = False
+        self._has_been_turned_away = False
         self._services: Mapping[str, str] = {}
         self._includes_others = False
         self._pending: set[str] = set()
@@ -135,6 +80,10 @@
         """Whether this node does not reach a back end."""
         return self.is_partitioned or backend_id in self._unreached
 
+    def has_broken_link(self, backend_id: str) -> bool:
+        """Whether requests sent to a back end on own connections are taken not to arrive."""
+        return self.is_unreached(backend_id) or self.is_doubted
+
     def unreached_since(self, backend_id: str) -> Seconds | None:
         """Return when a back end was found to be unreached; None if it is not."""
         if self.is_partitioned:
@@ -150,10 +99,50 @@
         """Whether a back end has responded, or was reached by a probe, since a time."""
         return max(self._responded_at, self._reached_at) >= since
 
-    def record_response(self, backend_id: str, now: Seconds) -> None:
+    def has_responded_since(self, since: Seconds) -> bool:
+        """Whether a back end has responded on a connection of this node since a time."""
+        return self._responded_at >= since
+
+    @property
+    def is_doubted(self) -> bool:
+        """Whether requests on connections of this node get no responses, as far as is known."""
+        return self.exchanges.belief is not LinkBelief.WORKING
+
+    def is_in_doubt(self, now: Seconds) -> bool:
+        """Whether requests fail, no back end responds, and the cause is not decided yet."""
+        if self.is_partitioned or self._responded_at >= now - SILENCE:
+            return False
+        return self.exchanges.is_undecided(now) or self.exchanges.awaits_probes(
+            self._reached_at, now
+        )
+
+    def record_response(self, backend_id: str, now: Seconds) -> list[ReachabilityEvent]:
         """Record that a back end responded to this node on a connection of its own."""
         self._responded_at = now
         self._responses[backend_id] = now
+        was_cut_off = self.exchanges.belief is LinkBelief.CUT_OFF
+        self.exchanges.record_response(now)
+        return self._end_partition(now) if was_cut_off else []
+
+    def evaluate_exchanges(
+        self, overdue: Collection[str], listed: Mapping[str, str], now: Seconds
+    ) -> list[ReachabilityEvent]:
+        """Decide whether failed requests raise a suspicion; see `ExchangeEvidence.evaluate`."""
+        if self.is_partitioned:
+            return []
+        reached_at = self._reached_at
+        if not self.exchanges.evaluate(overdue, listed, self._responses, reached_at, now):
+            return []
+        return [ExchangesFailing(self.exchanges.failing_backends)]
+
+    def record_served_by_other(self, now: Seconds) -> list[ReachabilityEvent]:
+        """Record that a back end responded to this node through another node."""
+        if self.is_partitioned or not self.exchanges.record_served_by_other(now):
+            return []
+        self.is_partitioned = True
+        self._partitioned_at = now
+        failing = self.exchanges.failing_backends
+        return [PartitionBegan(failing, PartitionEvidence.EXCHANGES)]
 
     def suspect(self, backend_id: str) -> None:
         """Record that an attempt failed in a way that a broken link could cause."""
@@ -166,9 +155,14 @@
             self._suspects.update(overdue)
             self._has_overdue = True
 
+    @property
+    def has_pending_probes(self) -> bool:
+        """Whether a round of probes is in progress or was asked for."""
+        return bool(self._pending or self._suspects)
+
     def is_round_due(self, waiting_since: Seconds | None, now: Seconds) -> bool:
         """Whether a round of probes is due; see `next_probes`."""
-        if self._pending or now < self._round_ended_at + self._round_interval:
+        if self._pending or now < self._round_ended_at + self._round_interval(now):
             return False
         return bool(self._suspects) or self._needs_probes or self.is_silent(waiting_since, now)
 
@@ -193,8 +187,15 @@
         needs_others = bool(self._suspects) or self.is_silent(waiting_since, now)
         chosen = self._choose_suspects()
         if needs_others:
-            chosen += self._choose_siblings(chosen)
-        others = self._choose_others(chosen) if needs_others or self.is_partitioned else []
+            chosen += probe_choice.choose_siblings(chosen, self._unreached, listed, self._responses)
+        others: list[str] = []
+        if needs_others or self.is_partitioned:
+            # Those that are most likely reached: otherwise, the loss of a whole service could pass
+            # for a partition.
+            responses = {} if self.is_partitioned else self._responses
+            salt = self._seed + b"%d" % self.rounds
+            excluded = (*self._unreached, *chosen)
+            others = probe_choice.choose_others(excluded, listed, responses, salt)
         self._includes_others = bool(others) or len(chosen) == len(listed)
         chosen += others
         self._pending = set(chosen)
@@ -205,10 +206,11 @@
     def _needs_probes(self) -> bool:
         return self.is_partitioned or bool(self._unreached)
 
-    @property
-    def _round_interval(self) -> Seconds:
+    def _round_interval(self, now: Seconds) -> Seconds:
         if self._suspects and self._found_unreached:
             return 0.0
+        if self.exchanges.needs_probes(self._reached_at, now):
+            return MIN_ROUND_INTERVAL
         has_contact = self._has_reached_all or self._responded_at >= self._round_ended_at
         is_calm = has_contact and not self._needs_probes
         return CALM_ROUND_INTERVAL if is_calm else MIN_ROUND_INTERVAL
@@ -230,28 +232,6 @@
         )
         return chosen
 
-    def _choose_siblings(self, suspects: Collection[str]) -> list[str]:
-        """Choose back ends of the suspects' services: if they are unreached too, links are lost."""
-        services = {self._services[key] for key in suspects if key in self._services}
-        siblings = [
-            key
-            for key, service in self._services.items()
-            if service in services and key not in (*self._unreached, *suspects)
-        ]
-        siblings.sort(key=lambda key: self._responses.get(key, NEVER))
-        return siblings[:SIBLINGS_PER_ROUND]
-
-    def _choose_others(self, suspects: Collection[str]) -> list[str]:
-        """Choose back ends that show whether this node is at fault."""
-        others = [key for key in sorted(self._services) if key not in (*self._unreached, *suspects)]
-        start = int(hash_fraction(self._seed + b"%d" % self.rounds) * len(others))
-        others = others[start:] + others[:start]
-        if not self.is_partitioned:
-            # Those that are most likely reached: otherwise, the loss of a whole service could pass
-            # for a partition.
-            others.sort(key=lambda key: self._responses.get(key, NEVER), reverse=True)
-        return others[:OTHERS_PER_ROUND]
-
     def handle_probe(
         self, backend_id: str, outcome: ProbeOutcome, now: Seconds
     ) -> list[ReachabilityEvent]:
@@ -268,16 +248,26 @@
         return events
 
     def _handle_reached(self, backend_id: str, now: Seconds) -> list[ReachabilityEvent]:
+        if self.is_partitioned and self._has_been_turned_away and not self.is_doubted:
+            self.exchanges.require_response(now)
+        if self.exchanges.belief is LinkBelief.CUT_OFF and not self.exchanges.has_no_link_trials(
+            now
+        ):
+            return []
         self._reached_at = now
-        events: list[ReachabilityEvent] = []
-        if self.is_partitioned:
-            self.is_partitioned = False
-            events.append(PartitionEnded(now - self._partitioned_at))
+        events = self._end_partition(now)
         since = self._unreached.pop(backend_id, None)
         if since is not None:
             events.append(BackendReached(backend_id, now - since))
         return events
 
+    def _end_partition(self, now: Seconds) -> list[ReachabilityEvent]:
+        if not self.is_partitioned:
+            return []
+        self.is_partitioned = False
+        self.exchanges.clear()
+        return [PartitionEnded(now - self._partitioned_at)]
+
     def _end_round(self, now: Seconds) -> list[ReachabilityEvent]:
         self.rounds += 1
         outcomes = set(self._outcomes.values())
@@ -287,7 +277,10 @@
         elif not self.is_partitioned and self._shows_partition(outcomes, now):
             self.is_partitioned = True
             self._partitioned_at = now
+            self._has_been_turned_away = False
+            self.exchanges.clear()
             events.append(PartitionBegan(tuple(sorted(self._outcomes))))
+        self._has_been_turned_away |= ProbeOutcome.TURNED_AWAY in outcomes
         self._round_ended_at = now
         self._has_reached_all = outcomes == {ProbeOutcome.REACHED}
         if self._has_reached_all and self._has_overdue:
--- a/src/limedeck/forwarding/request.py
+++ b/src/limedeck/forwarding/request.py
@@ -28,9 +28,9 @@
 from limedeck.identity import Seconds
 from limedeck.model import Route
 from limedeck.routing.outcomes import (
+    NO_LOAD_PHASES,
     REJECTED_PHASES,
     SURELY_NOT_RUN,
-    UNREACHED_PHASES,
     AttemptHistory,
     Decision,
     FailurePhase,
@@ -151,7 +151,7 @@
         """Decide what to do: at the start, after a `Wait`, and after a failure."""
         if now + MIN_ATTEMPT_TIME >= self.claim.until:
             return self._refuse(RefusalReason.TIMED_OUT, RETRY_AFTER)
-        if self._directory.is_cut_off(now):
+        if self._directory.is_cut_off(now, self.route.repeatable):
             return refusals.cut_off(self.claim)
         guard_command = self._check_guard(self.guard, now) if self.guard else None
         if guard_command is not None:
@@ -197,7 +197,7 @@
         if attempt is None:
             raise InvariantViolation("failure-follows-attempt", self.request_id.decode("latin-1"))
         self._in_flight = None
-        self._reached_backend = self._reached_backend or phase not in UNREACHED_PHASES
+        self._reached_backend = self._reached_backend or phase not in NO_LOAD_PHASES
         history = AttemptHistory(
             repeatable=self.route.repeatable,
             may_have_run=self.claim.may_have_run,
--- a/src/limedeck/node/backend_paths.py
+++ b/src/limedeck/node/backend_paths.py
@@ -5,13 +5,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import anyio
-
 from limedeck.clock import steady_clock
 from limedeck.forwarding.backend_state import BackendState
 from limedeck.forwarding.backends import BackendDirectory
 from limedeck.forwarding.protocol import CallerProtocol, Headers
-from limedeck.forwarding.reachability import SILENCE
 from limedeck.http_client import UNACKNOWLEDGED, HttpClient, HttpRequest, HttpResponse
 from limedeck.identity import Seconds
 from limedeck.model import Backend
@@ -22,16 +19,13 @@
     always,
 )
 from limedeck.node.intermediary_messages import ForwardedAttempt
+from limedeck.node.link_trials import LinkTrials
 from limedeck.node.reachability_monitor import PROBE_TIMEOUT, ReachabilityMonitor
 from limedeck.node.telemetry import Telemetry
 from limedeck.routing.outcomes import SURELY_NOT_RUN, AttemptFailed, FailurePhase
 
 RECENT_CONTACT: Seconds = 0.1
 """A reset is not taken for a sign of a broken link if another back end has responded since then."""
-OVERDUE_FACTOR = 4.0
-"""Multiple of a back end's mean service time after which it is probed."""
-ABORTED = "aborted: this node does not reach the back end"
-"""Problem of an attempt that was aborted to be made through another node."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,16 +53,6 @@
     is_wanted: Callable[[], bool] = always
 
 
-@dataclass(slots=True, eq=False)
-class _DirectExchange:
-    """An attempt on a connection of this node that has no response yet."""
-
-    backend_id: str
-    started_at: Seconds
-    repeatable: bool
-    scope: anyio.CancelScope
-
-
 class BackendPaths:
     """The ways on which this node reaches back ends.
 
@@ -97,9 +81,7 @@
         self._through_others = through_others
         self._telemetry = telemetry
         self.on_backend_unreached: Callable[[Backend], None] = lambda backend: None
-        self._waiting: set[_DirectExchange] = set()
-        monitor.oldest_request = self._oldest_request
-        monitor.overdue_backends = self._overdue_backends
+        self._link_trials = LinkTrials(directory.reachability, monitor.direct)
         monitor.on_unreached = self._handle_unreached
         monitor.on_reached = self._handle_reached
 
@@ -115,6 +97,10 @@
             There is no complete response by `until` (on this node's clock).
         """
         backend_id = request.backend.backend_id
+        if self._reachability.is_doubted:
+            response = await self._try_own_links(request, until)
+            if response is not None:
+                return response
         direct: AttemptFailed | None = None
         if self._is_direct(backend_id):
             try:
@@ -133,8 +119,20 @@
                 raise await self._confirm_refusal(direct) from error
             raise
 
+    async def _try_own_links(self, request: BackendRequest, until: Seconds) -> HttpResponse | None:
+        """Use a repeatable request to find out whether links work again; None if it fails."""
+        end = self._link_trials.begin(request.backend.backend_id, request.repeatable, until)
+        if end is None:
+            return None
+        try:
+            return await self._exchange_directly(request, end)
+        except AttemptFailed:
+            return None
+
     def _is_direct(self, backend_id: str) -> bool:
         """Whether an attempt is made on a connection of this node first."""
+        if self._reachability.is_doubted:
+            return not self._intermediaries.has_any(steady_clock())
         if not self._reachability.is_unreached(backend_id):
             return True
         now = steady_clock()
@@ -176,21 +174,16 @@
         return error
 
     async def _exchange_directly(self, request: BackendRequest, until: Seconds) -> HttpResponse:
-        with anyio.CancelScope() as scope:
-            backend_id = request.backend.backend_id
-            waiting = _DirectExchange(backend_id, steady_clock(), request.repeatable, scope)
-            self._waiting.add(waiting)
+        backend_id = request.backend.backend_id
+        with self._monitor.direct.waiting(backend_id, request.repeatable):
             try:
                 response = await self._client.exchange(self._encode(request, until), until)
             except AttemptFailed as error:
                 if self.may_be_broken_link(error):
-                    self._monitor.suspect(backend_id)
-                raise
-            finally:
-                self._waiting.discard(waiting)
-            self._reachability.record_response(backend_id, steady_clock())
-            return response
-        raise AttemptFailed(FailurePhase.AWAITING, ABORTED)
+                    self._record_broken_link(backend_id, error)
+                raise self._classify(backend_id, error) from error
+        self._monitor.record_response(backend_id)
+        return response
 
     async def _exchange_through_others(
         self, request: BackendRequest, until: Seconds
@@ -213,12 +206,14 @@
         )
         result = "answered"
         try:
-            return await self._through_others.exchange(forwarded, until)
+            response = await self._through_others.exchange(forwarded, until)
         except AttemptFailed as error:
             result = error.phase.value
             raise
         finally:
             self._telemetry.forwarded_attempts.labels("through-others", result).inc()
+        self._monitor.record_served_by_other()
+        return response
 
     def _encode(self, request: BackendRequest, until: Seconds) -> HttpRequest:
         backend = request.backend
@@ -237,9 +232,25 @@
         if error.phase is FailurePhase.NOT_CONNECTED or error.problem == UNACKNOWLEDGED:
             return True
         is_reset = error.by_other_end and error.phase not in SURELY_NOT_RUN
-        return is_reset and not self._reachability.had_contact_since(
-            steady_clock() - RECENT_CONTACT
-        )
+        if not is_reset and error.phase is not FailurePhase.TURNED_AWAY:
+            return False
+        return not self._reachability.has_responded_since(steady_clock() - RECENT_CONTACT)
+
+    def _classify(self, backend_id: str, error: AttemptFailed) -> AttemptFailed:
+        """Return a failure as that of the link, if this node is known not to reach the back end."""
+        if not self._reachability.has_broken_link(backend_id):
+            return error
+        if error.phase is FailurePhase.TURNED_AWAY:
+            return AttemptFailed(FailurePhase.NOT_CONNECTED, error.problem)
+        if error.is_reset_without_response:
+            return AttemptFailed(FailurePhase.LINK_LOST, error.problem)
+        return error
+
+    def _record_broken_link(self, backend_id: str, error: AttemptFailed) -> None:
+        if error.is_reset_without_response:
+            self._monitor.record_failed_exchange(backend_id)
+        else:
+            self._monitor.suspect(backend_id)
 
     def record_failure(
         self, state: BackendState, error: AttemptFailed, own_fault: bool, now: Seconds
@@ -260,22 +271,6 @@
         if own_fault:
             self._monitor.defer_fault(state)
 
-    def _oldest_request(self) -> Seconds | None:
-        return min((self._waits_since(item) for item in self._waiting), default=None)
-
-    def _waits_since(self, item: _DirectExchange) -> Seconds:
-        """Return from when on an attempt counts as unanswered: later if it usually takes long."""
-        state = self._directory.find(item.backend_id)
-        usual = state.service_time if state is not None else None
-        return item.started_at + max(OVERDUE_FACTOR * (usual or 0.0) - SILENCE, 0.0)
-
-    def _overdue_backends(self, now: Seconds) -> list[str]:
-        """Return back ends with requests that wait for much longer than they usually take."""
-        late = {
-            item.backend_id for item in self._waiting if now - self._waits_since(item) >= SILENCE
-        }
-        return sorted(late)
-
     def _handle_unreached(self, backend_id: str | None) -> None:
         """Abort repeatable attempts that hang: they would wait for their deadlines.
 
@@ -285,18 +280,20 @@
             The back end that is not reached; None if none is. Failures recorded before are then
             forgotten.
         """
+        direct = self._monitor.direct
         if backend_id is None:
             for state in self._directory.all_states():
                 state.clear_failures()
-            if not self._reachability.is_silent(self._oldest_request(), steady_clock()):
-                return
-        else:
-            unreached = self._directory.find(backend_id)
-            if unreached is not None:
-                self.on_backend_unreached(unreached.backend)
-        for item in self._waiting:
-            if item.repeatable and backend_id in (None, item.backend_id):
-                item.scope.cancel()
+            if self._reachability.is_doubted:
+                # Connections are accepted: what does not hang may be answered yet.
+                direct.abort_overdue()
+            elif self._reachability.is_silent(direct.oldest(), steady_clock()):
+                direct.abort(None)
+            return
+        unreached = self._directory.find(backend_id)
+        if unreached is not None:
+            self.on_backend_unreached(unreached.backend)
+        direct.abort(backend_id)
 
     def _handle_reached(self, backend_id: str) -> None:
         """Let a back end that exited be cold for a while from its return on."""
--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -300,7 +300,7 @@
         may_yield = self.election.may_yield(now) and node_count > 1
         may_move = self._may_move(now)
         for name, owned in list(self._services.items()):
-            owned.core.set_partitioned(self.is_partitioned)
+            owned.core.set_partitioned(self.is_partitioned, self._monitor.is_in_doubt(now))
             if not self.election.former_leaders():
                 owned.core.handle_former_leaders_ended(now)
             for order in owned.core.handle_tick(may_renew, now, may_yield, may_move):
@@ -332,12 +332,12 @@
 
     async def _execute_election_command(self, command: ElectionCommand) -> None:
         """Execute a command, unless this node would lead without reaching any back end."""
-        if isinstance(command, Campaign) and not self.leads and not self.is_partitioned:
-            await self._monitor.ensure_contact(RECENT_CONTACT)
-            if self.is_partitioned:
-                self._log.info("campaign_dropped", term=command.record.term)
-                self.election.handle_campaign_dropped()
-                return
+        if isinstance(command, Campaign) and not (
+            self.leads or self.is_partitioned or await self._monitor.ensure_contact(RECENT_CONTACT)
+        ):
+            self._log.info("campaign_dropped", term=command.record.term)
+            self.election.handle_campaign_dropped()
+            return
         await self._election_calls.execute(command)
 
     def _end_leadership(self) -> None:
--- a/src/limedeck/node/intermediary_server.py
+++ b/src/limedeck/node/intermediary_server.py
@@ -115,9 +115,10 @@
         await http_messages.send_response(send, messages.NO_RESPONSE_STATUS, unable, b"")
 
     def _is_able(self) -> bool:
-        is_partitioned = self._state.directory.reachability.is_partitioned
+        reachability = self._state.directory.reachability
+        has_links = not reachability.is_partitioned and not reachability.is_doubted
         is_stopping = self._state.stopping or self._state.closing
-        return not is_partitioned and not is_stopping and self._active < MAX_CONCURRENT_ATTEMPTS
+        return has_links and not is_stopping and self._active < MAX_CONCURRENT_ATTEMPTS
 
     async def _run_until_disconnect(
         self,
@@ -165,6 +166,8 @@
         except AttemptFailed as error:
             if error.phase is FailurePhase.NOT_CONNECTED:
                 self._monitor.suspect(backend_id)
+            elif error.is_reset_without_response:
+                self._monitor.record_failed_exchange(backend_id)
             self._telemetry.forwarded_attempts.labels("for-others", error.phase.value).inc()
             failed = messages.result_headers(messages.AttemptResult.FAILED, error)
             return _Response(messages.NO_RESPONSE_STATUS, failed)
@@ -186,10 +189,9 @@
             await self._client.try_connect(target.backend.address, probe_until)
             return HttpResponse(PROBED_STATUS, [], b"")
         started = steady_clock()
-        response = await self._client.exchange(request, until)
-        self._state.directory.reachability.record_response(
-            target.backend.backend_id, steady_clock()
-        )
+        with self._monitor.direct.waiting(target.backend.backend_id, attempt.repeatable):
+            response = await self._client.exchange(request, until)
+        self._monitor.record_response(target.backend.backend_id)
         request_id = self._protocol.request_id(dict(request.headers))
         if request_id is not None:
             self._reader.read_statements(request_id, Attempt(target, until), response, started)
--- a/src/limedeck/node/order_sender.py
+++ b/src/limedeck/node/order_sender.py
@@ -57,7 +57,7 @@
         except AttemptFailed as error:
             self._record_lost_order(name, core, order, str(error))
             return
-        self._directory.reachability.record_response(order.backend_id, steady_clock())
+        self._monitor.record_response(order.backend_id)
         done = self._orders.is_done(response.status)
         fenced_off = self._orders.is_fenced_off(response.status)
         if done or fenced_off:
@@ -104,7 +104,7 @@
         kind = "grant" if isinstance(order, Grant) else "release"
         self._telemetry.orders.labels(kind, "lost").inc()
         self._log.info("order_lost", service=name, kind=kind, problem=problem, **_log_fields(order))
-        self._monitor.suspect(order.backend_id)
+        self._monitor.record_failed_exchange(order.backend_id)
         core.handle_order_lost(order, steady_clock())
 
     def _order_request(self, backend_id: str, order: Grant | Release) -> HttpRequest:
--- a/src/limedeck/node/reachability_monitor.py
+++ b/src/limedeck/node/reachability_monitor.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import anyio
 from anyio.abc import TaskGroup
 
 from limedeck.clock import steady_clock
-from limedeck.forwarding import reachability
-from limedeck.forwarding.backend_state import BackendState
+from limedeck.forwarding import reachability_events as events
+from limedeck.forwarding.backend_state import MIN_FULL_LOAD_PER_SLOT, BackendState
 from limedeck.http_client import HttpClient
 from limedeck.identity import Seconds
+from limedeck.node.direct_exchanges import DirectExchanges
 from limedeck.node.logs import RateLimit, get_logger
 from limedeck.node.notifier import Notifier
 from limedeck.node.state import NodeState
@@ -25,6 +26,9 @@
 """Time for which the connection of a probe must stay open: a reset may arrive after it opened."""
 MAX_PROBE_DELAY: Seconds = 0.2
 """A probe that took this much longer than its timeout was not measured: the process was paused."""
+MAX_ABORTED_AT_SUSPICION = 4
+"""Attempts that are made again before a suspicion is confirmed: overloaded back ends may have
+caused it, and some of the other nodes may be cut off too."""
 MAX_LINES_PER_SECOND = 10
 """Lines about single back ends; a fleet has hundreds."""
 
@@ -34,10 +38,8 @@
 
     Attributes
     ----------
-    oldest_request
-        Returns since when the oldest outstanding request has been waiting; None if there is none.
-    overdue_backends
-        Returns back ends that have not responded for much longer than usual.
+    direct
+        Attempts on connections of this node that have no response yet.
     on_unreached
         Called when this node finds that it does not reach a back end, or none at all (None).
     on_reached
@@ -47,8 +49,7 @@
     """
 
     def __init__(self, state: NodeState, client: HttpClient, telemetry: Telemetry) -> None:
-        self.oldest_request: Callable[[], Seconds | None] = lambda: None
-        self.overdue_backends: Callable[[Seconds], list[str]] = lambda now: []
+        self.direct = DirectExchanges(state.directory)
         self.on_unreached: Callable[[str | None], None] = lambda backend_id: None
         self.on_reached: Callable[[str], None] = lambda backend_id: None
         self.on_partition_changed: Callable[[], None] = lambda: None
@@ -80,21 +81,55 @@
         self._deferred_faults.append(state)
         self.suspect(state.backend.backend_id)
 
+    def record_response(self, backend_id: str) -> None:
+        """Record that a back end responded on a connection of this node."""
+        self._record_events(self._reachability.record_response(backend_id, steady_clock()))
+
+    def record_served_by_other(self) -> None:
+        """Record that a back end responded through another node."""
+        if self._reachability.is_doubted:
+            self._record_events(self._reachability.record_served_by_other(steady_clock()))
+
+    def record_failed_exchange(self, backend_id: str) -> None:
+        """Record that a request got no byte of a response on a connection of this node.
+
+        Overloaded back ends reset connections too; at those it shows nothing about links.
+        """
+        now = steady_clock()
+        state = self._state.directory.find(backend_id)
+        if state is not None:
+            full_load = MIN_FULL_LOAD_PER_SLOT * state.backend.slots
+            if state.expected_load(now) < full_load:
+                self._reachability.exchanges.record_failure(backend_id, now)
+        self.suspect(backend_id)
+
     def _end_round(self) -> None:
-        if not self._reachability.is_partitioned:
+        self._settle_deferred_faults()
+        self._rounds.notify()
+
+    def _settle_deferred_faults(self) -> None:
+        """Report deferred failures once it is known whether this node's links are at fault."""
+        is_partitioned = self._reachability.is_partitioned
+        if not is_partitioned and self._reachability.exchanges.is_undecided(steady_clock()):
+            return
+        if not is_partitioned:
             for state in self._deferred_faults:
                 state.record_own_fault()
         self._deferred_faults.clear()
-        self._rounds.notify()
 
-    async def ensure_contact(self, max_age: Seconds) -> None:
-        """Probe back ends if none was in contact with this node for `max_age`."""
-        if self._reachability.had_contact_since(steady_clock() - max_age):
-            return
-        states = self._state.directory.all_states()
-        if states:
-            self.suspect(next(iter(states)).backend.backend_id)
-            await self.wait_for_round(PROBE_TIMEOUT + PROBE_WATCH_TIME + MAX_PROBE_DELAY)
+    def is_in_doubt(self, now: Seconds) -> bool:
+        """Whether it is not decided yet if this node is partitioned."""
+        return self._reachability.is_in_doubt(now)
+
+    async def ensure_contact(self, max_age: Seconds) -> bool:
+        """Return whether this node reaches back ends; probe some if there was no contact lately."""
+        if not self._reachability.had_contact_since(steady_clock() - max_age):
+            states = self._state.directory.all_states()
+            if states:
+                self.suspect(next(iter(states)).backend.backend_id)
+                await self.wait_for_round(PROBE_TIMEOUT + PROBE_WATCH_TIME + MAX_PROBE_DELAY)
+        is_undecided = self._reachability.exchanges.is_undecided(steady_clock())
+        return not self._reachability.is_partitioned and not is_undecided
 
     async def wait_for_round(self, timeout: Seconds) -> None:
         """Wait until the current or next round of probes has ended, for at most `timeout`."""
@@ -104,8 +139,17 @@
         if self._tasks is None:
             return
         now = steady_clock()
-        waiting_since = self.oldest_request()
-        self._reachability.suspect_overdue(self.overdue_backends(now), now)
+        waiting_since = self.direct.oldest()
+        overdue = self.direct.overdue_backends(now)
+        self._reachability.suspect_overdue(overdue, now)
+        if self._deferred_faults and not self._reachability.has_pending_probes:
+            self._settle_deferred_faults()
+        if self._reachability.exchanges.needs_evaluation(overdue):
+            listed = {
+                state.backend.backend_id: state.backend.service
+                for state in self._state.directory.all_states()
+            }
+            self._record_events(self._reachability.evaluate_exchanges(overdue, listed, now))
         if not self._reachability.is_round_due(waiting_since, now):
             return
         states = {state.backend.backend_id: state for state in self._state.directory.all_states()}
@@ -114,46 +158,56 @@
             self._tasks.start_soon(self._probe, states[backend_id])
 
     async def _probe(self, state: BackendState) -> None:
-        outcome = reachability.ProbeOutcome.UNKNOWN
+        outcome = events.ProbeOutcome.UNKNOWN
         try:
             outcome = await self._connect(state.backend.address)
         finally:
             now = steady_clock()
             rounds = self._reachability.rounds
-            events = self._reachability.handle_probe(state.backend.backend_id, outcome, now)
-            for event in events:
-                self._record_event(event)
+            self._record_events(
+                self._reachability.handle_probe(state.backend.backend_id, outcome, now)
+            )
             if self._reachability.rounds != rounds:
                 self._end_round()
 
-    async def _connect(self, address: str) -> reachability.ProbeOutcome:
+    async def _connect(self, address: str) -> events.ProbeOutcome:
         started = steady_clock()
         try:
             await self._client.try_connect(address, started + PROBE_TIMEOUT, PROBE_WATCH_TIME)
         except AttemptFailed as error:
             if error.phase is FailurePhase.TURNED_AWAY:
-                return reachability.ProbeOutcome.TURNED_AWAY
+                return events.ProbeOutcome.TURNED_AWAY
             if steady_clock() - started > PROBE_TIMEOUT + PROBE_WATCH_TIME + MAX_PROBE_DELAY:
-                return reachability.ProbeOutcome.UNKNOWN
-            return reachability.ProbeOutcome.UNREACHED
-        return reachability.ProbeOutcome.REACHED
+                return events.ProbeOutcome.UNKNOWN
+            return events.ProbeOutcome.UNREACHED
+        return events.ProbeOutcome.REACHED
+
+    def _record_events(self, found: Iterable[events.ReachabilityEvent]) -> None:
+        for event in found:
+            self._record_event(event)
 
-    def _record_event(self, event: reachability.ReachabilityEvent) -> None:
+    def _record_event(self, event: events.ReachabilityEvent) -> None:
         match event:
-            case reachability.PartitionBegan():
+            case events.PartitionBegan():
                 self._telemetry.partitioned.set(1)
-                self._log.warning("partition_began", probed=list(event.probed))
+                self._log.warning(
+                    "partition_began", probed=list(event.probed), shown_by=event.evidence.value
+                )
                 self.on_unreached(None)
                 self.on_partition_changed()
-            case reachability.PartitionEnded():
+            case events.PartitionEnded():
                 self._telemetry.partitioned.set(0)
                 self._log.warning("partition_ended", seconds=round(event.lasted, 3))
                 self.on_partition_changed()
-            case reachability.BackendUnreached():
+            case events.ExchangesFailing():
+                self._log.warning("exchanges_failing", backends=list(event.backends))
+                # Made again through other nodes, they show whether these are served.
+                self.direct.abort_overdue(MAX_ABORTED_AT_SUSPICION)
+            case events.BackendUnreached():
                 self.on_unreached(event.backend_id)
                 if self._line_limit.allows():
                     self._log.warning("back_end_unreached", backend=event.backend_id)
-            case reachability.BackendReached():
+            case events.BackendReached():
                 self.on_reached(event.backend_id)
                 if self._line_limit.allows():
                     self._log.info(
--- a/src/limedeck/ownership/owner_liveness.py
+++ b/src/limedeck/ownership/owner_liveness.py
@@ -36,15 +36,22 @@
         self._responded_at: dict[str, Seconds] = {}
         self._avoided_until: dict[str, Seconds] = {}
         self._is_partitioned = False
+        self._is_in_doubt = False
 
-    def set_partitioned(self, is_partitioned: bool) -> None:
+    def set_partitioned(self, is_partitioned: bool, is_in_doubt: bool = False) -> None:
         """Set whether this leader reaches no back end, so that it cannot judge any of them.
 
         Time-outs begin anew when it reaches back ends again.
+
+        Parameters
+        ----------
+        is_in_doubt
+            It is not decided yet. Time-outs go on, since it may be the back ends that failed.
         """
         if self._is_partitioned and not is_partitioned:
             self._requested_at.clear()
         self._is_partitioned = is_partitioned
+        self._is_in_doubt = is_in_doubt
 
     def record_order_sent(self, backend_id: str, now: Seconds) -> None:
         """Record that an order is sent; time-outs count from the first one without a response."""
@@ -70,7 +77,7 @@
     def is_presumed_failed(self, backend_id: str, now: Seconds) -> bool:
         """Whether the back end has not responded for `owner_timeout`, and loses its keys."""
         requested_at = self._requested_at.get(backend_id)
-        if requested_at is None or self._is_partitioned:
+        if requested_at is None or self._is_partitioned or self._is_in_doubt:
             return False
         return now - requested_at > self._timing.owner_timeout
 
@@ -82,7 +89,7 @@
     def is_unreachable(self, backend_id: str, now: Seconds) -> bool:
         """Whether the back end responds neither to this node nor, by their reports, to others."""
         requested_at = self._requested_at.get(backend_id)
-        if requested_at is None or self._is_partitioned:
+        if requested_at is None or self._is_partitioned or self._is_in_doubt:
             return False
         # Nodes that have not yet connected to a new leader send it no reports.
         since = max(requested_at, self._taken_over_at + self._timing.follower_reconnect_time)
--- a/src/limedeck/ownership/service.py
+++ b/src/limedeck/ownership/service.py
@@ -251,9 +251,9 @@
         """Record when a node last reported a response of the back end to a request."""
         self._liveness.record_last_response(backend_id, responded_at)
 
-    def set_partitioned(self, is_partitioned: bool) -> None:
-        """Set whether this leader reaches no back end; owners then keep their keys."""
-        self._liveness.set_partitioned(is_partitioned)
+    def set_partitioned(self, is_partitioned: bool, is_in_doubt: bool = False) -> None:
+        """Set whether this leader reaches no back end, or may not; owners then keep their keys."""
+        self._liveness.set_partitioned(is_partitioned, is_in_doubt)
 
     def set_failing_backends(self, backend_ids: Iterable[str]) -> None:
         """Set the back ends that fail more often than others; they lose their keys if possible."""
--- a/src/limedeck/routing/outcomes.py
+++ b/src/limedeck/routing/outcomes.py
@@ -44,6 +44,9 @@
         Part of the request had been sent.
     AWAITING
         The whole request had been sent; no byte of a response had arrived.
+    LINK_LOST
+        The request had been sent, and this node was found not to reach the back end. It may have
+        run, but has most likely added no load.
     RECEIVING
         Part of a response had arrived.
     ERROR_RESPONSE
@@ -56,6 +59,7 @@
     REFUSED = "refused"
     SENDING = "sending"
     AWAITING = "awaiting"
+    LINK_LOST = "link-lost"
     RECEIVING = "answering"
     ERROR_RESPONSE = "error-answer"
 
@@ -86,6 +90,12 @@
     problem: str
     by_other_end: bool = False
 
+    @property
+    def is_reset_without_response(self) -> bool:
+        """Whether the other end closed a connection without a byte of a response."""
+        is_unanswered = self.by_other_end and self.phase in UNANSWERED_PHASES
+        return is_unanswered or self.phase is FailurePhase.TURNED_AWAY
+
     def __str__(self) -> str:
         return f"{self.phase.value}: {self.problem}"
 
@@ -94,6 +104,10 @@
 """The back end was reached but accepts no more connections or requests."""
 UNREACHED_PHASES = frozenset({FailurePhase.NOT_CONNECTED, FailurePhase.NOT_SENT})
 """No part of the request reached the back end, which did not reject it either."""
+UNANSWERED_PHASES = frozenset({FailurePhase.SENDING, FailurePhase.AWAITING})
+"""Part of the request was sent, and no part of a response arrived."""
+NO_LOAD_PHASES = UNREACHED_PHASES | {FailurePhase.LINK_LOST}
+"""Attempts that do not count against the retry budget, which bounds the load of retries."""
 SURELY_NOT_RUN = REJECTED_PHASES | UNREACHED_PHASES
 
 
--- a/src/limedeck_lab/explain/meanings.py
+++ b/src/limedeck_lab/explain/meanings.py
@@ -41,6 +41,7 @@
     FailurePhase.REFUSED: "the back end said that it does not run it",
     FailurePhase.SENDING: "the connection broke while it was sent",
     FailurePhase.AWAITING: "it was sent, and no usable answer came",
+    FailurePhase.LINK_LOST: "it was sent, and the node found that it does not reach the back end",
     FailurePhase.RECEIVING: "the response broke off",
     FailurePhase.ERROR_RESPONSE: "the back end responded with an error",
 }
--- a/tests/unit/test_intermediaries.py
+++ b/tests/unit/test_intermediaries.py
@@ -21,7 +21,7 @@
     Intermediary,
 )
 from limedeck.forwarding.protocol import Headers
-from limedeck.forwarding.reachability import ProbeOutcome
+from limedeck.forwarding.reachability_events import ProbeOutcome
 from limedeck.model import Backend, Configuration
 from limedeck.node import (
     fleet_intermediaries,
--- a/tests/unit/test_partition_judgements.py
+++ b/tests/unit/test_partition_judgements.py
@@ -10,7 +10,7 @@
 from limedeck import clock, http_client
 from limedeck.forwarding import budget
 from limedeck.forwarding.backend_state import EXIT_COOLDOWN, FAILURES_TO_EJECT, BackendState
-from limedeck.forwarding.reachability import ProbeOutcome
+from limedeck.forwarding.reachability_events import ProbeOutcome
 from limedeck.model import Backend
 from limedeck.node import (
     backend_paths,
--- a/tests/unit/test_partitioned_leader.py
+++ b/tests/unit/test_partitioned_leader.py
@@ -151,6 +151,18 @@
     assert not liveness.is_unreachable("b", late)
 
 
+def test_leader_in_doubt_takes_no_keys_and_time_outs_go_on() -> None:
+    liveness = OwnerLiveness(TIMING, 0.0)
+    liveness.record_order_sent("b", 5.0)
+    late = 5.0 + TIMING.owner_timeout + 0.1
+    liveness.set_partitioned(False, is_in_doubt=True)
+    assert not liveness.is_presumed_failed("b", late)
+    assert not liveness.is_unreachable("b", late)
+    liveness.set_partitioned(False)
+    assert liveness.is_presumed_failed("b", late)
+    assert liveness.is_unreachable("b", late)
+
+
 def test_time_outs_of_owners_begin_anew_after_a_partition() -> None:
     liveness = OwnerLiveness(TIMING, 0.0)
     liveness.record_order_sent("b", 5.0)
