A node in doubt stands for election last, and is not kept from it

A node that did not know yet if it was cut off dropped its campaigns. If all back ends fail at all nodes alike, doubt begins anew again and again, and nobody would have been elected. Such a node now stands last, as a partitioned one does, 2 s after the others; a leader in doubt goes on leading.

Tests of the host: resets are reported after a round of probes and a response, a node in doubt stands last, and resets by overloaded back ends show nothing.

--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -276,7 +276,7 @@
 
     def _tick(self, now: Seconds) -> None:
         self.election.handle_era(self._store.era, now)
-        self.election.is_partitioned = self.is_partitioned
+        self.election.is_partitioned = self._monitor.must_stand_last(self.leads, now)
         command = self.election.handle_tick(now)
         if command is not None:
             self._start(self._execute_election_command, command)
--- a/src/limedeck/node/reachability_monitor.py
+++ b/src/limedeck/node/reachability_monitor.py
@@ -121,6 +121,13 @@
         """Whether it is not decided yet if this node is partitioned."""
         return self._reachability.is_in_doubt(now)
 
+    def must_stand_last(self, leads: bool, now: Seconds) -> bool:
+        """Whether this node is partitioned, or may be while it does not lead.
+
+        If all nodes are in doubt, one of them is elected later than usual.
+        """
+        return self._reachability.is_partitioned or (not leads and self.is_in_doubt(now))
+
     async def ensure_contact(self, max_age: Seconds) -> bool:
         """Return whether this node reaches back ends; probe some if there was no contact lately."""
         if not self._reachability.had_contact_since(steady_clock() - max_age):
@@ -128,8 +135,7 @@
             if states:
                 self.suspect(next(iter(states)).backend.backend_id)
                 await self.wait_for_round(PROBE_TIMEOUT + PROBE_WATCH_TIME + MAX_PROBE_DELAY)
-        is_undecided = self._reachability.exchanges.is_undecided(steady_clock())
-        return not self._reachability.is_partitioned and not is_undecided
+        return not self._reachability.is_partitioned
 
     async def wait_for_round(self, timeout: Seconds) -> None:
         """Wait until the current or next round of probes has ended, for at most `timeout`."""
--- a/tests/unit/test_partition_judgements.py
+++ b/tests/unit/test_partition_judgements.py
@@ -10,6 +10,7 @@
 from limedeck import clock, http_client
 from limedeck.forwarding import budget
 from limedeck.forwarding.backend_state import EXIT_COOLDOWN, FAILURES_TO_EJECT, BackendState
+from limedeck.forwarding.reachability import CALM_ROUND_INTERVAL
 from limedeck.forwarding.reachability_events import ProbeOutcome
 from limedeck.model import Backend
 from limedeck.node import (
@@ -144,3 +145,48 @@
         tasks.cancel_scope.cancel()
     for item in sockets:
         item.close()
+
+
+RESET = AttemptFailed(FailurePhase.AWAITING, "EndOfStream", by_other_end=True)
+
+
+async def test_resets_are_reported_only_when_it_is_decided_whose_fault_they_are() -> None:
+    sockets = [bound_socket(listens=True) for _ in range(4)]
+    tested = PartitionableNode([item.getsockname()[1] for item in sockets])
+    failed, other = tested.backends[:2]
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(tested.monitor.run)
+        await anyio.sleep(0.0)
+        tested.monitor.record_failed_exchange(failed.backend.backend_id)
+        tested.paths.record_failure(failed, RESET, True, clock.steady_clock())
+        await tested.monitor.wait_for_round(2.0)
+        assert failed.take_sample() is None
+        tested.monitor.record_response(other.backend.backend_id)
+        # A round of probes is due that shows that connections are accepted.
+        await anyio.sleep(CALM_ROUND_INTERVAL + 4 * reachability_monitor.CHECK_INTERVAL)
+        assert failed.take_sample() is not None
+        tasks.cancel_scope.cancel()
+    for item in sockets:
+        item.close()
+
+
+async def test_node_in_doubt_stands_last_but_leads_on() -> None:
+    tested = PartitionableNode([1, 2])
+    now = clock.steady_clock()
+    assert not tested.monitor.must_stand_last(leads=False, now=now)
+    tested.monitor.record_failed_exchange(tested.backends[0].backend.backend_id)
+    assert tested.monitor.must_stand_last(leads=False, now=now)
+    assert not tested.monitor.must_stand_last(leads=True, now=now)
+    tested.monitor.record_response(tested.backends[1].backend.backend_id)
+    assert not tested.monitor.must_stand_last(leads=False, now=now)
+    tested.partition()
+    assert tested.monitor.must_stand_last(leads=True, now=now)
+
+
+async def test_resets_by_an_overloaded_back_end_show_nothing_about_links() -> None:
+    tested = PartitionableNode([1, 2])
+    now = clock.steady_clock()
+    for backend in tested.backends:
+        backend.outstanding = 2 * backend.backend.slots
+        tested.monitor.record_failed_exchange(backend.backend.backend_id)
+    assert not tested.monitor.must_stand_last(leads=False, now=now)
