Nodes that are all cut off learn that no other node can help

When all nodes were cut off, the leader's list of intermediaries became empty, and an empty list was taken for "nothing changed".

The leader now says that there are none, and a node that found none asks none for 0.25 s, whichever of these times ends meanwhile.

The unit test of the pause fails without it.

--- a/src/limedeck/forwarding/intermediaries.py
+++ b/src/limedeck/forwarding/intermediaries.py
@@ -17,6 +17,9 @@
 AVOIDANCE_TIME: Seconds = 1.0
 """How long a node that could not be used as an intermediary is tried only after all others; the
 leader's next list of intermediaries arrives within this time."""
+NONE_ABLE_TIME: Seconds = 0.25
+"""How long a node that found no usable intermediary asks none: their times of avoidance end one
+after another, and each end would let a request wait for one more attempt in vain."""
 FAILED_BACKEND_TIME: Seconds = 1.0
 """How long a back end that an intermediary did not reach either counts as failed."""
 
@@ -48,6 +51,7 @@
         self._zone = zone
         self._known: tuple[Intermediary, ...] = ()
         self._outstanding: Counter[str] = Counter()
+        self._none_until: Seconds = NEVER
         self._avoided_until: dict[str, Seconds] = {}
         self._failed_until: dict[str, Seconds] = {}
         self._unreached_until: dict[tuple[str, str], Seconds] = {}
@@ -67,8 +71,15 @@
 
     def has_any(self, now: Seconds) -> bool:
         """Whether an intermediary is known that was not found unusable lately."""
+        if now < self._none_until:
+            return False
         return any(not self._is_avoided(item, now) for item in self._known)
 
+    def record_none_able(self, now: Seconds) -> None:
+        """Record that an attempt found no intermediary that could be used."""
+        if not self.has_any(now):
+            self._none_until = now + NONE_ABLE_TIME
+
     def choose(
         self, backend_id: str, request_id: bytes, excluded: Collection[str], now: Seconds
     ) -> Intermediary | None:
--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -232,7 +232,7 @@
             self._state.record_leader(status.store_silence, status.node_count, now)
             if status.HasField("backend_totals"):
                 self.loads.handle_totals(status.backend_totals, now)
-            if status.intermediaries:
+            if status.intermediaries or status.no_intermediaries:
                 self._state.directory.intermediaries.set_known(
                     fleet_intermediaries.read_intermediaries(status.intermediaries)
                 )
--- a/src/limedeck/node/followers.py
+++ b/src/limedeck/node/followers.py
@@ -208,6 +208,7 @@
                 if peer.node_id is not None and (is_due or changes != sent_changes):
                     sent_changes = changes
                     status.intermediaries.extend(self._intermediaries_for(peer.node_id))
+                    status.no_intermediaries = not status.intermediaries
                 await sender.send(ControlMessage(status=status))
                 await anyio.sleep(self._status_pause())
                 await self._notifier.wait_past(known, self._timing.heartbeat_interval)
--- a/src/limedeck/node/intermediary_client.py
+++ b/src/limedeck/node/intermediary_client.py
@@ -91,6 +91,7 @@
             self._intermediaries.record_served_backend(backend_id)
             return response
         if not failures:
+            self._intermediaries.record_none_able(steady_clock())
             raise AttemptFailed(FailurePhase.NOT_CONNECTED, NO_INTERMEDIARY)
         if request.is_wanted():
             self._intermediaries.record_failed_backend(backend_id, steady_clock())
--- a/tests/unit/test_intermediaries.py
+++ b/tests/unit/test_intermediaries.py
@@ -17,6 +17,7 @@
 from limedeck.forwarding.intermediaries import (
     AVOIDANCE_TIME,
     FAILED_BACKEND_TIME,
+    NONE_ABLE_TIME,
     Intermediaries,
     Intermediary,
 )
@@ -95,6 +96,25 @@
     assert not known.has_any(0.1)
 
 
+def test_node_that_found_no_intermediary_asks_none_for_a_while() -> None:
+    known = Intermediaries("z1")
+    known.set_known(NEAR)
+    for number, item in enumerate(NEAR):
+        known.avoid(item.address, 10.0 + 0.1 * number)
+    found_none_at = 10.0 + AVOIDANCE_TIME - 0.05
+    known.record_none_able(found_none_at)
+    assert not known.has_any(found_none_at + 0.1)
+    assert known.has_any(found_none_at + NONE_ABLE_TIME)
+
+
+def test_node_with_an_intermediary_left_may_ask_it_at_once() -> None:
+    known = Intermediaries("z1")
+    known.set_known(NEAR)
+    known.avoid(NEAR[0].address, 10.0)
+    known.record_none_able(10.1)
+    assert known.has_any(10.1)
+
+
 def test_intermediary_that_does_not_reach_a_back_end_is_used_for_others() -> None:
     known = Intermediaries("z1")
     known.set_known(NEAR[:2])
