--- a/tests/unit/test_leaving_callers.py
+++ b/tests/unit/test_leaving_callers.py
@@ -13,7 +13,7 @@
 
 from limedeck import http_client
 from limedeck.forwarding.intermediaries import Intermediary
-from limedeck.forwarding.reachability import ProbeOutcome
+from limedeck.forwarding.reachability_events import ProbeOutcome
 from limedeck.identity import Seconds
 from limedeck.model import Backend, Configuration, Route, Service, Target
 from limedeck.node import (
--- a/tests/unit/test_partition_judgements.py
+++ b/tests/unit/test_partition_judgements.py
@@ -160,11 +160,11 @@
         tested.monitor.record_failed_exchange(failed.backend.backend_id)
         tested.paths.record_failure(failed, RESET, True, clock.steady_clock())
         await tested.monitor.wait_for_round(2.0)
-        assert failed.take_sample() is None
+        assert failed.take_sample(5.0) is None
         tested.monitor.record_response(other.backend.backend_id)
         # A round of probes is due that shows that connections are accepted.
         await anyio.sleep(CALM_ROUND_INTERVAL + 4 * reachability_monitor.CHECK_INTERVAL)
-        assert failed.take_sample() is not None
+        assert failed.take_sample(5.0) is not None
         tasks.cancel_scope.cancel()
     for item in sockets:
         item.close()
