Choice of back ends: lasting speed apart from slowness, and shares that level slots in use

Cause: a back end's service time was one value over some 20 responses. Slow back ends were drawn as often as fast ones.

Change: `forwarding.service_speed` holds the lasting service time and the present slowness, measured by the leader from all nodes' reports, and sent in a new column that earlier versions ignore. A new leader starts from the newest values of its own. Responses during a slowness hardly count in the lasting time. Few responses are drawn to the mean of the service: a single short one would otherwise draw the requests of all nodes. `forwarding.sharing` draws two back ends by shares that level the part of slots in use when the requests of the next 0.3 s have arrived, and takes the one that is less busy as far as this node has seen; it replaces both the better of two and the shares by capacity. Capacities of owners now come from the lasting time, so that keys do not follow a moment.

Why it works: the totals are 0.3 to 1 s old at all nodes at once. Shares keep the nodes together level without a message between them; a moment of 0.4 s shows in the queue that it leaves.

The tests of shares after recovery failed before.

--- a/src/limedeck/forwarding/backend_state.py
+++ b/src/limedeck/forwarding/backend_state.py
@@ -7,6 +7,7 @@
 
 from limedeck.forwarding.protocol import LoadReport
 from limedeck.forwarding.request_cost import ServiceWork
+from limedeck.forwarding.service_speed import ServiceSpeed
 from limedeck.forwarding.turns import QueueEstimate, QueueSource
 from limedeck.forwarding.waiting_requests import NONE_WAITING, WaitingCounts, WaitingRequests
 from limedeck.identity import NEVER, Seconds
@@ -96,6 +97,8 @@
         Requests of this node without a response yet.
     service_time
         Smoothed time to process one request of the service's present mix, in seconds.
+    speed
+        Its lasting speed and present slowness, as measured by all nodes together.
     reports_load
         Whether its responses report how many requests it has.
     full_load
@@ -120,6 +123,7 @@
         self._exit_cooldown_until: Seconds = NEVER
         self.outstanding = 0
         self.service_time: Seconds | None = None
+        self.speed = ServiceSpeed()
         self.reports_load = False
         self.failures = 0
         self.ejections = 0
@@ -331,6 +335,11 @@
         """Return how many requests it is expected to have now."""
         return self.outstanding + self._expected_other_requests(now)
 
+    def observed_load(self, now: Seconds) -> float:
+        """Return its requests as far as this node has observed them itself."""
+        age = now - self._load_reported_at
+        return self.outstanding + self._other_requests * math.exp(-age / LOAD_DECAY_TIME)
+
     def _expected_other_requests(self, now: Seconds) -> float:
         """Estimate other nodes' requests to it from the newest response or the leader's data."""
         from_responses = self._other_requests
@@ -424,7 +433,8 @@
 
     def capacity(self, now: Seconds, typical: Seconds) -> float:
         """Return how many requests a second it can process."""
-        return self.backend.slots / ((self.service_time or typical) * self._warmup_factor(now))
+        time = self.speed.service_time(now) or self.service_time or typical
+        return self.backend.slots / (time * self._warmup_factor(now))
 
     def expected_time(self, now: Seconds, typical: Seconds, relative: float = 1.0) -> Seconds:
         """Return the time that one more request is expected to take.
--- a/src/limedeck/forwarding/backends.py
+++ b/src/limedeck/forwarding/backends.py
@@ -2,36 +2,23 @@
 
 from __future__ import annotations
 
-import math
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, replace
 
 from limedeck.forwarding.availability import Availability, Unavailable
 from limedeck.forwarding.backend_state import BackendState
 from limedeck.forwarding.backoffs import BackoffLedger
-from limedeck.forwarding.hashing import hash_fraction
 from limedeck.forwarding.intermediaries import Intermediaries
 from limedeck.forwarding.leaving import LeavingLedger
 from limedeck.forwarding.limits import LimitLedger
-from limedeck.forwarding.load_leveling import levelling_shares
 from limedeck.forwarding.reachability import Reachability
 from limedeck.forwarding.request_cost import ServiceWork
+from limedeck.forwarding.sharing import ShareDrawing
 from limedeck.identity import Seconds
 from limedeck.model import Backend
 
 DEFAULT_SERVICE_TIME: Seconds = 0.1
 """Assumed for a service from which no response has arrived yet."""
-OTHER_ZONE_TIME_FACTOR = 1.6
-"""Multiplies the expected times of back ends in other zones, if back ends report their load."""
-EXPECTED_TIME_JITTER = 0.1
-"""Largest fraction by which an expected time is raised at random, so that back ends with nearly
-equal times share the requests."""
-OTHER_ZONE_LOAD_PER_SLOT = 1.5
-"""Requests per slot added to the loads of back ends in other zones, if loads are known late: they
-are used once those of this zone are busy. At 0.25, bytes between zones cost 0.016 more of a day's
-worth."""
-REPORT_DELAY: Seconds = 0.3
-"""Age of the loads sent by the leader when the next ones arrive; see `node.leader_link`."""
 MIN_HEALTHY_FRACTION = 0.5
 """If a smaller fraction of a service's usable back ends is healthy, ejections are ignored: the
 requests themselves may cause the failures, and the healthy back ends could not do all the work. The
@@ -41,9 +28,6 @@
 than two confirmation intervals."""
 RECENT_CONTACT: Seconds = 1.0
 """Time since the last response within which connections that are open are still used."""
-MIN_ARRIVALS = 0.1
-"""Lower bound of the arrivals to be shared, for times with hardly any requests: the best back end
-gets all of them."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +78,7 @@
         self._endpoints: dict[str, Endpoint] = {}
         self._ids_by_instance: dict[str, str] = {}
         self._work: dict[str, ServiceWork] = {}
+        self._drawings: dict[str, ShareDrawing] = {}
         self._cold_rates: dict[str, float] = {}
         self._draining_ids: set[str] = set()
         self._store_confirmed_at: Seconds | None = None
@@ -260,74 +245,10 @@
         candidates = healthy if len(healthy) >= MIN_HEALTHY_FRACTION * len(usable) else usable
         if not candidates:
             return None
-        if any(state.reports_load for state in candidates):
-            return self._choose_of_two(candidates, request_id, now)
-        return self._choose_by_share(candidates, request_id, now)
-
-    def _choose_of_two(
-        self, candidates: list[BackendState], request_id: bytes, now: Seconds
-    ) -> BackendState:
-        """Choose the better of two random back ends: one of this zone, one of all others.
-
-        Many nodes have the same outdated load of a back end. If each chose the best back end, it
-        would get the requests of all of them until its load was updated. See M. Mitzenmacher, "How
-        useful is old information?" (1997).
-        """
-        same_zone = [
-            state for state in candidates if state.backend.zone == self._zone
-        ] or candidates
-        first = same_zone[int(hash_fraction(b"1" + request_id) * len(same_zone))]
-        others = [state for state in candidates if state is not first] or [first]
-        second = others[int(hash_fraction(b"2" + request_id) * len(others))]
+        limited = [self._states_limit(state) for state in candidates]
         typical = self._typical_time(candidates)
-
-        def cost(state: BackendState) -> float:
-            if self._states_limit(state):
-                return 0.0
-            spread = hash_fraction(state.backend.backend_id.encode() + request_id)
-            time = state.expected_time(now, typical) * (1.0 + EXPECTED_TIME_JITTER * spread)
-            time *= state.relative_slowdown(now)
-            return time if state.backend.zone == self._zone else time * OTHER_ZONE_TIME_FACTOR
-
-        return min(first, second, key=cost)
-
-    def _choose_by_share(
-        self, candidates: list[BackendState], request_id: bytes, now: Seconds
-    ) -> BackendState:
-        """Choose the better of two back ends, drawn by shares that level a load known late.
-
-        By the time that loads are updated, some of the outstanding requests will have received
-        their responses, and as many others will have arrived.
-        """
-        typical = self._typical_time(candidates)
-        current_loads = [state.expected_load(now) for state in candidates]
-        remaining = math.exp(-REPORT_DELAY / typical)
-        arrivals = max(sum(current_loads) * (1.0 - remaining), MIN_ARRIVALS)
-        loads = [load * remaining for load in current_loads]
-        weighted_loads = [
-            load
-            if state.backend.zone == self._zone
-            else load + OTHER_ZONE_LOAD_PER_SLOT * state.backend.slots
-            for state, load in zip(candidates, loads, strict=True)
-        ]
-        capacities = [state.capacity(now, typical) for state in candidates]
-        fastest = max(capacities)
-        capacities = [
-            fastest if self._states_limit(state) else capacity
-            for state, capacity in zip(candidates, capacities, strict=True)
-        ]
-        shares = levelling_shares(weighted_loads, capacities, arrivals)
-        drawn = [
-            candidates[drawn_index(shares, hash_fraction(salt + request_id))]
-            for salt in (b"1", b"2")
-        ]
-
-        def cost(state: BackendState) -> float:
-            if self._states_limit(state):
-                return -1.0
-            return state.outstanding * (state.service_time or typical)
-
-        return min(drawn, key=cost)
+        drawing = self._drawings.setdefault(service, ShareDrawing(self._zone))
+        return drawing.draw(candidates, limited, typical, request_id, now)
 
     def _states_limit(self, state: BackendState) -> bool:
         """Whether a back end states a limit, and is preferred if drawn, however slow it appears.
@@ -339,15 +260,9 @@
         return self.limits.rate(state.backend.backend_id) is not None
 
     def _typical_time(self, states: list[BackendState]) -> Seconds:
-        known = [state.service_time for state in states if state.service_time is not None]
+        known = [
+            time
+            for state in states
+            if (time := state.speed.lasting or state.service_time) is not None
+        ]
         return sum(known) / len(known) if known else DEFAULT_SERVICE_TIME
-
-
-def drawn_index(shares: Sequence[float], point: float) -> int:
-    """Return the index of the share at `point`, a fraction of the sum of all shares."""
-    left = point * sum(shares)
-    for index, share in enumerate(shares):
-        left -= share
-        if left < 0.0:
-            return index
-    return max(range(len(shares)), key=shares.__getitem__)
--- a/src/limedeck/node/backend_loads.py
+++ b/src/limedeck/node/backend_loads.py
@@ -37,12 +37,15 @@
 
 
 def known_service_times(directory: backends.BackendDirectory) -> dict[int, Seconds]:
-    """Return the service times that this node assumes, by hash of the back end's id."""
-    return {
-        backend_hash(state.backend.backend_id): state.service_time
+    """Return lasting service times that this node knows, by hash of the back end's id.
+
+    If the leader has sent none, they are the present ones, as far as this node has measured them.
+    """
+    known = {
+        backend_hash(state.backend.backend_id): state.speed.lasting or state.service_time or 0.0
         for state in directory.all_states()
-        if state.service_time is not None
     }
+    return {backend: time for backend, time in known.items() if time > 0.0}
 
 
 def write_report(directory: backends.BackendDirectory, now: Seconds) -> control_pb2.BackendLoads:
@@ -114,6 +117,7 @@
     def __init__(self) -> None:
         self._hashes: tuple[int, ...] = ()
         self._columns = b""
+        self._speeds = b""
         self._excluded: list[int] = []
         self._waiting: dict[int, WaitingCounts] = {}
         self._listing = 0
@@ -128,6 +132,11 @@
         outstanding = bytes(min(total.outstanding, MAX_BYTE) for total in totals)
         service_times = bytes(_encode_service_time(total.service_time) for total in totals)
         self._columns = zlib.compress(outstanding + service_times)
+        lasting = bytes(_encode_service_time(total.lasting_time) for total in totals)
+        slowness = bytes(
+            0 if total.slowness == 1.0 else _encode_service_time(total.slowness) for total in totals
+        )
+        self._speeds = zlib.compress(lasting + slowness) if any(lasting) else b""
         self._excluded = [index for index, total in enumerate(totals) if total.excluded]
         self._waiting = {
             index: total.waiting for index, total in enumerate(totals) if total.waiting
@@ -145,6 +154,7 @@
             awaited=self._waiting.keys(),
             waiting=[item.total for item in self._waiting.values()],
             waiting_late=[item.late for item in self._waiting.values()],
+            speeds=self._speeds,
         )
         if sent.listing != self._listing:
             message.backends.extend(self._hashes)
@@ -182,18 +192,19 @@
         if message.listing != self._listing:
             raise PeerProtocolError("totals of back ends", "unknown list of back ends")
         count = len(self._hashes)
-        try:
-            columns = zlib.decompressobj().decompress(
-                message.columns, BYTES_PER_BACKEND * count + 1
-            )
-        except zlib.error as exc:
-            raise PeerProtocolError("totals of back ends", str(exc)) from exc
-        if len(columns) != BYTES_PER_BACKEND * count:
-            raise PeerProtocolError(
-                "totals of back ends", "columns do not fit the list of back ends"
-            )
         waiting = _read_waiting(message)
-        rows = zip(self._hashes, columns[:count], columns[count:], strict=True)
+        columns = _decompress(message.columns, BYTES_PER_BACKEND * count)
+        length = BYTES_PER_BACKEND * count
+        # Earlier versions do not send these columns.
+        speeds = _decompress(message.speeds, length) if message.speeds else bytes(length)
+        rows = zip(
+            self._hashes,
+            columns[:count],
+            columns[count:],
+            speeds[:count],
+            speeds[count:],
+            strict=True,
+        )
         excluded = set(message.excluded)
         return [
             fleet_load.BackendTotal(
@@ -202,8 +213,10 @@
                 _decode_service_time(code),
                 index in excluded,
                 waiting=waiting.get(index, NONE_WAITING),
+                lasting_time=_decode_service_time(lasting),
+                slowness=_decode_service_time(slowness) or 1.0,
             )
-            for index, (backend, outstanding, code) in enumerate(rows)
+            for index, (backend, outstanding, code, lasting, slowness) in enumerate(rows)
         ]
 
 
@@ -218,6 +231,7 @@
             state.record_fleet_load(
                 total.outstanding, total.service_time, now, total.excluded, total.waiting
             )
+            state.speed.record(total.lasting_time, total.slowness, now)
 
 
 def _read_waiting(message: control_pb2.BackendTotals) -> dict[int, WaitingCounts]:
@@ -236,6 +250,23 @@
     return WaitingCounts(max(waiting - late, 0), late)
 
 
+def _decompress(column: bytes, length: int) -> bytes:
+    """Decompress columns of this length.
+
+    Raises
+    ------
+    PeerProtocolError
+        They are not of this length, or not compressed data.
+    """
+    try:
+        plain = zlib.decompressobj().decompress(column, length + 1)
+    except zlib.error as exc:
+        raise PeerProtocolError("totals of back ends", str(exc)) from exc
+    if len(plain) != length:
+        raise PeerProtocolError("totals of back ends", "columns do not fit the list of back ends")
+    return plain
+
+
 def _encode_service_time(time: Seconds) -> int:
     """Encode a service time as one byte; zero stands for an unknown one."""
     if time <= 0.0:
--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -385,8 +385,8 @@
                 if total is None:
                     continue
                 owned.core.record_last_response(backend_id, total.responded_at)
-                if total.service_time > 0.0:
-                    owned.core.set_service_time(backend_id, total.service_time)
+                if total.lasting_time > 0.0:
+                    owned.core.set_service_time(backend_id, total.lasting_time)
 
     def _publish(self, name: str, owned: _OwnedService, now: Seconds) -> None:
         ranges = owned.core.published(now)
--- a/src/limedeck/node/load_exchange.py
+++ b/src/limedeck/node/load_exchange.py
@@ -100,7 +100,7 @@
             backend_loads.backend_hash(state.backend.backend_id): state.backend
             for state in self._directory.all_states()
         }
-        sums = self._fleet_load.totals(listed)
+        sums = self._fleet_load.totals(listed, now)
         overloaded = [
             total.backend
             for total in sums
@@ -114,6 +114,7 @@
         self.avoided_owners = frozenset(listed[backend_hash].backend_id for backend_hash in avoided)
         self._log_excluded({listed[backend_hash].backend_id for backend_hash in excluded})
         totals = [dataclasses.replace(total, excluded=total.backend in excluded) for total in sums]
+        totals = fleet_load.with_decayed_lasting_times(totals, services, now)
         # Decayed service times let nodes try idle back ends again. The measured ones are returned,
         # since keys are not assigned to owners to try out which of them is fast.
         decayed = fleet_load.with_decayed_service_times(totals, services, now)
--- a/src/limedeck/ownership/fleet_load.py
+++ b/src/limedeck/ownership/fleet_load.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, replace
 
+from limedeck.forwarding.service_speed import PRIOR_RESPONSES, MeasuredSpeed
 from limedeck.forwarding.waiting_requests import NONE_WAITING, WaitingCounts
 from limedeck.identity import NEVER, Seconds
 
@@ -13,6 +14,9 @@
 """Weight of one response in a back end's mean service time; averages uneven work over some 20."""
 FRESH_TIME: Seconds = 1.0
 """Time since a node last reported a response for which a service time is taken unchanged."""
+LASTING_DECAY_TIME: Seconds = 30.0
+"""The same for lasting service times, which change rarely: an owner that was slow for long and so
+lost its keys is given some again."""
 DECAY_TIME: Seconds = 3.0
 """Time constant by which, after `FRESH_TIME`, a service time decays to the mean of its service.
 Without the decay, a back end that was slow once got no requests and so counted as slow forever: an
@@ -65,6 +69,12 @@
         When a node last reported a response, on the leader's clock; known only to the leader.
     waiting
         Requests of all nodes that wait for their turn.
+    lasting_time
+        Lasting service time, of which moments of slowness are a part; zero means unknown.
+    slowness
+        Present service time over the lasting one; 1 within chance.
+    responses
+        Number of responses on which the lasting service time rests; known only to the leader.
     """
 
     backend: int
@@ -73,6 +83,9 @@
     excluded: bool = False
     responded_at: Seconds = NEVER
     waiting: WaitingCounts = NONE_WAITING
+    lasting_time: Seconds = 0.0
+    slowness: float = 1.0
+    responses: float = 0.0
 
 
 def with_decayed_service_times(
@@ -85,27 +98,53 @@
     services
         Service of each back end.
     """
-    measured = [total for total in totals if total.service_time > 0.0]
-    weights: dict[str, float] = dict.fromkeys(services.values(), 0.0)
-    sums = dict(weights)
-    for total in measured:
-        weight = max(_freshness(total.responded_at, now), MIN_WEIGHT)
-        weights[services[total.backend]] += weight
-        sums[services[total.backend]] += weight * total.service_time
-    decayed = []
-    for total in totals:
-        if total.service_time > 0.0:
-            service = services[total.backend]
-            typical = sums[service] / weights[service]
-            time = typical + (total.service_time - typical) * _freshness(total.responded_at, now)
-            total = replace(total, service_time=time)
-        decayed.append(total)
-    return decayed
-
-
-def _freshness(responded_at: Seconds, now: Seconds) -> float:
+    times = [total.service_time for total in totals]
+    weights = [_freshness(total.responded_at, now) for total in totals]
+    decayed = _drawn_to_mean(times, weights, [services[total.backend] for total in totals])
+    return [replace(total, service_time=time) for total, time in zip(totals, decayed, strict=True)]
+
+
+def with_decayed_lasting_times(
+    totals: Sequence[BackendTotal], services: Mapping[int, str], now: Seconds
+) -> list[BackendTotal]:
+    """Return totals in which lasting service times decay as well, but more slowly.
+
+    One that rests on few responses is close to the mean of its service.
+    """
+    times = [total.lasting_time for total in totals]
+    weights = [
+        _freshness(total.responded_at, now, LASTING_DECAY_TIME)
+        * total.responses
+        / (total.responses + PRIOR_RESPONSES)
+        for total in totals
+    ]
+    decayed = _drawn_to_mean(times, weights, [services[total.backend] for total in totals])
+    return [replace(total, lasting_time=time) for total, time in zip(totals, decayed, strict=True)]
+
+
+def _drawn_to_mean(
+    times: Sequence[Seconds], weights: Sequence[float], services: Sequence[str]
+) -> list[Seconds]:
+    """Return times that are their service's mean at a weight of 0, unchanged at 1; zeros stay."""
+    rows = list(zip(times, weights, services, strict=True))
+    total_weights: dict[str, float] = dict.fromkeys(services, 0.0)
+    sums = dict(total_weights)
+    for time, weight, service in rows:
+        if time > 0.0:
+            total_weights[service] += max(weight, MIN_WEIGHT)
+            sums[service] += max(weight, MIN_WEIGHT) * time
+    typical = {
+        service: sums[service] / weight for service, weight in total_weights.items() if weight
+    }
+    return [
+        typical[service] + (time - typical[service]) * weight if time > 0.0 else 0.0
+        for time, weight, service in rows
+    ]
+
+
+def _freshness(responded_at: Seconds, now: Seconds, decay_time: Seconds = DECAY_TIME) -> float:
     """Return the weight, from 1 to 0, of a service time whose last response was reported then."""
-    return math.exp(-max(now - responded_at - FRESH_TIME, 0.0) / DECAY_TIME)
+    return math.exp(-max(now - responded_at - FRESH_TIME, 0.0) / decay_time)
 
 
 class FleetLoad:
@@ -115,12 +154,14 @@
         self._by_node: dict[str, dict[int, int]] = {}
         self._waiting_by_node: dict[str, dict[int, WaitingCounts]] = {}
         self._service_times: dict[int, Seconds] = {}
+        self._speeds: dict[int, MeasuredSpeed] = {}
         self._answered_at: dict[int, Seconds] = {}
 
     def initialize(self, service_times: Mapping[int, Seconds], now: Seconds) -> None:
         """Start from the service times known from the former leader or measured by this node."""
         for backend, known in service_times.items():
             self._service_times.setdefault(backend, known)
+            self._speeds.setdefault(backend, MeasuredSpeed(known, now))
             self._answered_at.setdefault(backend, now)
 
     def record_report(self, node: str, reports: Sequence[BackendReport], now: Seconds) -> None:
@@ -147,13 +188,14 @@
         self._by_node.clear()
         self._waiting_by_node.clear()
         self._service_times.clear()
+        self._speeds.clear()
         self._answered_at.clear()
 
     def service_time(self, backend: int) -> Seconds | None:
         """Return a back end's mean service time, or None if it is unknown."""
         return self._service_times.get(backend)
 
-    def totals(self, listed: Iterable[int]) -> list[BackendTotal]:
+    def totals(self, listed: Iterable[int], now: Seconds = NEVER) -> list[BackendTotal]:
         """Return the totals of the listed back ends, and forget the others."""
         wanted = list(listed)
         sums = dict.fromkeys(wanted, 0)
@@ -167,20 +209,34 @@
                 waiting[backend] = waiting.get(backend, NONE_WAITING) + waiting_there
         kept = {item: self._service_times[item] for item in wanted if item in self._service_times}
         self._service_times = kept
+        speeds = {item: self._speeds[item] for item in kept if item in self._speeds}
+        self._speeds = speeds
         answered = {item: self._answered_at.get(item, NEVER) for item in wanted}
         self._answered_at = answered
-        return [
-            BackendTotal(
+        totals = []
+        for item in wanted:
+            total = BackendTotal(
                 item,
                 sums[item],
                 kept.get(item, 0.0),
                 responded_at=answered[item],
                 waiting=waiting.get(item, NONE_WAITING),
             )
-            for item in wanted
-        ]
+            if item in speeds:
+                speed = speeds[item]
+                total = replace(
+                    total,
+                    lasting_time=speed.lasting,
+                    slowness=speed.slowness(now),
+                    responses=speed.responses,
+                )
+            totals.append(total)
+        return totals
 
     def _record_responses(self, report: BackendReport, now: Seconds) -> None:
+        if report.service_time > 0.0:
+            speed = self._speeds.setdefault(report.backend, MeasuredSpeed(0.0, now))
+            speed.record(report.answers, report.service_time, now)
         known = self._service_times.get(report.backend)
         if known is None:
             self._service_times[report.backend] = report.service_time
--- a/src/limedeck_lab/experiment_choice.py
+++ b/src/limedeck_lab/experiment_choice.py
@@ -25,7 +25,7 @@
 from limedeck.measures import max_over_mean
 from limedeck.model import Backend
 from limedeck.node import backend_loads
-from limedeck.ownership.fleet_load import FleetLoad
+from limedeck.ownership.fleet_load import FleetLoad, with_decayed_lasting_times
 
 SERVICE = "s"
 ROUTE = "r"
@@ -215,8 +215,11 @@
                 self.fleet_load.record_report(
                     f"n{number}", backend_loads.read_report(report), self.environment.now
                 )
-            totals = self.fleet_load.totals(
-                backend_loads.backend_hash(name) for name in self.backends
+            listed = {backend_loads.backend_hash(name): SERVICE for name in self.backends}
+            totals = with_decayed_lasting_times(
+                self.fleet_load.totals(listed, self.environment.now),
+                listed,
+                self.environment.now,
             )
             for directory in self.directories:
                 backend_loads.apply_totals(totals, directory, self.environment.now)
--- a/tests/unit/load_world.py
+++ b/tests/unit/load_world.py
@@ -8,11 +8,12 @@
 
 import random
 from collections import Counter
-from collections.abc import Callable, Generator, Sequence
+from collections.abc import Callable, Collection, Generator, Sequence
 from dataclasses import dataclass, field
 
 import simpy
 
+from limedeck.forwarding.backend_state import BackendState
 from limedeck.forwarding.backends import BackendDirectory
 from limedeck.forwarding.budget import RetryAllowance, RetryBudget
 from limedeck.forwarding.commands import Attempt, Refuse, Wait
@@ -21,10 +22,16 @@
 from limedeck.forwarding.request import RequestCore, ServiceView
 from limedeck.model import Backend, Route, Target
 from limedeck.node import backend_loads
-from limedeck.ownership.fleet_load import FleetLoad, with_decayed_service_times
+from limedeck.ownership.fleet_load import (
+    FleetLoad,
+    with_decayed_lasting_times,
+    with_decayed_service_times,
+)
 from limedeck.routing.outcomes import FailurePhase
 
 Steps = Generator[simpy.Event, object, None]
+Chooser = Callable[["LoadWorld", BackendDirectory, Collection[str]], BackendState | None]
+"""Chooses a back end for one request, from all but those that were tried."""
 SERVICE = "s"
 REPORT_INTERVAL = 0.25
 REPORT_DELAY = (0.05, 0.3)
@@ -53,6 +60,8 @@
         How often a refused caller returns.
     key
         Draws the key of a request.
+    zone
+        Zone of the nodes that its callers use; None if they use any.
     """
 
     route: Route
@@ -61,6 +70,7 @@
     deadline: float
     retries: int = 1
     key: Callable[[random.Random], int] = lambda source: source.randrange(POSITIONS)
+    zone: str | None = None
 
 
 def kind(
@@ -91,6 +101,8 @@
     ----------
     speed
         Factor of its speed at a time.
+    reported
+        The load that its responses report, by its true one.
     """
 
     backend: Backend
@@ -98,11 +110,14 @@
     queue: int
     speed: Callable[[float], float]
     arrivals: int = 0
+    arrivals_at: list[float] = field(default_factory=list)
+    reported: Callable[[LoadReport], LoadReport] = lambda load: load
     busy: list[tuple[float, float]] = field(default_factory=list)
 
     def load(self) -> LoadReport:
         """Return the load that its responses report."""
-        return LoadReport(self.slots.count, len(self.slots.queue), self.backend.slots)
+        true = LoadReport(self.slots.count, len(self.slots.queue), self.backend.slots)
+        return self.reported(true)
 
 
 @dataclass(frozen=True)
@@ -131,6 +146,48 @@
 class _Node:
     directory: BackendDirectory
     view: ServiceView
+    zone: str
+
+
+class _ReplacedChoice(BackendDirectory):
+    def __init__(self, zone: str, node_id: str, world: LoadWorld, choose: Chooser) -> None:
+        super().__init__(zone, node_id)
+        self._world = world
+        self._choose = choose
+
+    def choose(
+        self, service: str, excluded: Collection[str], request_id: bytes, now: float
+    ) -> BackendState | None:
+        return self._choose(self._world, self, excluded)
+
+
+def choose_by_true_queues(
+    world: LoadWorld, directory: BackendDirectory, excluded: Collection[str]
+) -> BackendState | None:
+    """Choose where a request is answered soonest, by all queues and speeds as they are now."""
+
+    def expected_time(state: BackendState) -> float:
+        item = world.backends[state.backend.backend_id]
+        queued = max(item.slots.count + len(item.slots.queue) + 1 - world.slots, 0) / world.slots
+        return (1.0 + queued) / item.speed(world.env.now)
+
+    usable = [
+        state for state in directory.of_service(SERVICE) if state.backend.backend_id not in excluded
+    ]
+    return min(usable, key=lambda item: (expected_time(item), world.source.random()), default=None)
+
+
+def slow_moments(
+    speed: float, seed: int, fraction: float = 0.2, time: float = 0.4, slowness: float = 3.0
+) -> Callable[[float], float]:
+    """Return a speed that is lower at random for moments, which are a fraction of the time."""
+
+    def at(now: float) -> float:
+        moment = int(now / time + seed * 0.37)
+        is_slow = random.Random(f"{seed}/{moment}").random() < fraction
+        return speed / slowness if is_slow else speed
+
+    return at
 
 
 @dataclass
@@ -147,6 +204,12 @@
         Sigma of the lognormal work of a request.
     has_leader
         Whether a leader sends the sums of all nodes' loads.
+    zones
+        Number of zones, to which nodes and back ends belong in turn.
+    totals_delay
+        Range of the seconds until the leader's totals reach a node.
+    choose
+        Replaces the nodes' choice of back ends for unkeyed requests.
     """
 
     kinds: Sequence[Kind]
@@ -159,6 +222,9 @@
     work_sigma: float = 0.4
     has_leader: bool = True
     reports_load: bool = True
+    zones: int = 1
+    totals_delay: tuple[float, float] = REPORT_DELAY
+    choose: Chooser | None = None
     results: list[Result] = field(default_factory=list)
     rejected: Counter[str] = field(default_factory=Counter)
     arrivals_at: list[float] = field(default_factory=list)
@@ -169,7 +235,9 @@
         self.fleet_load = FleetLoad()
         self.backends = {
             f"b{number}": SimulatedBackend(
-                Backend(f"b{number}", SERVICE, f"127.0.0.1:{number}", "z1", self.slots),
+                Backend(
+                    f"b{number}", SERVICE, f"127.0.0.1:{number}", self._zone(number), self.slots
+                ),
                 simpy.Resource(self.env, self.slots),
                 self.queue,
                 speed if callable(speed) else _constant(speed),
@@ -178,8 +246,16 @@
         }
         self.node_list = [self._node(number) for number in range(self.nodes)]
 
+    def _zone(self, number: int) -> str:
+        return f"z{number % self.zones + 1}"
+
     def _node(self, number: int) -> _Node:
-        directory = BackendDirectory("z1", f"n{number}")
+        zone = self._zone(number)
+        directory = (
+            BackendDirectory(zone, f"n{number}")
+            if self.choose is None
+            else _ReplacedChoice(zone, f"n{number}", self, self.choose)
+        )
         for item in self.backends.values():
             directory.put(item.backend, 0.0)
         view = ServiceView(SERVICE, self.keyed, RetryBudget(RetryAllowance(0.2, 60.0, 10.0)))
@@ -191,7 +267,7 @@
                 for index, name in enumerate(self.backends)
             ]
             view.owners = OwnerMap(1, tuple(ranges))
-        return _Node(directory, view)
+        return _Node(directory, view, zone)
 
     def run(self, until: float) -> None:
         """Play until a time."""
@@ -230,6 +306,13 @@
         )
         return busy / (self.slots * len(self.backends) * (until - since))
 
+    def busiest_to_mean(self, relative: Sequence[float] = ()) -> float:
+        """Return the most requests of one back end over the mean, both relative to its speed."""
+        counts = [item.arrivals for item in self.backends.values()]
+        speeds = relative or [1.0] * len(counts)
+        rates = [count / speed for count, speed in zip(counts, speeds, strict=True)]
+        return max(rates) / (sum(counts) / sum(speeds))
+
     def _callers(self, item: Kind) -> Steps:
         number = 0
         while True:
@@ -246,8 +329,9 @@
         work = item.work * self.source.lognormvariate(-(self.work_sigma**2) / 2, self.work_sigma)
         reasons: list[str] = []
         first_refusal = None
+        nodes = [node for node in self.node_list if item.zone in (None, node.zone)]
         for tries in range(1, item.retries + 2):
-            node = self.source.choice(self.node_list)
+            node = self.source.choice(nodes)
             identity = f"{item.route.name}-{number}-{tries}".encode()
             refusal = yield from self._attempts(node, item, identity, key, deadline, work)
             took = self.env.now - started
@@ -320,6 +404,7 @@
         state.outstanding += 1
         yield self.env.timeout(LINK_DELAY)
         backend.arrivals += 1
+        backend.arrivals_at.append(self.env.now)
         self.arrivals_at.append(self.env.now)
         if len(backend.slots.queue) >= backend.queue:
             self.rejected[state.backend.backend_id] += 1
@@ -355,12 +440,13 @@
             for number, node in enumerate(self.node_list):
                 report = backend_loads.write_report(node.directory, now)
                 self.fleet_load.record_report(f"n{number}", backend_loads.read_report(report), now)
-            totals = with_decayed_service_times(self.fleet_load.totals(listed), listed, now)
+            totals = with_decayed_lasting_times(self.fleet_load.totals(listed, now), listed, now)
+            totals = with_decayed_service_times(totals, listed, now)
             for node in self.node_list:
                 self.env.process(self._totals_arrive(node, totals))
 
     def _totals_arrive(self, node: _Node, totals: Sequence[object]) -> Steps:
-        yield self.env.timeout(self.source.uniform(*REPORT_DELAY))
+        yield self.env.timeout(self.source.uniform(*self.totals_delay))
         backend_loads.apply_totals(totals, node.directory, self.env.now)  # type: ignore[arg-type]
 
 
