Loads that back ends state are checked against the requests that nodes know of

Cause: a stated load was taken as it was.

Change: `forwarding.stated_load` refutes a load that no back end can have at once, and one that is less than a third or more than three times of what nodes know to be there if it stays so for a second: longer than totals are old. For 10 s the back end then counts as one that states none, also where service times are measured. The log line `load_not_believed` gives fault, stated and known requests. Negative loads were unreadable before and still are.

Why it works: requests without a response are known without the back end; the totals may be a second old or lack half of the nodes, which the ratio of three and the second allow for.

--- a/src/limedeck/forwarding/backend_state.py
+++ b/src/limedeck/forwarding/backend_state.py
@@ -8,6 +8,7 @@
 from limedeck.forwarding.protocol import LoadReport
 from limedeck.forwarding.request_cost import ServiceWork
 from limedeck.forwarding.service_speed import ServiceSpeed
+from limedeck.forwarding.stated_load import RefutedLoad, StatedLoadCheck
 from limedeck.forwarding.turns import QueueEstimate, QueueSource
 from limedeck.forwarding.waiting_requests import NONE_WAITING, WaitingCounts, WaitingRequests
 from limedeck.identity import NEVER, Seconds
@@ -124,6 +125,7 @@
         self.outstanding = 0
         self.service_time: Seconds | None = None
         self.speed = ServiceSpeed()
+        self._load_check = StatedLoadCheck()
         self.reports_load = False
         self.failures = 0
         self.ejections = 0
@@ -165,13 +167,23 @@
         """Return for how much longer it is expected to be cold."""
         return max(self._cold_until, self._exit_cooldown_until) - now if self.is_cold(now) else 0.0
 
-    def record_load(self, report: LoadReport, now: Seconds) -> None:
-        """Record the load that a response reported."""
+    def record_load(self, report: LoadReport, now: Seconds) -> RefutedLoad | None:
+        """Record the load that a response reported; return why it is not believed, if it is not.
+
+        While loads are not believed, the back end counts as one that reports none.
+        """
+        has_totals = now - self._leader_data_at < FLEET_LOAD_LIFETIME
+        others = self._other_requests_from_leader if has_totals else None
+        refuted = self._load_check.refute(report, self.backend.slots, self.outstanding, others, now)
+        if self._load_check.is_distrusted(now):
+            self.reports_load = False
+            return refuted
         self.reports_load = True
         self._other_requests = max(report.running + report.waiting - self.outstanding, 0.0)
         self._load_reported_at = now
         self._slowdown = report.slowdown
         self._mean_slowdown += SLOWDOWN_SMOOTHING * (report.slowdown - self._mean_slowdown)
+        return None
 
     def record_fleet_load(
         self,
@@ -216,7 +228,10 @@
         self.failures = 0
         self.ejections = 0
         self.ejected_until = NEVER
-        waiting = load.waiting if load else max(ahead + 1.0 - self.backend.slots, 0.0)
+        is_believed = load is not None and not self._load_check.is_distrusted(now)
+        waiting = (
+            load.waiting if load and is_believed else max(ahead + 1.0 - self.backend.slots, 0.0)
+        )
         without_queue = took / (1.0 + waiting / self.backend.slots)
         sample = without_queue / self.work.relative(route)
         if self.service_time is None:
--- a/src/limedeck/node/request_log.py
+++ b/src/limedeck/node/request_log.py
@@ -14,6 +14,7 @@
 from limedeck.forwarding.permits import RateBound
 from limedeck.forwarding.request import RequestCore
 from limedeck.forwarding.routes import choose_service
+from limedeck.forwarding.stated_load import RefutedLoad
 from limedeck.identity import Seconds
 from limedeck.model import Backend, Route
 from limedeck.node.exchange_memory import MemoryExhausted
@@ -149,6 +150,18 @@
         if self._failure_limit.allows():
             self._log.info("load_not_read", backend=backend.backend_id)
 
+    def record_refuted_load(self, backend: Backend, refuted: RefutedLoad) -> None:
+        """Record that a back end states a load that cannot be true; treated as not reported."""
+        self._telemetry.unreadable_values.labels("load").inc()
+        if self._failure_limit.allows():
+            self._log.info(
+                "load_not_believed",
+                backend=backend.backend_id,
+                fault=refuted.fault.value,
+                stated=refuted.stated,
+                known=round(refuted.known, 1),
+            )
+
     def record_unreadable_limit(self, backend: Backend) -> None:
         """Record that a back end stated an unreadable limit; the known one is kept."""
         self._telemetry.unreadable_values.labels("limit").inc()
--- a/src/limedeck/node/response_reader.py
+++ b/src/limedeck/node/response_reader.py
@@ -105,7 +105,9 @@
         now: Seconds,
     ) -> None:
         if metadata.load is not None:
-            attempt.state.record_load(metadata.load, now)
+            refuted = attempt.state.record_load(metadata.load, now)
+            if refuted is not None:
+                self._log.record_refuted_load(attempt.state.backend, refuted)
         elif metadata.unreadable_load:
             self._log.record_unreadable_load(attempt.state.backend)
         if metadata.wrong_instance:
