Operators see each back end's lasting service time, slowness and share

Cause: `limedeck node status` showed a back end's load but not why it gets as much as it does.

Change: the status view and its table show the lasting service time, the present slowness and the part of this node's unkeyed requests by the newest shares; the fields have defaults, so that views of earlier nodes are still read. The test is new with the fields.

--- a/src/limedeck/cli/nodes.py
+++ b/src/limedeck/cli/nodes.py
@@ -161,7 +161,18 @@
 
 def _backend_lines(backends: list[BackendView]) -> list[str]:
     return table_lines(
-        ("BACK END", "SERVICE", "ZONE", "ADDRESS", "CONDITIONS", "BOUND", "LOAD"),
+        (
+            "BACK END",
+            "SERVICE",
+            "ZONE",
+            "ADDRESS",
+            "CONDITIONS",
+            "BOUND",
+            "LOAD",
+            "TIME",
+            "SLOWNESS",
+            "SHARE",
+        ),
         [
             (
                 item.backend,
@@ -171,6 +182,9 @@
                 ",".join(item.conditions) or "-",
                 "-" if item.bound is None else f"{item.bound:g}/s",
                 f"{item.load:g}",
+                "-" if item.service_time is None else f"{item.service_time:g} s",
+                f"{item.slowness:g}",
+                "-" if item.share is None else f"{item.share:.1%}",
             )
             for item in backends
         ],
--- a/src/limedeck/forwarding/backends.py
+++ b/src/limedeck/forwarding/backends.py
@@ -250,6 +250,11 @@
         drawing = self._drawings.setdefault(service, ShareDrawing(self._zone))
         return drawing.draw(candidates, limited, typical, request_id, now)
 
+    def share(self, state: BackendState) -> float | None:
+        """Return the part of its service's unkeyed requests that a back end got at last."""
+        drawing = self._drawings.get(state.backend.service)
+        return None if drawing is None else drawing.share(state)
+
     def _states_limit(self, state: BackendState) -> bool:
         """Whether a back end states a limit, and is preferred if drawn, however slow it appears.
 
--- a/src/limedeck/forwarding/sharing.py
+++ b/src/limedeck/forwarding/sharing.py
@@ -114,6 +114,15 @@
             ),
         )
 
+    def share(self, state: BackendState) -> float | None:
+        """Return a back end's part of the newest shares; None if there are none yet."""
+        known = self._known
+        if not known.total:
+            return None
+        if state not in known.states:
+            return 0.0
+        return known.shares[known.states.index(state)] / known.total
+
     def _current(
         self,
         candidates: list[BackendState],
--- a/src/limedeck/node/inspection.py
+++ b/src/limedeck/node/inspection.py
@@ -119,6 +119,7 @@
     def _backend_view(self, state: BackendState, now: Seconds) -> BackendView:
         backend = state.backend
         bound = self._state.directory.availability.rate_bound(state, now)
+        share = self._state.directory.share(state)
         return BackendView(
             backend=backend.backend_id,
             service=backend.service,
@@ -128,6 +129,9 @@
             bound=bound.rate if bound is not None else None,
             load=round(state.expected_load(now), DECIMAL_PLACES),
             waiting=state.queue_estimate(now).waiting.total,
+            service_time=round(state.speed.lasting, DECIMAL_PLACES) or None,
+            slowness=round(state.speed.present_slowness(now), DECIMAL_PLACES),
+            share=None if share is None else round(share, DECIMAL_PLACES),
         )
 
     def _conditions(self, state: BackendState, now: Seconds) -> list[str]:
--- a/src/limedeck/views.py
+++ b/src/limedeck/views.py
@@ -48,6 +48,13 @@
         Estimated number of requests at the back end.
     waiting
         Requests of all nodes that wait until it has room for them.
+    service_time
+        Lasting service time in seconds; None while the leader has sent none.
+    slowness
+        Factor by which requests take longer than that at present; 1 if they do not.
+    share
+        Part of this node's requests without a key that it got by the newest shares; None if none
+        were computed.
     """
 
     backend: str
@@ -58,6 +65,9 @@
     bound: float | None
     load: float
     waiting: int = 0
+    service_time: float | None = None
+    slowness: float = 1.0
+    share: float | None = None
 
 
 class ServiceView(msgspec.Struct, frozen=True):
--- a/tests/unit/test_inspection.py
+++ b/tests/unit/test_inspection.py
@@ -173,3 +173,24 @@
     status, body = get(path)
     assert status == 404
     assert b"problem" in body
+
+
+def test_status_shows_how_fast_back_ends_are_and_their_shares() -> None:
+    state = node_state()
+    for number in (1, 2):
+        state.directory.put(Backend(f"p{number}", "p", f"127.0.0.1:1{number}", "z1", 4), 0.0)
+    fast, slow = (state.directory.find(name) for name in ("p1", "p2"))
+    assert fast is not None and slow is not None
+    before = {item.backend: item for item in inspector(state).status(9.0).backends}
+    assert (before["p1"].service_time, before["p1"].share) == (None, None)
+    fast.speed.record(0.1, 1.0, 10.0)
+    slow.speed.record(0.1, 4.0, 10.0)
+    assert state.directory.choose("p", (), b"1", 10.0) is not None
+    shown = {item.backend: item for item in inspector(state).status(10.0).backends}
+    assert (shown["p1"].service_time, shown["p1"].slowness) == (0.1, 1.0)
+    assert shown["p2"].slowness == 4.0
+    shares = [shown[name].share for name in ("p1", "p2")]
+    assert None not in shares and sum(item or 0.0 for item in shares) == pytest.approx(
+        1.0, abs=0.01
+    )
+    assert (shown["p1"].share or 0.0) > (shown["p2"].share or 0.0)
