--- a/tests/system/test_partitioned_nodes.py
+++ b/tests/system/test_partitioned_nodes.py
@@ -173,9 +173,11 @@
     site: platform_site.Site, cut: Cut, leader_included: bool
 ) -> None:
     with observed_cut(site, nodes_to_cut(site, CUT_OFF, leader_included), cut) as observed:
-        pass
+        time.sleep(CUT_SECONDS - 1.0)
+        leads = leader(site)
     observed.assert_promises_kept()
     observed.assert_served_everywhere()
+    assert leads not in observed.cut_nodes
 
 
 def test_callers_are_served_if_only_the_back_ends_of_one_service_are_cut_off(
