--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -18,7 +18,6 @@
 from limedeck.forwarding.budget import RetryAllowance
 from limedeck.forwarding.hashing import hash_fraction
 from limedeck.forwarding.intermediaries import Intermediary
-from limedeck.forwarding.waiting_requests import NONE_WAITING
 from limedeck.http_client import BOUNDED_RECEIVE_OPTIONS, DEAD_CONNECTION_OPTIONS, HttpClient
 from limedeck.identity import Seconds
 from limedeck.memory_keeper import MemoryKeeper
@@ -31,6 +30,7 @@
 from limedeck.node.followers import FollowerConnections
 from limedeck.node.former_leader_inquiry import FormerLeaderInquiry
 from limedeck.node.gateway import CallerGateway
+from limedeck.node.gauges import Gauges
 from limedeck.node.http_server import BoundedProtocol, serve
 from limedeck.node.inspection import InspectionApplication, NodeInspector
 from limedeck.node.instrumented_store import InstrumentedStore
@@ -324,32 +324,18 @@
 
     async def _run_maintenance(self, client: HttpClient, peer_client: HttpClient) -> None:
         statement_log = StatementLog(self._state.directory, self._telemetry)
+        gauges = Gauges(self._state, self._telemetry, self._memory_keeper, self._memory_log)
         while True:
             await anyio.sleep(MAINTENANCE_INTERVAL)
             directory = self._state.directory
             await client.close_idle(directory.addresses())
             await peer_client.close_idle({item.address for item in directory.intermediaries.known})
             self._memory_keeper.check_readers()
-            self._update_gauges()
+            gauges.update(steady_clock())
             statement_log.log_events(steady_clock())
             self._writer.flush()
             self._file.reload_if_changed()
 
-    def _update_gauges(self) -> None:
-        now = steady_clock()
-        directory = self._state.directory
-        self._memory_log.update_gauges(self._memory_keeper.account)
-        self._telemetry.evacuated.set(len(directory.availability.evacuated))
-        self._update_waiting(now)
-        self._telemetry.cold.set(sum(state.is_cold(now) for state in directory.all_states()))
-
-    def _update_waiting(self, now: Seconds) -> None:
-        for service in self._state.services:
-            states = self._state.directory.of_service(service)
-            total = sum((state.waiting.counts(now) for state in states), NONE_WAITING)
-            self._telemetry.waiting.labels(service, "no").set(total.in_time)
-            self._telemetry.waiting.labels(service, "yes").set(total.late)
-
     # ------------------------------------------------------------------ tables
 
     def _configuration_follower(self) -> TableSubscription:
