--- a/src/limedeck/held_memory.py
+++ b/src/limedeck/held_memory.py
@@ -141,7 +141,10 @@
         return max(now - self.opened_at, 0.0)
 
     def speed(self, now: Seconds) -> float:
-        """Bytes per second that its reader has taken on average."""
+        """Bytes per second that its reader has taken on average.
+
+        What the kernel's buffers took counts too, so that a new reader is judged leniently.
+        """
         age = self.age(now)
         return self.taken / age if age > 0.0 else 0.0
 
--- a/src/limedeck/memory_keeper.py
+++ b/src/limedeck/memory_keeper.py
@@ -93,7 +93,7 @@
         now = steady_clock()
         growth = size - hold.holder.size
         if growth > 0 and self.account.exceeds(hold.holder.purpose, growth):
-            self._measure_readers(now)
+            self._measure_readers(now, hold.holder)
         self._carry_out(self.account.resize(hold.holder, size, now))
 
     def check_readers(self) -> None:
@@ -103,13 +103,14 @@
         self._measure_readers(now)
         self._carry_out(self.account.check_readers(now))
 
-    def _measure_readers(self, now: Seconds) -> None:
+    def _measure_readers(self, now: Seconds, growing: Holder | None = None) -> None:
+        """Record what readers have taken; the size of the growing one is recorded by its growth."""
         if now - self._measured_at < MEASURED_FOR:
             return
         self._measured_at = now
         for holder in self.account.readers():
             measure = self._holds[holder].measure
-            if measure is not None:
+            if measure is not None and holder is not growing:
                 self.account.record(holder, measure(), now)
 
     def _carry_out(self, commands: list[BreakOff]) -> None:
--- a/src/limedeck/node/exchange_memory.py
+++ b/src/limedeck/node/exchange_memory.py
@@ -126,12 +126,18 @@
             self._response.holder.is_needed = True
         self._response.record(size)
 
+    def release_response(self) -> None:
+        """Count the response no more: it is about to be written."""
+        if self._response is not None:
+            self._response.close()
+            self._response = None
+
     def close(self) -> None:
         """Hold nothing any more: the response is written."""
         self._withdraw_expectation()
-        for hold in (self._body, self._response):
-            if hold is not None:
-                hold.close()
+        self.release_response()
+        if self._body is not None:
+            self._body.close()
 
     def _withdraw_expectation(self) -> None:
         self._keeper.account.promised -= self._expected
--- a/src/limedeck/node/gateway.py
+++ b/src/limedeck/node/gateway.py
@@ -265,7 +265,8 @@
             await self._refuse(caller, result)
             return
         self._log.record_response(call.request_id, call.core, result.status, call.arrived_at)
-        await self._forward_response(caller, result)
+        headers = http_messages.end_to_end_headers(result.headers)
+        await self._send(caller, result.status, headers, result.body, call.memory)
 
     async def _run(self, call: _Call) -> HttpResponse | Refuse | None:
         core = call.core
@@ -362,10 +363,6 @@
             is_overloaded = attempt.ahead >= backend.slots
             self._paths.record_failure(attempt.state, error, not is_overloaded, now)
 
-    async def _forward_response(self, caller: _Caller, response: HttpResponse) -> None:
-        headers = http_messages.end_to_end_headers(response.headers)
-        await self._send(caller, response.status, headers, response.body)
-
     async def _refuse(self, caller: _Caller, refuse: Refuse) -> None:
         if refuse.outcome is Outcome.NOT_RUN:
             await self._respond(caller, NOT_RUN_STATUS, refuse.retry_after)
@@ -382,14 +379,21 @@
             headers.append(self._protocol.retry_after(retry_after))
         await self._send(caller, status, headers, b"")
 
-    async def _send(self, caller: _Caller, status: int, headers: Headers, body: bytes) -> None:
+    async def _send(
+        self,
+        caller: _Caller,
+        status: int,
+        headers: Headers,
+        body: bytes,
+        memory: ExchangeMemory | None = None,
+    ) -> None:
         if self._state.stopping or self._state.is_isolated(steady_clock()):
             close_behind_last = caller.scope.get(CLOSE_BEHIND_LAST)
             if close_behind_last is None:
                 headers.append((b"connection", b"close"))
             else:
                 close_behind_last()
-        await http_messages.send_response(caller.send, status, headers, body)
+        await http_messages.send_response(caller.send, status, headers, body, memory)
 
 
 def _host_and_path(scope: Scope, headers: dict[bytes, bytes]) -> tuple[str, str]:
--- a/src/limedeck/node/http_messages.py
+++ b/src/limedeck/node/http_messages.py
@@ -86,10 +86,21 @@
     return [(name, value) for name, value in headers if name not in excluded]
 
 
-async def send_response(send: Send, status: int, headers: Headers, body: bytes) -> None:
-    """Send a complete response."""
+async def send_response(
+    send: Send, status: int, headers: Headers, body: bytes, memory: ExchangeMemory | None = None
+) -> None:
+    """Send a complete response.
+
+    Parameters
+    ----------
+    memory
+        Where the body counts until it is written; its connection counts it from then on.
+    """
     framed = [*headers, (b"content-length", b"%d" % len(body))]
     await send({"type": "http.response.start", "status": status, "headers": framed})
+    # The start waits until earlier responses of the connection have been read.
+    if memory is not None:
+        memory.release_response()
     await send({"type": "http.response.body", "body": body})
 
 
--- a/src/limedeck/node/intermediary_server.py
+++ b/src/limedeck/node/intermediary_server.py
@@ -106,7 +106,7 @@
         if response is not None:
             memory.keep_response(len(response.body))
             await http_messages.send_response(
-                send, response.status, response.headers, response.body
+                send, response.status, response.headers, response.body, memory
             )
 
     async def _respond_unable(self, send: Send) -> None:
