--- a/tests/unit/test_held_memory.py
+++ b/tests/unit/test_held_memory.py
@@ -15,6 +15,8 @@
     MemoryLimits,
     Purpose,
 )
+from limedeck.node.settings import NodeSection
+from limedeck.response_memory import MAX_BYTES
 
 LIMIT = 1_000_000
 LIMITS = MemoryLimits(
@@ -218,3 +220,14 @@
 
 TestAccount = AccountMachine.TestCase
 TestAccount.settings = settings(max_examples=300, stateful_step_count=50, deadline=None)
+
+
+@pytest.mark.parametrize(("memory_mb", "total"), [(0.0, None), (160.0, 48_000_000)])
+def test_a_node_that_is_not_told_its_memory_bounds_only_what_it_receives(
+    memory_mb: float, total: int | None
+) -> None:
+    address = "127.0.0.1:1"
+    node = NodeSection("n", "z", "127.0.0.1", address, address, 1, memory_mb=memory_mb)
+    assert node.memory_limits.total == total
+    if total is None:
+        assert node.memory_limits.by_purpose == {Purpose.RECEIVED: MAX_BYTES}
