Less urgent requests get their turn in the end, at owners that are busy all the time

Cause: the queue of a busy owner is never as short as what the less urgent may queue behind, and only late requests' allowances grew with their time.

Change: the allowance of a less urgent request grows to what the request itself can bear, from 0.6 to the whole of the first half of its time.

Test: tests/unit/test_turns.py, failed before.

--- a/src/limedeck/forwarding/turn_decision.py
+++ b/src/limedeck/forwarding/turn_decision.py
@@ -29,6 +29,8 @@
 """Shortest time after which a waiting request asks again; a fraction of a short request."""
 MAX_TURN_DELAY: Seconds = 0.25
 """Longest such time: by then there are new totals from the leader."""
+PATIENT_PART = 0.6
+"""Part of the first half of its time for which a less urgent request waits for a short queue."""
 EARLY_REFUSAL_FRACTION = 0.25
 """Fraction of the objective within which a request is refused if it is not expected to get its turn
 in time. Later it waits on: its caller has too little time left for a return."""
@@ -67,10 +69,13 @@
         In seconds.
     is_reduced
         Whether it is shorter than the request itself could bear, for the sake of others.
+    own_wait
+        What the request itself could bear, in seconds.
     """
 
     longest_wait: Seconds
     is_reduced: bool
+    own_wait: Seconds = 0.0
 
 
 def queue_allowance(own: RouteDemand, sharing: Iterable[RouteDemand]) -> Allowance:
@@ -83,7 +88,7 @@
     """
     shared = (URGENT_SHARE * item.slack for item in sharing if item.priority < own.priority)
     longest_wait = max(min((own.slack, *shared)), 0.0)
-    return Allowance(longest_wait, longest_wait < own.slack)
+    return Allowance(longest_wait, longest_wait < own.slack, max(own.slack, 0.0))
 
 
 def decide(request: TurnRequest, queue: QueueEstimate, allowance: Allowance) -> Turn:
@@ -93,8 +98,7 @@
     if queue.wait + request.work > DEADLINE_MARGIN * request.time_left:
         return NoTurn(queue.wait)
     is_late = request.is_late_after(queue.wait)
-    if is_late:
-        allowance = _late_allowance(request, allowance)
+    allowance = _allowance_by_age(request, allowance, is_late)
     if not queue.is_full and _has_turn(request, queue, allowance, is_late):
         return SendNow()
     turn_in = max(queue.wait - allowance.longest_wait, 0.0) + queue.backlog_time(is_late)
@@ -103,11 +107,22 @@
     return TurnAt(min(max(turn_in, MIN_TURN_DELAY), MAX_TURN_DELAY), is_late)
 
 
-def _late_allowance(request: TurnRequest, allowance: Allowance) -> Allowance:
-    """Return the allowance of a late request, which grows to the usual one with its time."""
-    used = min(request.waited / (request.waited + request.time_left), 1.0)
-    share = LATE_SHARE + (1.0 - LATE_SHARE) * min(2.0 * used, 1.0)
-    return Allowance(share * allowance.longest_wait, is_reduced=True)
+def _allowance_by_age(request: TurnRequest, allowance: Allowance, is_late: bool) -> Allowance:
+    """Return the allowance of a request that may have waited.
+
+    That of a late request is smaller at first, and grows to the usual one in the first half of its
+    time. That of a less urgent one grows to what the request itself can bear: at an owner that is
+    busy all the time it would never get its turn otherwise.
+    """
+    used = min(2.0 * request.waited / (request.waited + request.time_left), 1.0)
+    if is_late:
+        share = LATE_SHARE + (1.0 - LATE_SHARE) * used
+        return Allowance(share * allowance.longest_wait, is_reduced=True)
+    if not allowance.is_reduced:
+        return allowance
+    patience = max(used - PATIENT_PART, 0.0) / (1.0 - PATIENT_PART)
+    growth = patience * max(allowance.own_wait - allowance.longest_wait, 0.0)
+    return Allowance(allowance.longest_wait + growth, True, allowance.own_wait)
 
 
 def _is_refused(request: TurnRequest, turn_in: Seconds, is_late: bool) -> bool:
--- a/tests/unit/test_turns.py
+++ b/tests/unit/test_turns.py
@@ -51,7 +51,7 @@
 
 def test_less_urgent_requests_leave_room_in_the_queue_for_urgent_ones() -> None:
     urgent, bulk = RouteDemand(0, 0.4), RouteDemand(2, 2.5)
-    assert queue_allowance(urgent, [urgent, bulk]) == Allowance(0.4, is_reduced=False)
+    assert queue_allowance(urgent, [urgent, bulk]) == Allowance(0.4, False, own_wait=0.4)
     reduced = queue_allowance(bulk, [urgent, bulk])
     assert reduced.is_reduced
     assert reduced.longest_wait == pytest.approx(turn_decision.URGENT_SHARE * 0.4)
@@ -59,7 +59,7 @@
 
 def test_routes_of_equal_priority_take_nothing_from_each_other() -> None:
     one, other = RouteDemand(1, 0.2), RouteDemand(1, 2.0)
-    assert queue_allowance(other, [one, other]) == Allowance(2.0, is_reduced=False)
+    assert queue_allowance(other, [one, other]) == Allowance(2.0, False, own_wait=2.0)
 
 
 # ---------------------------------------------------------------------- turns
@@ -87,6 +87,16 @@
     assert isinstance(turn, TurnAt) and not turn.is_late
 
 
+def test_less_urgent_requests_get_their_turn_though_the_queue_is_never_short() -> None:
+    """Guards against requests that wait at an owner which is busy all the time, in vain."""
+    allowance = Allowance(0.1, True, own_wait=2.0)
+    patient = replace(REQUEST, objective=3.0, draw=0.0)
+    busy = queue(load=10.0)
+    assert isinstance(turn_decision.decide(patient, busy, allowance), TurnAt)
+    waited = replace(patient, age=1.4, waited=1.4, time_left=1.4)
+    assert turn_decision.decide(waited, busy, allowance) == SendNow()
+
+
 def test_requests_that_would_be_late_are_refused_at_once_so_that_their_callers_can_return() -> None:
     late = replace(REQUEST, age=0.45)
     turn = turn_decision.decide(late, queue(load=10.0), Allowance(0.4, False))
