A refused request is told when its turn is expected

The decision about turns knew when there is room for a request, by the queue and by those that wait before it, and its Retry-After was computed from the queue alone. Limits that two modules stated are stated once.

--- a/src/limedeck/forwarding/admission.py
+++ b/src/limedeck/forwarding/admission.py
@@ -26,13 +26,8 @@
 LAST_RETRY_FACTOR = 2.25
 """Multiple of the objective. With less time left than this, a caller that waits a third of it and
 retries once more would be left with one and a half objectives, too little to be served in time."""
-DEADLINE_REFUSAL_FACTOR = 1.5
-"""A request whose expected time is longer than this multiple of its remaining time is refused: its
-caller would wait until its deadline in vain. Above 1, since the work of one route varies: a request
-that is expected to take just its remaining time is answered in about half of the cases."""
-EARLY_REFUSAL_FRACTION = 0.25
-"""Fraction of the objective within which a request may be refused because it is expected to miss
-the objective."""
+RETRY_SPREAD = 0.5
+"""Part by which Retry-After times differ, so that refused callers do not return together."""
 TURN_SPREAD = 0.5
 """Part by which the times differ after which waiting requests ask for their turn again."""
 MAX_RETRY_AFTER: Seconds = 1.0
@@ -126,9 +121,9 @@
                 # Requests that wait for the same back end do not all ask at the same moment.
                 spread = 1.0 + TURN_SPREAD * hash_fraction(self.request_id)
                 return Wait(min(now + delay * spread, self.until))
-            case NoTurn():
+            case NoTurn(room_in):
                 state.waiting.discard(self.request_id)
-                return self._overloaded(state, now)
+                return self._overloaded(state, now, self._spread_over_callers(room_in))
 
     def refusal(self, state: BackendState, now: Seconds) -> Refuse | None:
         """Refuse a request that a back end is expected to reject or to serve too late."""
@@ -156,7 +151,7 @@
             self.may_have_run
             or expected is None
             or state.has_free_slot(now)
-            or expected <= DEADLINE_REFUSAL_FACTOR * (self.until - now)
+            or expected <= turn_decision.DEADLINE_MARGIN * (self.until - now)
         ):
             return None
         return self._overloaded(state, now)
@@ -173,18 +168,23 @@
         elapsed = now - self.arrived_at
         objective = self.route.objective
         expected = state.expected_time_of(self.route.name, now)
-        is_early = elapsed <= EARLY_REFUSAL_FRACTION * objective and not self.may_have_run
+        is_early = (
+            elapsed <= turn_decision.EARLY_REFUSAL_FRACTION * objective and not self.may_have_run
+        )
         is_last_retry = self.is_client_retry and self.until - now < LAST_RETRY_FACTOR * objective
         if is_last_retry or expected is None or not is_early or elapsed + expected <= objective:
             return None
         return self._overloaded(state, now)
 
-    def _overloaded(self, state: BackendState, now: Seconds) -> Refuse:
+    def _overloaded(
+        self, state: BackendState, now: Seconds, retry_after: Seconds | None = None
+    ) -> Refuse:
         expected = state.expected_time_of(self.route.name, now)
         details = LoadEstimate(
             state.backend.backend_id, expected, state.expected_load(now), state.load_age(now)
         )
-        retry_after = self.time_until_room(state, now)
+        if retry_after is None:
+            retry_after = self.time_until_room(state, now)
         return self.refuse(RefusalReason.OVERLOADED, retry_after, details)
 
     def time_until_room(self, state: BackendState, now: Seconds) -> Seconds:
@@ -192,6 +192,9 @@
         expected = state.expected_time_of(self.route.name, now)
         if expected is None:
             return RETRY_AFTER
-        excess = now - self.arrived_at + expected - EARLY_REFUSAL_FRACTION * self.route.objective
-        spread = 1.0 + 0.5 * hash_fraction(self.request_id)
-        return min(max(excess * spread, RETRY_DELAY), MAX_RETRY_AFTER)
+        early = turn_decision.EARLY_REFUSAL_FRACTION * self.route.objective
+        return self._spread_over_callers(now - self.arrived_at + expected - early)
+
+    def _spread_over_callers(self, delay: Seconds) -> Seconds:
+        spread = 1.0 + RETRY_SPREAD * hash_fraction(self.request_id)
+        return min(max(delay * spread, RETRY_DELAY), MAX_RETRY_AFTER)
--- a/src/limedeck/forwarding/turn_decision.py
+++ b/src/limedeck/forwarding/turn_decision.py
@@ -6,8 +6,9 @@
 
 - A queue at a back end is kept short enough for the most urgent of the routes that share it. Less
   urgent requests that can wait do so at their nodes, and go when the queue is short.
-- Requests that would miss their objective, or have missed it, are served from what is left: while
-  there is hardly a queue. So those that arrive meanwhile are served in time.
+- A request that is not expected to be served in time is refused soon, so that its caller returns
+  when there is room. One that has come back, or has waited, is served late from what is left: while
+  there is hardly a queue, so that those that arrive meanwhile are served in time.
 - Requests that can't be served before their callers leave are refused at once.
 """
 
