A full back end gets no request of which the work is not known

Found in review. A route with fewer than five responses, or a back end whose speed is unknown, was sent whatever the queue, also to a back end that is known to be full: it may reset such a request, which may then have run.

Tests: test_turns.py, which failed before. The draw of a property test was passed as another argument; it is passed by name now.

--- a/src/limedeck/forwarding/turn_decision.py
+++ b/src/limedeck/forwarding/turn_decision.py
@@ -94,7 +94,9 @@
 
 def decide(request: TurnRequest, queue: QueueEstimate, allowance: Allowance) -> Turn:
     """Decide about one request; `allowance` is that of `queue_allowance`."""
-    if (queue.has_free_slot and not queue.is_full) or queue.wait is None or request.work is None:
+    if queue.wait is None or request.work is None:
+        return NoTurn(MAX_TURN_DELAY) if queue.is_full else SendNow()
+    if queue.has_free_slot and not queue.is_full:
         return SendNow()
     if queue.wait + request.work > DEADLINE_MARGIN * request.time_left:
         return NoTurn(queue.wait)
@@ -121,8 +123,8 @@
         return Allowance(share * allowance.longest_wait, is_reduced=True)
     if not allowance.is_reduced:
         return allowance
-    patience = max(used - PATIENT_PART, 0.0) / (1.0 - PATIENT_PART)
-    growth = patience * max(allowance.own_wait - allowance.longest_wait, 0.0)
+    impatience = max(used - PATIENT_PART, 0.0) / (1.0 - PATIENT_PART)
+    growth = impatience * max(allowance.own_wait - allowance.longest_wait, 0.0)
     return Allowance(allowance.longest_wait + growth, True, allowance.own_wait)
 
 
--- a/tests/unit/test_turns.py
+++ b/tests/unit/test_turns.py
@@ -149,6 +149,37 @@
     assert isinstance(turn, TurnAt)
 
 
+def test_a_full_back_end_gets_nothing_of_which_the_work_is_not_known() -> None:
+    """Guards against requests that a full back end resets, so that they may have run."""
+    unknown = replace(REQUEST, work=None)
+    turn = turn_decision.decide(unknown, queue(load=30.0, full=True), Allowance(0.4, False))
+    assert isinstance(turn, NoTurn)
+    assert turn_decision.decide(unknown, queue(load=30.0), Allowance(0.4, False)) == SendNow()
+
+
+@given(st.floats(0.1, 3.0), st.floats(1.0, 30.0), st.integers(0, 30), st.booleans())
+def test_a_request_that_is_kept_is_sent_before_its_time_is_over(
+    objective: float, deadline: float, waiting: int, is_client_retry: bool
+) -> None:
+    """Guards against requests that wait for their whole time, and are refused at its end."""
+    busy = queue(load=10.0, waiting=WaitingCounts(in_time=waiting, late=waiting))
+    allowance = Allowance(0.05, True, own_wait=max(objective - SERVICE_TIME, 0.0))
+    waited, turn = 0.0, None
+    while waited < deadline - 0.02:
+        request = TurnRequest(
+            objective, waited, deadline - waited, SERVICE_TIME, waited, is_client_retry
+        )
+        turn = turn_decision.decide(request, busy, allowance)
+        if not isinstance(turn, TurnAt):
+            break
+        waited += turn.delay
+    if isinstance(turn, NoTurn):
+        assert waited <= turn_decision.EARLY_REFUSAL_FRACTION * objective
+    else:
+        assert turn == SendNow()
+        assert waited <= 0.75 * deadline
+
+
 def test_requests_that_wait_at_all_nodes_are_sent_only_as_far_as_they_fit() -> None:
     """Guards against 60 nodes that all send what waits there when the totals show room."""
     waiting = WaitingCounts(in_time=40)
@@ -175,7 +206,7 @@
 def test_a_waiting_request_asks_again_before_it_no_longer_counts(
     load: float, age: float, waiting: int, draw: float
 ) -> None:
-    request = TurnRequest(0.5, age, 10.0, SERVICE_TIME, draw)
+    request = TurnRequest(0.5, age, 10.0, SERVICE_TIME, draw=draw)
     estimate = queue(load, WaitingCounts(waiting, waiting))
     turn = turn_decision.decide(request, estimate, Allowance(0.2, True))
     if isinstance(turn, TurnAt):
