A connection that is turned away counts once, and a patient caller for a while

Found in review. A connection that a back end turned away was recorded as a failure by the gateway and again as a rejection with room, which ejected the back end after one event. It is taken for full, as before. And the longest wait of a route was kept for good, so that one caller with ten times the usual deadline made all others of its route look late: it decays with each request.

--- a/src/limedeck/forwarding/request.py
+++ b/src/limedeck/forwarding/request.py
@@ -46,6 +46,9 @@
 """A request whose caller will wait less than this fraction of the longest wait seen on its route is
 taken for a client retry: callers of a route wait equally long, and what is left after a refusal is
 below this fraction."""
+LONGEST_WAIT_DECAY = 0.98
+"""Factor by which the longest wait of a route is lowered with each request: a single caller that
+waits ten times as long as the others counts for some hundred requests."""
 NEW_OWNER_DELAY: Seconds = 0.3
 """Time from the end of a lost owner's lease until nodes know the next owner: the write to the
 store, a grant, and the interval of updates in a large fleet, as in the logs of 195 nodes."""
@@ -86,7 +89,7 @@
         """Record how long a caller will wait; return whether its request is taken for a client
         retry.
         """
-        longest = max(self.longest_waits.get(route, 0.0), wait)
+        longest = max(LONGEST_WAIT_DECAY * self.longest_waits.get(route, 0.0), wait)
         self.longest_waits[route] = longest
         return wait < CLIENT_RETRY_WAIT_FRACTION * longest
 
@@ -218,7 +221,7 @@
         if backing_off is not None and phase in REJECTED_PHASES and not wrong_owner:
             self._backoff_rejections += 1
         elif phase in REJECTED_PHASES and not wrong_owner:
-            self._record_rejection(attempt.state, now)
+            self._record_rejection(attempt.state, phase, now)
             refusal = self._refusal_after_rejection(attempt.state, now)
             if refusal is not None:
                 return refusal
@@ -226,9 +229,13 @@
         self._not_before = now + (refusals.MAX_MOVE_WAIT if wrong_owner else RETRY_DELAY)
         return self.next_command(now, sharing_nodes)
 
-    def _record_rejection(self, state: BackendState, now: Seconds) -> None:
-        """Record a rejection; an owner is taken for full unless its requests wait for turns."""
-        if self.service.keyed and not self.service.mix.has_priorities:
+    def _record_rejection(self, state: BackendState, phase: FailurePhase, now: Seconds) -> None:
+        """Record a rejection; an owner is taken for full unless its requests wait for turns.
+
+        So is a back end that turned a connection away: it did not say why.
+        """
+        is_owner = self.service.keyed and not self.service.mix.has_priorities
+        if phase is FailurePhase.TURNED_AWAY or is_owner:
             state.record_queue_full(now)
         else:
             state.record_rejection(now)
@@ -328,7 +335,7 @@
         if reason is RefusalReason.UNREACHABLE:
             return refusals.LOST_OWNER_RETRY_AFTER
         if reason is RefusalReason.REFUSED:
-            self._record_rejection(state, now)
+            state.record_queue_full(now)
             return self.claim.time_until_room(state, now)
         return RETRY_AFTER
 
