The reported number of waiting requests is kept also without a report

Found in review. With nothing else to report, the number of the last report stayed, and was subtracted from what the leader sent of other nodes.

--- a/src/limedeck/forwarding/backend_state.py
+++ b/src/limedeck/forwarding/backend_state.py
@@ -245,6 +245,7 @@
     def take_sample(self, now: Seconds) -> WorkSample | None:
         """Return what has been observed since the last call; None if there is nothing to report."""
         waiting = self.waiting.counts(now)
+        self._reported_waiting = waiting
         has_data = (
             self._responses
             or self._own_faults
@@ -263,7 +264,6 @@
             self._own_faults,
             waiting,
         )
-        self._reported_waiting = waiting
         self._reported_outstanding = self.outstanding
         self._responses = 0
         self._own_faults = 0
