Test of urgent requests: one cause is taken away at a time

Found in review. The test took away the room kept for urgent requests and the draw among waiting ones together; the first alone made it pass. It takes away the first now.

--- a/tests/unit/test_room_under_load.py
+++ b/tests/unit/test_room_under_load.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from limedeck.forwarding import admission, turn_decision
+from limedeck.forwarding import turn_decision
 from limedeck.forwarding.route_mix import RouteMix
 from tests.unit import load_world
 
@@ -79,11 +79,10 @@
     assert world.in_time("urgent", KNOWN_FROM, BURST_UNTIL) < URGENT_IN_TIME
 
 
-def test_turns_that_all_nodes_take_at_once_would_delay_urgent_requests(
+def test_less_urgent_requests_that_fill_the_queue_would_delay_urgent_ones(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """The load is one on which the number of waiting requests matters."""
-    monkeypatch.setattr(admission, "hash_fraction", lambda value: 0.0)
+    """The load is one on which the room that is kept for urgent requests matters."""
     monkeypatch.setattr(turn_decision, "URGENT_SHARE", 1.0)
     world = play.__wrapped__(4.0)
     assert world.in_time("urgent", KNOWN_FROM, BURST_UNTIL) < URGENT_IN_TIME
