--- a/src/limedeck/forwarding/sharing.py
+++ b/src/limedeck/forwarding/sharing.py
@@ -19,8 +19,7 @@
 
 OTHER_ZONE_LOAD_PER_SLOT = 1.5
 """Requests per slot added to the loads of back ends in other zones, if loads are known late: they
-are used once those of this zone are busy. At 0.25, bytes between zones cost 0.016 more of a day's
-worth."""
+are used once those of this zone are busy."""
 REPORTED_OTHER_ZONE_LOAD_PER_SLOT = 1.1
 """The same if back ends report their load: a caller waits longer for a busy back end of its own
 zone than for a free one of another."""
