Tests of turns while the leader is lost, a node frozen, or callers leave

Played without a network: a burst of twice the room for 5 s, in which for 2 s there are no totals and the next leader starts without loads, or what waits at one node does not go on and its reports stay old, or three in ten callers leave. Urgent requests in time 0.95 or more, slots in use 0.95 or more, no second in which the others get nothing. Real nodes were not tried in it.

--- a/tests/unit/load_world.py
+++ b/tests/unit/load_world.py
@@ -204,6 +204,12 @@
         Sigma of the lognormal work of a request.
     has_leader
         Whether a leader sends the sums of all nodes' loads.
+    leader_away
+        Times in which there is no leader, from and until; the next one starts without loads.
+    frozen
+        Times in which the first node is frozen: nothing that it decided before goes on.
+    leaving
+        Part of the callers that leave at their objective, whatever becomes of their request.
     zones
         Number of zones, to which nodes and back ends belong in turn.
     totals_delay
@@ -222,6 +228,9 @@
     work_sigma: float = 0.4
     has_leader: bool = True
     reports_load: bool = True
+    leader_away: tuple[float, float] = (0.0, 0.0)
+    frozen: tuple[float, float] = (0.0, 0.0)
+    leaving: float = 0.0
     zones: int = 1
     totals_delay: tuple[float, float] = REPORT_DELAY
     choose: Chooser | None = None
@@ -381,11 +390,16 @@
         core = RequestCore(
             identity, item.route, node.view, node.directory, key, deadline, now, is_return
         )
+        leaves = self.leaving and self.source.random() < self.leaving
+        leaves_at = now + item.route.objective if leaves else float("inf")
         command = core.next_command(now, self.nodes)
         while True:
             match command:
                 case Wait():
                     yield self.env.timeout(max(command.until - self.env.now, 0.0))
+                    yield self.env.timeout(self._frozen_for(node))
+                    if self.env.now >= leaves_at:
+                        return None
                     command = core.next_command(self.env.now, self.nodes)
                 case Attempt():
                     self.sent += 1
@@ -441,7 +455,12 @@
         while True:
             yield self.env.timeout(REPORT_INTERVAL)
             now = self.env.now
+            if self.leader_away[0] <= now < self.leader_away[1]:
+                self.fleet_load.clear()
+                continue
             for number, node in enumerate(self.node_list):
+                if self._frozen_for(node):
+                    continue
                 report = backend_loads.write_report(node.directory, now)
                 self.fleet_load.record_report(f"n{number}", backend_loads.read_report(report), now)
             totals = with_decayed_lasting_times(self.fleet_load.totals(listed, now), listed, now)
@@ -449,6 +468,11 @@
             for node in self.node_list:
                 self.env.process(self._totals_arrive(node, totals))
 
+    def _frozen_for(self, node: _Node) -> float:
+        since, until = self.frozen
+        is_frozen = node is self.node_list[0] and since <= self.env.now < until
+        return until - self.env.now if is_frozen else 0.0
+
     def _totals_arrive(self, node: _Node, totals: Sequence[object]) -> Steps:
         yield self.env.timeout(self.source.uniform(*self.totals_delay))
         backend_loads.apply_totals(totals, node.directory, self.env.now)  # type: ignore[arg-type]
--- a/tests/unit/test_room_under_load.py
+++ b/tests/unit/test_room_under_load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+from typing import Any
 
 import pytest
 
@@ -24,7 +25,15 @@
 
 
 @functools.cache
-def play(load: float, owners: int = 4, nodes: int = 5, seed: int = 1) -> load_world.LoadWorld:
+def play(
+    load: float,
+    owners: int = 4,
+    nodes: int = 5,
+    seed: int = 1,
+    leader_away: tuple[float, float] = (0.0, 0.0),
+    frozen: tuple[float, float] = (0.0, 0.0),
+    leaving: float = 0.0,
+) -> load_world.LoadWorld:
     """Play a burst in which callers ask for `load` times what the owners can do."""
     room = owners * SLOTS
     urgent_rate = URGENT_SHARE_OF_ROOM * room / URGENT_WORK
@@ -37,11 +46,44 @@
         load_world.kind("urgent", urgent_rate, URGENT_WORK, 0.5, 3.0, priority=0),
         load_world.kind("bulk", bulk_rate, BULK_WORK, 1.0, BULK_DEADLINE, priority=2),
     ]
-    world = load_world.LoadWorld(kinds, [1.0] * owners, nodes, seed, SLOTS, keyed=True)
+    world = load_world.LoadWorld(
+        kinds,
+        [1.0] * owners,
+        nodes,
+        seed,
+        SLOTS,
+        keyed=True,
+        leader_away=leader_away,
+        frozen=frozen,
+        leaving=leaving,
+    )
     world.run(ENDED)
     return world
 
 
+FAILURE = (4.0, 6.0)
+"""Seconds of the burst in which something has failed."""
+FAILURES: dict[str, dict[str, Any]] = {
+    "leader-lost": {"leader_away": FAILURE},
+    "node-frozen": {"frozen": FAILURE},
+    "callers-leave": {"leaving": 0.3},
+}
+
+
+@pytest.mark.parametrize("failure", FAILURES)
+def test_urgent_requests_are_served_in_time_though_something_fails_in_a_burst(
+    failure: str,
+) -> None:
+    """The leader is lost for 2 s, a node with waiting requests is frozen, or callers leave."""
+    world = play(2.0, **FAILURES[failure])
+    assert world.in_time("urgent", KNOWN_FROM, BURST_UNTIL) >= URGENT_IN_TIME
+    assert world.utilization(*FAILURE) >= 0.95
+    for second in range(int(BURST_FROM), int(BURST_UNTIL)):
+        assert world.served("bulk", second, second + 1.0) > 0.0
+    for name in ("urgent", "bulk"):
+        assert world.served(name, BURST_UNTIL + 1.0, ENDED - 2.0) >= 0.97
+
+
 @pytest.mark.parametrize("load", [1.2, 2.0, 4.0])
 def test_urgent_requests_are_served_in_time_while_there_is_room_for_them(load: float) -> None:
     """Guards against less urgent requests that fill the queue of a key's owner."""
