--- a/tests/unit/test_uneven_back_ends.py
+++ b/tests/unit/test_uneven_back_ends.py
@@ -116,7 +116,10 @@
         for state in directory.of_service(load_world.SERVICE)
         if state.backend.backend_id not in excluded
     ]
-    subset = random.Random(id(directory)).sample(range(len(states)), 8)
+    number = next(
+        index for index, node in enumerate(world.node_list) if node.directory is directory
+    )
+    subset = random.Random(number).sample(range(len(states)), 8)
     drawn = [states[index] for index in world.source.sample(subset, 2)]
     return min(drawn, key=lambda state: state.expected_time(now, WORK))
 
