--- a/tests/system/platform_site.py
+++ b/tests/system/platform_site.py
@@ -10,8 +10,8 @@
 import json
 import signal
 import time
-from collections.abc import Awaitable, Callable, Collection, Iterator
-from contextlib import contextmanager
+from collections.abc import AsyncIterator, Awaitable, Callable, Collection, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -40,6 +40,8 @@
 )
 KEYS = 65_536
 SERVICE_SECONDS = 0.02
+SLOTS = 2
+"""Requests that an upstream works on at once, by its entry."""
 CRASH_MARKER = b"crash"
 """A request whose body contains this crashes each upstream that runs it."""
 ENDLESS_CHUNK = 1 << 20
@@ -108,6 +110,11 @@
         Bytes of such bodies that it has sent.
     service_seconds
         Seconds for which it works on a request.
+    queue_length
+        Requests that wait while it works on `SLOTS`; it rejects more. None: it works on all at
+        once.
+    running, waiting
+        Requests that it works on, and that wait, if they are counted.
     large_path, large_bytes
         Requests whose path begins so get a response of this size.
     """
@@ -139,8 +146,12 @@
     endless: bool = False
     endless_bytes: int = 0
     service_seconds: float = SERVICE_SECONDS
+    queue_length: int | None = None
+    running: int = 0
+    waiting: int = 0
     large_path: str = ""
     large_bytes: int = 0
+    _slots: anyio.Semaphore | None = None
     held: dict[tuple[int, int], tuple[int, float]] = field(default_factory=dict)
     released: list[tuple[tuple[int, int], int]] = field(default_factory=list)
 
@@ -196,7 +207,7 @@
         request_id = headers[b"x-attempt-id"]
         if self.limit:
             self.arrivals.append(Arrival(time.monotonic(), request_id.decode()))
-        echo = [(b"x-attempt-id", request_id), (b"x-upstream-load", b"1,0,2")]
+        echo = [(b"x-attempt-id", request_id), self._load()]
         key = int(headers.get(b"x-shard-key", b"0"))
         if self.keyed and not self.holds(key):
             await _respond(send, 421, [*echo, (b"x-not-executed", b"1")])
@@ -211,10 +222,11 @@
         if self.requested_backoff:
             await self._reject_with_backoff(request_id, echo, send)
             return
-        self.site.runs.append((request_id.decode(), self.name))
-        if time.monotonic() < self.cold_until:
-            self.cold_runs.append(time.monotonic())
-        await anyio.sleep(self.service_seconds)
+        if self.queue_length is not None and self.waiting >= self.queue_length:
+            await _respond(send, 503, [*echo, (b"x-not-executed", b"1")])
+            return
+        await self._run(request_id)
+        echo = [(b"x-attempt-id", request_id), self._load()]
         if CRASH_MARKER in body and self.proxy is not None and not self.down:
             self.site.crashes.append(Crash(time.monotonic(), body, self.name))
             await self._crash(self.proxy)
@@ -237,6 +249,37 @@
             return bytes(self.large_bytes)
         return request_id + b":" + body
 
+    async def _run(self, request_id: bytes) -> None:
+        async with self._slot():
+            self.site.runs.append((request_id.decode(), self.name))
+            if time.monotonic() < self.cold_until:
+                self.cold_runs.append(time.monotonic())
+            await anyio.sleep(self.service_seconds)
+
+    def _load(self) -> tuple[bytes, bytes]:
+        running = 1 if self.queue_length is None else self.running
+        return (b"x-upstream-load", b"%d,%d,%d" % (running, self.waiting, SLOTS))
+
+    @asynccontextmanager
+    async def _slot(self) -> AsyncIterator[None]:
+        """Wait for one of its slots if it has a queue, and hold it."""
+        if self.queue_length is None:
+            yield
+            return
+        if self._slots is None:
+            self._slots = anyio.Semaphore(SLOTS)
+        self.waiting += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self.waiting -= 1
+        self.running += 1
+        try:
+            yield
+        finally:
+            self.running -= 1
+            self._slots.release()
+
     async def _send_without_end(self, headers: list[tuple[bytes, bytes]], send: Any) -> None:
         await send({"type": "http.response.start", "status": 200, "headers": headers})
         deadline = time.monotonic() + ENDLESS_SECONDS
@@ -334,7 +377,12 @@
             {
                 **({"born": self.started_ms} if self.started_ms else {}),
                 "address": self.address,
-                "info": {"backend": self.service, "version": "v1", "zone": self.zone, "slots": 2},
+                "info": {
+                    "backend": self.service,
+                    "version": "v1",
+                    "zone": self.zone,
+                    "slots": SLOTS,
+                },
                 "status": {
                     "state": "draining" if self.draining else "ready",
                     "sequence": 1,
