--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs all tests in four processes at the same time: most system tests wait rather than compute.
+# Runs all tests in five processes at the same time: most system tests wait rather than compute.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 logs=$(mktemp -d)
@@ -7,8 +7,9 @@
 shards=(
     "tests/contract tests/unit"
     "tests/system/test_[a-f]*.py"
-    "tests/system/test_[g-o]*.py"
-    "tests/system/test_[p-z]*.py"
+    "tests/system/test_[g-o]*.py tests/system/test_[t-z]*.py"
+    "tests/system/test_[p-r]*.py"
+    "tests/system/test_s*.py"
 )
 pids=()
 for index in "${!shards[@]}"; do
