Logs tell each attempt at a refused request, its evidence and the status

Which evidence a refusal rests on could not be read from logs: a response that promised by its status was sampled like a success, an attempt through another node did not name that node, and a rejection did not tell whether the back end had stated anything or named the request.

A ledger records each attempt at a request. A refusal carries a proof, which only a ledger without an open question gives, and its line has the status, the evidence and each attempt; refusals are counted by evidence. No decision changes: phases give the same evidence as before. The handler of exhausted memory covers reading a request only, where nothing was sent.

--- a/src/limedeck/forwarding/admission.py
+++ b/src/limedeck/forwarding/admission.py
@@ -4,7 +4,7 @@
 
 import struct
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from limedeck.forwarding import turn_decision
 from limedeck.forwarding.availability import Unavailable
@@ -17,7 +17,7 @@
 from limedeck.forwarding.turns import NoTurn, SendNow, Turn, TurnAt, TurnRequest
 from limedeck.identity import NEVER, Seconds
 from limedeck.model import Route
-from limedeck.routing.outcomes import Outcome
+from limedeck.routing.run_evidence import RunLedger
 
 RETRY_DELAY: Seconds = 0.05
 """Delay before the same owner is tried again; about the time in which a slot becomes free."""
@@ -50,8 +50,8 @@
         Whether the caller has sent the same request before.
     first_arrived_at
         When the caller made its first attempt, as far as this node can tell.
-    may_have_run
-        Whether a back end may have run it.
+    ledger
+        The attempts at it, and what they show.
     """
 
     request_id: bytes
@@ -60,22 +60,27 @@
     arrived_at: Seconds
     until: Seconds
     is_client_retry: bool = False
-    may_have_run: bool = False
+    ledger: RunLedger = field(default_factory=RunLedger)
     first_arrived_at: Seconds = NEVER
 
     def __post_init__(self) -> None:
         if self.first_arrived_at == NEVER:
             self.first_arrived_at = self.arrived_at
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a back end may have run the request."""
+        return self.ledger.may_have_run
+
     def refuse(
         self,
         reason: RefusalReason,
         retry_after: Seconds,
         details: LoadEstimate | RateBound | Unavailable | None = None,
     ) -> Refuse:
-        """Refuse the request, and state whether it may have run."""
-        outcome = Outcome.UNKNOWN if self.may_have_run else Outcome.NOT_RUN
-        return Refuse(outcome, reason, retry_after, details)
+        """Refuse the request, with a proof that it did not run if there is one."""
+        ledger = self.ledger
+        return Refuse(ledger.prove_not_run(), reason, retry_after, ledger.attempts, details)
 
     def check(self, state: BackendState, mix: RouteMix, now: Seconds) -> Refuse | Wait | None:
         """Return what a request does instead of being sent to a back end now; None: it is sent.
--- a/src/limedeck/forwarding/commands.py
+++ b/src/limedeck/forwarding/commands.py
@@ -10,6 +10,7 @@
 from limedeck.forwarding.permits import PermitRequest, RateBound
 from limedeck.identity import Seconds
 from limedeck.routing.outcomes import Outcome
+from limedeck.routing.run_evidence import NotRunProof, RecordedAttempt
 
 
 class RefusalReason(enum.Enum):
@@ -98,17 +99,27 @@
 
     Parameters
     ----------
+    proof
+        Shows that the request did not run; None if it may have run.
     retry_after
         Seconds after which the caller should retry.
+    attempts
+        The attempts at the request, for the log.
     details
         The known state of a back end that caused the refusal: its queue, its rate bound, or why
         it may not receive requests. None for other causes.
     """
 
-    outcome: Outcome
+    proof: NotRunProof | None
     reason: RefusalReason
     retry_after: Seconds
+    attempts: tuple[RecordedAttempt, ...] = ()
     details: LoadEstimate | RateBound | Unavailable | None = None
 
+    @property
+    def outcome(self) -> Outcome:
+        """What the caller is told about its request."""
+        return Outcome.UNKNOWN if self.proof is None else Outcome.NOT_RUN
+
 
 Command = Attempt | RequestPermit | Wait | Refuse
--- a/src/limedeck/forwarding/protocol.py
+++ b/src/limedeck/forwarding/protocol.py
@@ -51,6 +51,8 @@
         The response states a limit that cannot be read, which changes nothing.
     leaving
         The back end is leaving and accepts no requests that are sent later.
+    states_not_run
+        The response states that the back end did not run the request.
     is_from_backend
         The response came from a back end; a successful one that did not must not be passed on.
     """
@@ -64,6 +66,7 @@
     limit: float | None = None
     unreadable_limit: bool = False
     leaving: bool = False
+    states_not_run: bool = False
 
 
 Headers = list[tuple[bytes, bytes]]
--- a/src/limedeck/forwarding/request.py
+++ b/src/limedeck/forwarding/request.py
@@ -36,6 +36,7 @@
     FailurePhase,
     decide,
 )
+from limedeck.routing.run_evidence import RecordedAttempt
 
 MIN_ATTEMPT_TIME: Seconds = 0.005
 """An attempt is not started with less time than this left."""
@@ -149,6 +150,7 @@
         self._stale_version = -1
         self._not_before: Seconds = now
         self._in_flight: Attempt | None = None
+        self._recorded: RecordedAttempt | None = None
 
     def next_command(self, now: Seconds, sharing_nodes: int) -> Command:
         """Decide what to do: at the start, after a `Wait`, and after a failure."""
@@ -182,7 +184,6 @@
 
     def give_up(self) -> Refuse:
         """Refuse the request now, whatever is in flight: this process is about to exit."""
-        self.claim.may_have_run = self.claim.may_have_run or self._in_flight is not None
         return self._refuse(RefusalReason.STOPPED, RETRY_AFTER)
 
     def handle_failure(
@@ -196,10 +197,11 @@
             Whether the back end rejected the request because it does not own the key, or because
             it is another instance.
         """
-        attempt = self._in_flight
-        if attempt is None:
+        attempt, recorded = self._in_flight, self._recorded
+        if attempt is None or recorded is None:
             raise InvariantViolation("failure-follows-attempt", self.request_id.decode("latin-1"))
-        self._in_flight = None
+        self._in_flight = self._recorded = None
+        recorded.phase = phase
         self._reached_backend = self._reached_backend or phase not in NO_LOAD_PHASES
         history = AttemptHistory(
             repeatable=self.route.repeatable,
@@ -208,7 +210,6 @@
             budget_left=self.attempts < self.route.max_attempts,
         )
         decision = decide(phase, history)
-        self.claim.may_have_run = self.claim.may_have_run or phase not in SURELY_NOT_RUN
         backing_off = self._directory.availability.check_backoff(attempt.state, now)
         if decision is not Decision.RETRY:
             if backing_off is not None and self.service.keyed and not wrong_owner:
@@ -321,6 +322,7 @@
         self.attempts += 1
         self._permits.record_used()
         self._waiting_since = None
+        self._recorded = self.claim.ledger.begin_attempt(state.backend.backend_id)
         self._in_flight = Attempt(state, self.claim.until, state.expected_load(now))
         return self._in_flight
 
--- a/src/limedeck/node/gateway.py
+++ b/src/limedeck/node/gateway.py
@@ -10,7 +10,6 @@
 from limedeck.forwarding.commands import (
     Attempt,
     Command,
-    RefusalReason,
     Refuse,
     RequestPermit,
     Wait,
@@ -26,7 +25,7 @@
 from limedeck.identity import Seconds
 from limedeck.memory_keeper import MemoryKeeper
 from limedeck.model import Route
-from limedeck.node import http_messages, response_reader
+from limedeck.node import caller_statuses, http_messages, response_reader
 from limedeck.node.asgi import CLOSE_BEHIND_LAST, OVERLAPPING, RECEIVED_AT, Receive, Scope, Send
 from limedeck.node.backend_paths import BackendPaths, BackendRequest
 from limedeck.node.crash_watch import CrashWatch
@@ -34,14 +33,9 @@
 from limedeck.node.permit_exchange import PermitExchange
 from limedeck.node.request_log import RequestLog
 from limedeck.node.state import NodeState
-from limedeck.routing.outcomes import SURELY_NOT_RUN, AttemptFailed, FailurePhase, Outcome
-
-NO_ROUTE_STATUS = 404
-BAD_REQUEST_STATUS = 400
-TOO_LARGE_STATUS = 413
-NOT_RUN_STATUS = 503
-LOST_STATUS = 502
-TIMED_OUT_STATUS = 504
+from limedeck.routing.outcomes import SURELY_NOT_RUN, AttemptFailed, FailurePhase
+from limedeck.routing.run_evidence import NEVER_SENT, NotRunProof
+
 START_RETRY_AFTER: Seconds = 0.3
 """About the time in which a starting node has read its configuration."""
 STOP_RETRY_AFTER: Seconds = 0.02
@@ -145,43 +139,65 @@
         routes = self._state.routes
         configuration = self._state.configuration
         if self._state.closing:
-            await self._respond(caller, NOT_RUN_STATUS, STOP_RETRY_AFTER)
+            await self._promise_not_run(caller, NEVER_SENT, STOP_RETRY_AFTER)
             return
         if routes is None or configuration is None:
-            await self._respond(caller, NOT_RUN_STATUS, START_RETRY_AFTER)
+            await self._promise_not_run(caller, NEVER_SENT, START_RETRY_AFTER)
             return
         host, path = _host_and_path(scope, headers)
         route = routes.find(host, path)
         request_id = self._protocol.request_id(headers)
         if route is None or request_id is None:
             self._log.record_unroutable(host, path, configuration.version, request_id)
-            await self._respond(caller, NO_ROUTE_STATUS if route is None else BAD_REQUEST_STATUS)
+            is_known = route is not None
+            status = (
+                caller_statuses.BAD_REQUEST_STATUS if is_known else caller_statuses.NO_ROUTE_STATUS
+            )
+            await self._respond(caller, status)
             return
         if scope.get(OVERLAPPING) and not route.repeatable:
             # The configuration has changed since the request was received.
-            await self._respond(caller, NOT_RUN_STATUS, START_RETRY_AFTER)
+            await self._promise_not_run(caller, NEVER_SENT, START_RETRY_AFTER)
             return
         memory = ExchangeMemory(self._memory, Purpose.REQUESTS)
         try:
-            memory.check_room(headers)
             limit = configuration.limits.body_bytes
-            body = await http_messages.read_body(receive, limit, memory)
-            await memory.expect_response(self._response_sizes.expected(route.name))
-            call = self._create_call(scope, headers, route, request_id, body, memory, now)
-            await self._serve(call, caller)
-        except http_messages.CallerLeft:
-            return
-        except http_messages.BodyTooLarge:
-            await self._respond(caller, TOO_LARGE_STATUS)
-        except MemoryExhausted as error:
-            self._log.record_memory_refusal(request_id, route, error, MEMORY_RETRY_AFTER, now)
-            await self._respond(caller, NOT_RUN_STATUS, MEMORY_RETRY_AFTER)
+            body = await self._read_body(caller, headers, request_id, route, limit, memory, now)
+            if body is not None:
+                call = self._create_call(scope, headers, route, request_id, body, memory, now)
+                await self._serve(call, caller)
         except Exception as error:
             self._log.record_internal_error(request_id, error)
             raise
         finally:
             memory.close()
 
+    async def _read_body(
+        self,
+        caller: _Caller,
+        headers: dict[bytes, bytes],
+        request_id: bytes,
+        route: Route,
+        limit: int,
+        memory: ExchangeMemory,
+        now: Seconds,
+    ) -> bytes | None:
+        """Read a request's body; if that fails, respond to the caller and return None."""
+        try:
+            memory.check_room(headers)
+            body = await http_messages.read_body(caller.receive, limit, memory)
+            await memory.expect_response(self._response_sizes.expected(route.name))
+        except http_messages.CallerLeft:
+            return None
+        except http_messages.BodyTooLarge:
+            await self._respond(caller, caller_statuses.TOO_LARGE_STATUS)
+            return None
+        except MemoryExhausted as error:
+            self._log.record_memory_refusal(request_id, route, error, MEMORY_RETRY_AFTER, now)
+            await self._promise_not_run(caller, NEVER_SENT, MEMORY_RETRY_AFTER)
+            return None
+        return body
+
     def _create_call(
         self,
         scope: Scope,
@@ -261,8 +277,9 @@
             self._log.record_caller_left(call.request_id, call.core, call.arrived_at)
             return
         if isinstance(result, Refuse):
-            self._log.record_refusal(call.request_id, call.core, result, call.arrived_at)
-            await self._refuse(caller, result)
+            status = caller_statuses.status_of_refusal(result)
+            self._log.record_refusal(call.request_id, call.core, result, status, call.arrived_at)
+            await self._refuse(caller, result, status)
             return
         self._log.record_response(call.request_id, call.core, result.status, call.arrived_at)
         headers = http_messages.end_to_end_headers(result.headers)
@@ -363,13 +380,19 @@
             is_overloaded = attempt.ahead >= backend.slots
             self._paths.record_failure(attempt.state, error, not is_overloaded, now)
 
-    async def _refuse(self, caller: _Caller, refuse: Refuse) -> None:
-        if refuse.outcome is Outcome.NOT_RUN:
-            await self._respond(caller, NOT_RUN_STATUS, refuse.retry_after)
+    async def _refuse(self, caller: _Caller, refuse: Refuse, status: int) -> None:
+        if refuse.proof is not None:
+            await self._promise_not_run(caller, refuse.proof, refuse.retry_after)
             return
-        await self._respond(
-            caller, TIMED_OUT_STATUS if refuse.reason is RefusalReason.TIMED_OUT else LOST_STATUS
-        )
+        self._log.count_refusal(None)
+        await self._respond(caller, status)
+
+    async def _promise_not_run(
+        self, caller: _Caller, proof: NotRunProof, retry_after: Seconds
+    ) -> None:
+        """Respond that the request did not run and never will, as the proof shows."""
+        self._log.count_refusal(proof)
+        await self._respond(caller, caller_statuses.NOT_RUN_STATUS, retry_after)
 
     async def _respond(
         self, caller: _Caller, status: int, retry_after: Seconds | None = None
--- a/src/limedeck/node/intermediary_client.py
+++ b/src/limedeck/node/intermediary_client.py
@@ -11,6 +11,7 @@
 from limedeck.http_client import HttpClient, HttpRequest, HttpResponse
 from limedeck.identity import Seconds
 from limedeck.node import intermediary_messages as messages
+from limedeck.node.logs import RateLimit, get_logger
 from limedeck.routing.outcomes import AttemptFailed, FailurePhase
 
 MAX_TRIED = 4
@@ -18,6 +19,8 @@
 MAX_FAILED_CONNECTIONS = 2
 """Intermediaries that must try to connect to a back end in vain before it counts as failed."""
 PROBE_TARGET = b"/"
+LOGGED_PER_SECOND = 20
+"""Lines about attempts that failed at other nodes, at most."""
 NO_INTERMEDIARY = "no other node reaches it"
 """Problem of an attempt for which there was no intermediary."""
 
@@ -52,6 +55,8 @@
     def __init__(self, intermediaries: Intermediaries, client: HttpClient) -> None:
         self._intermediaries = intermediaries
         self._client = client
+        self._log = get_logger("intermediary")
+        self._log_limit = RateLimit(LOGGED_PER_SECOND)
 
     async def exchange(self, request: ForwardedRequest, until: Seconds) -> HttpResponse:
         """Have another node make an attempt, and return the back end's response.
@@ -77,11 +82,13 @@
             try:
                 response = await self._exchange_through(chosen, request, until)
             except messages.IntermediaryUnable:
+                self._record_failed(chosen, request, messages.AttemptResult.UNABLE.value)
                 if steady_clock() >= until:
                     break
                 self._intermediaries.avoid(chosen.address, steady_clock())
                 continue
             except AttemptFailed as error:
+                self._record_failed(chosen, request, str(error))
                 if error.phase is not FailurePhase.NOT_CONNECTED:
                     raise
                 self._intermediaries.record_unreached(chosen.address, backend_id, steady_clock())
@@ -97,6 +104,16 @@
             self._intermediaries.record_failed_backend(backend_id, steady_clock())
         raise failures[0]
 
+    def _record_failed(self, chosen: Intermediary, request: ForwardedRequest, problem: str) -> None:
+        if request.attempt.kind is messages.AttemptKind.REQUEST and self._log_limit.allows():
+            self._log.info(
+                "forwarded_attempt_failed",
+                request=request.request_id.decode("latin-1"),
+                backend=request.attempt.backend_id,
+                intermediary=chosen.address,
+                problem=problem,
+            )
+
     async def probe(self, backend_id: str, until: Seconds) -> None:
         """Have another node connect to a back end.
 
--- a/src/limedeck/node/request_log.py
+++ b/src/limedeck/node/request_log.py
@@ -22,9 +22,13 @@
 from limedeck.node.settings import LogSection
 from limedeck.node.telemetry import Telemetry
 from limedeck.routing.outcomes import SURELY_NOT_RUN, FailurePhase, Outcome
+from limedeck.routing.run_evidence import NEVER_SENT, NotRunProof, evidence_of
 
 MAX_TARGET_LENGTH = 200
 """Characters of a path and query that are logged."""
+NO_EVIDENCE_LABEL = "none"
+"""Label of refusals without a promise."""
+FIRST_ERROR_STATUS = 400
 
 
 class RequestLog:
@@ -43,16 +47,20 @@
     def record_response(
         self, request_id: bytes, core: RequestCore, status: int, since: Seconds
     ) -> None:
-        """Record that a back end's response is forwarded to the caller."""
+        """Record that a back end's response is forwarded to the caller.
+
+        Only a sample of the responses to successful requests is logged.
+        """
         duration = steady_clock() - since
         self._count(core, "answered", duration)
-        if xxhash.xxh32_intdigest(request_id) % self._sample == 0:
+        is_sampled = xxhash.xxh32_intdigest(request_id) % self._sample == 0
+        if is_sampled or (status >= FIRST_ERROR_STATUS and self._failure_limit.allows()):
             self._line("answered", request_id, core, duration, status=status)
 
     def record_refusal(
-        self, request_id: bytes, core: RequestCore, refusal: Refuse, since: Seconds
+        self, request_id: bytes, core: RequestCore, refusal: Refuse, status: int, since: Seconds
     ) -> None:
-        """Record that a request is refused."""
+        """Record that a request is refused with a status."""
         duration = steady_clock() - since
         self._count(core, f"{refusal.outcome.value}:{refusal.reason.value}", duration)
         if self._failure_limit.allows():
@@ -63,11 +71,19 @@
                 duration,
                 outcome=refusal.outcome.value,
                 reason=refusal.reason.value,
+                status=status,
+                evidence=refusal.proof.summary if refusal.proof is not None else None,
+                tried=[str(attempt) for attempt in refusal.attempts],
                 retry_after=round(refusal.retry_after, 3),
                 returned=core.claim.is_client_retry,
                 **_detail_fields(refusal.details),
             )
 
+    def count_refusal(self, proof: NotRunProof | None) -> None:
+        """Count a refusal by what shows that the request did not run; None: it may have run."""
+        evidence = NO_EVIDENCE_LABEL if proof is None else proof.summary
+        self._telemetry.refusals.labels(evidence).inc()
+
     def record_memory_refusal(
         self,
         request_id: bytes,
@@ -92,13 +108,18 @@
                 took=round(duration, 4),
                 outcome=outcome,
                 reason=reason,
+                evidence=NEVER_SENT.summary,
                 retry_after=retry_after,
                 problem=str(problem),
             )
 
     def record_caller_left(self, request_id: bytes, core: RequestCore, since: Seconds) -> None:
         """Record that the caller closed its connection before the response."""
-        self._count(core, "caller-left", steady_clock() - since)
+        duration = steady_clock() - since
+        self._count(core, "caller-left", duration)
+        if not core.route.repeatable and self._failure_limit.allows():
+            tried = [str(attempt) for attempt in core.claim.ledger.attempts]
+            self._line("caller_left", request_id, core, duration, tried=tried)
 
     def record_lost_attempt(
         self,
@@ -135,12 +156,14 @@
         """Record an attempt that got no response that can be forwarded."""
         self._telemetry.attempts.labels(backend.service, phase.value).inc()
         if self._failure_limit.allows():
+            evidence = evidence_of(phase)
             self._log.info(
                 "attempt_failed",
                 request=request_id.decode("latin-1"),
                 backend=backend.backend_id,
                 phase=phase.value,
                 problem=problem,
+                evidence=evidence.value if evidence is not None else None,
                 **fields,
             )
 
--- a/src/limedeck/node/response_reader.py
+++ b/src/limedeck/node/response_reader.py
@@ -76,6 +76,10 @@
         self._record_statements(attempt, metadata, response, requested_at, now)
         if metadata.not_run:
             problem = f"status {response.status}"
+            if metadata.request_id is None:
+                problem += ", names no request"
+            if not metadata.states_not_run:
+                problem += ", states nothing"
             self._log.record_failed_attempt(request_id, backend, FailurePhase.REFUSED, problem)
             return ResponseResult(FailurePhase.REFUSED, now, metadata.load, metadata.wrong_instance)
         if response.status >= SERVER_ERROR:
--- a/src/limedeck/node/telemetry.py
+++ b/src/limedeck/node/telemetry.py
@@ -30,6 +30,12 @@
             ["service", "phase"],
             registry=registry,
         )
+        self.refusals = Counter(
+            "limedeck_refusals",
+            "Refused requests by what shows that they did not run; none: they may have run",
+            ["evidence"],
+            registry=registry,
+        )
         self.backend_crashes = Counter(
             "limedeck_backend_crashes",
             "Back ends that ended while they were at work on requests, as this node knows",
--- a/src/limedeck/platform/headers.py
+++ b/src/limedeck/platform/headers.py
@@ -64,6 +64,7 @@
             limit=limit,
             unreadable_limit=limit is None and bool(limits),
             leaving=announces_leaving(found),
+            states_not_run=NOT_RUN in found,
         )
 
     def retry_after(self, seconds: Seconds) -> tuple[bytes, bytes]:
--- a/src/limedeck/routing/request.py
+++ b/src/limedeck/routing/request.py
@@ -21,6 +21,7 @@
 )
 from limedeck.routing.route_table import RouteTable
 from limedeck.routing.rules import RequestTarget
+from limedeck.routing.run_evidence import RecordedAttempt, RunLedger
 
 MIN_ATTEMPT_TIME: Seconds = 0.002
 """An attempt is not started with less time than this before the deadline."""
@@ -170,8 +171,9 @@
         self._excluded: set[str] = set()
         self._stale_version = 0
         self._not_before: Seconds = now
-        self._may_have_run = False
+        self._ledger = RunLedger()
         self._in_flight: Attempt | None = None
+        self._recorded: RecordedAttempt | None = None
 
     @property
     def in_flight(self) -> Attempt | None:
@@ -196,18 +198,18 @@
         not_owner
             Whether the back end refused the request because it does not own the key.
         """
-        attempt = self._in_flight
-        if attempt is None:
+        attempt, recorded = self._in_flight, self._recorded
+        if attempt is None or recorded is None:
             raise InvariantViolation("failure-follows-attempt", self.request_id)
-        self._in_flight = None
+        self._in_flight = self._recorded = None
+        recorded.phase = phase
         history = AttemptHistory(
             repeatable=self.target.repeatable,
-            may_have_run=self._may_have_run,
+            may_have_run=self._ledger.may_have_run,
             time_left=now + MIN_ATTEMPT_TIME < self.deadline,
             budget_left=not_owner or self._budget.has_tokens,
         )
         decision = decide(phase, history)
-        self._may_have_run = self._may_have_run or phase not in SURELY_NOT_RUN
         if decision is not Decision.RETRY:
             return self._refuse(_reason_for(phase, history.time_left))
         if not not_owner:
@@ -246,9 +248,10 @@
         return self._wait(now, RefusalReason.NO_CAPACITY)
 
     def _attempt(self, backend: Backend, version: int) -> Attempt:
-        if self._may_have_run and not self.target.repeatable:
+        if self._ledger.may_have_run and not self.target.repeatable:
             raise InvariantViolation("unrepeatable-runs-once", self.request_id)
         self.attempts += 1
+        self._recorded = self._ledger.begin_attempt(backend.backend_id)
         self._in_flight = Attempt(backend, version, self.deadline)
         return self._in_flight
 
@@ -259,7 +262,8 @@
         return Wait(min(now + delay, self._wait_end))
 
     def _refuse(self, reason: RefusalReason) -> Refuse:
-        outcome = Outcome.UNKNOWN if self._may_have_run else Outcome.NOT_RUN
+        proof = self._ledger.prove_not_run()
+        outcome = Outcome.UNKNOWN if proof is None else Outcome.NOT_RUN
         return Refuse(outcome, reason, RETRY_AFTER)
 
 
--- a/src/limedeck_lab/explain/sentences.py
+++ b/src/limedeck_lab/explain/sentences.py
@@ -47,17 +47,42 @@
         )
     elif line.get("unavailable") is not None:
         text += f" ({line.get('backend')}: {line.get('unavailable')})"
+    text += _evidence(line)
     retry_after = line.get("retry_after")
     return text if retry_after is None else f"{text}; told to come back after {retry_after} s"
 
 
+def _evidence(line: LogLine) -> str:
+    """Describe the status of a refusal, the attempts before it, and what it rests on."""
+    if line.get("status") is None:
+        return ""
+    tried = "; ".join(line.get("tried") or ()) or "no attempt"
+    evidence = line.get("evidence")
+    shown = "nothing shows that it did not run" if evidence is None else f"evidence: {evidence}"
+    return f"; status {line.get('status')} ({tried}; {shown})"
+
+
+def _caller_left(line: LogLine) -> str:
+    tried = "; ".join(line.get("tried") or ()) or "no attempt"
+    return f"the caller left before the response ({tried})"
+
+
+def _forwarded_attempt_failed(line: LogLine) -> str:
+    return (
+        f"attempt at {line.get('backend')} through {line.get('intermediary')} failed: "
+        f"{line.get('problem')}"
+    )
+
+
 def _request_answered(line: LogLine) -> str:
     return f"answered with status {line.get('status')} at attempt {line.get('attempts')}"
 
 
 def _attempt_failed(line: LogLine) -> str:
     phase = meaning_of_phase(line.get("phase"))
-    return f"attempt at {line.get('backend')} failed: {phase} ({line.get('problem')})"
+    evidence = line.get("evidence")
+    shown = f"; did not run: {evidence}" if evidence is not None else ""
+    return f"attempt at {line.get('backend')} failed: {phase} ({line.get('problem')}){shown}"
 
 
 def _owner_changed(line: LogLine) -> str:
@@ -113,6 +138,8 @@
     "given_up": _request_given_up,
     "answered": _request_answered,
     "attempt_failed": _attempt_failed,
+    "caller_left": _caller_left,
+    "forwarded_attempt_failed": _forwarded_attempt_failed,
     "owner_changed": _owner_changed,
     "order_lost": _order_lost,
     "released": _released,
--- a/tests/unit/test_explain.py
+++ b/tests/unit/test_explain.py
@@ -4,6 +4,7 @@
 
 import enum
 import json
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -222,3 +223,37 @@
     for path in (tmp_path, tmp_path / "none.log"):
         with pytest.raises(UnreadableLogs):
             read_logs([path])
+
+
+@pytest.mark.parametrize(
+    ("status", "evidence", "expected"),
+    [
+        (503, "stated", "status 503 (b1: turned-away; b2: refused; evidence: stated)"),
+        (502, None, "status 502 (b1: turned-away; b2: refused; nothing shows that it did not run)"),
+    ],
+)
+def test_story_of_a_refusal_names_each_attempt_its_evidence_and_the_status(
+    status: int, evidence: str | None, expected: str
+) -> None:
+    fields = GIVEN_UP.fields | {
+        "status": status,
+        "evidence": evidence,
+        "tried": ["b1: turned-away", "b2: refused"],
+    }
+    refused = replace(GIVEN_UP, fields=fields)
+    (story,) = [item for item in story_of_request([refused], "r1") if "status" in item.text]
+    assert expected in story.text
+
+
+def test_story_of_an_attempt_through_another_node_names_that_node() -> None:
+    forwarded = line(
+        99.9,
+        "n1",
+        "forwarded_attempt_failed",
+        request="r1",
+        backend="b1",
+        intermediary="127.0.0.7:5",
+        problem="unable",
+    )
+    texts = [item.text for item in story_of_request([forwarded, GIVEN_UP], "r1")]
+    assert "attempt at b1 through 127.0.0.7:5 failed: unable" in texts
--- a/tests/unit/test_forwarding.py
+++ b/tests/unit/test_forwarding.py
@@ -489,7 +489,7 @@
     """Load and deadline are a reason to refuse only requests that have certainly not run."""
     core = request_at_busy_owner(2, 8, 10.0)
     core.claim.until = 10.15
-    core.claim.may_have_run = True
+    core.claim.ledger.begin_attempt("b").phase = FailurePhase.AWAITING
     assert isinstance(core.next_command(10.0, 3), Attempt)
 
 
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -15,6 +15,7 @@
 from limedeck.identity import Seconds
 from limedeck.model import Backend, Configuration, Route, Service, Target
 from limedeck.node import (
+    caller_statuses,
     crash_watch,
     gateway,
     permit_exchange,
@@ -68,8 +69,12 @@
     return node
 
 
-def make_gateway(node: state.NodeState, client: http_client.HttpClient) -> gateway.CallerGateway:
-    counted = telemetry.Telemetry()
+def make_gateway(
+    node: state.NodeState,
+    client: http_client.HttpClient,
+    counted: telemetry.Telemetry | None = None,
+) -> gateway.CallerGateway:
+    counted = counted or telemetry.Telemetry()
     paths = backend_access.paths_of(node, client)
     return gateway.CallerGateway(
         node,
@@ -188,7 +193,7 @@
     client = RejectingClient(retry_after)
     served = make_gateway(node, client)
     for _ in range(2):
-        assert await send_to(served) == gateway.NOT_RUN_STATUS
+        assert await send_to(served) == caller_statuses.NOT_RUN_STATUS
     assert len(client.requested) == attempts
 
 
@@ -241,7 +246,7 @@
         node.quarantine.record_lost_request(f"b{number}", content.fingerprints, now)
         node.quarantine.record_process_exit(f"b{number}", now)
     node.quarantine.handle_tick(now + 1.0)
-    assert await send_to(served) == gateway.NOT_RUN_STATUS
+    assert await send_to(served) == caller_statuses.NOT_RUN_STATUS
     assert client.requested == []
     assert await send_to(served, caller="127.0.0.9") == 200
 
@@ -260,7 +265,7 @@
                 node, backend_access.paths_of(node, client), telemetry.Telemetry()
             ).run
         )
-        assert await send_to(make_gateway(node, client)) == gateway.NOT_RUN_STATUS
+        assert await send_to(make_gateway(node, client)) == caller_statuses.NOT_RUN_STATUS
         tasks.cancel_scope.cancel()
     assert client.requested == []
 
@@ -291,5 +296,17 @@
         assert node.in_flight == 1
         served.cancel_open_requests()
     # The request was sent: it is unknown whether it has run.
-    assert statuses == [gateway.LOST_STATUS]
+    assert statuses == [caller_statuses.LOST_STATUS]
     assert node.in_flight == 0
+
+
+async def test_refusals_are_counted_by_their_evidence() -> None:
+    counted = telemetry.Telemetry()
+    node = make_node({"a:1": 503}, repeatable=True)
+    served = make_gateway(node, RejectingClient(b"0"), counted)
+    await send_to(served)
+    node.closing = True
+    await send_to(served)
+    refusals = counted.registry.get_sample_value
+    assert refusals("limedeck_refusals_total", {"evidence": "stated"}) == 1.0
+    assert refusals("limedeck_refusals_total", {"evidence": "never-sent"}) == 1.0
--- a/tests/unit/test_gateway_on_connections.py
+++ b/tests/unit/test_gateway_on_connections.py
@@ -8,7 +8,7 @@
 import pytest
 
 from limedeck import clock
-from limedeck.node import asgi, gateway
+from limedeck.node import asgi, caller_statuses, gateway
 from limedeck.platform import headers
 from tests.unit.test_gateway import REQUEST_ID, make_client, make_gateway, make_node
 
@@ -77,7 +77,7 @@
     client = make_client(200)
     served = make_gateway(make_node({"a:1": 200}, repeatable=False), client)
     status, _ = await exchange(served, make_scope(overlapping=True))
-    assert status == gateway.NOT_RUN_STATUS
+    assert status == caller_statuses.NOT_RUN_STATUS
     assert client.requested == []
 
 
