--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -20,10 +20,16 @@
 
 
 class Mode(enum.Enum):
-    """How the proxy treats the bytes that it receives."""
+    """How the proxy treats the bytes that it receives.
+
+    SURPLUS
+        Every second request on a connection is answered by a surplus response that names no
+        request and states that the request did not run; the request is passed on all the same.
+    """
 
     PASS = "pass"
     DELAY = "delay"
+    SURPLUS = "surplus"
     DROP_RESPONSES = "cut-replies"
     SILENT = "silent"
 
@@ -60,6 +66,11 @@
 LATE_RESET_DELAY = 0.2
 """Seconds."""
 
+SURPLUS_RESPONSES = tuple(
+    b"HTTP/1.1 %d Surplus\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n" % status
+    for status in (503, 400, 421)
+)
+
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """Value of `SO_LINGER` with which closing a socket resets the connection."""
 
@@ -82,6 +93,7 @@
     _connections: dict[anyio.abc.SocketStream, str] = dataclasses.field(default_factory=dict)
     _streams: set[anyio.abc.SocketStream] = dataclasses.field(default_factory=set)
     _restart_delay: float = 0.0
+    surplus_sent: int = 0
     _listener: anyio.abc.Listener[anyio.abc.SocketStream] | None = None
 
     async def serve(self, ended: anyio.Event) -> None:
@@ -194,15 +206,20 @@
         is_response: bool,
         scope: anyio.CancelScope,
     ) -> None:
+        chunks = 0
         try:
             while True:
                 data = await source.receive(CHUNK_SIZE)
+                chunks += 1
                 if await self._is_cut(sink if is_response else source, is_response):
                     continue
                 if self.mode is Mode.DELAY:
                     await anyio.sleep(DELAY)
                 if self.mode is Mode.SILENT or (is_response and self.mode is Mode.DROP_RESPONSES):
                     continue
+                if self.mode is Mode.SURPLUS and not is_response and chunks % 2 == 0:
+                    await source.send(SURPLUS_RESPONSES[self.surplus_sent % 3])
+                    self.surplus_sent += 1
                 await sink.send(data)
         except (OSError, anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
             scope.cancel()
--- a/tests/system/platform_site.py
+++ b/tests/system/platform_site.py
@@ -115,6 +115,8 @@
         once.
     running, waiting
         Requests that it works on, and that wait, if they are counted.
+    status_after_run
+        Status of its responses to requests that it has run, which state nothing; zero: 200.
     large_path, large_bytes
         Requests whose path begins so get a response of this size.
     """
@@ -149,6 +151,7 @@
     queue_length: int | None = None
     running: int = 0
     waiting: int = 0
+    status_after_run: int = 0
     large_path: str = ""
     large_bytes: int = 0
     _slots: anyio.Semaphore | None = None
@@ -232,6 +235,20 @@
             await self._crash(self.proxy)
             return
         signed = [*echo, (b"x-upstream-signature", self.name.encode())]
+        await self._respond_to_run(path, request_id, body, signed, send)
+
+    async def _respond_to_run(
+        self,
+        path: str,
+        request_id: bytes,
+        body: bytes,
+        signed: list[tuple[bytes, bytes]],
+        send: Any,
+    ) -> None:
+        """Respond to a request that has run."""
+        if self.status_after_run:
+            await _respond(send, self.status_after_run, signed)
+            return
         if self.endless:
             await self._send_without_end(signed, send)
             return
--- /dev/null
+++ b/tests/system/test_refused_requests.py
@@ -0,0 +1,185 @@
+"""Refusals of real nodes: what a caller is told not to have run has not run, and never will."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import random
+import threading
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import httpx
+import pytest
+
+from limedeck_lab.processes import wait_until
+from tests.soak import proxy
+from tests.system import platform_site
+
+PROMISES = (408, 421, 429, 503)
+"""Statuses by which a caller is told that its request has not run."""
+CALLERS = 6
+REQUESTS_PER_CALLER = 40
+MAX_ATTEMPTS = 3
+"""Attempts of a caller at one request, each with an id of its own."""
+LATE_RUN_TIME = 1.0
+"""Seconds within which a refused request that was sent all the same would have run."""
+ONCE_PATHS = ("/plain/x", "/keyed-once/x")
+"""Paths of requests that may run once, at services without and with keys."""
+
+
+@dataclasses.dataclass
+class Outcomes:
+    """What callers were told, by the id of the attempt."""
+
+    statuses: dict[str, int] = dataclasses.field(default_factory=dict)
+
+    def promised(self) -> set[str]:
+        """Return the attempts that were refused with a promise."""
+        return {attempt for attempt, status in self.statuses.items() if status in PROMISES}
+
+
+@pytest.fixture(scope="module")
+def site(tmp_path_factory: pytest.TempPathFactory) -> Iterator[platform_site.Site]:
+    folder: Path = tmp_path_factory.mktemp("site")
+    with platform_site.running_site(folder, own_hosts=True) as running:
+        once = platform_site.route("/keyed-once/", "keyed", "unsafe")
+        running.configure(2, [*platform_site.ROUTES, once])
+        with httpx.Client(timeout=4.0, trust_env=False) as client:
+            wait_until(
+                lambda: all(
+                    running.send(client, node, "/keyed-once/x", 1).status_code == 200
+                    for node in running.nodes
+                ),
+                "the route is in force",
+            )
+        yield running
+
+
+@pytest.fixture(autouse=True)
+def healthy(site: platform_site.Site) -> Iterator[None]:
+    yield
+    site.reconnect()
+    for upstream in site.upstreams:
+        upstream.status_after_run = 0
+        upstream.queue_length = None
+        if upstream.proxy is not None:
+            upstream.proxy.mode = proxy.Mode.PASS
+
+
+def play(site: platform_site.Site, seed: int) -> Outcomes:
+    """Have callers send requests that may run once; they return after a refusal."""
+    outcomes = Outcomes()
+    threads = [
+        threading.Thread(target=_call, args=(site, random.Random(seed + number), number, outcomes))
+        for number in range(CALLERS)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    time.sleep(LATE_RUN_TIME)
+    return outcomes
+
+
+def _call(site: platform_site.Site, source: random.Random, number: int, outcomes: Outcomes) -> None:
+    with httpx.Client(timeout=4.0, trust_env=False) as client:
+        for request in range(REQUESTS_PER_CALLER):
+            path = source.choice(ONCE_PATHS)
+            key = source.randrange(platform_site.KEYS)
+            for attempt in range(MAX_ATTEMPTS):
+                attempt_id = f"{number:04x}{source.getrandbits(24):06x}{request:04x}{attempt:02x}"
+                node = source.choice(site.nodes)
+                status = _send(client, node, path, key, attempt_id)
+                outcomes.statuses[attempt_id] = status
+                if status not in PROMISES:
+                    break
+
+
+def _send(
+    client: httpx.Client, node: platform_site.NodeProcess, path: str, key: int, attempt_id: str
+) -> int:
+    headers = {
+        "host": "h.example",
+        "x-attempt-id": attempt_id,
+        "x-deadline-ms": "2000",
+        "x-shard-key": str(key),
+    }
+    try:
+        return client.get(f"http://{node.callers}{path}", headers=headers).status_code
+    except httpx.TransportError:
+        return 0
+
+
+def assert_promises_kept(site: platform_site.Site, outcomes: Outcomes) -> None:
+    """Assert that nothing refused with a promise has run, and nothing has run twice."""
+    runs = collections.Counter(attempt for attempt, _ in site.runs if attempt in outcomes.statuses)
+    assert {
+        attempt: outcomes.statuses[attempt] for attempt in outcomes.promised() & set(runs)
+    } == {}
+    assert [attempt for attempt, times in runs.items() if times > 1] == []
+
+
+def answer_after_run(status: int) -> Callable[[platform_site.Site], None]:
+    """Have back ends run requests and answer with a status that states nothing."""
+
+    def prepare(site: platform_site.Site) -> None:
+        for upstream in site.upstreams:
+            upstream.status_after_run = status
+
+    return prepare
+
+
+def send_surplus(site: platform_site.Site) -> None:
+    """Have surplus responses arrive in the place of the next one."""
+    for upstream in site.upstreams:
+        if upstream.proxy is not None:
+            upstream.proxy.mode = proxy.Mode.SURPLUS
+
+
+def cut_off_first_node(site: platform_site.Site) -> None:
+    """Cut a node off from all back ends, so that its attempts go through other nodes."""
+    site.cut_off(site.nodes[:1], proxy.Cut.RESET)
+    time.sleep(1.0)
+
+
+def surplus_through_others(site: platform_site.Site) -> None:
+    """Have surplus responses arrive at nodes that make attempts for another one."""
+    cut_off_first_node(site)
+    send_surplus(site)
+
+
+def status_through_others(site: platform_site.Site) -> None:
+    """Have a node get a status that states nothing through other nodes."""
+    cut_off_first_node(site)
+    answer_after_run(503)(site)
+
+
+@pytest.mark.parametrize(
+    "prepare",
+    [
+        *(pytest.param(answer_after_run(status), id=f"status-{status}") for status in PROMISES),
+        pytest.param(send_surplus, id="surplus"),
+        pytest.param(status_through_others, id="status-503-through-others"),
+        pytest.param(surplus_through_others, id="surplus-through-others"),
+    ],
+)
+def test_request_that_a_back_end_ran_is_never_refused_as_not_run_nor_sent_again(
+    site: platform_site.Site, prepare: Callable[[platform_site.Site], None]
+) -> None:
+    prepare(site)
+    outcomes = play(site, seed=6601)
+    assert set(outcomes.statuses.values()) != {200}
+    assert_promises_kept(site, outcomes)
+
+
+def test_requests_that_full_back_ends_reject_by_a_statement_are_promised_not_to_have_run(
+    site: platform_site.Site,
+) -> None:
+    for upstream in site.upstreams:
+        upstream.queue_length = 0
+    outcomes = play(site, seed=6602)
+    assert outcomes.promised()
+    assert 502 not in outcomes.statuses.values()
+    assert_promises_kept(site, outcomes)
