A status without the statement promises callers nothing

What callers saw: a back end ran a request that may run once and answered 503; the node passed that status on, or, for 408 and 429, passed it on as if the request had been served. Callers take these statuses for the promise that the request did not run.

Cause: a refusal was replaced by the last error response whatever its status, and statuses below 500 were no errors. Only the back end's statement shows that it did not run a request.

A response with such a status and no statement ends the attempt as unproven-status: the request may have run. Repeatable ones are tried elsewhere; the caller gets 502 without the back end's headers. Other error statuses pass unchanged.

--- a/src/limedeck/forwarding/commands.py
+++ b/src/limedeck/forwarding/commands.py
@@ -22,6 +22,7 @@
     OVERLOADED = "overloaded"
     UNREACHABLE = "back-end-unreachable"
     RESPONSE_LOST = "answer-lost"
+    UNPROVEN_STATUS = "unproven-status"
     TIMED_OUT = "timed-out"
     STOPPED = "stopped"
     BAD_KEY = "bad-key"
--- a/src/limedeck/forwarding/protocol.py
+++ b/src/limedeck/forwarding/protocol.py
@@ -101,6 +101,10 @@
     def response_metadata(self, status: int, headers: Headers) -> ResponseMetadata:
         """Read the head of a back end's response."""
 
+    @abstractmethod
+    def promises_not_run(self, status: int) -> bool:
+        """Whether callers take a status for the promise that their request did not run."""
+
     @abstractmethod
     def retry_after(self, seconds: Seconds) -> tuple[bytes, bytes]:
         """Write the header that tells a caller when to retry."""
--- a/src/limedeck/forwarding/request.py
+++ b/src/limedeck/forwarding/request.py
@@ -352,4 +352,6 @@
         return RefusalReason.REFUSED
     if phase in SURELY_NOT_RUN:
         return RefusalReason.UNREACHABLE
+    if phase is FailurePhase.UNPROVEN_STATUS:
+        return RefusalReason.UNPROVEN_STATUS
     return RefusalReason.RESPONSE_LOST
--- a/src/limedeck/node/response_reader.py
+++ b/src/limedeck/node/response_reader.py
@@ -82,15 +82,22 @@
                 problem += ", states nothing"
             self._log.record_failed_attempt(request_id, backend, FailurePhase.REFUSED, problem)
             return ResponseResult(FailurePhase.REFUSED, now, metadata.load, metadata.wrong_instance)
-        if response.status >= SERVER_ERROR:
-            if response.status != DEADLINE_PASSED:
+        phase = self._error_phase(response.status)
+        if phase is not None:
+            if response.status >= SERVER_ERROR and response.status != DEADLINE_PASSED:
                 attempt.state.record_failure(now)
             problem = f"status {response.status}"
-            self._log.record_failed_attempt(
-                request_id, backend, FailurePhase.ERROR_RESPONSE, problem
-            )
-            return ResponseResult(FailurePhase.ERROR_RESPONSE, now, metadata.load)
-        return ResponseResult(None, now, metadata.load)
+            self._log.record_failed_attempt(request_id, backend, phase, problem)
+        return ResponseResult(phase, now, metadata.load)
+
+    def _error_phase(self, status: int) -> FailurePhase | None:
+        """Return how an attempt failed whose response does not state that the request did not run.
+
+        None if the response may be forwarded to the caller.
+        """
+        if self._protocol.promises_not_run(status):
+            return FailurePhase.UNPROVEN_STATUS
+        return FailurePhase.ERROR_RESPONSE if status >= SERVER_ERROR else None
 
     def read_statements(
         self, request_id: bytes, attempt: Attempt, response: HttpResponse, requested_at: Seconds
--- a/src/limedeck/platform/headers.py
+++ b/src/limedeck/platform/headers.py
@@ -21,6 +21,7 @@
 LEAVING_TRUE = b"1"
 STORE_ERA = b"store-era"
 MISDIRECTED = 421
+PROMISING_STATUSES = frozenset({408, MISDIRECTED, 429, 503})
 MIN_UNSIGNED_STATUS = 300
 USUAL_SLOWDOWN_PERCENT = 100.0
 MIN_LOAD_FIELDS = 3
@@ -67,6 +68,9 @@
             states_not_run=NOT_RUN in found,
         )
 
+    def promises_not_run(self, status: int) -> bool:
+        return status in PROMISING_STATUSES
+
     def retry_after(self, seconds: Seconds) -> tuple[bytes, bytes]:
         return (b"retry-after", b"%.2f" % seconds)
 
--- a/src/limedeck/routing/outcomes.py
+++ b/src/limedeck/routing/outcomes.py
@@ -51,6 +51,9 @@
         Part of a response had arrived.
     ERROR_RESPONSE
         The back end sent a complete response that reports an error.
+    UNPROVEN_STATUS
+        The back end sent a complete response whose status promises callers that the request did not
+        run, but it did not state that.
     """
 
     NOT_CONNECTED = "not-connected"
@@ -62,6 +65,7 @@
     LINK_LOST = "link-lost"
     RECEIVING = "answering"
     ERROR_RESPONSE = "error-answer"
+    UNPROVEN_STATUS = "unproven-status"
 
 
 class Decision(enum.Enum):
--- a/src/limedeck_lab/explain/meanings.py
+++ b/src/limedeck_lab/explain/meanings.py
@@ -21,6 +21,9 @@
     RefusalReason.OVERLOADED: "the back end's queue was estimated to be too long for it",
     RefusalReason.UNREACHABLE: "no back end could be reached",
     RefusalReason.RESPONSE_LOST: "a back end had received it, and the response was lost",
+    RefusalReason.UNPROVEN_STATUS: (
+        "a back end's status would have promised that it did not run, which nothing showed"
+    ),
     RefusalReason.TIMED_OUT: "its time was over",
     RefusalReason.STOPPED: "the node's planned stop ended before the response came",
     RefusalReason.BAD_KEY: "it had no readable key",
@@ -44,6 +47,9 @@
     FailurePhase.LINK_LOST: "it was sent, and the node found that it does not reach the back end",
     FailurePhase.RECEIVING: "the response broke off",
     FailurePhase.ERROR_RESPONSE: "the back end responded with an error",
+    FailurePhase.UNPROVEN_STATUS: (
+        "the back end's status would have promised that it did not run, which it did not state"
+    ),
 }
 CAUSES = {
     OwnerChangeCause.FIRST: "first assignment",
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -310,3 +310,30 @@
     refusals = counted.registry.get_sample_value
     assert refusals("limedeck_refusals_total", {"evidence": "stated"}) == 1.0
     assert refusals("limedeck_refusals_total", {"evidence": "never-sent"}) == 1.0
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+@pytest.mark.parametrize("repeatable", [True, False])
+async def test_status_that_promises_without_a_statement_does_not_reach_the_caller(
+    status: int, repeatable: bool
+) -> None:
+    client = make_client(status)
+    node = make_node({"a:1": status, "b:1": status}, repeatable=repeatable)
+    assert await send_request(node, client) == caller_statuses.LOST_STATUS
+    assert len(client.requested) == (2 if repeatable else 1)
+
+
+async def test_rejection_does_not_hide_that_an_earlier_status_proved_nothing() -> None:
+    class UnprovenThenRejecting(RejectingClient):
+        async def exchange(
+            self, request: http_client.HttpRequest, until: Seconds
+        ) -> http_client.HttpResponse:
+            response = await super().exchange(request, until)
+            proven = [item for item in response.headers if item[0] != headers.NOT_RUN]
+            is_first = len(self.requested) == 1
+            return http_client.HttpResponse(503, proven if is_first else response.headers, b"")
+
+    node = make_node({"a:1": 503, "b:1": 503}, repeatable=True)
+    client = UnprovenThenRejecting(b"0")
+    assert await send_to(make_gateway(node, client)) == caller_statuses.LOST_STATUS
+    assert len(client.requested) == 2
