A 421 without the statement is no evidence that the request did not run

What callers saw: a back end ran a request that may run once, answered 421 and did not state that it had not run it. The node sent the request to another back end, where it ran again, or refused it as not run.

Cause: the adapter read the status as the statement. The row of the contract test that said so was wrong: only the statement says that a request did not run; the row is replaced by two, with and without it.

Such a 421 now is an unproven status like 408, 429 and 503. It still tells that the key has another owner, so that a repeatable request waits for that owner before it is sent again.

--- a/src/limedeck/forwarding/protocol.py
+++ b/src/limedeck/forwarding/protocol.py
@@ -37,7 +37,8 @@
     request_id
         The request that it responds to, if stated.
     not_run
-        The back end did not run the request, and will not.
+        The response states that the back end did not run the request, and will not. No status says
+        so by itself.
     wrong_instance
         The address belongs to another back end now, or the key to another owner.
     load
@@ -51,8 +52,6 @@
         The response states a limit that cannot be read, which changes nothing.
     leaving
         The back end is leaving and accepts no requests that are sent later.
-    states_not_run
-        The response states that the back end did not run the request.
     is_from_backend
         The response came from a back end; a successful one that did not must not be passed on.
     """
@@ -66,7 +65,6 @@
     limit: float | None = None
     unreadable_limit: bool = False
     leaving: bool = False
-    states_not_run: bool = False
 
 
 Headers = list[tuple[bytes, bytes]]
--- a/src/limedeck/node/response_reader.py
+++ b/src/limedeck/node/response_reader.py
@@ -78,8 +78,6 @@
             problem = f"status {response.status}"
             if metadata.request_id is None:
                 problem += ", names no request"
-            if not metadata.states_not_run:
-                problem += ", states nothing"
             self._log.record_failed_attempt(request_id, backend, FailurePhase.REFUSED, problem)
             return ResponseResult(FailurePhase.REFUSED, now, metadata.load, metadata.wrong_instance)
         phase = self._error_phase(response.status)
@@ -88,7 +86,7 @@
                 attempt.state.record_failure(now)
             problem = f"status {response.status}"
             self._log.record_failed_attempt(request_id, backend, phase, problem)
-        return ResponseResult(phase, now, metadata.load)
+        return ResponseResult(phase, now, metadata.load, metadata.wrong_instance)
 
     def _error_phase(self, status: int) -> FailurePhase | None:
         """Return how an attempt failed whose response does not state that the request did not run.
--- a/src/limedeck/platform/headers.py
+++ b/src/limedeck/platform/headers.py
@@ -57,7 +57,7 @@
         limit = _limit(limits)
         return ResponseMetadata(
             request_id=found.get(REQUEST_ID),
-            not_run=NOT_RUN in found or status == MISDIRECTED,
+            not_run=NOT_RUN in found,
             wrong_instance=status == MISDIRECTED,
             load=load,
             is_from_backend=status >= MIN_UNSIGNED_STATUS or SIGNATURE in found,
@@ -65,7 +65,6 @@
             limit=limit,
             unreadable_limit=limit is None and bool(limits),
             leaving=announces_leaving(found),
-            states_not_run=NOT_RUN in found,
         )
 
     def promises_not_run(self, status: int) -> bool:
--- a/tests/contract/test_platform_formats.py
+++ b/tests/contract/test_platform_formats.py
@@ -203,7 +203,8 @@
         (500, [], False, False, True),
         (503, [(b"x-not-executed", b"1")], True, False, True),
         (503, [], False, False, True),
-        (421, [], True, True, True),
+        (421, [(b"x-not-executed", b"1")], True, True, True),
+        (421, [], False, True, True),
         (429, [(b"x-not-executed", b"1")], True, False, True),
     ],
 )
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -312,7 +312,7 @@
     assert refusals("limedeck_refusals_total", {"evidence": "never-sent"}) == 1.0
 
 
-@pytest.mark.parametrize("status", [408, 429, 503])
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
 @pytest.mark.parametrize("repeatable", [True, False])
 async def test_status_that_promises_without_a_statement_does_not_reach_the_caller(
     status: int, repeatable: bool
