A response that does not name the request proves nothing, nor does its connection

What callers saw: requests that may run once ran twice, or were refused as not run although they ran, when a back end sent a surplus rejection after a whole response.

Cause: a statement without a request id was taken for one about the request that had just been sent on that connection. A surplus response may stand there. The connection went back to the pool, so that its next response belonged to the request before.

The client checks that a response names the request; otherwise the attempt may have run, and the connection is reset. An attempt that a node makes for another one is checked likewise.

--- a/src/limedeck/forwarding/protocol.py
+++ b/src/limedeck/forwarding/protocol.py
@@ -99,6 +99,10 @@
     def response_metadata(self, status: int, headers: Headers) -> ResponseMetadata:
         """Read the head of a back end's response."""
 
+    @abstractmethod
+    def names_request(self, request_id: bytes, headers: Headers) -> bool:
+        """Whether a response names this request; one that names none may belong to another."""
+
     @abstractmethod
     def promises_not_run(self, status: int) -> bool:
         """Whether callers take a status for the promise that their request did not run."""
--- a/src/limedeck/http_client.py
+++ b/src/limedeck/http_client.py
@@ -13,7 +13,7 @@
 import socket
 import struct
 from collections import deque
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 
 import anyio
@@ -47,6 +47,8 @@
 """Problem of an attempt whose response was the largest one in progress."""
 DEADLINE_EXCEEDED = "out of time"
 """Problem of an attempt that was aborted at its deadline."""
+FOREIGN_RESPONSE = "response to another request"
+"""Problem of an attempt: the response on its connection does not name this request."""
 CONNECTION_REFUSED = "connection refused"
 """Problem of an attempt: the host is reachable, but no process listens on the port."""
 MAX_READ_BYTES = 65_536
@@ -77,6 +79,20 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class HttpResponse:
+    """A complete response."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+def any_response(response: HttpResponse) -> bool:
+    """Return True: the protocol does not tell to which request a response belongs."""
+    return True
+
+
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
     """A request to a server.
@@ -86,6 +102,9 @@
     watched
         Before the request is sent on a new connection, wait `EARLY_RESET_WINDOW` for a reset: after
         a reset that follows sending, it is unknown whether the request has run.
+    is_answered_by
+        Whether a response belongs to this request. After one that does not, the connection is
+        closed: the next response on it would not belong to its request either.
     """
 
     address: str
@@ -94,15 +113,7 @@
     headers: Headers
     body: bytes = b""
     watched: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class HttpResponse:
-    """A complete response."""
-
-    status: int
-    headers: Headers
-    body: bytes
+    is_answered_by: Callable[[HttpResponse], bool] = any_response
 
 
 class _Connection:
@@ -270,6 +281,8 @@
         try:
             with self._deadline(until):
                 response = await connection.exchange(request)
+                if not request.is_answered_by(response):
+                    raise AttemptFailed(FailurePhase.AWAITING, FOREIGN_RESPONSE)
                 has_response = True
                 is_fully_sent = connection.is_fully_sent(request)
                 reusable = connection.prepare_for_reuse(response, is_fully_sent, steady_clock())
--- a/src/limedeck/node/intermediary_server.py
+++ b/src/limedeck/node/intermediary_server.py
@@ -209,6 +209,7 @@
         had_body = any(name == b"content-length" for name, _ in scope["headers"])
         if body or had_body:
             headers.append((b"content-length", b"%d" % len(body)))
+        request_id = self._protocol.request_id(dict(headers)) or b""
         return HttpRequest(
             target.backend.address,
             scope["method"].encode(),
@@ -216,4 +217,5 @@
             headers,
             body,
             attempt.watched,
+            lambda response: self._protocol.names_request(request_id, response.headers),
         )
--- a/src/limedeck/node/response_reader.py
+++ b/src/limedeck/node/response_reader.py
@@ -15,7 +15,7 @@
 from limedeck.forwarding.leaving import LeavingStatement
 from limedeck.forwarding.limits import LimitStatement
 from limedeck.forwarding.protocol import CallerProtocol, LoadReport, ResponseMetadata
-from limedeck.http_client import HttpResponse
+from limedeck.http_client import FOREIGN_RESPONSE, HttpResponse
 from limedeck.identity import Seconds
 from limedeck.node.request_log import RequestLog
 from limedeck.routing.outcomes import FailurePhase
@@ -65,19 +65,15 @@
         metadata = self._protocol.response_metadata(response.status, response.headers)
         now = steady_clock()
         backend = attempt.state.backend
-        is_own = metadata.request_id == request_id or (
-            metadata.request_id is None and metadata.not_run
-        )
+        is_own = metadata.request_id == request_id
         if not is_own or not metadata.is_from_backend:
             attempt.state.record_failure(now)
-            problem = "response to another request" if not is_own else "unsigned response"
+            problem = FOREIGN_RESPONSE if not is_own else "unsigned response"
             self._log.record_failed_attempt(request_id, backend, FailurePhase.AWAITING, problem)
             return ResponseResult(FailurePhase.AWAITING, now)
         self._record_statements(attempt, metadata, response, requested_at, now)
         if metadata.not_run:
             problem = f"status {response.status}"
-            if metadata.request_id is None:
-                problem += ", names no request"
             self._log.record_failed_attempt(request_id, backend, FailurePhase.REFUSED, problem)
             return ResponseResult(FailurePhase.REFUSED, now, metadata.load, metadata.wrong_instance)
         phase = self._error_phase(response.status)
--- a/src/limedeck/platform/headers.py
+++ b/src/limedeck/platform/headers.py
@@ -67,6 +67,9 @@
             leaving=announces_leaving(found),
         )
 
+    def names_request(self, request_id: bytes, headers: Headers) -> bool:
+        return {value for name, value in headers if name == REQUEST_ID} == {request_id}
+
     def promises_not_run(self, status: int) -> bool:
         return status in PROMISING_STATUSES
 
--- a/tests/contract/test_platform_formats.py
+++ b/tests/contract/test_platform_formats.py
@@ -224,6 +224,14 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("ids", "named"), [([], False), ([b"a"], True), ([b"b"], False), ([b"a", b"b"], False)]
+)
+def test_response_names_a_request_only_if_it_names_no_other(ids: list[bytes], named: bool) -> None:
+    found = [(b"x-attempt-id", value) for value in ids]
+    assert PlatformProtocol().names_request(b"a", found) is named
+
+
 @pytest.mark.parametrize(
     ("value", "load"),
     [
--- a/tests/system/platform_site.py
+++ b/tests/system/platform_site.py
@@ -175,7 +175,8 @@
             return
         headers = dict(scope["headers"])
         if headers.get(b"x-expect-instance", self.name.encode()) != self.name.encode():
-            await _respond(send, 421, [(b"x-not-executed", b"1")])
+            echo = [item for item in scope["headers"] if item[0] == b"x-attempt-id"]
+            await _respond(send, 421, [*echo, (b"x-not-executed", b"1")])
         elif scope["path"] == "/v1/grant":
             await self._grant(json.loads(body), send)
         elif scope["path"] == "/v1/release":
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -337,3 +337,17 @@
     client = UnprovenThenRejecting(b"0")
     assert await send_to(make_gateway(node, client)) == caller_statuses.LOST_STATUS
     assert len(client.requested) == 2
+
+
+async def test_statement_without_a_request_id_is_not_taken_for_this_request() -> None:
+    class Anonymous(ScriptedClient):
+        async def exchange(
+            self, request: http_client.HttpRequest, until: Seconds
+        ) -> http_client.HttpResponse:
+            self.requested.append(request.address)
+            return http_client.HttpResponse(503, [(headers.NOT_RUN, b"1")], b"")
+
+    client = Anonymous({})
+    node = make_node({"a:1": 503, "b:1": 503}, repeatable=False)
+    assert await send_request(node, client) == caller_statuses.LOST_STATUS
+    assert len(client.requested) == 1
--- a/tests/unit/test_http_client.py
+++ b/tests/unit/test_http_client.py
@@ -8,7 +8,7 @@
 from collections import deque
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import anyio
 import pytest
@@ -418,3 +418,16 @@
         assert b"GET /third" not in received[0]
         await client.aclose()
         tasks.cancel_scope.cancel()
+
+
+async def test_surplus_response_fails_the_attempt_and_its_connection_is_not_used_again() -> None:
+    rejection = b"HTTP/1.1 503 Full\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
+    script = Script([rejection, OK])
+    async with backend(script) as request:
+        client = HttpClient()
+        checked = replace(request, is_answered_by=lambda response: response.body == b"ok")
+        with pytest.raises(AttemptFailed) as caught:
+            await client.exchange(checked, steady_clock() + EXCHANGE_TIMEOUT)
+        assert caught.value.phase is FailurePhase.AWAITING
+        await client.exchange(checked, steady_clock() + EXCHANGE_TIMEOUT)
+        assert script.connections == 2
