A link trial that may have run a request is not forgotten

What callers saw: a repeatable request was refused as not run although a back end may have run it. A node whose links are in doubt first sends such a request on a connection of its own; if that fails it makes the same attempt through another node, and only the result of that attempt counted.

The trial is an attempt in the request's ledger, so that no proof can be given without evidence about it. The new unit test failed before (503, now 502).

--- a/src/limedeck/node/backend_paths.py
+++ b/src/limedeck/node/backend_paths.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from limedeck.clock import steady_clock
 from limedeck.forwarding.backend_state import BackendState
@@ -23,6 +23,7 @@
 from limedeck.node.reachability_monitor import PROBE_TIMEOUT, ReachabilityMonitor
 from limedeck.node.telemetry import Telemetry
 from limedeck.routing.outcomes import SURELY_NOT_RUN, AttemptFailed, FailurePhase
+from limedeck.routing.run_evidence import RunLedger
 
 RECENT_CONTACT: Seconds = 0.1
 """A reset is not taken for a sign of a broken link if another back end has responded since then."""
@@ -40,6 +41,9 @@
         See `HttpRequest`.
     is_wanted
         Whether the caller still waits for the response; otherwise nothing more is begun.
+    ledger
+        Records a link trial that fails: the same attempt is then made on another path, and its
+        result does not tell what became of the trial.
     """
 
     backend: Backend
@@ -51,6 +55,7 @@
     repeatable: bool
     watched: bool
     is_wanted: Callable[[], bool] = always
+    ledger: RunLedger = field(default_factory=RunLedger)
 
 
 class BackendPaths:
@@ -126,7 +131,8 @@
             return None
         try:
             return await self._exchange_directly(request, end)
-        except AttemptFailed:
+        except AttemptFailed as error:
+            request.ledger.begin_attempt(request.backend.backend_id).phase = error.phase
             return None
 
     def _is_direct(self, backend_id: str) -> bool:
--- a/src/limedeck/node/gateway.py
+++ b/src/limedeck/node/gateway.py
@@ -333,6 +333,7 @@
             # sent, the caller can be told that it has not run.
             watched=not call.route.repeatable or attempt.ahead >= backend.slots,
             is_wanted=lambda: not call.caller_left,
+            ledger=call.core.claim.ledger,
         )
         attempt.state.outstanding += 1
         try:
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -12,6 +12,8 @@
 from limedeck import clock, http_client
 from limedeck.api import control_pb2
 from limedeck.forwarding import budget, request_content
+from limedeck.forwarding.exchange_evidence import LinkBelief
+from limedeck.forwarding.intermediaries import Intermediary
 from limedeck.identity import Seconds
 from limedeck.model import Backend, Configuration, Route, Service, Target
 from limedeck.node import (
@@ -26,6 +28,7 @@
 )
 from limedeck.ownership import election, timing
 from limedeck.platform import headers
+from limedeck.routing.outcomes import AttemptFailed, FailurePhase
 from tests.unit import backend_access
 
 pytestmark = pytest.mark.anyio
@@ -351,3 +354,23 @@
     node = make_node({"a:1": 503, "b:1": 503}, repeatable=False)
     assert await send_request(node, client) == caller_statuses.LOST_STATUS
     assert len(client.requested) == 1
+
+
+class LostBehindBrokenLink(ScriptedClient):
+    """Loses requests to back ends after they were sent, and reaches no other node."""
+
+    async def exchange(
+        self, request: http_client.HttpRequest, until: Seconds
+    ) -> http_client.HttpResponse:
+        self.requested.append(request.address)
+        phase = FailurePhase.AWAITING if request.address == "a:1" else FailurePhase.NOT_CONNECTED
+        raise AttemptFailed(phase, "lost", by_other_end=True)
+
+
+async def test_request_that_a_link_trial_may_have_run_is_not_refused_as_not_run() -> None:
+    node = make_node_with_attempts({"a:1": 200}, repeatable=True, attempts=1)
+    node.directory.reachability.exchanges.belief = LinkBelief.SUSPECTED
+    node.directory.intermediaries.set_known([Intermediary("other:1", "z1")])
+    client = LostBehindBrokenLink({})
+    assert await send_request(node, client) == caller_statuses.LOST_STATUS
+    assert client.requested == ["a:1", "other:1"]
