Another node's result shows that a request was not sent only if it names it

A node that has another one make an attempt took any phase that the other one named for its own observation, from whatever answer stood on the connection, even that a back end had refused the request. Which request a result is about is named by it now, and of what shows that a request did not run another node may only name what it knows itself: that it sent nothing. What a back end states is read from its response.

The test that read every phase as it was written read refused as well; it is replaced by two, of which one forbids that. The test of results of another request fails without the change.

The cases of the system test of refused requests shared a site and drew the same ids, so that a case could count runs of the one before; each counts its own now.

--- a/src/limedeck/node/intermediary_client.py
+++ b/src/limedeck/node/intermediary_client.py
@@ -140,7 +140,7 @@
             chosen.address,
             request.method,
             request.target,
-            headers + messages.attempt_headers(request.attempt),
+            headers + messages.attempt_headers(request.attempt, request.request_id),
             request.body,
         )
         self._intermediaries.record_sent(chosen.address)
@@ -153,4 +153,4 @@
             raise AttemptFailed(error.phase, error.problem) from error
         finally:
             self._intermediaries.record_ended(chosen.address)
-        return messages.read_result(response)
+        return messages.read_result(response, request.request_id)
--- a/src/limedeck/node/intermediary_messages.py
+++ b/src/limedeck/node/intermediary_messages.py
@@ -14,6 +14,7 @@
 from limedeck.http_client import HttpResponse
 from limedeck.identity import Seconds
 from limedeck.routing.outcomes import AttemptFailed, FailurePhase
+from limedeck.routing.run_evidence import evidence_of
 
 PREFIX = b"limedeck-attempt-"
 BACKEND = PREFIX + b"backend"
@@ -25,6 +26,7 @@
 PHASE = PREFIX + b"phase"
 PROBLEM = PREFIX + b"problem"
 BY_OTHER_END = PREFIX + b"by-other-end"
+REQUEST = PREFIX + b"request"
 YES = b"1"
 NO = b"0"
 MS_PER_SECOND = 1000.0
@@ -32,6 +34,11 @@
 UNREACHED = "unreached"
 """Problem of an attempt at a back end that the other node knows not to reach either."""
 MAX_TIME_LEFT_DIGITS = 9
+UNSENT_PHASES = frozenset(
+    {FailurePhase.NOT_CONNECTED, FailurePhase.NOT_SENT, FailurePhase.TURNED_AWAY}
+)
+"""Phases by which another node may show that a request did not run: it knows what it sent. What a
+back end states about a request is read from the response itself."""
 
 
 class AttemptKind(enum.Enum):
@@ -93,9 +100,10 @@
     return [(name, value) for name, value in headers if not name.startswith(PREFIX)]
 
 
-def attempt_headers(attempt: ForwardedAttempt) -> Headers:
-    """Return the headers that describe an attempt."""
+def attempt_headers(attempt: ForwardedAttempt, request_id: bytes) -> Headers:
+    """Return the headers that describe an attempt at a request."""
     return [
+        (REQUEST, request_id),
         (BACKEND, attempt.backend_id.encode()),
         (KIND, attempt.kind.value.encode()),
         (TIME_LEFT, b"%d" % max(attempt.time_left * MS_PER_SECOND, 1.0)),
@@ -104,6 +112,11 @@
     ]
 
 
+def request_header(headers: Headers) -> tuple[bytes, bytes]:
+    """Return the header by which the result of a described attempt names its request."""
+    return (REQUEST, dict(headers).get(REQUEST, b""))
+
+
 def read_attempt(headers: Headers) -> ForwardedAttempt:
     """Read the description of an attempt.
 
@@ -142,26 +155,34 @@
     return headers
 
 
-def read_result(response: HttpResponse) -> HttpResponse:
-    """Return the back end's response.
+def read_result(response: HttpResponse, request_id: bytes) -> HttpResponse:
+    """Return the back end's response to a request.
 
     Raises
     ------
     AttemptFailed
-        The attempt failed at the other node, or its message cannot be read.
+        The attempt failed at the other node, or its message cannot be read, or is about another
+        request: the other node may then have sent this one on.
     IntermediaryUnable
         The other node made no attempt.
     """
     found = dict(response.headers)
     try:
         result = AttemptResult(found.get(RESULT, b"").decode())
+        if result is not AttemptResult.RESPONSE and found.get(REQUEST) != request_id:
+            raise AttemptFailed(FailurePhase.AWAITING, "result of another request")
         if result is AttemptResult.UNABLE:
             raise IntermediaryUnable
         if result is AttemptResult.FAILED:
-            phase = FailurePhase(found.get(PHASE, b"").decode())
-            problem = found.get(PROBLEM, b"").decode()
-            raise AttemptFailed(phase, problem, found.get(BY_OTHER_END) == YES)
+            raise _read_failure(found)
     except ValueError as error:
-        # The other node may have sent the request on.
         raise AttemptFailed(FailurePhase.AWAITING, f"unreadable result: {error}") from error
     return HttpResponse(response.status, without_attempt_headers(response.headers), response.body)
+
+
+def _read_failure(found: dict[bytes, bytes]) -> AttemptFailed:
+    """Read how an attempt failed at another node; `ValueError` if that cannot be read."""
+    phase = FailurePhase(found.get(PHASE, b"").decode())
+    if evidence_of(phase) is not None and phase not in UNSENT_PHASES:
+        raise ValueError(f"{phase.value} without the response")
+    return AttemptFailed(phase, found.get(PROBLEM, b"").decode(), found.get(BY_OTHER_END) == YES)
--- a/src/limedeck/node/intermediary_server.py
+++ b/src/limedeck/node/intermediary_server.py
@@ -90,7 +90,7 @@
         except http_messages.CallerLeft:
             return
         except MemoryExhausted:
-            await self._respond_unable(send)
+            await self._respond_unable(scope, send)
             return
         except (PeerProtocolError, http_messages.BodyTooLarge) as error:
             self._log.warning("forwarded_attempt_invalid", problem=str(error))
@@ -99,19 +99,19 @@
         until = steady_clock() + attempt.time_left
         target = self._state.directory.find(attempt.backend_id)
         if target is None or not self._is_able():
-            await self._respond_unable(send)
+            await self._respond_unable(scope, send)
             return
         request = self._encode(scope, attempt, target, body)
         response = await self._run_until_disconnect(attempt, target, request, until, receive)
         if response is not None:
             memory.keep_response(len(response.body))
-            await http_messages.send_response(
-                send, response.status, response.headers, response.body, memory
-            )
+            named = [*response.headers, messages.request_header(scope["headers"])]
+            await http_messages.send_response(send, response.status, named, response.body, memory)
 
-    async def _respond_unable(self, send: Send) -> None:
+    async def _respond_unable(self, scope: Scope, send: Send) -> None:
         """Respond that nothing was sent to the back end; the other node asks a further one."""
         unable = messages.result_headers(messages.AttemptResult.UNABLE)
+        unable.append(messages.request_header(scope["headers"]))
         await http_messages.send_response(send, messages.NO_RESPONSE_STATUS, unable, b"")
 
     def _is_able(self) -> bool:
--- a/tests/system/test_refused_requests.py
+++ b/tests/system/test_refused_requests.py
@@ -31,9 +31,18 @@
 
 @dataclasses.dataclass
 class Outcomes:
-    """What callers were told, by the id of the attempt."""
+    """What became of the attempts of callers.
+
+    Parameters
+    ----------
+    statuses
+        What the caller was told, by the id of the attempt; zero: nothing.
+    runs
+        How often back ends ran it.
+    """
 
     statuses: dict[str, int] = dataclasses.field(default_factory=dict)
+    runs: collections.Counter[str] = dataclasses.field(default_factory=collections.Counter)
 
     def promised(self) -> set[str]:
         """Return the attempts that were refused with a promise."""
@@ -71,6 +80,7 @@
 def play(site: platform_site.Site, seed: int) -> Outcomes:
     """Have callers send requests that may run once; they return after a refusal."""
     outcomes = Outcomes()
+    before = len(site.runs)
     threads = [
         threading.Thread(target=_call, args=(site, random.Random(seed + number), number, outcomes))
         for number in range(CALLERS)
@@ -80,6 +90,8 @@
     for thread in threads:
         thread.join()
     time.sleep(LATE_RUN_TIME)
+    ran = (attempt for attempt, _ in site.runs[before:])
+    outcomes.runs.update(attempt for attempt in ran if attempt in outcomes.statuses)
     return outcomes
 
 
@@ -112,13 +124,11 @@
         return 0
 
 
-def assert_promises_kept(site: platform_site.Site, outcomes: Outcomes) -> None:
+def assert_promises_kept(outcomes: Outcomes) -> None:
     """Assert that nothing refused with a promise has run, and nothing has run twice."""
-    runs = collections.Counter(attempt for attempt, _ in site.runs if attempt in outcomes.statuses)
-    assert {
-        attempt: outcomes.statuses[attempt] for attempt in outcomes.promised() & set(runs)
-    } == {}
-    assert [attempt for attempt, times in runs.items() if times > 1] == []
+    refused_and_ran = outcomes.promised() & set(outcomes.runs)
+    ran_again = {attempt for attempt, times in outcomes.runs.items() if times > 1}
+    assert (len(refused_and_ran), len(ran_again)) == (0, 0), (refused_and_ran, ran_again)
 
 
 def answer_after_run(status: int) -> Callable[[platform_site.Site], None]:
@@ -171,7 +181,7 @@
     prepare(site)
     outcomes = play(site, seed=6601)
     assert set(outcomes.statuses.values()) != {200}
-    assert_promises_kept(site, outcomes)
+    assert_promises_kept(outcomes)
 
 
 def test_requests_that_full_back_ends_reject_by_a_statement_are_promised_not_to_have_run(
@@ -182,4 +192,4 @@
     outcomes = play(site, seed=6602)
     assert outcomes.promised()
     assert 502 not in outcomes.statuses.values()
-    assert_promises_kept(site, outcomes)
+    assert_promises_kept(outcomes)
--- a/tests/unit/test_intermediaries.py
+++ b/tests/unit/test_intermediaries.py
@@ -170,7 +170,7 @@
 def test_description_of_an_attempt_is_read_as_it_was_written(
     attempt: messages.ForwardedAttempt,
 ) -> None:
-    assert messages.read_attempt(messages.attempt_headers(attempt)) == attempt
+    assert messages.read_attempt(messages.attempt_headers(attempt, b"id")) == attempt
 
 
 @pytest.mark.parametrize(
@@ -190,22 +190,50 @@
         messages.read_attempt(found)
 
 
-@pytest.mark.parametrize("phase", list(FailurePhase))
+NAMED = (messages.REQUEST, b"id")
+STATED_PHASES = frozenset({FailurePhase.REFUSED})
+"""Phases that need the back end's response; another node's word for it is not enough."""
+
+
+@pytest.mark.parametrize("phase", sorted(set(FailurePhase) - STATED_PHASES, key=str))
 def test_failed_attempt_tells_whether_the_request_may_have_run(phase: FailurePhase) -> None:
     sent = AttemptFailed(phase, "reset", by_other_end=True)
-    found = messages.result_headers(messages.AttemptResult.FAILED, sent)
+    found = [*messages.result_headers(messages.AttemptResult.FAILED, sent), NAMED]
     with pytest.raises(AttemptFailed) as caught:
-        messages.read_result(http_client.HttpResponse(502, found, b""))
+        messages.read_result(http_client.HttpResponse(502, found, b""), b"id")
     assert caught.value == sent
 
 
+@pytest.mark.parametrize("phase", sorted(STATED_PHASES, key=str))
+def test_other_node_cannot_state_for_a_back_end_that_a_request_did_not_run(
+    phase: FailurePhase,
+) -> None:
+    sent = AttemptFailed(phase, "status 503")
+    found = [*messages.result_headers(messages.AttemptResult.FAILED, sent), NAMED]
+    with pytest.raises(AttemptFailed) as caught:
+        messages.read_result(http_client.HttpResponse(502, found, b""), b"id")
+    assert caught.value.phase is FailurePhase.AWAITING
+
+
+@pytest.mark.parametrize("named", [[], [(messages.REQUEST, b"other")]])
+@pytest.mark.parametrize("result", [messages.AttemptResult.UNABLE, messages.AttemptResult.FAILED])
+def test_result_of_another_request_does_not_show_that_this_one_was_not_sent(
+    result: messages.AttemptResult, named: Headers
+) -> None:
+    unsent = AttemptFailed(FailurePhase.NOT_CONNECTED, "refused")
+    found = [*messages.result_headers(result, unsent), *named]
+    with pytest.raises(AttemptFailed) as caught:
+        messages.read_result(http_client.HttpResponse(502, found, b""), b"id")
+    assert caught.value.phase is FailurePhase.AWAITING
+
+
 @pytest.mark.parametrize(
     "found",
     [[], [(messages.RESULT, b"other")], [(messages.RESULT, b"failed"), (messages.PHASE, b"x")]],
 )
 def test_unreadable_result_leaves_open_whether_the_request_ran(found: Headers) -> None:
     with pytest.raises(AttemptFailed) as caught:
-        messages.read_result(http_client.HttpResponse(200, found, b""))
+        messages.read_result(http_client.HttpResponse(200, [*found, NAMED], b""), b"id")
     assert caught.value.phase is FailurePhase.AWAITING
 
 
