A late response to an order is not taken for that to the next one

What could be seen: after a surplus response to a grant, the grant's own response was taken for that to a release of other keys, sent next on the connection. The leader took these keys for released, although their owner still ran requests on them, and could give them to another back end.

Cause: responses to orders name no request, and a connection was used again after any response. Only a response that carries out the order shows that it is the expected one; after another one the connection is closed.

A surplus response that looks like success cannot be told from the order's own.

--- a/src/limedeck/http_client.py
+++ b/src/limedeck/http_client.py
@@ -89,7 +89,7 @@
 
 
 def any_response(response: HttpResponse) -> bool:
-    """Return True: the protocol does not tell to which request a response belongs."""
+    """Return True, whatever the response."""
     return True
 
 
@@ -105,6 +105,9 @@
     is_answered_by
         Whether a response belongs to this request. After one that does not, the connection is
         closed: the next response on it would not belong to its request either.
+    keeps_connection
+        Whether the connection may be used again after a response. If responses name no request,
+        only an expected one shows that no other response to this request follows.
     """
 
     address: str
@@ -114,6 +117,7 @@
     body: bytes = b""
     watched: bool = False
     is_answered_by: Callable[[HttpResponse], bool] = any_response
+    keeps_connection: Callable[[HttpResponse], bool] = any_response
 
 
 class _Connection:
@@ -285,7 +289,9 @@
                     raise AttemptFailed(FailurePhase.AWAITING, FOREIGN_RESPONSE)
                 has_response = True
                 is_fully_sent = connection.is_fully_sent(request)
-                reusable = connection.prepare_for_reuse(response, is_fully_sent, steady_clock())
+                reusable = request.keeps_connection(response) and connection.prepare_for_reuse(
+                    response, is_fully_sent, steady_clock()
+                )
                 return response
             raise AttemptFailed(FailurePhase.AWAITING, DEADLINE_EXCEEDED)
         except AttemptFailed as error:
--- a/src/limedeck/node/order_sender.py
+++ b/src/limedeck/node/order_sender.py
@@ -121,7 +121,14 @@
             *encoded.headers,
             (b"content-length", b"%d" % len(encoded.body)),
         ]
-        return HttpRequest(address, b"POST", encoded.path, headers, encoded.body)
+        return HttpRequest(
+            address,
+            b"POST",
+            encoded.path,
+            headers,
+            encoded.body,
+            keeps_connection=lambda response: self._orders.is_done(response.status),
+        )
 
 
 def _log_fields(order: Grant | Release) -> dict[str, object]:
