The soak judges promises that nothing proves, with callers that return

Back ends answer what they ran with 408, 421, 429 or 503 and state nothing; surplus responses stand in the place of responses to requests and orders; a caller sends requests that may run once, with and without keys, and returns up to twice after a refusal. Each promising status counts as a refusal for the judge, not 503 alone.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -168,6 +168,8 @@
             Kind.BACKOFF: self._request_backoff,
             Kind.RETURN_STORE: self._return_store,
             Kind.PARTITION: self._partition,
+            Kind.UNPROVEN_STATUS: self._answer_with_unproven_status,
+            Kind.SURPLUS_RESPONSES: self._send_surplus_responses,
         }[drawn.kind]
         for number in range(drawn.steps):
             if ended.wait(drawn.gap):
@@ -194,6 +196,7 @@
         for upstream in self._site.upstreams:
             upstream.draining = False
             upstream.requested_backoff = 0.0
+            upstream.status_after_run = 0
             upstream.state_limit(b"")
             if upstream.leaving:
                 self._portal.start_task_soon(upstream.restart_under_same_name)
@@ -446,6 +449,36 @@
                     self._portal.call(upstream.proxy.reconnect)
             self._judge.record_unplanned_fault()
 
+    def _answer_with_unproven_status(self, source: random.Random) -> None:
+        """Let back ends answer requests that they ran with a status by which none has run."""
+        status = source.choice(judging.PROMISES)
+        chosen = source.choice(self._site.upstreams)
+        is_whole_service = source.random() < 0.5
+        answering = [
+            item
+            for item in self._site.upstreams
+            if item is chosen or (is_whole_service and item.service == chosen.service)
+        ]
+        for upstream in answering:
+            upstream.status_after_run = status
+        time.sleep(source.uniform(*REJECTING_SECONDS))
+        for upstream in answering:
+            upstream.status_after_run = 0
+
+    def _send_surplus_responses(self, source: random.Random) -> None:
+        """Let surplus responses arrive in the place of responses to requests and orders."""
+        proxies = [item.proxy for item in self._site.upstreams if item.proxy is not None]
+        chosen = source.sample(proxies, source.choice([1, 2, len(proxies)]))
+        seconds = source.uniform(*FAULT_SECONDS)
+        self._site.record_lost_responses(seconds)
+        self._judge.record_unplanned_fault(seconds)
+        for item in chosen:
+            item.mode = proxy.Mode.SURPLUS
+        time.sleep(seconds)
+        for item in chosen:
+            item.mode = proxy.Mode.PASS
+        self._judge.record_unplanned_fault()
+
     def _record_held_up(self, seconds: float) -> None:
         self._site.record_held_up(seconds)
         self._judge.record_unplanned_fault(seconds)
--- a/tests/soak/judging.py
+++ b/tests/soak/judging.py
@@ -32,6 +32,8 @@
 MAX_REQUESTS_WHILE_COLD = 14
 """Requests that a cold back end may receive in any second from all nodes together."""
 MAX_REPORTED = 5
+PROMISES = (408, 421, 429, 503)
+"""Statuses by which a caller is told that its request has not run."""
 
 
 @dataclasses.dataclass
@@ -59,6 +61,10 @@
         self.held_up: list[tuple[float, float]] = []
         """Periods (begin, end) in which requests and orders may have been delayed in transit."""
 
+    def record_lost_responses(self, seconds: float) -> None:
+        """Record that responses may not arrive for some seconds; orders are not delayed."""
+        self.held_up.append((time.monotonic(), time.monotonic() + seconds + HELD_UP_GRACE))
+
     def record_held_up(self, seconds: float) -> None:
         """Record that a fault delays requests and orders for some seconds from now on."""
         until = time.monotonic() + seconds + HELD_UP_GRACE + LEASE_TIME
@@ -185,9 +191,11 @@
     def _judge_response(
         self, request: str, outcome: callers.Outcome, version: Version | None
     ) -> None:
-        if outcome.status == 503:
+        if outcome.status in PROMISES:
             self._refused.add(request)
-        elif outcome.status == 200:
+        if outcome.status == 503:
+            return
+        if outcome.status == 200:
             if outcome.request_id != request or outcome.body != request.encode() + b":":
                 self._report(f"answer of another request: {request}")
         elif outcome.status not in (502, 504) and (version is None or outcome.status != 404):
--- a/tests/soak/series.py
+++ b/tests/soak/series.py
@@ -36,9 +36,18 @@
     BACKOFF = "rest"
     RETURN_STORE = "store-returns"
     PARTITION = "partition"
+    UNPROVEN_STATUS = "unproven-status"
+    SURPLUS_RESPONSES = "surplus"
 
 
-KINDS_V6 = tuple(kind for kind in Kind if kind is not Kind.PARTITION)
+KINDS_V7 = tuple(
+    kind for kind in Kind if kind not in (Kind.UNPROVEN_STATUS, Kind.SURPLUS_RESPONSES)
+)
+"""Kinds for seeds recorded before `UNPROVEN_STATUS` and `SURPLUS_RESPONSES` were added.
+
+These are 610001 and later.
+"""
+KINDS_V6 = tuple(kind for kind in KINDS_V7 if kind is not Kind.PARTITION)
 """Kinds for seeds recorded before `PARTITION` was added: 520001 and later."""
 KINDS_V5 = tuple(kind for kind in KINDS_V6 if kind is not Kind.RETURN_STORE)
 """Kinds for seeds recorded before `RETURN_STORE` was added: 440001 and later."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -34,6 +34,10 @@
 PLAIN_BACKENDS = 2
 CALLERS = 4
 MAX_CONNECTIONS_PER_CALLER = 8
+MAX_ATTEMPTS = 3
+"""Attempts of a returning caller at one request."""
+RETURN_DELAY = 0.1
+"""Seconds between two of these."""
 MAX_PIPELINED = 6
 """Requests that a pipelining caller sends at once, at most."""
 REUSE_FRACTION = 0.7
@@ -95,6 +99,49 @@
         return opened
 
 
+class ReturningCaller:
+    """Sends requests that may run once, and returns with them after a refusal, until stopped."""
+
+    def __init__(self, seed: int, number: int, site: judging.JudgedSite, judge: judging.Judge):
+        self._random = random.Random(seed * 1000 + number)
+        self._prefix = f"{number + 1:04x}"
+        self._sent = 0
+        self._site = site
+        self._judge = judge
+        self._connections: dict[str, callers.PersistentConnection] = {}
+
+    def run(self, stopping: threading.Event) -> None:
+        """Send requests until the event is set."""
+        while not stopping.wait(self._random.uniform(0.0, 0.05)):
+            path = self._random.choice(platform_site.ONCE_PATHS)
+            key = self._random.randrange(platform_site.KEYS)
+            for _ in range(MAX_ATTEMPTS):
+                if self._send(path, key) not in judging.PROMISES:
+                    break
+                stopping.wait(RETURN_DELAY)
+        for connection in self._connections.values():
+            connection.close()
+
+    def _send(self, path: str, key: int) -> int:
+        """Make one attempt, with an id of its own; return the status, or zero."""
+        self._sent += 1
+        attempt = f"{self._prefix}{self._sent:012x}"
+        address = self._random.choice(self._site.nodes).callers
+        connection = self._connections.setdefault(address, callers.PersistentConnection(address))
+        self._judge.record_sent(attempt, address, is_unsafe=True)
+        headers = {
+            "host": "h.example",
+            "x-attempt-id": attempt,
+            "x-deadline-ms": "2000",
+            "x-shard-key": str(key),
+        }
+        outcome = connection.exchange(path, headers)
+        self._judge.record_outcome(attempt, address, outcome, None)
+        if outcome.ending is not callers.Ending.RESPONDED:
+            del self._connections[address]
+        return outcome.status
+
+
 class PipeliningCaller:
     """Sends several requests at once until it is stopped, and reports their outcomes."""
 
@@ -207,10 +254,11 @@
     def _running_callers(self) -> Iterator[None]:
         stopping = threading.Event()
         seed = self.result.seed
-        each: list[Caller | PipeliningCaller] = [
+        each: list[Caller | PipeliningCaller | ReturningCaller] = [
             Caller(seed, i, self.site, self.judge) for i in range(CALLERS)
         ]
         each.append(PipeliningCaller(seed, CALLERS, self.site, self.judge))
+        each.append(ReturningCaller(seed, CALLERS + 1, self.site, self.judge))
         threads = [threading.Thread(target=caller.run, args=(stopping,)) for caller in each]
         for thread in threads:
             thread.start()
--- a/tests/system/platform_site.py
+++ b/tests/system/platform_site.py
@@ -670,7 +670,13 @@
     }
 
 
-ROUTES = [route("/keyed/", "keyed"), route("/plain/", "plain", "unsafe")]
+ROUTES = [
+    route("/keyed/", "keyed"),
+    route("/keyed-once/", "keyed", "unsafe"),
+    route("/plain/", "plain", "unsafe"),
+]
+ONCE_PATHS = ("/plain/x", "/keyed-once/x")
+"""Paths of requests that may run once, at services without and with keys."""
 
 
 def _settings(site_store: str, number: int, ports: list[int], host: str, memory_mb: int) -> str:
--- a/tests/system/test_refused_requests.py
+++ b/tests/system/test_refused_requests.py
@@ -13,20 +13,15 @@
 import httpx
 import pytest
 
-from limedeck_lab.processes import wait_until
-from tests.soak import proxy
+from tests.soak import judging, proxy
 from tests.system import platform_site
 
-PROMISES = (408, 421, 429, 503)
-"""Statuses by which a caller is told that its request has not run."""
 CALLERS = 6
 REQUESTS_PER_CALLER = 40
 MAX_ATTEMPTS = 3
 """Attempts of a caller at one request, each with an id of its own."""
 LATE_RUN_TIME = 1.0
 """Seconds within which a refused request that was sent all the same would have run."""
-ONCE_PATHS = ("/plain/x", "/keyed-once/x")
-"""Paths of requests that may run once, at services without and with keys."""
 
 
 @dataclasses.dataclass
@@ -46,23 +41,13 @@
 
     def promised(self) -> set[str]:
         """Return the attempts that were refused with a promise."""
-        return {attempt for attempt, status in self.statuses.items() if status in PROMISES}
+        return {attempt for attempt, status in self.statuses.items() if status in judging.PROMISES}
 
 
 @pytest.fixture(scope="module")
 def site(tmp_path_factory: pytest.TempPathFactory) -> Iterator[platform_site.Site]:
     folder: Path = tmp_path_factory.mktemp("site")
     with platform_site.running_site(folder, own_hosts=True) as running:
-        once = platform_site.route("/keyed-once/", "keyed", "unsafe")
-        running.configure(2, [*platform_site.ROUTES, once])
-        with httpx.Client(timeout=4.0, trust_env=False) as client:
-            wait_until(
-                lambda: all(
-                    running.send(client, node, "/keyed-once/x", 1).status_code == 200
-                    for node in running.nodes
-                ),
-                "the route is in force",
-            )
         yield running
 
 
@@ -98,14 +83,14 @@
 def _call(site: platform_site.Site, source: random.Random, number: int, outcomes: Outcomes) -> None:
     with httpx.Client(timeout=4.0, trust_env=False) as client:
         for request in range(REQUESTS_PER_CALLER):
-            path = source.choice(ONCE_PATHS)
+            path = source.choice(platform_site.ONCE_PATHS)
             key = source.randrange(platform_site.KEYS)
             for attempt in range(MAX_ATTEMPTS):
                 attempt_id = f"{number:04x}{source.getrandbits(24):06x}{request:04x}{attempt:02x}"
                 node = source.choice(site.nodes)
                 status = _send(client, node, path, key, attempt_id)
                 outcomes.statuses[attempt_id] = status
-                if status not in PROMISES:
+                if status not in judging.PROMISES:
                     break
 
 
@@ -169,7 +154,10 @@
 @pytest.mark.parametrize(
     "prepare",
     [
-        *(pytest.param(answer_after_run(status), id=f"status-{status}") for status in PROMISES),
+        *(
+            pytest.param(answer_after_run(status), id=f"status-{status}")
+            for status in judging.PROMISES
+        ),
         pytest.param(send_surplus, id="surplus"),
         pytest.param(status_through_others, id="status-503-through-others"),
         pytest.param(surplus_through_others, id="surplus-through-others"),
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -30,6 +30,15 @@
     series.Kind.CRASH,
     series.Kind.RETURN_STORE,
 )
+UNPROVEN_REFUSALS = (
+    series.Kind.UNPROVEN_STATUS,
+    series.Kind.SURPLUS_RESPONSES,
+    series.Kind.BACKOFF,
+    series.Kind.KILL,
+    series.Kind.STOP,
+    series.Kind.PAUSE,
+    series.Kind.PARTITION,
+)
 
 
 @pytest.mark.parametrize(
@@ -54,6 +63,7 @@
         (460001, 20.0, LEAVING_AND_BACKOFF),
         (520001, 20.0, STORE_RETURNS),
         (610001, 20.0, PARTITIONS),
+        (660001, 20.0, UNPROVEN_REFUSALS),
     ],
     ids=[
         "planned",
@@ -65,6 +75,7 @@
         "leaving-and-backoff",
         "store-returns",
         "partitions",
+        "unproven-refusals",
     ],
 )
 def test_no_promise_is_broken(
--- a/tests/unit/test_soak_parts.py
+++ b/tests/unit/test_soak_parts.py
@@ -456,3 +456,41 @@
     ]
     found = statement_judging.requests_during_backoff([upstream], sent, held_up)
     assert bool(found) is is_reported
+
+
+async def test_surplus_response_stands_in_the_place_of_the_next_one() -> None:
+    ports = processes.free_ports(2)
+    target, proxy_address = (f"127.0.0.1:{port}" for port in ports)
+    item = proxy.FaultyProxy(proxy_address, target, proxy.Mode.SURPLUS)
+    ended = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=ports[0])
+        tasks.start_soon(listener.serve, echo)
+        tasks.start_soon(item.serve, ended)
+        await anyio.sleep(0.1)
+        async with await anyio.connect_tcp("127.0.0.1", ports[1]) as stream:
+            await stream.send(b"x")
+            assert await stream.receive() == b"x"
+            await stream.send(b"y")
+            received = b""
+            while not received.endswith(b"y"):
+                received += await stream.receive()
+            assert received == proxy.SURPLUS_RESPONSES[0] + b"y"
+        ended.set()
+        tasks.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("status", judging.PROMISES)
+def test_promise_of_any_status_for_a_request_that_ran_is_reported(status: int) -> None:
+    judged, result, site = judge()
+    judged.record_sent("a", "n", is_unsafe=True)
+    site.runs.append(("a", "i-0"))
+    refused = callers.Outcome(callers.Ending.RESPONDED, 0.0, 0.1, status, "a")
+    judged.record_outcome("a", "n", refused, None)
+    judged.judge_end()
+    assert "refused and yet run: a" in result.violations
+
+
+def test_kinds_of_seeds_from_610001_on_are_unchanged() -> None:
+    assert (*series.KINDS_V6, series.Kind.PARTITION) == series.KINDS_V7
+    assert len(series.KINDS_V7) == 21
