--- a/tests/system/test_refused_requests.py
+++ b/tests/system/test_refused_requests.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import random
+import signal
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -13,13 +14,19 @@
 import httpx
 import pytest
 
-from tests.soak import judging, proxy
+from limedeck_lab.processes import wait_until
+from tests.soak import callers, judging, proxy
 from tests.system import platform_site
 
 CALLERS = 6
 REQUESTS_PER_CALLER = 40
 MAX_ATTEMPTS = 3
 """Attempts of a caller at one request, each with an id of its own."""
+DISTURBED_SECONDS = 8.0
+"""Seconds for which callers send requests while something goes wrong again and again."""
+RUNNING_SECONDS, THROTTLED_SECONDS = 0.03, 0.07
+PIPELINED = 4
+"""Requests that a caller sends at once."""
 LATE_RUN_TIME = 1.0
 """Seconds within which a refused request that was sent all the same would have run."""
 
@@ -44,6 +51,10 @@
         return {attempt for attempt, status in self.statuses.items() if status in judging.PROMISES}
 
 
+Call = Callable[[platform_site.Site, random.Random, int, Outcomes], None]
+"""What one caller does, given its source of random numbers and its number."""
+
+
 @pytest.fixture(scope="module")
 def site(tmp_path_factory: pytest.TempPathFactory) -> Iterator[platform_site.Site]:
     folder: Path = tmp_path_factory.mktemp("site")
@@ -55,19 +66,27 @@
 def healthy(site: platform_site.Site) -> Iterator[None]:
     yield
     site.reconnect()
+    site.store.away = False
     for upstream in site.upstreams:
         upstream.status_after_run = 0
         upstream.queue_length = None
+        upstream.service_seconds = platform_site.SERVICE_SECONDS
         if upstream.proxy is not None:
             upstream.proxy.mode = proxy.Mode.PASS
+    site.restart_nodes()
+    wait_until(lambda: all(node.is_ready() for node in site.nodes), "nodes are ready")
+    wait_until(site.all_keys_are_owned, "all keys have owners")
 
 
-def play(site: platform_site.Site, seed: int) -> Outcomes:
-    """Have callers send requests that may run once; they return after a refusal."""
+def play(site: platform_site.Site, seed: int, call: Call | None = None) -> Outcomes:
+    """Have callers send requests that may run once; by default they return after refusals."""
     outcomes = Outcomes()
     before = len(site.runs)
     threads = [
-        threading.Thread(target=_call, args=(site, random.Random(seed + number), number, outcomes))
+        threading.Thread(
+            target=call or return_after_refusals,
+            args=(site, random.Random(seed + number), number, outcomes),
+        )
         for number in range(CALLERS)
     ]
     for thread in threads:
@@ -80,9 +99,15 @@
     return outcomes
 
 
-def _call(site: platform_site.Site, source: random.Random, number: int, outcomes: Outcomes) -> None:
+def return_after_refusals(
+    site: platform_site.Site, source: random.Random, number: int, outcomes: Outcomes
+) -> None:
+    """Send requests one after the other, and return with each that is refused."""
+    end = time.monotonic() + DISTURBED_SECONDS
     with httpx.Client(timeout=4.0, trust_env=False) as client:
         for request in range(REQUESTS_PER_CALLER):
+            if time.monotonic() > end:
+                return
             path = source.choice(platform_site.ONCE_PATHS)
             key = source.randrange(platform_site.KEYS)
             for attempt in range(MAX_ATTEMPTS):
@@ -97,16 +122,38 @@
 def _send(
     client: httpx.Client, node: platform_site.NodeProcess, path: str, key: int, attempt_id: str
 ) -> int:
-    headers = {
+    try:
+        url = f"http://{node.callers}{path}"
+        return client.get(url, headers=_headers(attempt_id, key)).status_code
+    except httpx.TransportError:
+        return 0
+
+
+def _headers(attempt_id: str, key: int) -> dict[str, str]:
+    return {
         "host": "h.example",
         "x-attempt-id": attempt_id,
         "x-deadline-ms": "2000",
         "x-shard-key": str(key),
     }
-    try:
-        return client.get(f"http://{node.callers}{path}", headers=headers).status_code
-    except httpx.TransportError:
-        return 0
+
+
+def send_several_at_once(
+    site: platform_site.Site, source: random.Random, number: int, outcomes: Outcomes
+) -> None:
+    """Send several requests at once on a connection, and again with new ids."""
+    for group in range(REQUESTS_PER_CALLER // PIPELINED):
+        ids = [f"{number:04x}{group:06x}{i:06x}" for i in range(PIPELINED)]
+        requests = [
+            callers.Request(
+                source.choice(platform_site.ONCE_PATHS),
+                _headers(attempt_id, source.randrange(platform_site.KEYS)),
+            )
+            for attempt_id in ids
+        ]
+        found = callers.exchange_pipelined(source.choice(site.nodes).callers, requests)
+        for attempt_id, outcome in zip(ids, found, strict=True):
+            outcomes.statuses[attempt_id] = outcome.status
 
 
 def assert_promises_kept(outcomes: Outcomes) -> None:
@@ -181,3 +228,85 @@
     assert outcomes.promised()
     assert 502 not in outcomes.statuses.values()
     assert_promises_kept(outcomes)
+
+
+def test_pipelined_request_that_may_run_once_is_never_refused_after_it_ran(
+    site: platform_site.Site,
+) -> None:
+    send_surplus(site)
+    for upstream in (site.upstreams[0], site.upstreams[-1]):
+        # It rejects all requests, so that there are refusals whatever the load.
+        upstream.queue_length = 0
+    outcomes = play(site, seed=6603, call=send_several_at_once)
+    assert outcomes.promised()
+    assert_promises_kept(outcomes)
+
+
+def end_nodes(site: platform_site.Site, ended: threading.Event) -> None:
+    """Stop and kill nodes in turn while requests run there, and start them again."""
+    number = 0
+    while not ended.wait(0.5):
+        process = site.nodes[number % len(site.nodes)].process
+        process.signal(signal.SIGKILL if number % 2 else signal.SIGTERM)
+        process.wait()
+        site.restart_nodes()
+        number += 1
+
+
+def throttle_nodes(site: platform_site.Site, ended: threading.Event) -> None:
+    """Let nodes run for a part of the time, as with a quota of processor time."""
+    while not ended.wait(RUNNING_SECONDS):
+        for node in site.nodes:
+            node.process.signal(signal.SIGSTOP)
+        time.sleep(THROTTLED_SECONDS)
+        for node in site.nodes:
+            node.process.signal(signal.SIGCONT)
+
+
+def restart_backends(site: platform_site.Site, ended: threading.Event) -> None:
+    """End back ends while requests wait at them, and start them without their keys."""
+    number = 0
+    while not ended.wait(0.6):
+        site.restart_cold(site.upstreams[number % len(site.upstreams)], 0.0)
+        number += 1
+
+
+def lose_store_and_backends(site: platform_site.Site, ended: threading.Event) -> None:
+    """Let the store be away again and again, and end back ends meanwhile."""
+    while not ended.wait(0.5):
+        site.store.away = True
+        site.restart_cold(site.upstreams[0], 0.0)
+        ended.wait(1.5)
+        site.store.away = False
+
+
+def reset_connections(site: platform_site.Site, ended: threading.Event) -> None:
+    """Reset all connections to back ends again and again, whatever runs on them."""
+    while not ended.wait(0.25):
+        for upstream in site.upstreams:
+            if upstream.proxy is not None:
+                site.start_soon(upstream.proxy.reset_all)
+
+
+@pytest.mark.parametrize(
+    "disturb",
+    [throttle_nodes, reset_connections, restart_backends, lose_store_and_backends, end_nodes],
+    ids=lambda disturb: disturb.__name__,
+)
+def test_promises_hold_while_full_back_ends_reject_and(
+    site: platform_site.Site, disturb: Callable[[platform_site.Site, threading.Event], None]
+) -> None:
+    for upstream in site.upstreams:
+        upstream.queue_length = 1
+        upstream.service_seconds = 0.15
+    ended = threading.Event()
+    disturbing = threading.Thread(target=disturb, args=(site, ended))
+    disturbing.start()
+    try:
+        outcomes = play(site, seed=6604)
+    finally:
+        ended.set()
+        disturbing.join()
+    assert outcomes.promised()
+    assert outcomes.runs
+    assert_promises_kept(outcomes)
