--- a/src/limedeck/node/backend_paths.py
+++ b/src/limedeck/node/backend_paths.py
@@ -231,7 +231,9 @@
             request.headers + added,
             request.body,
             request.watched,
-            lambda response: self._protocol.names_request(request.request_id, response.headers),
+            is_answered_by=lambda response: self._protocol.names_request(
+                request.request_id, response.headers
+            ),
         )
 
     def may_be_broken_link(self, error: AttemptFailed) -> bool:
--- a/src/limedeck/node/intermediary_server.py
+++ b/src/limedeck/node/intermediary_server.py
@@ -217,5 +217,7 @@
             headers,
             body,
             attempt.watched,
-            lambda response: self._protocol.names_request(request_id, response.headers),
+            is_answered_by=lambda response: self._protocol.names_request(
+                request_id, response.headers
+            ),
         )
--- a/src/limedeck/routing/outcomes.py
+++ b/src/limedeck/routing/outcomes.py
@@ -68,6 +68,25 @@
     UNPROVEN_STATUS = "unproven-status"
 
 
+class NotRunEvidence(enum.Enum):
+    """What shows that an attempt has not run the request, and never will.
+
+    NOT_CONNECTED
+        There was no connection to the back end.
+    NOT_SENT
+        No byte of the request was written to a connection.
+    TURNED_AWAY
+        The back end reset the connection before a byte of the request was written.
+    STATED
+        The back end stated it in a response that names the request.
+    """
+
+    NOT_CONNECTED = "not-connected"
+    NOT_SENT = "not-sent"
+    TURNED_AWAY = "turned-away"
+    STATED = "stated"
+
+
 class Decision(enum.Enum):
     """What to do after a failed attempt."""
 
@@ -112,7 +131,15 @@
 """Part of the request was sent, and no part of a response arrived."""
 NO_LOAD_PHASES = UNREACHED_PHASES | {FailurePhase.LINK_LOST}
 """Attempts that do not count against the retry budget, which bounds the load of retries."""
-SURELY_NOT_RUN = REJECTED_PHASES | UNREACHED_PHASES
+EVIDENCE_OF_PHASE = {
+    FailurePhase.NOT_CONNECTED: NotRunEvidence.NOT_CONNECTED,
+    FailurePhase.NOT_SENT: NotRunEvidence.NOT_SENT,
+    FailurePhase.TURNED_AWAY: NotRunEvidence.TURNED_AWAY,
+    FailurePhase.REFUSED: NotRunEvidence.STATED,
+}
+"""What shows that an attempt did not run the request, by the phase in which it failed. An attempt
+that failed in another phase may have run it."""
+SURELY_NOT_RUN = frozenset(EVIDENCE_OF_PHASE)
 
 
 @dataclass(frozen=True)
--- a/src/limedeck/routing/run_evidence.py
+++ b/src/limedeck/routing/run_evidence.py
@@ -7,40 +7,13 @@
 
 from __future__ import annotations
 
-import enum
 from dataclasses import dataclass
 
 from limedeck.errors import InvariantViolation
-from limedeck.routing.outcomes import FailurePhase
-
-
-class NotRunEvidence(enum.Enum):
-    """What shows that an attempt has not run the request, and never will.
-
-    NOT_CONNECTED
-        There was no connection to the back end.
-    NOT_SENT
-        No byte of the request was written to a connection.
-    TURNED_AWAY
-        The back end reset the connection before a byte of the request was written.
-    STATED
-        The back end stated it in a response that names the request.
-    """
-
-    NOT_CONNECTED = "not-connected"
-    NOT_SENT = "not-sent"
-    TURNED_AWAY = "turned-away"
-    STATED = "stated"
-
+from limedeck.routing.outcomes import EVIDENCE_OF_PHASE, FailurePhase, NotRunEvidence
 
 NEVER_SENT_LABEL = "never-sent"
 """Summary of a proof for a request of which no attempt was made."""
-_EVIDENCE = {
-    FailurePhase.NOT_CONNECTED: NotRunEvidence.NOT_CONNECTED,
-    FailurePhase.NOT_SENT: NotRunEvidence.NOT_SENT,
-    FailurePhase.TURNED_AWAY: NotRunEvidence.TURNED_AWAY,
-    FailurePhase.REFUSED: NotRunEvidence.STATED,
-}
 
 
 def evidence_of(phase: FailurePhase | None) -> NotRunEvidence | None:
@@ -51,7 +24,7 @@
     phase
         None: the attempt has not ended.
     """
-    return _EVIDENCE.get(phase) if phase is not None else None
+    return EVIDENCE_OF_PHASE.get(phase) if phase is not None else None
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/unit/test_run_evidence.py
+++ b/tests/unit/test_run_evidence.py
@@ -9,12 +9,9 @@
 from limedeck.routing.outcomes import FailurePhase
 
 
-@pytest.mark.parametrize("phase", list(FailurePhase))
-def test_phases_have_evidence_if_and_only_if_the_request_surely_did_not_run(
-    phase: FailurePhase,
-) -> None:
-    has_evidence = run_evidence.evidence_of(phase) is not None
-    assert has_evidence == (phase in outcomes.SURELY_NOT_RUN)
+def test_only_a_rejection_or_an_unsent_request_has_evidence_that_it_did_not_run() -> None:
+    found = {phase for phase in FailurePhase if run_evidence.evidence_of(phase) is not None}
+    assert found == outcomes.REJECTED_PHASES | outcomes.UNREACHED_PHASES
 
 
 def test_request_that_was_never_sent_is_proved_not_to_have_run() -> None:
@@ -49,5 +46,5 @@
     ledger.begin_attempt("b").phase = FailurePhase.REFUSED
     proof = ledger.prove_not_run()
     assert proof is not None
-    expected = (run_evidence.NotRunEvidence.TURNED_AWAY, run_evidence.NotRunEvidence.STATED)
+    expected = (outcomes.NotRunEvidence.TURNED_AWAY, outcomes.NotRunEvidence.STATED)
     assert (proof.evidence, proof.summary) == (expected, "stated")
