--- a/tests/unit/test_room_under_load.py
+++ b/tests/unit/test_room_under_load.py
@@ -128,3 +128,33 @@
     monkeypatch.setattr(turn_decision, "URGENT_SHARE", 1.0)
     world = play.__wrapped__(4.0)
     assert world.in_time("urgent", KNOWN_FROM, BURST_UNTIL) < URGENT_IN_TIME
+
+
+def play_with_few_slots(seed: int) -> load_world.LoadWorld:
+    """Play a burst at owners with two slots, which the five nodes know from late totals only."""
+    work, slots, owners = 0.25, 2, 4
+    room = owners * slots / work
+    urgent_rate = URGENT_SHARE_OF_ROOM * room
+
+    def bulk_rate(now: float) -> float:
+        is_burst = BURST_FROM <= now < BURST_UNTIL
+        return 2.0 * room - urgent_rate if is_burst else CALM_LOAD * room
+
+    kinds = [
+        load_world.kind("urgent", urgent_rate, work, 0.8, 1.9, priority=0),
+        load_world.kind("bulk", bulk_rate, work, 1.4, 1.9, priority=2),
+    ]
+    world = load_world.LoadWorld(
+        kinds, [1.0] * owners, nodes=5, seed=seed, slots=slots, queue=8, keyed=True
+    )
+    world.run(ENDED)
+    return world
+
+
+def test_urgent_requests_are_served_in_time_by_owners_with_few_slots() -> None:
+    """Guards against nodes that each take the same free slot for theirs."""
+    worlds = [play_with_few_slots(seed) for seed in range(1, 9)]
+    in_time = [world.in_time("urgent", KNOWN_FROM, BURST_UNTIL) for world in worlds]
+    utilization = [world.utilization(KNOWN_FROM, BURST_UNTIL) for world in worlds]
+    assert min(utilization) >= 0.95
+    assert sum(in_time) / len(in_time) >= URGENT_IN_TIME, in_time
