--- a/src/limedeck/forwarding/protocol.py
+++ b/src/limedeck/forwarding/protocol.py
@@ -78,6 +78,8 @@
     """Keys are numbers from 0 up to this one, which is excluded."""
     reserved_headers: frozenset[bytes]
     """Headers that a node itself sets towards a back end."""
+    promising_statuses: frozenset[int]
+    """Statuses that callers take for the promise that their request did not run."""
 
     @abstractmethod
     def request_id(self, headers: dict[bytes, bytes]) -> bytes | None:
@@ -103,10 +105,6 @@
     def names_request(self, request_id: bytes, headers: Headers) -> bool:
         """Whether a response names this request; one that names none may belong to another."""
 
-    @abstractmethod
-    def promises_not_run(self, status: int) -> bool:
-        """Whether callers take a status for the promise that their request did not run."""
-
     @abstractmethod
     def retry_after(self, seconds: Seconds) -> tuple[bytes, bytes]:
         """Write the header that tells a caller when to retry."""
--- a/src/limedeck/node/response_reader.py
+++ b/src/limedeck/node/response_reader.py
@@ -89,7 +89,7 @@
 
         None if the response may be forwarded to the caller.
         """
-        if self._protocol.promises_not_run(status):
+        if status in self._protocol.promising_statuses:
             return FailurePhase.UNPROVEN_STATUS
         return FailurePhase.ERROR_RESPONSE if status >= SERVER_ERROR else None
 
--- a/src/limedeck/platform/headers.py
+++ b/src/limedeck/platform/headers.py
@@ -21,7 +21,6 @@
 LEAVING_TRUE = b"1"
 STORE_ERA = b"store-era"
 MISDIRECTED = 421
-PROMISING_STATUSES = frozenset({408, MISDIRECTED, 429, 503})
 MIN_UNSIGNED_STATUS = 300
 USUAL_SLOWDOWN_PERCENT = 100.0
 MIN_LOAD_FIELDS = 3
@@ -34,6 +33,7 @@
 
     key_positions = KEY_COUNT
     reserved_headers = frozenset({DEADLINE, EXPECTED_INSTANCE})
+    promising_statuses = frozenset({408, MISDIRECTED, 429, 503})
 
     def request_id(self, headers: dict[bytes, bytes]) -> bytes | None:
         return headers.get(REQUEST_ID)
@@ -70,9 +70,6 @@
     def names_request(self, request_id: bytes, headers: Headers) -> bool:
         return {value for name, value in headers if name == REQUEST_ID} == {request_id}
 
-    def promises_not_run(self, status: int) -> bool:
-        return status in PROMISING_STATUSES
-
     def retry_after(self, seconds: Seconds) -> tuple[bytes, bytes]:
         return (b"retry-after", b"%.2f" % seconds)
 
