--- a/src/limedeck/forwarding/protocol.py
+++ b/src/limedeck/forwarding/protocol.py
@@ -78,8 +78,8 @@
     """Keys are numbers from 0 up to this one, which is excluded."""
     reserved_headers: frozenset[bytes]
     """Headers that a node itself sets towards a back end."""
-    promising_statuses: frozenset[int]
-    """Statuses that callers take for the promise that their request did not run."""
+    not_run_statuses: frozenset[int]
+    """Statuses by which callers learn that their request did not run."""
 
     @abstractmethod
     def request_id(self, headers: dict[bytes, bytes]) -> bytes | None:
--- a/src/limedeck/node/gateway.py
+++ b/src/limedeck/node/gateway.py
@@ -139,10 +139,10 @@
         routes = self._state.routes
         configuration = self._state.configuration
         if self._state.closing:
-            await self._promise_not_run(caller, NEVER_SENT, STOP_RETRY_AFTER)
+            await self._respond_not_run(caller, NEVER_SENT, STOP_RETRY_AFTER)
             return
         if routes is None or configuration is None:
-            await self._promise_not_run(caller, NEVER_SENT, START_RETRY_AFTER)
+            await self._respond_not_run(caller, NEVER_SENT, START_RETRY_AFTER)
             return
         host, path = _host_and_path(scope, headers)
         route = routes.find(host, path)
@@ -157,7 +157,7 @@
             return
         if scope.get(OVERLAPPING) and not route.repeatable:
             # The configuration has changed since the request was received.
-            await self._promise_not_run(caller, NEVER_SENT, START_RETRY_AFTER)
+            await self._respond_not_run(caller, NEVER_SENT, START_RETRY_AFTER)
             return
         memory = ExchangeMemory(self._memory, Purpose.REQUESTS)
         try:
@@ -194,7 +194,7 @@
             return None
         except MemoryExhausted as error:
             self._log.record_memory_refusal(request_id, route, error, MEMORY_RETRY_AFTER, now)
-            await self._promise_not_run(caller, NEVER_SENT, MEMORY_RETRY_AFTER)
+            await self._respond_not_run(caller, NEVER_SENT, MEMORY_RETRY_AFTER)
             return None
         return body
 
@@ -383,12 +383,12 @@
 
     async def _refuse(self, caller: _Caller, refuse: Refuse, status: int) -> None:
         if refuse.proof is not None:
-            await self._promise_not_run(caller, refuse.proof, refuse.retry_after)
+            await self._respond_not_run(caller, refuse.proof, refuse.retry_after)
             return
         self._log.count_refusal(None)
         await self._respond(caller, status)
 
-    async def _promise_not_run(
+    async def _respond_not_run(
         self, caller: _Caller, proof: NotRunProof, retry_after: Seconds
     ) -> None:
         """Respond that the request did not run and never will, as the proof shows."""
--- a/src/limedeck/node/request_log.py
+++ b/src/limedeck/node/request_log.py
@@ -27,7 +27,7 @@
 MAX_TARGET_LENGTH = 200
 """Characters of a path and query that are logged."""
 NO_EVIDENCE_LABEL = "none"
-"""Label of refusals without a promise."""
+"""Label of refusals of requests that may have run."""
 FIRST_ERROR_STATUS = 400
 
 
--- a/src/limedeck/node/response_reader.py
+++ b/src/limedeck/node/response_reader.py
@@ -89,7 +89,7 @@
 
         None if the response may be forwarded to the caller.
         """
-        if status in self._protocol.promising_statuses:
+        if status in self._protocol.not_run_statuses:
             return FailurePhase.UNPROVEN_STATUS
         return FailurePhase.ERROR_RESPONSE if status >= SERVER_ERROR else None
 
--- a/src/limedeck/platform/headers.py
+++ b/src/limedeck/platform/headers.py
@@ -33,7 +33,7 @@
 
     key_positions = KEY_COUNT
     reserved_headers = frozenset({DEADLINE, EXPECTED_INSTANCE})
-    promising_statuses = frozenset({408, MISDIRECTED, 429, 503})
+    not_run_statuses = frozenset({408, MISDIRECTED, 429, 503})
 
     def request_id(self, headers: dict[bytes, bytes]) -> bytes | None:
         return headers.get(REQUEST_ID)
--- a/src/limedeck/routing/outcomes.py
+++ b/src/limedeck/routing/outcomes.py
@@ -52,8 +52,8 @@
     ERROR_RESPONSE
         The back end sent a complete response that reports an error.
     UNPROVEN_STATUS
-        The back end sent a complete response whose status promises callers that the request did not
-        run, but it did not state that.
+        The back end sent a complete response with a status by which callers learn that a request
+        did not run, but did not state that.
     """
 
     NOT_CONNECTED = "not-connected"
--- a/src/limedeck/routing/run_evidence.py
+++ b/src/limedeck/routing/run_evidence.py
@@ -1,8 +1,8 @@
-"""Evidence that no back end has run a request, which a promise to its caller needs.
+"""Evidence that no back end has run a request.
 
 A caller that is told that its request did not run may send it again, even if it may run only once.
-A `RunLedger` records what each attempt at a request showed, whichever way the attempt went. The
-promise needs a `NotRunProof`, which a ledger gives only with evidence for every attempt.
+A `RunLedger` records what each attempt at a request showed, whichever way the attempt went. Telling
+the caller so takes a `NotRunProof`, which a ledger gives only with evidence for every attempt.
 """
 
 from __future__ import annotations
--- a/src/limedeck_lab/explain/meanings.py
+++ b/src/limedeck_lab/explain/meanings.py
@@ -22,7 +22,7 @@
     RefusalReason.UNREACHABLE: "no back end could be reached",
     RefusalReason.RESPONSE_LOST: "a back end had received it, and the response was lost",
     RefusalReason.UNPROVEN_STATUS: (
-        "a back end's status would have promised that it did not run, which nothing showed"
+        "a back end's status would have told the caller that it did not run, which nothing showed"
     ),
     RefusalReason.TIMED_OUT: "its time was over",
     RefusalReason.STOPPED: "the node's planned stop ended before the response came",
@@ -48,7 +48,7 @@
     FailurePhase.RECEIVING: "the response broke off",
     FailurePhase.ERROR_RESPONSE: "the back end responded with an error",
     FailurePhase.UNPROVEN_STATUS: (
-        "the back end's status would have promised that it did not run, which it did not state"
+        "the back end's status means that it did not run, which the back end did not state"
     ),
 }
 CAUSES = {
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -443,7 +443,7 @@
 
     def _answer_with_unproven_status(self, source: random.Random) -> None:
         """Let back ends answer requests that they ran with a status by which none has run."""
-        status = source.choice(judging.PROMISES)
+        status = source.choice(judging.NOT_RUN_STATUSES)
         answering = self._choose_upstreams(source)
         for upstream in answering:
             upstream.status_after_run = status
--- a/tests/soak/judging.py
+++ b/tests/soak/judging.py
@@ -32,7 +32,7 @@
 MAX_REQUESTS_WHILE_COLD = 14
 """Requests that a cold back end may receive in any second from all nodes together."""
 MAX_REPORTED = 5
-PROMISES = (408, 421, 429, 503)
+NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses by which a caller is told that its request has not run."""
 
 
@@ -191,7 +191,7 @@
     def _judge_response(
         self, request: str, outcome: callers.Outcome, version: Version | None
     ) -> None:
-        if outcome.status in PROMISES:
+        if outcome.status in NOT_RUN_STATUSES:
             self._refused.add(request)
         if outcome.status == 503:
             return
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -131,7 +131,7 @@
             path = self._random.choice(platform_site.ONCE_PATHS)
             key = self._draw_key()
             for _ in range(MAX_ATTEMPTS):
-                if self._send(path, key) not in judging.PROMISES:
+                if self._send(path, key) not in judging.NOT_RUN_STATUSES:
                     break
                 stopping.wait(RETURN_DELAY)
         for connection in self._connections.values():
--- a/tests/system/test_refused_requests.py
+++ b/tests/system/test_refused_requests.py
@@ -48,7 +48,11 @@
 
     def promised(self) -> set[str]:
         """Return the attempts that were refused with a promise."""
-        return {attempt for attempt, status in self.statuses.items() if status in judging.PROMISES}
+        return {
+            attempt
+            for attempt, status in self.statuses.items()
+            if status in judging.NOT_RUN_STATUSES
+        }
 
 
 Call = Callable[[platform_site.Site, random.Random, int, Outcomes], None]
@@ -115,7 +119,7 @@
                 node = source.choice(site.nodes)
                 status = _send(client, node, path, key, attempt_id)
                 outcomes.statuses[attempt_id] = status
-                if status not in judging.PROMISES:
+                if status not in judging.NOT_RUN_STATUSES:
                     break
 
 
@@ -203,7 +207,7 @@
     [
         *(
             pytest.param(answer_after_run(status), id=f"status-{status}")
-            for status in judging.PROMISES
+            for status in judging.NOT_RUN_STATUSES
         ),
         pytest.param(send_surplus, id="surplus"),
         pytest.param(status_through_others, id="status-503-through-others"),
--- a/tests/unit/test_soak_parts.py
+++ b/tests/unit/test_soak_parts.py
@@ -480,7 +480,7 @@
         assert received == proxy.SURPLUS_RESPONSES[0] + b"y"
 
 
-@pytest.mark.parametrize("status", judging.PROMISES)
+@pytest.mark.parametrize("status", judging.NOT_RUN_STATUSES)
 def test_promise_of_any_status_for_a_request_that_ran_is_reported(status: int) -> None:
     judged, result, site = judge()
     judged.record_sent("a", "n", is_unsafe=True)
