--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,7 +7,9 @@
 import random
 import sys
 import time
+from dataclasses import dataclass, field
 from pathlib import Path
+from typing import ClassVar
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
@@ -20,10 +22,9 @@
 """Upstreams that send surplus answers: a share of 0.6."""
 SURPLUS_SHARE = 0.03
 """Part of their answers that are sent twice, at most; all of these are rejections."""
-SURPLUS_DELAY_S = (0.08, 0.25)
 TROUBLE_S = 5.0
 PAUSE_S = 1.0
-SECONDS = 95.0
+SECONDS = 85.0
 RATE = 90.0
 WORK_S = 0.11
 HOT_SHARE = 0.35
@@ -35,24 +36,27 @@
 NOT_RUN = (408, 421, 429, 503)
 
 
+@dataclass(eq=False)
 class FaultyUpstream(standins.Upstream):
-    """Sends some of its answers a second time, late, on the same connection."""
+    """Sends some rejections a second time: late, in the place where the next answer is expected."""
 
-    source = random.Random(7)
-    began = 0.0
-    answers = 0
-    surplus = 0
-    late: set[asyncio.Task[None]] = set()  # noqa: RUF012
+    answers: int = 0
+    surplus: int = 0
+    kept: dict[asyncio.StreamWriter, tuple[str, bytes]] = field(default_factory=dict)
+    began: ClassVar[float] = 0.0
 
     async def handle(self, request: standins.Request, writer: asyncio.StreamWriter) -> bytes | None:
+        if writer in self.kept:
+            rejected, copy = self.kept.pop(writer)
+            self.record.write(f"surplus 503 for {rejected} before the answer to {request.id}")
+            writer.write(copy)
         response = await super().handle(request, writer)
         if response is not None and request.id and self._is_in_trouble():
             self.answers += 1
             is_rejection = response.split(b" ", 2)[1] == b"503"
             if is_rejection and self.surplus + 1 <= SURPLUS_SHARE * self.answers:
                 self.surplus += 1
-                task = asyncio.create_task(self._send_again(request, response, writer))
-                self.late.add(task)
+                self.kept[writer] = (request.id, response)
         return response
 
     def _is_in_trouble(self) -> bool:
@@ -60,14 +64,6 @@
         is_time = self.began and (time.monotonic() - self.began) % (TROUBLE_S + PAUSE_S) < TROUBLE_S
         return bool(standins.has_trouble() and is_faulty and is_time)
 
-    async def _send_again(
-        self, request: standins.Request, response: bytes, writer: asyncio.StreamWriter
-    ) -> None:
-        await asyncio.sleep(self.source.uniform(*SURPLUS_DELAY_S))
-        if not writer.is_closing():
-            self.record.write(f"surplus 503 for {request.id} from {self.name}")
-            writer.write(response)
-
 
 async def case_surplus_rejection(record: standins.Record) -> bool:
     """Send requests that may run once to owners that are full at times."""
--- a/review/standins.py
+++ b/review/standins.py
@@ -383,6 +383,7 @@
     _sent: int = 0
     _servers: list[asyncio.Server] = field(default_factory=list)
     _tasks: list[asyncio.Task[None]] = field(default_factory=list)
+    _beats: dict[str, tuple[asyncio.Server, asyncio.Task[None]]] = field(default_factory=dict)
     _store_address: str = ""
 
     def add_upstreams(
@@ -425,8 +426,7 @@
         self._store_address = f"{host}:{port}"
         self._servers.append(await serve_http(self.store.handle, host, port))
         for upstream in self.upstreams:
-            self._servers.append(await serve_http(upstream.handle, *upstream.address))
-            self._tasks.append(asyncio.create_task(self._beat(upstream)))
+            await self.start_upstream(upstream)
         for number in range(nodes):
             ip = f"127.0.1.{number + 1}"
             names = ("http", "readiness", "first", "last")
@@ -445,6 +445,23 @@
             await asyncio.sleep(0.2)
         raise CannotRun("nodes are not ready")
 
+    async def start_upstream(self, upstream: Upstream) -> None:
+        server = await serve_http(upstream.handle, *upstream.address)
+        self._servers.append(server)
+        self._beats[upstream.name] = (server, asyncio.create_task(self._beat(upstream)))
+
+    def end_upstream_later(self, upstream: Upstream, delay_s: float) -> None:
+        """End an upstream that leaves, after it has served on."""
+
+        async def end() -> None:
+            await asyncio.sleep(delay_s)
+            server, beat = self._beats[upstream.name]
+            beat.cancel()
+            self.store.remove("servers", upstream.name)
+            server.close()
+
+        self._tasks.append(asyncio.create_task(end()))
+
     async def _beat(self, upstream: Upstream) -> None:
         while True:
             self.store.put("servers", upstream.name, upstream.entry())
@@ -582,9 +599,10 @@
 
     async def stop(self) -> None:
         self.stopping = True
-        for task in self._tasks:
+        tasks = [*self._tasks, *(beat for _, beat in self._beats.values())]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         for node in self.nodes:
             if node.process is not None and node.process.poll() is None:
                 node.process.send_signal(signal.SIGCONT)
