Logs name the connection of a rejection; responses of other requests are counted

Callers saw 503 for requests that ran. An attempt that ended as refused did not say which connection its response came on, nor whether that had carried requests before, so that a true rejection, a surplus copy of one and a response put together from two could not be told apart. attempt_failed has connection and exchange now, explain shows them, and limedeck_unmatched_responses_total counts responses that name another request. No decision changes.

--- a/src/limedeck/http_client.py
+++ b/src/limedeck/http_client.py
@@ -79,13 +79,36 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class Carrier:
+    """The connection that carried an exchange.
+
+    Parameters
+    ----------
+    number
+        Number of the connection, in the order in which its client opened them.
+    exchanges
+        Requests that were sent on it so far, with that of this exchange.
+    """
+
+    number: int
+    exchanges: int
+
+
 @dataclass(frozen=True, slots=True)
 class HttpResponse:
-    """A complete response."""
+    """A complete response.
+
+    Parameters
+    ----------
+    carrier
+        The connection that it came on; None if another node received it.
+    """
 
     status: int
     headers: Headers
     body: bytes
+    carrier: Carrier | None = None
 
 
 def any_response(response: HttpResponse) -> bool:
@@ -123,8 +146,12 @@
 class _Connection:
     """A connection, and the parser of its latest response."""
 
-    def __init__(self, stream: SocketStream, memory: response_memory.ResponseMemory) -> None:
+    def __init__(
+        self, stream: SocketStream, memory: response_memory.ResponseMemory, number: int
+    ) -> None:
         self.stream = stream
+        self._number = number
+        self._exchanges = 0
         self._memory = memory
         self._parser = http_codec.ResponseParser()
         self.idle_until: Seconds = 0.0
@@ -140,6 +167,7 @@
     async def exchange(self, request: HttpRequest) -> HttpResponse:
         """Send a request and read the complete response."""
         head = self._encode_head(request)
+        self._exchanges += 1
         self._body_sent = False
         self._parser = http_codec.ResponseParser(request.method == b"HEAD")
         if len(request.body) <= SMALL_BODY_BYTES:
@@ -205,7 +233,8 @@
                 raise AttemptFailed(phase, str(error), by_other_end=True) from error
             except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
                 raise AttemptFailed(phase, _describe_error(error), by_other_end=True) from error
-        return HttpResponse(parser.status, parser.headers, parser.take_body())
+        carrier = Carrier(self._number, self._exchanges)
+        return HttpResponse(parser.status, parser.headers, parser.take_body(), carrier)
 
     def _handle_end_of_stream(self, parser: http_codec.ResponseParser, phase: FailurePhase) -> None:
         try:
@@ -402,7 +431,7 @@
         try:
             for option in self._socket_options:
                 stream.extra(SocketAttribute.raw_socket).setsockopt(*option)
-            return _Connection(stream, self._memory)
+            return _Connection(stream, self._memory, self.connections_opened)
         except MISSING_SOCKET_ERRORS as error:
             await anyio.aclose_forcefully(stream)
             raise AttemptFailed(FailurePhase.TURNED_AWAY, "reset right after opening") from error
--- a/src/limedeck/node/backend_paths.py
+++ b/src/limedeck/node/backend_paths.py
@@ -9,7 +9,13 @@
 from limedeck.forwarding.backend_state import BackendState
 from limedeck.forwarding.backends import BackendDirectory
 from limedeck.forwarding.protocol import CallerProtocol, Headers
-from limedeck.http_client import UNACKNOWLEDGED, HttpClient, HttpRequest, HttpResponse
+from limedeck.http_client import (
+    FOREIGN_RESPONSE,
+    UNACKNOWLEDGED,
+    HttpClient,
+    HttpRequest,
+    HttpResponse,
+)
 from limedeck.identity import Seconds
 from limedeck.model import Backend
 from limedeck.node.intermediary_client import (
@@ -185,6 +191,8 @@
             try:
                 response = await self._client.exchange(self._encode(request, until), until)
             except AttemptFailed as error:
+                if error.problem == FOREIGN_RESPONSE:
+                    self._telemetry.unmatched_responses.inc()
                 if self.may_be_broken_link(error):
                     self._record_broken_link(backend_id, error)
                 raise self._classify(backend_id, error) from error
--- a/src/limedeck/node/intermediary_server.py
+++ b/src/limedeck/node/intermediary_server.py
@@ -12,7 +12,7 @@
 from limedeck.forwarding.commands import Attempt
 from limedeck.forwarding.protocol import CallerProtocol, Headers
 from limedeck.held_memory import MemoryLimits, Purpose
-from limedeck.http_client import HttpClient, HttpRequest, HttpResponse
+from limedeck.http_client import FOREIGN_RESPONSE, HttpClient, HttpRequest, HttpResponse
 from limedeck.identity import Seconds
 from limedeck.memory_keeper import MemoryKeeper
 from limedeck.node import http_messages
@@ -168,6 +168,8 @@
                 self._monitor.suspect(backend_id)
             elif error.is_reset_without_response:
                 self._monitor.record_failed_exchange(backend_id)
+            elif error.problem == FOREIGN_RESPONSE:
+                self._telemetry.unmatched_responses.inc()
             self._telemetry.forwarded_attempts.labels("for-others", error.phase.value).inc()
             failed = messages.result_headers(messages.AttemptResult.FAILED, error)
             return _Response(messages.NO_RESPONSE_STATUS, failed)
--- a/src/limedeck/node/request_log.py
+++ b/src/limedeck/node/request_log.py
@@ -15,6 +15,7 @@
 from limedeck.forwarding.request import RequestCore
 from limedeck.forwarding.routes import choose_service
 from limedeck.forwarding.stated_load import RefutedLoad
+from limedeck.http_client import Carrier
 from limedeck.identity import Seconds
 from limedeck.model import Backend, Route
 from limedeck.node.exchange_memory import MemoryExhausted
@@ -145,6 +146,24 @@
             }
         self.record_failed_attempt(request_id, backend, phase, problem, **fields)
 
+    def record_rejected_attempt(
+        self,
+        request_id: bytes,
+        backend: Backend,
+        phase: FailurePhase,
+        status: int,
+        carrier: Carrier | None,
+    ) -> None:
+        """Record an attempt whose response cannot be forwarded, and where that came from."""
+        self.record_failed_attempt(
+            request_id,
+            backend,
+            phase,
+            f"status {status}",
+            connection=carrier.number if carrier is not None else None,
+            exchange=carrier.exchanges if carrier is not None else None,
+        )
+
     def record_failed_attempt(
         self,
         request_id: bytes,
--- a/src/limedeck/node/response_reader.py
+++ b/src/limedeck/node/response_reader.py
@@ -73,16 +73,19 @@
             return ResponseResult(FailurePhase.AWAITING, now)
         self._record_statements(attempt, metadata, response, requested_at, now)
         if metadata.not_run:
-            problem = f"status {response.status}"
-            self._log.record_failed_attempt(request_id, backend, FailurePhase.REFUSED, problem)
-            return ResponseResult(FailurePhase.REFUSED, now, metadata.load, metadata.wrong_instance)
-        phase = self._error_phase(response.status)
-        if phase is not None:
+            phase = FailurePhase.REFUSED
+            self._log.record_rejected_attempt(
+                request_id, backend, phase, response.status, response.carrier
+            )
+            return ResponseResult(phase, now, metadata.load, metadata.wrong_instance)
+        error_phase = self._error_phase(response.status)
+        if error_phase is not None:
             if response.status >= SERVER_ERROR and response.status != DEADLINE_PASSED:
                 attempt.state.record_failure(now)
-            problem = f"status {response.status}"
-            self._log.record_failed_attempt(request_id, backend, phase, problem)
-        return ResponseResult(phase, now, metadata.load, metadata.wrong_instance)
+            self._log.record_rejected_attempt(
+                request_id, backend, error_phase, response.status, response.carrier
+            )
+        return ResponseResult(error_phase, now, metadata.load, metadata.wrong_instance)
 
     def _error_phase(self, status: int) -> FailurePhase | None:
         """Return how an attempt failed whose response does not state that the request did not run.
--- a/src/limedeck/node/telemetry.py
+++ b/src/limedeck/node/telemetry.py
@@ -36,6 +36,11 @@
             ["evidence"],
             registry=registry,
         )
+        self.unmatched_responses = Counter(
+            "limedeck_unmatched_responses",
+            "Responses of back ends that do not name the request sent on their connection last",
+            registry=registry,
+        )
         self.backend_crashes = Counter(
             "limedeck_backend_crashes",
             "Back ends that ended while they were at work on requests, as this node knows",
--- a/src/limedeck_lab/explain/sentences.py
+++ b/src/limedeck_lab/explain/sentences.py
@@ -82,7 +82,11 @@
     phase = meaning_of_phase(line.get("phase"))
     evidence = line.get("evidence")
     shown = f"; did not run: {evidence}" if evidence is not None else ""
-    return f"attempt at {line.get('backend')} failed: {phase} ({line.get('problem')}){shown}"
+    number = line.get("connection")
+    carrier = "" if number is None else f", exchange {line.get('exchange')} on connection {number}"
+    return (
+        f"attempt at {line.get('backend')} failed: {phase} ({line.get('problem')}){shown}{carrier}"
+    )
 
 
 def _owner_changed(line: LogLine) -> str:
--- a/tests/unit/test_explain.py
+++ b/tests/unit/test_explain.py
@@ -257,3 +257,20 @@
     )
     texts = [item.text for item in story_of_request([forwarded, GIVEN_UP], "r1")]
     assert "attempt at b1 through 127.0.0.7:5 failed: unable" in texts
+
+
+def test_story_of_a_rejected_attempt_names_the_connection_of_the_response() -> None:
+    rejected = line(
+        99.9,
+        "n1",
+        "attempt_failed",
+        request="r1",
+        backend="b1",
+        phase="refused",
+        problem="status 503",
+        evidence="stated",
+        connection=7,
+        exchange=2,
+    )
+    texts = [item.text for item in story_of_request([rejected, GIVEN_UP], "r1")]
+    assert any(text.endswith("did not run: stated, exchange 2 on connection 7") for text in texts)
--- a/tests/unit/test_http_client.py
+++ b/tests/unit/test_http_client.py
@@ -136,6 +136,21 @@
         assert caught.value.phase is phase
 
 
+async def test_a_response_names_the_connection_that_carried_it() -> None:
+    script = Script([OK, OK, OK])
+    async with backend(script) as request:
+        client = HttpClient()
+        carriers = []
+        for _ in range(2):
+            response = await client.exchange(request, steady_clock() + EXCHANGE_TIMEOUT)
+            carriers.append(response.carrier)
+        await client.aclose()
+        response = await client.exchange(request, steady_clock() + EXCHANGE_TIMEOUT)
+        carriers.append(response.carrier)
+    carrier = http_client.Carrier
+    assert carriers == [carrier(1, 1), carrier(1, 2), carrier(2, 1)]
+
+
 async def test_a_connection_is_reused() -> None:
     script = Script([OK, OK])
     async with backend(script) as request:
