System test of repeated rejections, which fails: a request is refused as not run and runs

Callers saw 503 for requests that ran, and requests that may run once ran twice. Real nodes, a service with keys whose routes differ in priority: an owner rejects a request the first time, and the rejection arrives once more as the next request on its connection arrives. The nodes' logs show two attempts that ended as refused, exchange 1 and 2 on the same connection.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -25,11 +25,15 @@
     SURPLUS
         Every second request on a connection is answered by a surplus response that names no
         request and states that the request did not run; the request is passed on all the same.
+    REPEAT_REJECTIONS
+        A rejection is sent once more when the next request on its connection arrives, which is
+        passed on all the same.
     """
 
     PASS = "pass"
     DELAY = "delay"
     SURPLUS = "surplus"
+    REPEAT_REJECTIONS = "repeat-rejections"
     DROP_RESPONSES = "cut-replies"
     SILENT = "silent"
 
@@ -66,6 +70,7 @@
 LATE_RESET_DELAY = 0.2
 """Seconds."""
 
+REJECTION_START = b"HTTP/1.1 503"
 SURPLUS_RESPONSES = tuple(
     b"HTTP/1.1 %d Surplus\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n" % status
     for status in (503, 400, 421)
@@ -188,10 +193,12 @@
             return
         self._streams |= {caller, target}
         self._connections[caller] = source
+        rejections: list[bytes] = []
         try:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._pump, caller, target, False, tasks.cancel_scope)
-                tasks.start_soon(self._pump, target, caller, True, tasks.cancel_scope)
+                scope = tasks.cancel_scope
+                tasks.start_soon(self._pump, caller, target, False, scope, rejections)
+                tasks.start_soon(self._pump, target, caller, True, scope, rejections)
         finally:
             self._streams -= {caller, target}
             del self._connections[caller]
@@ -205,6 +212,7 @@
         sink: anyio.abc.SocketStream,
         is_response: bool,
         scope: anyio.CancelScope,
+        rejections: list[bytes],
     ) -> None:
         chunks = 0
         try:
@@ -220,6 +228,11 @@
                 if self.mode is Mode.SURPLUS and not is_response and chunks % 2 == 0:
                     await source.send(SURPLUS_RESPONSES[self.surplus_sent % 3])
                     self.surplus_sent += 1
+                if is_response and data.startswith(REJECTION_START):
+                    rejections.append(data)
+                if self.mode is Mode.REPEAT_REJECTIONS and not is_response and rejections:
+                    await source.send(rejections.pop())
+                    self.surplus_sent += 1
                 await sink.send(data)
         except (OSError, anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
             scope.cancel()
--- a/tests/system/platform_site.py
+++ b/tests/system/platform_site.py
@@ -115,6 +115,8 @@
         once.
     running, waiting
         Requests that it works on, and that wait, if they are counted.
+    rejects_once
+        Whether it rejects each request the first time that it receives it.
     status_after_run
         Status of its responses to requests that it has run, which state nothing; zero: 200.
     large_path, large_bytes
@@ -151,6 +153,8 @@
     queue_length: int | None = None
     running: int = 0
     waiting: int = 0
+    rejects_once: bool = False
+    rejected_ids: set[bytes] = field(default_factory=set)
     status_after_run: int = 0
     large_path: str = ""
     large_bytes: int = 0
@@ -226,7 +230,8 @@
         if self.requested_backoff:
             await self._reject_with_backoff(request_id, echo, send)
             return
-        if self.queue_length is not None and self.waiting >= self.queue_length:
+        is_full = self.queue_length is not None and self.waiting >= self.queue_length
+        if is_full or self._rejects_first(request_id):
             await _respond(send, 503, [*echo, (b"x-not-executed", b"1")])
             return
         await self._run(request_id)
@@ -238,6 +243,13 @@
         signed = [*echo, (b"x-upstream-signature", self.name.encode())]
         await self._respond_to_run(path, request_id, body, signed, send)
 
+    def _rejects_first(self, request_id: bytes) -> bool:
+        """Whether a request is rejected because it comes for the first time."""
+        if not self.rejects_once or request_id in self.rejected_ids:
+            return False
+        self.rejected_ids.add(request_id)
+        return True
+
     async def _respond_to_run(
         self,
         path: str,
@@ -527,6 +539,8 @@
     cold_rate
         Requests per second for a cold upstream in configurations written from now on; zero: not
         configured.
+    version
+        Version of the configuration that was written last.
     start_soon
         Starts a coroutine function in the event loop that serves the upstreams.
     launch_node
@@ -542,6 +556,7 @@
     sent: int = 0
     restarts: int = 0
     cold_rate: float = 0.0
+    version: int = 0
     start_soon: Callable[..., object] = print
     launch_node: Callable[[int, int], NodeProcess] = _not_started
 
@@ -572,6 +587,7 @@
 
     def configure(self, version: int, routes: list[dict[str, Any]]) -> None:
         """Write the operator's configuration."""
+        self.version = version
         cold = {"warmup_per_s": self.cold_rate, "warmup_s": 3.0} if self.cold_rate else {}
         services = [
             {"name": "keyed", "health_check": "/h", "max_connections": 50, "sharded": True, **cold},
@@ -675,6 +691,7 @@
     route("/keyed-once/", "keyed", "unsafe"),
     route("/plain/", "plain", "unsafe"),
 ]
+ROUTES_OF_TWO_PRIORITIES = [{**ROUTES[0], "priority": 2}, *ROUTES[1:]]
 ONCE_PATHS = ("/plain/x", "/keyed-once/x")
 """Paths of requests that may run once, at services without and with keys."""
 
--- a/tests/system/test_refused_requests.py
+++ b/tests/system/test_refused_requests.py
@@ -27,6 +27,7 @@
 RUNNING_SECONDS, THROTTLED_SECONDS = 0.03, 0.07
 PIPELINED = 4
 """Requests that a caller sends at once."""
+HOT_KEY = 7
 LATE_RUN_TIME = 1.0
 """Seconds within which a refused request that was sent all the same would have run."""
 
@@ -74,15 +75,19 @@
     for upstream in site.upstreams:
         upstream.status_after_run = 0
         upstream.queue_length = None
+        upstream.rejects_once = False
         upstream.service_seconds = platform_site.SERVICE_SECONDS
         if upstream.proxy is not None:
             upstream.proxy.mode = proxy.Mode.PASS
+    site.configure(site.version + 1, platform_site.ROUTES)
     site.restart_nodes()
     wait_until(lambda: all(node.is_ready() for node in site.nodes), "nodes are ready")
     wait_until(site.all_keys_are_owned, "all keys have owners")
 
 
-def play(site: platform_site.Site, seed: int, call: Call | None = None) -> Outcomes:
+def play(
+    site: platform_site.Site, seed: int, call: Call | None = None, callers_count: int = CALLERS
+) -> Outcomes:
     """Have callers send requests that may run once; by default they return after refusals."""
     outcomes = Outcomes()
     before = len(site.runs)
@@ -91,7 +96,7 @@
             target=call or return_after_refusals,
             args=(site, random.Random(seed + number), number, outcomes),
         )
-        for number in range(CALLERS)
+        for number in range(callers_count)
     ]
     for thread in threads:
         thread.start()
@@ -123,6 +128,21 @@
                     break
 
 
+def send_to_one_owner(
+    site: platform_site.Site, source: random.Random, number: int, outcomes: Outcomes
+) -> None:
+    """Send requests for one key to the first node one after the other."""
+    end = time.monotonic() + DISTURBED_SECONDS
+    with httpx.Client(timeout=4.0, trust_env=False) as client:
+        for request in range(REQUESTS_PER_CALLER):
+            if time.monotonic() > end:
+                return
+            attempt_id = f"{number:04x}{source.getrandbits(24):06x}{request:06x}"
+            outcomes.statuses[attempt_id] = _send(
+                client, site.nodes[0], platform_site.ONCE_PATHS[1], HOT_KEY, attempt_id
+            )
+
+
 def _send(
     client: httpx.Client, node: platform_site.NodeProcess, path: str, key: int, attempt_id: str
 ) -> int:
@@ -246,6 +266,43 @@
     assert_promises_kept(outcomes)
 
 
+def repeat_rejections(site: platform_site.Site) -> None:
+    """Have rejections arrive again in the place of the next response.
+
+    A request is sent to the same owner again after a rejection if routes of different priorities
+    share the service.
+    """
+    site.configure(site.version + 1, platform_site.ROUTES_OF_TWO_PRIORITIES)
+    time.sleep(1.0)
+    for upstream in site.upstreams:
+        upstream.rejects_once = True
+        if upstream.proxy is not None:
+            upstream.proxy.mode = proxy.Mode.REPEAT_REJECTIONS
+
+
+def repeat_rejections_to_others(site: platform_site.Site) -> None:
+    """Have repeated rejections arrive at nodes that make attempts for another one."""
+    cut_off_first_node(site)
+    repeat_rejections(site)
+
+
+@pytest.mark.parametrize(
+    ("prepare", "seed"),
+    [
+        pytest.param(repeat_rejections, 7201, id="direct"),
+        pytest.param(repeat_rejections_to_others, 7202, id="through-others"),
+    ],
+)
+def test_repeated_rejection_is_not_taken_for_the_answer_to_the_next_attempt(
+    site: platform_site.Site, prepare: Callable[[platform_site.Site], None], seed: int
+) -> None:
+    prepare(site)
+    outcomes = play(site, seed, send_to_one_owner, callers_count=1)
+    repeated = sum(upstream.proxy.surplus_sent for upstream in site.upstreams if upstream.proxy)
+    assert repeated > 0
+    assert_promises_kept(outcomes)
+
+
 def end_nodes(site: platform_site.Site, ended: threading.Event) -> None:
     """Stop and kill nodes in turn while requests run there, and start them again."""
     number = 0
