A connection carries no request twice, so that a response shows which attempt it belongs to

Callers saw 503 for requests that ran, and requests that may run once ran twice: a back end's rejection arrived twice, and the copy was taken for the answer to the next attempt at the same request. All attempts have the same id, and a connection was used again for the same request, so the id in a response did not tell the attempts apart.

The pool keeps with each connection the ids that it has carried, until the deadline of the attempt, and gives a request a connection that has not carried its id, or a new one. A rejected connection stays in use for other requests. This holds for direct attempts, for those that a node makes for others, and between the nodes; it doesn't ask why a request comes to the same back end again (owner of its key, a permit, another incarnation at the address).

--- a/src/limedeck/http_client.py
+++ b/src/limedeck/http_client.py
@@ -122,6 +122,11 @@
 
     Parameters
     ----------
+    request_id
+        The id that responses to this request name; empty if they name none. All attempts at a
+        request have the same id, so a response shows which of them it belongs to only if its
+        connection has carried the id once. No connection carries an id again before the deadline of
+        the attempt that it carried.
     watched
         Before the request is sent on a new connection, wait `EARLY_RESET_WINDOW` for a reset: after
         a reset that follows sending, it is unknown whether the request has run.
@@ -138,6 +143,7 @@
     target: bytes
     headers: Headers
     body: bytes = b""
+    request_id: bytes = b""
     watched: bool = False
     is_answered_by: Callable[[HttpResponse], bool] = any_response
     keeps_connection: Callable[[HttpResponse], bool] = any_response
@@ -152,6 +158,7 @@
         self.stream = stream
         self._number = number
         self._exchanges = 0
+        self._carried: dict[bytes, Seconds] = {}
         self._memory = memory
         self._parser = http_codec.ResponseParser()
         self.idle_until: Seconds = 0.0
@@ -160,6 +167,20 @@
         self._poll = select.poll()
         self._poll.register(self._descriptor, select.POLLIN)
 
+    def has_carried(self, request_id: bytes) -> bool:
+        """Whether an attempt at this request was sent on this connection."""
+        return request_id in self._carried
+
+    def record_carried(self, request_id: bytes, until: Seconds) -> None:
+        """Record that an attempt is sent; there may be another one until this one's deadline."""
+        now = steady_clock()
+        for former, expires_at in list(self._carried.items()):
+            if expires_at >= now:
+                break
+            del self._carried[former]
+        if request_id:
+            self._carried[request_id] = until
+
     def has_no_input(self) -> bool:
         """Whether neither bytes nor the connection's end have arrived since the last response."""
         return not self._poll.poll(0)
@@ -309,6 +330,7 @@
             There is no complete response by `until` (on this node's clock).
         """
         connection = await self._acquire(request, until)
+        connection.record_carried(request.request_id, until)
         reusable = False
         has_response = False
         try:
@@ -408,7 +430,9 @@
     async def _acquire(self, request: HttpRequest, until: Seconds) -> _Connection:
         idle = self._idle.get(request.address)
         while idle:
-            connection = idle.pop()
+            connection = _take_latest(idle, request.request_id)
+            if connection is None:
+                break
             if connection.idle_until > steady_clock() and connection.has_no_input():
                 return connection
             await connection.aclose()
@@ -437,6 +461,15 @@
             raise AttemptFailed(FailurePhase.TURNED_AWAY, "reset right after opening") from error
 
 
+def _take_latest(idle: deque[_Connection], request_id: bytes) -> _Connection | None:
+    """Take the connection used last that has not carried this request; None if each has."""
+    for connection in reversed(idle):
+        if not connection.has_carried(request_id):
+            idle.remove(connection)
+            return connection
+    return None
+
+
 def _describe_error(error: Exception) -> str:
     """Return the type of a connection's error, or `UNACKNOWLEDGED` for `TCP_USER_TIMEOUT`."""
     cause: BaseException | None = error
--- a/src/limedeck/node/backend_paths.py
+++ b/src/limedeck/node/backend_paths.py
@@ -238,6 +238,7 @@
             request.target,
             request.headers + added,
             request.body,
+            request.request_id,
             request.watched,
             is_answered_by=lambda response: self._protocol.names_request(
                 request.request_id, response.headers
--- a/src/limedeck/node/intermediary_client.py
+++ b/src/limedeck/node/intermediary_client.py
@@ -136,12 +136,14 @@
         self, chosen: Intermediary, request: ForwardedRequest, until: Seconds
     ) -> HttpResponse:
         headers = messages.without_attempt_headers(request.headers)
+        is_probe = request.attempt.kind is messages.AttemptKind.PROBE
         sent = HttpRequest(
             chosen.address,
             request.method,
             request.target,
             headers + messages.attempt_headers(request.attempt, request.request_id),
             request.body,
+            b"" if is_probe else request.request_id,
         )
         self._intermediaries.record_sent(chosen.address)
         try:
--- a/src/limedeck/node/intermediary_server.py
+++ b/src/limedeck/node/intermediary_server.py
@@ -218,6 +218,7 @@
             http_messages.request_target(scope),
             headers,
             body,
+            request_id,
             attempt.watched,
             is_answered_by=lambda response: self._protocol.names_request(
                 request_id, response.headers
--- a/src/limedeck/routing/outcomes.py
+++ b/src/limedeck/routing/outcomes.py
@@ -78,7 +78,8 @@
     TURNED_AWAY
         The back end reset the connection before a byte of the request was written.
     STATED
-        The back end stated it in a response that names the request.
+        The back end stated it in a response that names the request, on a connection that had
+        carried no other attempt at it.
     """
 
     NOT_CONNECTED = "not-connected"
--- a/tests/unit/test_http_client.py
+++ b/tests/unit/test_http_client.py
@@ -280,6 +280,7 @@
 
     def __init__(self, is_usable: bool) -> None:
         self.idle_until = steady_clock() + EXCHANGE_TIMEOUT
+        self._carried = {}
         self.closing = anyio.Event()
         self.may_close = anyio.Event()
         self.is_closed = False
@@ -435,6 +436,56 @@
         tasks.cancel_scope.cancel()
 
 
+REJECTION = b"HTTP/1.1 503 Full\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
+
+
+async def test_repeated_rejection_is_not_the_response_to_the_next_attempt_at_its_request() -> None:
+    connections = 0
+
+    async def serve(stream: SocketStream) -> None:
+        nonlocal connections
+        connections += 1
+        is_first = connections == 1
+        async with stream:
+            with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+                while True:
+                    await stream.receive()
+                    await stream.send(REJECTION if is_first else OK)
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    address = f"127.0.0.1:{listener.extra(SocketAttribute.local_port)}"
+    request = HttpRequest(address, b"POST", b"/x", [(b"host", b"h")], request_id=b"r1")
+    other = replace(request, request_id=b"r2")
+    client = HttpClient()
+    async with listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, serve)
+        statuses = []
+        for sent in (request, request, other, request):
+            response = await client.exchange(sent, steady_clock() + EXCHANGE_TIMEOUT)
+            assert response.carrier is not None
+            statuses.append((response.status, response.carrier.number))
+        await client.aclose()
+        tasks.cancel_scope.cancel()
+    assert statuses == [(503, 1), (200, 2), (200, 2), (200, 3)]
+
+
+async def test_a_connection_carries_a_request_again_after_the_deadline_of_its_attempt() -> None:
+    async with backend(Script([OK, OK, OK])) as request:
+        client = HttpClient()
+        named = replace(request, request_id=b"r1")
+        carriers = []
+        for sent, deadline in (
+            (named, 0.05),
+            (replace(request, request_id=b"r2"), 1.0),
+            (named, 1.0),
+        ):
+            response = await client.exchange(sent, steady_clock() + deadline)
+            carriers.append(response.carrier)
+            await anyio.sleep(0.1)
+        await client.aclose()
+    assert [carrier.number for carrier in carriers if carrier] == [1, 1, 1]
+
+
 async def test_surplus_response_fails_the_attempt_and_its_connection_is_not_used_again() -> None:
     rejection = b"HTTP/1.1 503 Full\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
     script = Script([rejection, OK])
