A repeated response to a grant is not taken for that to a release

Callers saw nothing refused here; keys were granted to a back end while the former owner still worked on them: the copy of its response to a renewal was taken for that to a release, which it carries out only once its work has ended.

Orders name no request, so the response has to show what it answers. That to a release carries a handover, that to a grant does not. A response that says done without a handover no longer ends a release: the connection is reset, and the release is sent once more on a connection that carries nothing else, where any response is its own. A connection that has carried a release is not used again, so no response to a release is taken for that to another order.

A grant that is taken for carried out although its response was an earlier one's is left as it is: the leader then believes in a later end of the lease than the owner, which delays a hand-over and never brings it forward.

Before: test_response_to_a_grant_is_not_taken_for_that_to_a_release[repeated] fails, the release counts as done without a handover. Now it passes, also with back ends that send no handover.

--- a/src/limedeck/http_client.py
+++ b/src/limedeck/http_client.py
@@ -116,6 +116,11 @@
     return True
 
 
+def no_response(response: HttpResponse) -> bool:
+    """Return False, whatever the response."""
+    return False
+
+
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
     """A request to a server.
@@ -136,6 +141,8 @@
     keeps_connection
         Whether the connection may be used again after a response. If responses name no request,
         only an expected one shows that no other response to this request follows.
+    has_own_connection
+        Send it on a new connection, which carries nothing else.
     """
 
     address: str
@@ -147,6 +154,7 @@
     watched: bool = False
     is_answered_by: Callable[[HttpResponse], bool] = any_response
     keeps_connection: Callable[[HttpResponse], bool] = any_response
+    has_own_connection: bool = False
 
 
 class _Connection:
@@ -340,7 +348,8 @@
                     raise AttemptFailed(FailurePhase.AWAITING, FOREIGN_RESPONSE)
                 has_response = True
                 is_fully_sent = connection.is_fully_sent(request)
-                reusable = request.keeps_connection(response) and connection.prepare_for_reuse(
+                may_reuse = request.keeps_connection(response) and not request.has_own_connection
+                reusable = may_reuse and connection.prepare_for_reuse(
                     response, is_fully_sent, steady_clock()
                 )
                 return response
@@ -428,7 +437,7 @@
         await self.close_idle(set())
 
     async def _acquire(self, request: HttpRequest, until: Seconds) -> _Connection:
-        idle = self._idle.get(request.address)
+        idle = None if request.has_own_connection else self._idle.get(request.address)
         while idle:
             connection = _take_latest(idle, request.request_id)
             if connection is None:
--- a/src/limedeck/node/order_sender.py
+++ b/src/limedeck/node/order_sender.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import dataclasses
+
+from limedeck import http_client
 from limedeck.clock import steady_clock
 from limedeck.forwarding.backends import BackendDirectory, Endpoint
 from limedeck.forwarding.leaving import LeavingStatement
@@ -72,9 +75,8 @@
     async def send_release(self, name: str, core: ServiceOwnership, order: Release) -> None:
         """Send a release, and pass the result to the core."""
         sent_at = steady_clock()
-        request = self._order_request(order.backend_id, order)
         try:
-            response = await self._client.exchange(request, sent_at + RELEASE_TIMEOUT)
+            response = await self._exchange_release(order, sent_at + RELEASE_TIMEOUT)
         except AttemptFailed as error:
             self._record_lost_order(name, core, order, str(error))
             return
@@ -92,6 +94,38 @@
         )
         core.handle_release_response(order, done, handover, steady_clock())
 
+    async def _exchange_release(self, order: Release, until: Seconds) -> HttpResponse:
+        """Send a release until a response can only be the one to it.
+
+        A second response to an earlier grant looks like that to a release which was carried out,
+        and keys that are taken for released are granted to another back end.
+
+        Raises
+        ------
+        AttemptFailed
+            There is no such response by `until` (on this node's clock).
+        """
+        request = self._order_request(order.backend_id, order)
+        try:
+            # A response to this release may come twice, too.
+            shared = dataclasses.replace(
+                request,
+                is_answered_by=self._may_answer_release,
+                keeps_connection=http_client.no_response,
+            )
+            return await self._client.exchange(shared, until)
+        except AttemptFailed as error:
+            if error.problem != http_client.FOREIGN_RESPONSE:
+                raise
+        self._telemetry.unmatched_responses.inc()
+        self._log.info("release_repeated", **_log_fields(order))
+        alone = dataclasses.replace(request, has_own_connection=True)
+        return await self._client.exchange(alone, until)
+
+    def _may_answer_release(self, response: HttpResponse) -> bool:
+        is_done = self._orders.is_done(response.status)
+        return not is_done or self._orders.is_release_response(response.status, response.headers)
+
     def _record_leaving(self, backend_id: str, response: HttpResponse, sent_at: Seconds) -> None:
         """Record a leaving announcement; an idle owner makes it only in responses to orders."""
         if self._orders.is_leaving(response.headers):
--- a/src/limedeck/ownership/orders.py
+++ b/src/limedeck/ownership/orders.py
@@ -75,6 +75,10 @@
     def is_leaving(self, headers: Headers) -> bool:
         """Whether the response announces that the back end is leaving."""
 
+    @abstractmethod
+    def is_release_response(self, status: int, headers: Headers) -> bool:
+        """Whether a response can only be that to a release, not that to a grant."""
+
     @abstractmethod
     def handover(self, headers: Headers) -> str:
         """Return the token for the next owner of released keys; empty if there is none."""
--- a/src/limedeck/platform/grants.py
+++ b/src/limedeck/platform/grants.py
@@ -44,6 +44,9 @@
     def is_leaving(self, headers: Headers) -> bool:
         return announces_leaving(dict(headers))
 
+    def is_release_response(self, status: int, headers: Headers) -> bool:
+        return status == OK and any(name == HANDOVER for name, _ in headers)
+
     def handover(self, headers: Headers) -> str:
         return dict(headers).get(HANDOVER, b"").decode("ascii", "replace")
 
--- a/tests/unit/test_order_sender.py
+++ b/tests/unit/test_order_sender.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
+from collections.abc import Awaitable, Callable
 from typing import cast
 
 import anyio
@@ -17,6 +19,7 @@
 from limedeck.platform import grants
 
 pytestmark = pytest.mark.anyio
+Serve = Callable[[anyio.abc.SocketStream], Awaitable[None]]
 LATE_RESPONSE_TIME = 0.1
 """Seconds after a surplus response until the response to the order."""
 
@@ -69,7 +72,45 @@
     await stream.send(b"HTTP/1.1 200 OK\r\n" + header + b"content-length: 0\r\n\r\n")
 
 
-async def test_late_response_to_a_grant_is_not_taken_for_that_to_a_release() -> None:
+async def serve_with_repeated_grant_response(stream: anyio.abc.SocketStream) -> None:
+    """Respond to grants, and once more as a release arrives, which is carried out later."""
+    has_granted = False
+    async with stream, anyio.create_task_group() as tasks:
+        while True:
+            try:
+                received = await stream.receive()
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                tasks.cancel_scope.cancel()
+                return
+            if b"/v1/release" in received:
+                if has_granted:
+                    await _send(stream, b"", 0.0)
+                tasks.start_soon(_send, stream, b"x-handover: real\r\n", LATE_RESPONSE_TIME)
+                continue
+            has_granted = True
+            await _send(stream, b"", 0.0)
+
+
+async def serve_without_handover(stream: anyio.abc.SocketStream) -> None:
+    """Respond to each order that it is carried out, and to releases without a handover."""
+    async with stream:
+        with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+            while True:
+                await stream.receive()
+                await _send(stream, b"", 0.0)
+
+
+@pytest.mark.parametrize(
+    ("serve", "expected"),
+    [
+        pytest.param(serve_with_surplus, ([False], ["real"]), id="late"),
+        pytest.param(serve_with_repeated_grant_response, ([True], ["real"]), id="repeated"),
+        pytest.param(serve_without_handover, ([True], [""]), id="no-handover"),
+    ],
+)
+async def test_response_to_a_grant_is_not_taken_for_that_to_a_release(
+    serve: Serve, expected: tuple[list[bool], list[str]]
+) -> None:
     listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
     node = state.NodeState("z1", "n", budget.RetryAllowance(0.2, 30.0, 10.0))
@@ -83,9 +124,9 @@
     core = RecordingCore()
     owners = cast(service.ServiceOwnership, core)
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(listener.serve, serve_with_surplus)
+        tasks.start_soon(listener.serve, serve)
         await sender.send_grant("s", owners, orders.Grant("b", 0, 9, 1, 4.0))
         await sender.send_release("s", owners, orders.Release("b", 10, 19, 2))
         tasks.cancel_scope.cancel()
     await listener.aclose()
-    assert (core.grants, core.handovers) == ([False], ["real"])
+    assert (core.grants, core.handovers) == expected
