Tests of responses whose head is cut: none reaches a caller as a whole one

Reported by other operators: a back end stopped in the middle of a head, and callers got a 200 with an empty or short body, framed as whole. Not seen here: a head cut at each of its bytes, closed or reset, with a length, chunked, without a length, without a body, after an interim response, to GET and HEAD, at the client of the nodes (also for other nodes and the store) and at the daemon's; bodies that are reset; and real nodes, direct and through another node, with safe requests that are repeated.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -28,12 +28,16 @@
     REPEAT_REJECTIONS
         A rejection is sent once more when the next request on its connection arrives, which is
         passed on all the same.
+    CUT_HEADS
+        Each second response follows an interim one, and each third one stops at some byte of its
+        head, where its connection is closed or reset.
     """
 
     PASS = "pass"
     DELAY = "delay"
     SURPLUS = "surplus"
     REPEAT_REJECTIONS = "repeat-rejections"
+    CUT_HEADS = "cut-heads"
     DROP_RESPONSES = "cut-replies"
     SILENT = "silent"
 
@@ -70,6 +74,9 @@
 LATE_RESET_DELAY = 0.2
 """Seconds."""
 
+INTERIM_RESPONSE = b"HTTP/1.1 103 Early Hints\r\n\r\n"
+HEAD_END = b"\r\n\r\n"
+CUT_STRIDE = 37
 REJECTION_START = b"HTTP/1.1 503"
 SURPLUS_RESPONSES = tuple(
     b"HTTP/1.1 %d Surplus\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n" % status
@@ -99,6 +106,8 @@
     _streams: set[anyio.abc.SocketStream] = dataclasses.field(default_factory=set)
     _restart_delay: float = 0.0
     surplus_sent: int = 0
+    responses: int = 0
+    cut_heads: int = 0
     _listener: anyio.abc.Listener[anyio.abc.SocketStream] | None = None
 
     async def serve(self, ended: anyio.Event) -> None:
@@ -233,10 +242,29 @@
                 if self.mode is Mode.REPEAT_REJECTIONS and not is_response and rejections:
                     await source.send(rejections.pop())
                     self.surplus_sent += 1
+                if self.mode is Mode.CUT_HEADS and is_response:
+                    data = await self._cut_head(sink, data)
                 await sink.send(data)
         except (OSError, anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
             scope.cancel()
 
+    async def _cut_head(self, caller: anyio.abc.SocketStream, response: bytes) -> bytes:
+        """Return what is to be sent of a response; end the connection if its head is cut."""
+        self.responses += 1
+        if self.responses % 2 == 0:
+            response = INTERIM_RESPONSE + response
+        if self.responses % 3:
+            return response
+        head = response.index(HEAD_END, len(INTERIM_RESPONSE)) + len(HEAD_END)
+        # A stride that has no factor in common with the length of most heads reaches all bytes.
+        self.cut_heads += 1
+        await caller.send(response[: self.cut_heads * CUT_STRIDE % head])
+        if self.cut_heads % 2:
+            # The bytes are to be read before the reset, which would discard them.
+            await anyio.sleep(0.01)
+            await _reset(caller)
+        raise anyio.EndOfStream
+
     async def _is_cut(self, caller: anyio.abc.SocketStream, is_response: bool) -> bool:
         """Whether bytes of a connection do not pass; reset it if the cut asks for that."""
         cut = self._cut
