Soak: responses that arrive twice and heads that are cut

Rejections, and responses to grants, arrive a second time now in the place of the next response, back ends reject requests once, routes differ in priority, so that requests return to their owner, and some responses stop in their heads.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -171,6 +171,8 @@
             Kind.PARTITION: self._partition,
             Kind.UNPROVEN_STATUS: self._answer_with_unproven_status,
             Kind.SURPLUS_RESPONSES: self._send_surplus_responses,
+            Kind.REPEAT_RESPONSES: self._repeat_responses,
+            Kind.CUT_HEADS: self._cut_heads,
         }[drawn.kind]
         for number in range(drawn.steps):
             if ended.wait(drawn.gap):
@@ -183,7 +185,7 @@
         with self._lock:
             self._version += 1
             own = platform_site.route(f"/only-{self._version}/", "plain")
-            self._site.configure(self._version, [*platform_site.ROUTES, own])
+            self._site.configure(self._version, [*self._site.routes, own])
             self._judge.record_version(self._version)
 
     def heal(self) -> None:
@@ -453,13 +455,30 @@
 
     def _send_surplus_responses(self, source: random.Random) -> None:
         """Let surplus responses arrive in the place of responses to requests and orders."""
+        self._change_responses(source, proxy.Mode.SURPLUS)
+
+    def _repeat_responses(self, source: random.Random) -> None:
+        """Let back ends reject requests once, and responses arrive twice."""
+        rejecting = self._choose_upstreams(source)
+        for upstream in rejecting:
+            upstream.rejects_once = True
+        self._change_responses(source, proxy.Mode.REPEAT_RESPONSES)
+        for upstream in rejecting:
+            upstream.rejects_once = False
+
+    def _cut_heads(self, source: random.Random) -> None:
+        """Let responses stop in the middle of their heads."""
+        self._change_responses(source, proxy.Mode.CUT_HEADS)
+
+    def _change_responses(self, source: random.Random, mode: proxy.Mode) -> None:
+        """Let the proxies of some back ends change responses for a while."""
         proxies = [item.proxy for item in self._site.upstreams if item.proxy is not None]
         chosen = source.sample(proxies, source.choice([1, 2, len(proxies)]))
         seconds = source.uniform(*FAULT_SECONDS)
         self._site.record_lost_responses(seconds)
         self._judge.record_unplanned_fault(seconds)
         for item in chosen:
-            item.mode = proxy.Mode.SURPLUS
+            item.mode = mode
         time.sleep(seconds)
         for item in chosen:
             item.mode = proxy.Mode.PASS
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -25,9 +25,9 @@
     SURPLUS
         Every second request on a connection is answered by a surplus response that names no
         request and states that the request did not run; the request is passed on all the same.
-    REPEAT_REJECTIONS
-        A rejection is sent once more when the next request on its connection arrives, which is
-        passed on all the same.
+    REPEAT_RESPONSES
+        A rejection, and the response to a grant, is sent once more when the next request on its
+        connection arrives, which is passed on all the same.
     CUT_HEADS
         Each second response follows an interim one, and each third one stops at some byte of its
         head, where its connection is closed or reset.
@@ -36,7 +36,7 @@
     PASS = "pass"
     DELAY = "delay"
     SURPLUS = "surplus"
-    REPEAT_REJECTIONS = "repeat-rejections"
+    REPEAT_RESPONSES = "repeat-responses"
     CUT_HEADS = "cut-heads"
     DROP_RESPONSES = "cut-replies"
     SILENT = "silent"
@@ -77,6 +77,7 @@
 INTERIM_RESPONSE = b"HTTP/1.1 103 Early Hints\r\n\r\n"
 HEAD_END = b"\r\n\r\n"
 CUT_STRIDE = 37
+GRANT_START = b"POST /v1/grant"
 REJECTION_START = b"HTTP/1.1 503"
 SURPLUS_RESPONSES = tuple(
     b"HTTP/1.1 %d Surplus\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n" % status
@@ -202,12 +203,12 @@
             return
         self._streams |= {caller, target}
         self._connections[caller] = source
-        rejections: list[bytes] = []
+        repeats = _Repeats()
         try:
             async with anyio.create_task_group() as tasks:
                 scope = tasks.cancel_scope
-                tasks.start_soon(self._pump, caller, target, False, scope, rejections)
-                tasks.start_soon(self._pump, target, caller, True, scope, rejections)
+                tasks.start_soon(self._pump, caller, target, False, scope, repeats)
+                tasks.start_soon(self._pump, target, caller, True, scope, repeats)
         finally:
             self._streams -= {caller, target}
             del self._connections[caller]
@@ -221,7 +222,7 @@
         sink: anyio.abc.SocketStream,
         is_response: bool,
         scope: anyio.CancelScope,
-        rejections: list[bytes],
+        repeats: _Repeats,
     ) -> None:
         chunks = 0
         try:
@@ -237,10 +238,9 @@
                 if self.mode is Mode.SURPLUS and not is_response and chunks % 2 == 0:
                     await source.send(SURPLUS_RESPONSES[self.surplus_sent % 3])
                     self.surplus_sent += 1
-                if is_response and data.startswith(REJECTION_START):
-                    rejections.append(data)
-                if self.mode is Mode.REPEAT_REJECTIONS and not is_response and rejections:
-                    await source.send(rejections.pop())
+                repeated = repeats.take(data, is_response)
+                if self.mode is Mode.REPEAT_RESPONSES and repeated:
+                    await source.send(repeated)
                     self.surplus_sent += 1
                 if self.mode is Mode.CUT_HEADS and is_response:
                     data = await self._cut_head(sink, data)
@@ -276,6 +276,23 @@
         return True
 
 
+class _Repeats:
+    """The response that may be repeated on one connection."""
+
+    def __init__(self) -> None:
+        self._kept = b""
+        self._is_grant = False
+
+    def take(self, data: bytes, is_response: bool) -> bytes:
+        """Return what may be sent before a request is passed on; nothing for a response."""
+        if is_response:
+            self._kept = data if self._is_grant or data.startswith(REJECTION_START) else b""
+            return b""
+        kept, self._kept = self._kept, b""
+        self._is_grant = data.startswith(GRANT_START)
+        return kept
+
+
 async def _reset(stream: anyio.abc.SocketStream) -> None:
     raw = stream.extra(anyio.abc.SocketAttribute.raw_socket, None)
     if raw is not None and raw.fileno() >= 0:
--- a/tests/soak/series.py
+++ b/tests/soak/series.py
@@ -38,10 +38,17 @@
     PARTITION = "partition"
     UNPROVEN_STATUS = "unproven-status"
     SURPLUS_RESPONSES = "surplus"
+    REPEAT_RESPONSES = "repeat-responses"
+    CUT_HEADS = "cut-heads"
 
 
+KINDS_V8 = tuple(kind for kind in Kind if kind not in (Kind.REPEAT_RESPONSES, Kind.CUT_HEADS))
+"""Kinds for seeds recorded before `REPEAT_RESPONSES` and `CUT_HEADS` were added.
+
+These are 660001 and later.
+"""
 KINDS_V7 = tuple(
-    kind for kind in Kind if kind not in (Kind.UNPROVEN_STATUS, Kind.SURPLUS_RESPONSES)
+    kind for kind in KINDS_V8 if kind not in (Kind.UNPROVEN_STATUS, Kind.SURPLUS_RESPONSES)
 )
 """Kinds for seeds recorded before `UNPROVEN_STATUS` and `SURPLUS_RESPONSES` were added.
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -280,6 +280,9 @@
             )
             if series.Kind.EVACUATE in self._kinds and number % 2:
                 upstream.zone = faults.EVACUATED_ZONE
+            if series.Kind.REPEAT_RESPONSES in self._kinds:
+                # Requests return to an owner that rejected them.
+                self.site.routes = platform_site.ROUTES_OF_TWO_PRIORITIES
             if series.Kind.RESTART_BACKEND in self._kinds:
                 self.site.cold_rate = faults.COLD_RATE
             self.site.upstreams.append(upstream)
--- a/tests/system/platform_site.py
+++ b/tests/system/platform_site.py
@@ -539,6 +539,8 @@
     cold_rate
         Requests per second for a cold upstream in configurations written from now on; zero: not
         configured.
+    routes
+        Routes of all configurations of a soak.
     version
         Version of the configuration that was written last.
     start_soon
@@ -556,6 +558,7 @@
     sent: int = 0
     restarts: int = 0
     cold_rate: float = 0.0
+    routes: list[dict[str, Any]] = field(default_factory=lambda: ROUTES)
     version: int = 0
     start_soon: Callable[..., object] = print
     launch_node: Callable[[int, int], NodeProcess] = _not_started
@@ -686,12 +689,12 @@
     }
 
 
-ROUTES = [
+ROUTES: list[dict[str, Any]] = [
     route("/keyed/", "keyed"),
     route("/keyed-once/", "keyed", "unsafe"),
     route("/plain/", "plain", "unsafe"),
 ]
-ROUTES_OF_TWO_PRIORITIES = [{**ROUTES[0], "priority": 2}, *ROUTES[1:]]
+ROUTES_OF_TWO_PRIORITIES: list[dict[str, Any]] = [{**ROUTES[0], "priority": 2}, *ROUTES[1:]]
 ONCE_PATHS = ("/plain/x", "/keyed-once/x")
 """Paths of requests that may run once, at services without and with keys."""
 
--- a/tests/system/test_refused_requests.py
+++ b/tests/system/test_refused_requests.py
@@ -277,7 +277,7 @@
     for upstream in site.upstreams:
         upstream.rejects_once = True
         if upstream.proxy is not None:
-            upstream.proxy.mode = proxy.Mode.REPEAT_REJECTIONS
+            upstream.proxy.mode = proxy.Mode.REPEAT_RESPONSES
 
 
 def repeat_rejections_to_others(site: platform_site.Site) -> None:
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -39,6 +39,13 @@
     series.Kind.PAUSE,
     series.Kind.PARTITION,
 )
+REPEATED_AND_CUT_RESPONSES = (
+    series.Kind.REPEAT_RESPONSES,
+    series.Kind.CUT_HEADS,
+    series.Kind.DRAIN,
+    series.Kind.KILL,
+    series.Kind.PARTITION,
+)
 
 
 @pytest.mark.parametrize(
@@ -64,6 +71,7 @@
         (520001, 20.0, STORE_RETURNS),
         (610001, 20.0, PARTITIONS),
         (660001, 20.0, UNPROVEN_REFUSALS),
+        (720001, 20.0, REPEATED_AND_CUT_RESPONSES),
     ],
     ids=[
         "planned",
@@ -76,6 +84,7 @@
         "store-returns",
         "partitions",
         "unproven-refusals",
+        "repeated-and-cut-responses",
     ],
 )
 def test_no_promise_is_broken(
--- a/tests/unit/test_soak_parts.py
+++ b/tests/unit/test_soak_parts.py
@@ -491,6 +491,11 @@
     assert "refused and yet run: a" in result.violations
 
 
+def test_kinds_of_seeds_from_660001_on_are_unchanged() -> None:
+    added = (series.Kind.UNPROVEN_STATUS, series.Kind.SURPLUS_RESPONSES)
+    assert (*series.KINDS_V7, *added) == series.KINDS_V8
+
+
 def test_kinds_of_seeds_from_610001_on_are_unchanged() -> None:
     assert (*series.KINDS_V6, series.Kind.PARTITION) == series.KINDS_V7
     assert len(series.KINDS_V7) == 21
