Everything that an HTTP message makes a connection hold is bounded, trailers too

Nodes on small machines went over their memory and were killed: a back end sent a chunked response whose trailer never ended, and the parser holds a header until it is complete. The bounds were for the head and for the body.

Bytes that belong to neither are counted since the last part of the body now, chunk headers and trailers alike, and bounded; what a response holds counts in the memory of responses in progress whichever part grows. Callers' requests get the same bound (431), and their trailers are no longer added to the request's headers.

--- a/src/limedeck/http_client.py
+++ b/src/limedeck/http_client.py
@@ -254,7 +254,7 @@
             phase = FailurePhase.RECEIVING if parser.has_head else FailurePhase.AWAITING
             try:
                 parser.feed(await self.stream.receive(MAX_READ_BYTES))
-                reservation.grow_to(parser.body_size)
+                reservation.grow_to(parser.held_size)
             except anyio.EndOfStream:
                 self._handle_end_of_stream(parser, phase)
             except http_codec.BadResponse as error:
--- a/src/limedeck/http_codec.py
+++ b/src/limedeck/http_codec.py
@@ -15,6 +15,9 @@
 from limedeck.forwarding.protocol import Headers
 
 MAX_HEAD_SIZE = 65_536
+MAX_FRAMING_SIZE = 65_536
+"""Bytes between two parts of a body and behind the last one: chunk headers and trailers. The parser
+holds a header until it is complete."""
 MAX_BODY_SIZE = 16 << 20
 NO_CONTENT_STATUSES = frozenset({204, 304})
 FIRST_FINAL_STATUS = 200
@@ -90,6 +93,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._body = bytearray()
         self._head_size = 0
+        self._framing_size = 0
         self._is_interim = False
         self._keeps_alive = False
         self._has_surplus = False
@@ -110,6 +114,11 @@
         """Number of bytes of the body received so far."""
         return len(self._body)
 
+    @property
+    def held_size(self) -> int:
+        """Number of bytes held for the response at most, whichever part of it they belong to."""
+        return self._head_size + self._framing_size + self.body_size
+
     @property
     def is_reusable(self) -> bool:
         """Whether another request may be sent on the connection."""
@@ -123,7 +132,8 @@
         BadResponse
             The response is invalid, too large, or switches to another protocol.
         """
-        if not self.has_head:
+        had_head, former_body_size = self.has_head, self.body_size
+        if not had_head:
             self._head_size += len(data)
         try:
             self._parser.feed_data(data)
@@ -136,6 +146,14 @@
             raise BadResponse(f"response head larger than {MAX_HEAD_SIZE} bytes")
         if self.body_size > MAX_BODY_SIZE:
             raise BadResponse(f"response body larger than {MAX_BODY_SIZE} bytes")
+        if had_head and not self.is_complete:
+            self._check_framing(len(data), self.body_size - former_body_size)
+
+    def _check_framing(self, received: int, body_part: int) -> None:
+        """Count received bytes that are not of the body since its last part."""
+        self._framing_size = 0 if body_part else self._framing_size + received
+        if self._framing_size > MAX_FRAMING_SIZE:
+            raise BadResponse(f"more than {MAX_FRAMING_SIZE} bytes between parts of a body")
 
     def feed_end(self) -> None:
         """Handle the orderly end of the connection, which ends a response without a length.
--- a/src/limedeck/node/http_server.py
+++ b/src/limedeck/node/http_server.py
@@ -19,8 +19,9 @@
 
 
 MAX_HEAD_SIZE = 128 * 1024
-"""Bytes of a request's head: eight times the limit that is documented for callers. The library
-itself buffers a head of any size until it has ended."""
+"""Bytes of a request's head, and of what is between and behind the parts of its body: eight times
+the limit that is documented for callers. The library itself buffers a header, or a trailer, of any
+size until it has ended."""
 HEAD_TOO_LARGE = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
     b"content-length: 0\r\nconnection: close\r\n\r\n"
@@ -34,10 +35,12 @@
 
 
 class BoundedProtocol(httptools_impl.HttpToolsProtocol):
-    """A caller's connection, closed with status 431 if the head of a request is too large."""
+    """A caller's connection, closed with status 431 if headers or trailers are too large."""
 
     _is_reading_head = False
-    _head_bytes = 0
+    _is_reading_message = False
+    _header_bytes = 0
+    _has_body_part = False
     _held: connection_memory.HeldConnection | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
@@ -66,12 +69,13 @@
         super().resume_writing()
 
     def data_received(self, data: bytes) -> None:
-        """Process received bytes and check the size of the head."""
+        """Process received bytes and check the size of headers and trailers."""
+        self._has_body_part = False
         super().data_received(data)
-        if not self._is_reading_head:
+        if not self._is_reading_message or self._has_body_part:
             return
-        self._head_bytes += len(data)
-        if self._head_bytes > MAX_HEAD_SIZE and not self.transport.is_closing():
+        self._header_bytes += len(data)
+        if self._header_bytes > MAX_HEAD_SIZE and not self.transport.is_closing():
             self.refuse_input(HEAD_TOO_LARGE, "head-too-large")
 
     def refuse_input(self, response: bytes, cause: str) -> None:
@@ -80,16 +84,32 @@
         self.transport.close()
 
     def on_message_begin(self) -> None:
-        """Start counting the bytes of a request's head."""
-        self._is_reading_head = True
-        self._head_bytes = 0
+        """Start counting the bytes of a request."""
+        self._is_reading_head = self._is_reading_message = True
+        self._header_bytes = 0
         super().on_message_begin()
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header; trailers, which follow the body, are ignored."""
+        if self._is_reading_head:
+            super().on_header(name, value)
+
     def on_headers_complete(self) -> None:
-        """Stop counting the bytes of the head."""
+        """Begin the request: its head is complete."""
         self._is_reading_head = False
         super().on_headers_complete()
 
+    def on_body(self, body: bytes) -> None:
+        """Count anew behind a part of the body, whose size has a limit of its own."""
+        self._has_body_part = True
+        self._header_bytes = 0
+        super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        """Stop counting the bytes of the request."""
+        self._is_reading_message = False
+        super().on_message_complete()
+
 
 class EmbeddedServer(uvicorn.Server):
     """Leaves signal handling to the process."""
--- a/tests/unit/test_http_codec.py
+++ b/tests/unit/test_http_codec.py
@@ -151,3 +151,60 @@
 ) -> None:
     with pytest.raises(http_codec.BadRequest):
         http_codec.encode_head(method, target, headers, length)
+
+
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+PIECE = 8192
+
+
+@pytest.mark.parametrize(
+    ("start", "repeated"),
+    [
+        (b"HTTP/1.1 200 ", b"a"),
+        (b"HTTP/1.1 200 OK\r\n", b"a"),
+        (b"HTTP/1.1 200 OK\r\nx: ", b"a"),
+        (b"HTTP/1.1 200 OK\r\n", b"x: y\r\n"),
+        (b"", INTERIM),
+        (CHUNKED_HEAD + b"5;x=", b"a"),
+        (CHUNKED_HEAD + b"2\r\nok\r\n", b"0"),
+        (CHUNKED_HEAD + b"2\r\nok\r\n0\r\n", b"a"),
+        (CHUNKED_HEAD + b"2\r\nok\r\n0\r\nx: ", b"a"),
+        (CHUNKED_HEAD + b"2\r\nok\r\n0\r\n", b"x: y\r\n"),
+    ],
+    ids=[
+        "reason",
+        "header-name",
+        "header-value",
+        "headers",
+        "interim-responses",
+        "chunk-extension",
+        "chunk-size",
+        "trailer-name",
+        "trailer-value",
+        "trailers",
+    ],
+)
+def test_response_without_end_is_given_up_whichever_part_grows(
+    start: bytes, repeated: bytes
+) -> None:
+    parser = http_codec.ResponseParser()
+    parser.feed(start)
+    piece = repeated * (PIECE // len(repeated))
+    largest = 0
+    with pytest.raises(http_codec.BadResponse):
+        for _ in range(100):
+            parser.feed(piece)
+            largest = max(largest, parser.held_size)
+    assert not parser.is_complete
+    assert largest <= http_codec.MAX_HEAD_SIZE + http_codec.MAX_FRAMING_SIZE
+
+
+def test_body_of_many_small_chunks_is_not_taken_for_framing() -> None:
+    count = 40_000
+    parser = http_codec.ResponseParser()
+    parser.feed(CHUNKED_HEAD)
+    for _ in range(4):
+        parser.feed(b"1;extension=value\r\nx\r\n" * (count // 4))
+    parser.feed(b"0\r\n\r\n")
+    assert parser.is_complete
+    assert parser.body_size == count
--- a/tests/unit/test_http_server.py
+++ b/tests/unit/test_http_server.py
@@ -44,16 +44,28 @@
     await send({"type": "http.response.body", "body": text})
 
 
+async def echo_headers(scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
+    """Respond with the names of the headers once the whole request has arrived."""
+    while (await receive()).get("more_body", False):
+        pass
+    names = b",".join(name for name, _ in scope["headers"])
+    headers = [(b"content-length", b"%d" % len(names))]
+    await send({"type": "http.response.start", "status": 200, "headers": headers})
+    await send({"type": "http.response.body", "body": names})
+
+
 caller_left = anyio.Event()
 
 
 @asynccontextmanager
-async def serving() -> AsyncIterator[tuple[str, int, anyio.Event]]:
+async def serving(
+    application: asgi.Application = echo,
+) -> AsyncIterator[tuple[str, int, anyio.Event]]:
     (port,) = processes.free_ports(1)
     stop = anyio.Event()
     async with anyio.create_task_group() as tasks:
         listening = listener.open_listener(f"127.0.0.1:{port}")
-        tasks.start_soon(http_server.serve, echo, listening, stop, 0.2)
+        tasks.start_soon(http_server.serve, application, listening, stop, 0.2)
         yield "127.0.0.1", port, stop
         stop.set()
 
@@ -86,10 +98,23 @@
         assert (await read_until(stream, b"/a b=1 3")).startswith(b"HTTP/1.1 200 ")
 
 
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n"
+
+
 @pytest.mark.parametrize(
-    "endless", [b"GET /" + b"a" * 999, HEAD + b"X: " + b"a" * 999, HEAD + b"X: 1\r\n" * 99]
+    "endless",
+    [
+        b"GET /" + b"a" * 999,
+        HEAD + b"X: " + b"a" * 999,
+        HEAD + b"X: 1\r\n" * 99,
+        CHUNKED + b"2;x=" + b"a" * 999,
+        CHUNKED + b"0\r\n" + b"a" * 999,
+        CHUNKED + b"0\r\nX: " + b"a" * 999,
+        CHUNKED + b"0\r\n" + b"X: 1\r\n" * 99,
+    ],
+    ids=["target", "header", "headers", "extension", "trailer-name", "trailer", "trailers"],
 )
-async def test_request_with_an_endless_head_is_refused(endless: bytes) -> None:
+async def test_request_whose_head_or_trailer_never_ends_is_refused(endless: bytes) -> None:
     async with serving() as (host, port, _), await anyio.connect_tcp(host, port) as stream:
         sent = 0
         with pytest.raises((anyio.BrokenResourceError, anyio.EndOfStream)):
@@ -137,3 +162,10 @@
         await read_until(stream, b"/a b=1 0")
         stop.set()
         assert await read_until(stream, b"never") == b""
+
+
+async def test_trailers_are_not_taken_for_headers() -> None:
+    async with serving(echo_headers) as (host, port, _), await anyio.connect_tcp(host, port) as one:
+        await one.send(CHUNKED + b"0\r\nX-Deadline-Ms: 5\r\n\r\n")
+        received = await read_until(one, b"host,x-id,transfer-encoding")
+        assert received.endswith(b"\r\n\r\nhost,x-id,transfer-encoding")
