A row that cannot be read is one typed error, however it is spoilt

All nodes ended, at each start again, while one row of another writer in servers/ could not be read: 1,200 nested lists, cut off. The decoder raises RecursionError for values that are nested deeply, and only its own error was expected; so it was in the configuration, the store's responses and a changed settings file.

decoding.decode is the one place that decodes JSON and TOML of others; it ends as a value or as Undecodable, which each reader turns into its own error, logged and counted as before. Integers have a range, since messages between nodes hold none above 64 bits, and an address ends with its port, not with a line break behind it.

--- a/src/limedeck/node/settings.py
+++ b/src/limedeck/node/settings.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from limedeck import decoding
 from limedeck.errors import InvalidSetting
 from limedeck.held_memory import MEGABYTE, MemoryLimits, Purpose, limits_for_machine
 from limedeck.response_memory import MAX_BYTES
@@ -156,6 +157,10 @@
     log: LogSection = LogSection()
 
 
+def _decode_settings(value: bytes) -> NodeSettings:
+    return msgspec.toml.decode(value, type=NodeSettings)
+
+
 def load_node_settings(file: str) -> NodeSettings:
     """Read and validate a settings file.
 
@@ -166,9 +171,9 @@
     """
     try:
         with open(file, "rb") as stream:
-            return msgspec.toml.decode(stream.read(), type=NodeSettings)
+            return decoding.decode(_decode_settings, stream.read())
     except OSError as error:
         raise InvalidSetting(file, "(file)", str(error), "a readable file") from error
-    except msgspec.DecodeError as error:
+    except decoding.Undecodable as error:
         problem, _, where = str(error).partition(" - at ")
         raise InvalidSetting(file, where.strip("`$.") or "(file)", problem, "see docs") from error
--- a/src/limedeck/platform/messages.py
+++ b/src/limedeck/platform/messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from limedeck import decoding
 from limedeck.errors import PlatformProtocolError
 from limedeck.identity import Seconds, incarnation_id
 from limedeck.model import Backend, CallerLimits, Configuration, Route, Service, Target
@@ -15,10 +16,14 @@
 EVACUATION_PREFIX = "evacuate/"
 BACKENDS_TABLE = "servers"
 REPEATABLE = "safe"
-ADDRESS = r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"
+ADDRESS = r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}\Z"
+MAX_INTEGER = (1 << 63) - 1
+"""Largest integer accepted: messages between nodes hold no larger ones."""
 MAX_WARMUP: Seconds = 3600.0
 """Longest warm-up accepted: no back end is cold for an hour, so another program wrote the entry."""
 _Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+_Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 DRAINING = "draining"
 
 
@@ -34,29 +39,29 @@
     route_type: str
     timeout_s: float
     target_latency_s: float
-    max_attempts: int
-    priority: int = 0
+    max_attempts: _Integer
+    priority: _Integer = 0
     backend: str = ""
     traffic_split: list[_Share] = []
 
 
 class _Service(msgspec.Struct):
     name: str
-    max_connections: int
+    max_connections: _Integer
     sharded: bool = False
     warm_s: float = 0.0
     warmup_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int
-    max_body_bytes: int
+    max_header_bytes: _Integer
+    max_body_bytes: _Integer
     header_timeout_s: float
     idle_timeout_s: float
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: _Count
     routes: list[_Route]
     backends: list[_Service]
     limits: _Limits
@@ -66,12 +71,12 @@
     backend: _Name
     version: str
     zone: _Name
-    slots: Annotated[int, msgspec.Meta(ge=1)]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_INTEGER)]
 
 
 class _Status(msgspec.Struct):
     state: Literal["ready", "draining"]
-    sequence: int
+    sequence: _Count
     warmup_s_time: Annotated[float, msgspec.Meta(ge=0, le=MAX_WARMUP)]
 
 
@@ -79,7 +84,7 @@
     address: Annotated[str, msgspec.Meta(pattern=ADDRESS)]
     info: _Info
     status: _Status
-    born: int | None = None
+    born: _Integer | None = None
 
 
 _CONFIGURATION = msgspec.json.Decoder(_Configuration)
@@ -95,8 +100,8 @@
         The configuration is invalid.
     """
     try:
-        found = _CONFIGURATION.decode(value)
-    except msgspec.DecodeError as error:
+        found = decoding.decode(_CONFIGURATION.decode, value)
+    except decoding.Undecodable as error:
         raise PlatformProtocolError("configuration", str(error)) from error
     return Configuration(
         version=found.version,
@@ -128,8 +133,8 @@
         The entry is invalid.
     """
     try:
-        found = _SERVER.decode(value)
-    except msgspec.DecodeError as error:
+        found = decoding.decode(_SERVER.decode, value)
+    except decoding.Undecodable as error:
         raise PlatformProtocolError(f"entry of {key}", str(error)) from error
     return Backend(
         backend_id=incarnation_id(key, found.born),
--- a/src/limedeck/platform/store.py
+++ b/src/limedeck/platform/store.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from limedeck import clock, http_client, versions
+from limedeck import clock, decoding, http_client, versions
 from limedeck.identity import Seconds
 from limedeck.platform.headers import STORE_ERA
 from limedeck.routing.outcomes import AttemptFailed
@@ -35,6 +35,9 @@
     now_s: float = 0.0
 
 
+_ROWS = msgspec.json.Decoder(_Rows)
+
+
 class PlatformStore(rows.RowStore):
     """Rows in the platform's store.
 
@@ -154,6 +157,6 @@
 
 def _decoded(response: http_client.HttpResponse) -> _Rows:
     try:
-        return msgspec.json.decode(response.body, type=_Rows)
-    except msgspec.DecodeError as error:
+        return decoding.decode(_ROWS.decode, response.body)
+    except decoding.Undecodable as error:
         raise rows.StoreProtocolError(str(error)) from error
--- a/src/limedeck/store/table_rows.py
+++ b/src/limedeck/store/table_rows.py
@@ -19,6 +19,7 @@
 import anyio
 import msgspec
 
+from limedeck import decoding
 from limedeck.clock import steady_clock
 from limedeck.errors import (
     PlatformError,
@@ -275,8 +276,8 @@
 
 def _decoded(row: Row, kind: type[Record]) -> Record:
     try:
-        return msgspec.json.decode(row.value, type=kind)
-    except msgspec.DecodeError as error:
+        return decoding.decode(msgspec.json.Decoder(kind).decode, row.value)
+    except decoding.Undecodable as error:
         raise StoreProtocolError(f"row {row.key}: {error}") from error
 
 
