Soak: rows that no decoder takes

Nodes ended by a row of another writer were not seen by the soak, whose foreign entries are all shallow. Rows with 60,000 nested lists or digits are written for a while now, in the tables of back ends and of the operator.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -62,6 +62,13 @@
     b'"zone": "z1", "slots": 2}, "status": {"state": "ready", "sequence": 1, "warmup_s_time": 0}}',
 )
 """Entries of other writers, none of which describes a back end."""
+UNREADABLE_ROWS = (
+    ("servers", f"{FOREIGN_ENTRY_PREFIX}nested", b'{"labels":' + b"[" * 60_000),
+    ("servers", f"{FOREIGN_ENTRY_PREFIX}number", b'{"born":' + b"9" * 60_000 + b"}"),
+    ("op", f"{FOREIGN_ENTRY_PREFIX}nested", b"[" * 60_000),
+)
+"""Rows of other writers that no decoder takes, each with its table and key."""
+UNREADABLE_SECONDS = (0.5, 2.0)
 
 
 class Nodes:
@@ -173,6 +180,7 @@
             Kind.SURPLUS_RESPONSES: self._send_surplus_responses,
             Kind.REPEAT_RESPONSES: self._repeat_responses,
             Kind.CUT_HEADS: self._cut_heads,
+            Kind.UNREADABLE_ROWS: self._write_unreadable_rows,
         }[drawn.kind]
         for number in range(drawn.steps):
             if ended.wait(drawn.gap):
@@ -305,6 +313,13 @@
             self._site.list_upstream(upstream)
             self._judge.record_unplanned_fault()
 
+    def _write_unreadable_rows(self, source: random.Random) -> None:
+        """Write a row of another writer that no decoder takes, for a while."""
+        table, key, value = source.choice(UNREADABLE_ROWS)
+        self._site.store.put(table, key, value)
+        time.sleep(source.uniform(*UNREADABLE_SECONDS))
+        self._site.store.drop(table, "", key)
+
     def _kill(self, source: random.Random) -> None:
         self._judge.record_unplanned_fault()
         count = source.choice([1, 1, 1, MAX_KILLED_AT_ONCE])
--- a/tests/soak/series.py
+++ b/tests/soak/series.py
@@ -40,10 +40,15 @@
     SURPLUS_RESPONSES = "surplus"
     REPEAT_RESPONSES = "repeat-responses"
     CUT_HEADS = "cut-heads"
+    UNREADABLE_ROWS = "unreadable"
 
 
-KINDS_V8 = tuple(kind for kind in Kind if kind not in (Kind.REPEAT_RESPONSES, Kind.CUT_HEADS))
-"""Kinds for seeds recorded before `REPEAT_RESPONSES` and `CUT_HEADS` were added.
+KINDS_V8 = tuple(
+    kind
+    for kind in Kind
+    if kind not in (Kind.REPEAT_RESPONSES, Kind.CUT_HEADS, Kind.UNREADABLE_ROWS)
+)
+"""Kinds for seeds recorded before `REPEAT_RESPONSES`, `CUT_HEADS` and `UNREADABLE_ROWS` were added.
 
 These are 660001 and later.
 """
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -39,9 +39,10 @@
     series.Kind.PAUSE,
     series.Kind.PARTITION,
 )
-REPEATED_AND_CUT_RESPONSES = (
+SPOILT_RESPONSES_AND_ROWS = (
     series.Kind.REPEAT_RESPONSES,
     series.Kind.CUT_HEADS,
+    series.Kind.UNREADABLE_ROWS,
     series.Kind.DRAIN,
     series.Kind.KILL,
     series.Kind.PARTITION,
@@ -71,7 +72,7 @@
         (520001, 20.0, STORE_RETURNS),
         (610001, 20.0, PARTITIONS),
         (660001, 20.0, UNPROVEN_REFUSALS),
-        (720001, 20.0, REPEATED_AND_CUT_RESPONSES),
+        (720004, 20.0, SPOILT_RESPONSES_AND_ROWS),
     ],
     ids=[
         "planned",
@@ -84,7 +85,7 @@
         "store-returns",
         "partitions",
         "unproven-refusals",
-        "repeated-and-cut-responses",
+        "spoilt-responses-and-rows",
     ],
 )
 def test_no_promise_is_broken(
