System tests of promises while bytes are held and processors are busy

Two ways in which real machines differ from the stand-ins, and of which no run told whether they break a promise: a network that delivers a request's bytes after its attempt was given up, and processes that hardly get processor time while connections are reset.

--- a/tests/system/test_refused_requests.py
+++ b/tests/system/test_refused_requests.py
@@ -4,8 +4,11 @@
 
 import collections
 import dataclasses
+import os
 import random
 import signal
+import subprocess
+import sys
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -349,9 +352,43 @@
                 site.start_soon(upstream.proxy.reset_all)
 
 
+def hold_bytes(site: platform_site.Site, ended: threading.Event) -> None:
+    """Deliver bytes late again and again, also those of connections that nodes have given up."""
+    while not ended.wait(0.3):
+        for mode in (proxy.Mode.DELAY, proxy.Mode.PASS):
+            for upstream in site.upstreams:
+                if upstream.proxy is not None:
+                    upstream.proxy.mode = mode
+            ended.wait(0.6)
+
+
+def starve_processes(site: platform_site.Site, ended: threading.Event) -> None:
+    """Keep all processors busy with other processes, while connections are reset."""
+    command = [
+        sys.executable,
+        "-c",
+        f"import time\nend = time.time() + {DISTURBED_SECONDS}\nwhile time.time() < end: pass",
+    ]
+    busy = [subprocess.Popen(command) for _ in range(2 * (os.cpu_count() or 1))]
+    try:
+        reset_connections(site, ended)
+    finally:
+        for process in busy:
+            process.kill()
+            process.wait()
+
+
 @pytest.mark.parametrize(
     "disturb",
-    [throttle_nodes, reset_connections, restart_backends, lose_store_and_backends, end_nodes],
+    [
+        throttle_nodes,
+        reset_connections,
+        restart_backends,
+        lose_store_and_backends,
+        end_nodes,
+        hold_bytes,
+        starve_processes,
+    ],
     ids=lambda disturb: disturb.__name__,
 )
 def test_promises_hold_while_full_back_ends_reject_and(
