--- a/src/limedeck/decoding.py
+++ b/src/limedeck/decoding.py
@@ -7,10 +7,12 @@
 
 import msgspec
 
+from limedeck import errors
+
 Decoded = TypeVar("Decoded")
 
 
-class Undecodable(ValueError):
+class Undecodable(errors.LimedeckError):
     """The bytes are not what they should be."""
 
 
