A record of a leader or of owners that cannot be read ends no node

All nodes ended, at each start again, while the row of the leader could not be read; with that of a service's owners the node that became leader ended. The error of the decoder was that of the platform's adapter, and the calls expect the store's. It is the store's now: reading the leader counts as a call that failed, and owners are read again after a pause; with the row's name in the log. Nothing is taken from a row that cannot be read, nor is it written over: terms and fences are in it.

--- a/src/limedeck/node/control.py
+++ b/src/limedeck/node/control.py
@@ -410,6 +410,8 @@
         """Read a service's assignment record and take the service over."""
         try:
             found = await self._store.read(ASSIGNMENT_TABLE, "")
+            row = next((row for row in found.rows if row.key == name), None)
+            record = _parse_assignment(row)
         except StoreError as error:
             self._log.info("record_not_read", service=name, problem=str(error))
             await anyio.sleep(RECORD_RETRY_DELAY)
@@ -418,8 +420,6 @@
         self._opening.discard(name)
         if not self.leads or self.election.term != term:
             return
-        row = next((row for row in found.rows if row.key == name), None)
-        record = _parse_assignment(row)
         core = ServiceOwnership(
             name,
             self._key_positions,
@@ -479,12 +479,11 @@
             try:
                 written = await self._store.transact(conditions, [write])
             except ConditionFailed as error:
-                found = next((item for item in error.rows if item.key == name), None)
                 self._log.info("record_conflict", service=name)
-                owned.core.handle_record_conflict(
-                    _parse_assignment(found), found.version if found else error.absent
-                )
-                return
+                if self._handle_record_conflict(name, owned, error):
+                    return
+                await anyio.sleep(RECORD_RETRY_DELAY)
+                continue
             except StoreError as error:
                 self._log.info("record_not_written", service=name, problem=str(error))
                 await anyio.sleep(RECORD_RETRY_DELAY)
@@ -492,6 +491,20 @@
             owned.core.handle_record_written(written.version)
             return
 
+    def _handle_record_conflict(
+        self, name: str, owned: _OwnedService, conflict: ConditionFailed
+    ) -> bool:
+        """Pass the stored record to the core; return False if it cannot be read."""
+        found = next((item for item in conflict.rows if item.key == name), None)
+        try:
+            record = _parse_assignment(found)
+        except StoreError as error:
+            self._log.error("record_not_read", service=name, problem=str(error))
+            return False
+        version = found.version if found else conflict.absent
+        owned.core.handle_record_conflict(record, version)
+        return True
+
 
 def _parse_assignment(row: StoredRow | None) -> AssignmentRecord | None:
     return decode_record(row, AssignmentRecord) if row is not None else None
--- a/src/limedeck/node/election_calls.py
+++ b/src/limedeck/node/election_calls.py
@@ -10,7 +10,6 @@
 from limedeck import versions
 from limedeck.api.control_pb2 import LeaderConfirmation, LeaderRecord
 from limedeck.clock import steady_clock
-from limedeck.errors import PlatformProtocolError
 from limedeck.identity import Seconds
 from limedeck.node.logs import get_logger
 from limedeck.node.telemetry import Telemetry
@@ -31,6 +30,7 @@
     RowWrite,
     StoredRow,
     StoreError,
+    StoreProtocolError,
 )
 
 LEADER_ROW = RowKey("limedeck_leader", "", "leader")
@@ -158,10 +158,10 @@
 
     Raises
     ------
-    PlatformProtocolError
+    StoreProtocolError
         The row does not hold such a record.
     """
     try:
         return kind.FromString(row.value)
     except DecodeError as error:
-        raise PlatformProtocolError(f"row {row.key}", str(error)) from error
+        raise StoreProtocolError(f"row {row.key} of {row.table}: {error}") from error
--- /dev/null
+++ b/tests/system/test_unreadable_rows.py
@@ -0,0 +1,69 @@
+"""Rows that cannot be read, in each table that nodes read: no node ends, and the row is named."""
+
+from __future__ import annotations
+
+import base64
+import signal
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import httpx
+import pytest
+
+from limedeck_lab.processes import wait_until
+from tests.system import platform_site
+
+UNREADABLE_SECONDS = 2.0
+GARBAGE = b"\xff" + b"[" * 2000
+
+
+@pytest.fixture(scope="module")
+def site(tmp_path_factory: pytest.TempPathFactory) -> Iterator[platform_site.Site]:
+    folder: Path = tmp_path_factory.mktemp("site")
+    with platform_site.running_site(folder) as running:
+        yield running
+
+
+def replace_node(site: platform_site.Site, number: int) -> list[str]:
+    """Kill a node and start it anew; return the nodes that have ended a while later.
+
+    A node that starts reads all tables; if the leader was killed, so does the next one.
+    """
+    site.nodes[number].process.signal(signal.SIGKILL)
+    site.nodes[number].process.wait()
+    site.restart_nodes()
+    time.sleep(UNREADABLE_SECONDS)
+    return [node.settings.name for node in site.nodes if not node.process.is_running]
+
+
+@pytest.mark.parametrize(
+    ("table", "key"),
+    [
+        ("limedeck_leader", "leader"),
+        ("limedeck_leader", "confirmation"),
+        ("limedeck_assignment", "keyed"),
+        ("limedeck_quarantine", "requests"),
+        ("servers", "i-of-another-writer"),
+        ("op", "config"),
+    ],
+    ids=lambda value: value,
+)
+def test_row_that_cannot_be_read_ends_no_node(
+    site: platform_site.Site, table: str, key: str
+) -> None:
+    former = site.store.rows.get((table, "", key))
+    site.store.put(table, key, GARBAGE)
+    ended = [name for number in range(len(site.nodes)) for name in replace_node(site, number)]
+    if former is None:
+        site.store.drop(table, "", key)
+    else:
+        site.store.put(table, key, base64.b64decode(former[0]))
+    site.restart_nodes()
+    wait_until(lambda: all(node.is_ready() for node in site.nodes), "nodes are ready")
+    wait_until(site.all_keys_are_owned, "all keys have owners")
+    assert ended == []
+    with httpx.Client(timeout=4.0, trust_env=False) as client:
+        for node in site.nodes:
+            for path in ("/keyed/x", "/plain/x"):
+                assert site.send(client, node, path, 5).status_code == 200
--- a/tests/unit/test_unreadable_rows.py
+++ b/tests/unit/test_unreadable_rows.py
@@ -138,7 +138,7 @@
     row = rows.StoredRow("t", "", "k", value, 1)
     try:
         election_calls.decode_record(row, LeaderRecord)
-    except errors.PlatformProtocolError:
+    except rows.StoreProtocolError:
         return
 
 
