Test that a request without a key never returns to a back end that rejected it

The repeated rejection explains refused requests at services without keys only if a request returns to a back end that rejected it. It does not: 300 examples of limits, permits, denials and failures, none of which attempts a back end twice.

--- a/tests/unit/test_limited_requests.py
+++ b/tests/unit/test_limited_requests.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from limedeck.forwarding.backends import BackendDirectory
 from limedeck.forwarding.budget import RetryAllowance, RetryBudget
@@ -21,7 +23,7 @@
 from limedeck.forwarding.request import RequestCore, ServiceView
 from limedeck.forwarding.request_permits import MAX_PERMIT_DENIALS, MAX_PERMIT_WAIT
 from limedeck.model import Backend, Route, Target
-from limedeck.routing.outcomes import Outcome
+from limedeck.routing.outcomes import FailurePhase, Outcome
 
 NODES = 3
 
@@ -199,3 +201,35 @@
     chosen = [core_of(directory, 10.0 + n / 100).next_command(10.0, NODES) for n in range(300)]
     permit_requests = sum(isinstance(command, RequestPermit) for command in chosen)
     assert 300 / 4 <= permit_requests <= 2.2 * 300 / 4
+
+
+@given(
+    st.dictionaries(
+        st.sampled_from("abcd"), st.none() | st.floats(0.5, 20.0), min_size=1, max_size=4
+    ),
+    st.lists(st.booleans(), min_size=30, max_size=30),
+    st.sampled_from([FailurePhase.REFUSED, FailurePhase.TURNED_AWAY, FailurePhase.NOT_CONNECTED]),
+)
+@settings(max_examples=300, derandomize=True, deadline=None)
+def test_request_without_a_key_never_returns_to_a_back_end_that_rejected_it(
+    limits: dict[str, float | None], permits: list[bool], phase: FailurePhase
+) -> None:
+    core = core_of(directory_of(limits))
+    now = 10.0
+    attempted: list[str] = []
+    command = core.next_command(now, NODES)
+    for is_permitted in permits:
+        now += 0.01
+        match command:
+            case Refuse():
+                break
+            case RequestPermit():
+                response = Permit(0.0) if is_permitted else PermitDenied(0.05)
+                command = core.handle_permit(command, response, now, NODES)
+            case Attempt(state):
+                attempted.append(state.backend.backend_id)
+                command = core.handle_failure(phase, now, NODES)
+            case Wait(until):
+                now = max(now, until)
+                command = core.next_command(now, NODES)
+    assert len(attempted) == len(set(attempted))
