--- a/src/limedeck/node/order_sender.py
+++ b/src/limedeck/node/order_sender.py
@@ -95,10 +95,10 @@
         core.handle_release_response(order, done, handover, steady_clock())
 
     async def _exchange_release(self, order: Release, until: Seconds) -> HttpResponse:
-        """Send a release until a response can only be the one to it.
+        """Send a release; return a response that belongs to it and to no other order.
 
-        A second response to an earlier grant looks like that to a release which was carried out,
-        and keys that are taken for released are granted to another back end.
+        A back end may respond to a grant twice, and the second response would report a release as
+        carried out whose keys are still in use.
 
         Raises
         ------
@@ -106,13 +106,13 @@
             There is no such response by `until` (on this node's clock).
         """
         request = self._order_request(order.backend_id, order)
+        # The response to this release may come twice as well, so no order follows it.
+        shared = dataclasses.replace(
+            request,
+            is_answered_by=self._may_answer_release,
+            keeps_connection=http_client.no_response,
+        )
         try:
-            # A response to this release may come twice, too.
-            shared = dataclasses.replace(
-                request,
-                is_answered_by=self._may_answer_release,
-                keeps_connection=http_client.no_response,
-            )
             return await self._client.exchange(shared, until)
         except AttemptFailed as error:
             if error.problem != http_client.FOREIGN_RESPONSE:
