--- a/src/limedeck/platform/messages.py
+++ b/src/limedeck/platform/messages.py
@@ -17,13 +17,9 @@
 BACKENDS_TABLE = "servers"
 REPEATABLE = "safe"
 ADDRESS = r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}\Z"
-MAX_INTEGER = (1 << 63) - 1
-"""Largest integer accepted: messages between nodes hold no larger ones."""
 MAX_WARMUP: Seconds = 3600.0
 """Longest warm-up accepted: no back end is cold for an hour, so another program wrote the entry."""
 _Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
-_Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
-_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 DRAINING = "draining"
 
 
@@ -39,29 +35,29 @@
     route_type: str
     timeout_s: float
     target_latency_s: float
-    max_attempts: _Integer
-    priority: _Integer = 0
+    max_attempts: decoding.Integer
+    priority: decoding.Integer = 0
     backend: str = ""
     traffic_split: list[_Share] = []
 
 
 class _Service(msgspec.Struct):
     name: str
-    max_connections: _Integer
+    max_connections: decoding.Integer
     sharded: bool = False
     warm_s: float = 0.0
     warmup_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: _Integer
-    max_body_bytes: _Integer
+    max_header_bytes: decoding.Integer
+    max_body_bytes: decoding.Integer
     header_timeout_s: float
     idle_timeout_s: float
 
 
 class _Configuration(msgspec.Struct):
-    version: _Count
+    version: decoding.Count
     routes: list[_Route]
     backends: list[_Service]
     limits: _Limits
@@ -71,12 +67,12 @@
     backend: _Name
     version: str
     zone: _Name
-    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_INTEGER)]
+    slots: decoding.PositiveCount
 
 
 class _Status(msgspec.Struct):
     state: Literal["ready", "draining"]
-    sequence: _Count
+    sequence: decoding.Count
     warmup_s_time: Annotated[float, msgspec.Meta(ge=0, le=MAX_WARMUP)]
 
 
@@ -84,7 +80,7 @@
     address: Annotated[str, msgspec.Meta(pattern=ADDRESS)]
     info: _Info
     status: _Status
-    born: _Integer | None = None
+    born: decoding.Integer | None = None
 
 
 _CONFIGURATION = msgspec.json.Decoder(_Configuration)
@@ -99,10 +95,7 @@
     PlatformProtocolError
         The configuration is invalid.
     """
-    try:
-        found = decoding.decode(_CONFIGURATION.decode, value)
-    except decoding.Undecodable as error:
-        raise PlatformProtocolError("configuration", str(error)) from error
+    found = decoding.decode(_CONFIGURATION.decode, value, PlatformProtocolError, "configuration")
     return Configuration(
         version=found.version,
         routes=tuple(_route(item) for item in found.routes),
@@ -132,10 +125,7 @@
     PlatformProtocolError
         The entry is invalid.
     """
-    try:
-        found = decoding.decode(_SERVER.decode, value)
-    except decoding.Undecodable as error:
-        raise PlatformProtocolError(f"entry of {key}", str(error)) from error
+    found = decoding.decode(_SERVER.decode, value, PlatformProtocolError, f"entry of {key}")
     return Backend(
         backend_id=incarnation_id(key, found.born),
         instance=key,
--- a/src/limedeck/platform/store.py
+++ b/src/limedeck/platform/store.py
@@ -156,7 +156,4 @@
 
 
 def _decoded(response: http_client.HttpResponse) -> _Rows:
-    try:
-        return decoding.decode(_ROWS.decode, response.body)
-    except decoding.Undecodable as error:
-        raise rows.StoreProtocolError(str(error)) from error
+    return decoding.decode(_ROWS.decode, response.body, rows.StoreProtocolError)
