--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -77,6 +77,7 @@
 INTERIM_RESPONSE = b"HTTP/1.1 103 Early Hints\r\n\r\n"
 HEAD_END = b"\r\n\r\n"
 CUT_STRIDE = 37
+"""Bytes between the cuts of two heads, so that cuts are spread over all parts of a head."""
 GRANT_START = b"POST /v1/grant"
 REJECTION_START = b"HTTP/1.1 503"
 SURPLUS_RESPONSES = tuple(
@@ -256,7 +257,6 @@
         if self.responses % 3:
             return response
         head = response.index(HEAD_END, len(INTERIM_RESPONSE)) + len(HEAD_END)
-        # A stride that has no factor in common with the length of most heads reaches all bytes.
         self.cut_heads += 1
         await caller.send(response[: self.cut_heads * CUT_STRIDE % head])
         if self.cut_heads % 2:
