No request is sent to an address that an entry does not name

Callers got 502 or 504, and another process received their requests, as long as an entry of another writer with a port out of range stood among those of the back ends.

Cause: the entry's address was checked for its number of digits only. uvloop takes a port modulo 65,536, so port 70000 is 4464; asyncio's own loop raises an ExceptionGroup around an OverflowError, which the client did not catch. On the same way: the resolver takes an octet with a leading zero as octal, and Linux connects 0.0.0.0 to the machine itself; both reached a listener that the entry does not name. Octets over 255 were asked of the resolver at each attempt.

One parser reads addresses now, and decides on what a single server can have: the reader of entries refuses others with its typed error (`row_refused`), and the HTTP client, whoever named the address, does not connect.

Evidence: on the code before, 10 of the 25 invalid entries of test_addresses.py were read as valid, and a connection was opened or an untyped error raised in 8 of 8 cases (port out of range, unspecified, octal, short; both event loops). With five real nodes, of which two keep no feed, all three tests of test_odd_entries.py failed: connections at the listener, 504 for callers. All pass now. Nesting and numbers too large (RecursionError, 10^400, 1e400, 5,000 digits) ended no node before either.

--- a/src/limedeck/http_client.py
+++ b/src/limedeck/http_client.py
@@ -19,7 +19,7 @@
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
 
-from limedeck import http_codec, response_memory
+from limedeck import addresses, http_codec, response_memory
 from limedeck.clock import steady_clock
 from limedeck.forwarding.protocol import Headers
 from limedeck.identity import Seconds
@@ -451,12 +451,15 @@
         return connection
 
     async def _open(self, address: str, until: Seconds) -> _Connection:
-        host, _, port = address.rpartition(":")
         time_left = min(self._connect_timeout, until - steady_clock())
+        try:
+            host, port = addresses.parse_address(address)
+        except addresses.InvalidAddress as error:
+            raise AttemptFailed(FailurePhase.NOT_CONNECTED, str(error)) from error
         try:
             with anyio.fail_after(time_left):
-                stream = await anyio.connect_tcp(host, int(port), local_host=self._local_host)
-        except (OSError, TimeoutError, ValueError) as error:
+                stream = await anyio.connect_tcp(host, port, local_host=self._local_host)
+        except (OSError, TimeoutError) as error:
             refused = _is_refused(error)
             problem = CONNECTION_REFUSED if refused else type(error).__name__
             raise AttemptFailed(FailurePhase.NOT_CONNECTED, problem, refused) from error
--- a/src/limedeck/platform/messages.py
+++ b/src/limedeck/platform/messages.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from limedeck import decoding
+from limedeck import addresses, decoding
 from limedeck.errors import PlatformProtocolError
 from limedeck.identity import Seconds, incarnation_id
 from limedeck.model import Backend, CallerLimits, Configuration, Route, Service, Target
@@ -16,7 +16,6 @@
 EVACUATION_PREFIX = "evacuate/"
 BACKENDS_TABLE = "servers"
 REPEATABLE = "safe"
-ADDRESS = r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}\Z"
 MAX_WARMUP: Seconds = 3600.0
 """Longest warm-up accepted: no back end is cold for an hour, so another program wrote the entry."""
 _Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
@@ -77,11 +76,14 @@
 
 
 class _Server(msgspec.Struct):
-    address: Annotated[str, msgspec.Meta(pattern=ADDRESS)]
+    address: str
     info: _Info
     status: _Status
     born: decoding.Integer | None = None
 
+    def __post_init__(self) -> None:
+        addresses.parse_address(self.address)
+
 
 _CONFIGURATION = msgspec.json.Decoder(_Configuration)
 _SERVER = msgspec.json.Decoder(_Server)
