A node's address that is not one ends no process

A node ended as soon as it read a leader's record, or was sent a peer, whose address is none: int() raised ValueError, which no loop over connections catches. It is the failure of an entry that cannot be read, on the addresses that nodes read in records and messages of each other; a port out of range led to another process there too.

Connections to other nodes are opened in one place now, which parses the address and raises the error of an invalid message; the link to the leader, the inquiry to former leaders and the exchange of crashes treat that as a connection that failed.

--- a/src/limedeck/node/connections.py
+++ b/src/limedeck/node/connections.py
@@ -5,6 +5,7 @@
 import anyio
 from anyio.abc import SocketStream
 
+from limedeck import addresses
 from limedeck.api.control_pb2 import ControlMessage
 from limedeck.errors import PeerProtocolError
 from limedeck.identity import Seconds
@@ -29,6 +30,30 @@
 """The errors by which a connection may end."""
 
 
+async def connect_to_node(address: str, own_host: str) -> SocketStream:
+    """Open a connection to another node.
+
+    Parameters
+    ----------
+    address
+        The other node's address, as a record or a message states it.
+    own_host
+        Source address of the connection.
+
+    Raises
+    ------
+    PeerProtocolError
+        The address is invalid.
+    OSError
+        No connection was established.
+    """
+    try:
+        host, port = addresses.parse_address(address)
+    except addresses.InvalidAddress as error:
+        raise PeerProtocolError(str(error)) from error
+    return await anyio.connect_tcp(host, port, local_host=own_host)
+
+
 class FrameSender:
     """Sends the messages of several tasks on one connection, one at a time."""
 
--- a/src/limedeck/node/crash_gossip.py
+++ b/src/limedeck/node/crash_gossip.py
@@ -14,6 +14,7 @@
 from limedeck.api import control_pb2
 from limedeck.clock import steady_clock
 from limedeck.identity import Seconds
+from limedeck.node.connections import CONNECTION_ERRORS, connect_to_node
 from limedeck.node.crash_updates import CrashUpdatePeer
 from limedeck.node.framing import encode_frame
 from limedeck.node.logs import get_logger
@@ -64,14 +65,13 @@
         update = peer.next_update(steady_clock())
         if update is None:
             return
-        host, _, port = address.rpartition(":")
         frame = encode_frame(control_pb2.ControlMessage(crash_news=update))
         try:
             with anyio.fail_after(PEER_SEND_TIMEOUT):
-                stream = await anyio.connect_tcp(host, int(port), local_host=self._own_host)
+                stream = await connect_to_node(address, self._own_host)
                 async with stream:
                     await stream.send(frame)
-        except (OSError, TimeoutError, anyio.BrokenResourceError) as error:
+        except CONNECTION_ERRORS as error:
             # All updates are sent again in the next round.
             del self._peers[address]
             problem = type(error).__name__
--- a/src/limedeck/node/former_leader_inquiry.py
+++ b/src/limedeck/node/former_leader_inquiry.py
@@ -6,7 +6,7 @@
 
 from limedeck.api.control_pb2 import ControlMessage, FormerLeader, LeaderRecord, Report
 from limedeck.identity import Seconds
-from limedeck.node.connections import CONNECTION_ERRORS
+from limedeck.node.connections import CONNECTION_ERRORS, connect_to_node
 from limedeck.node.control import ControlHost
 from limedeck.node.framing import FrameReader, encode_frame
 from limedeck.node.logs import get_logger
@@ -37,7 +37,6 @@
             await anyio.sleep(INQUIRY_INTERVAL)
 
     async def _inquire(self, former: FormerLeader) -> None:
-        host, _, port = former.peer_address.rpartition(":")
         own_host = self._identity.peer_address.rpartition(":")[0]
         report = Report(
             node_id=self._identity.node_id,
@@ -45,7 +44,7 @@
             term=self._control.election.term,
         )
         with anyio.fail_after(INQUIRY_TIMEOUT):
-            stream = await anyio.connect_tcp(host, int(port), local_host=own_host)
+            stream = await connect_to_node(former.peer_address, own_host)
             async with stream:
                 await stream.send(encode_frame(ControlMessage(report=report)))
                 reader = FrameReader(stream, ControlMessage)
--- a/src/limedeck/node/leader_link.py
+++ b/src/limedeck/node/leader_link.py
@@ -13,6 +13,7 @@
     CONNECTION_ERRORS,
     RECEIVE_TIMEOUT,
     FrameSender,
+    connect_to_node,
 )
 from limedeck.node.control import ControlHost
 from limedeck.node.framing import FrameReader
@@ -81,10 +82,9 @@
         return leader.node_id == self._identity.node_id
 
     async def _follow(self, leader: LeaderRecord) -> None:
-        host, _, port = leader.peer_address.rpartition(":")
         own_host = self._identity.peer_address.rpartition(":")[0]
         with anyio.fail_after(CONNECT_TIMEOUT):
-            stream = await anyio.connect_tcp(host, int(port), local_host=own_host)
+            stream = await connect_to_node(leader.peer_address, own_host)
         self._peer = PeerTables(steady_clock())
         self._updates = self._control.connection_updates()
         self._control.loads.handle_connected()
--- a/tests/system/test_unreadable_rows.py
+++ b/tests/system/test_unreadable_rows.py
@@ -11,6 +11,7 @@
 import httpx
 import pytest
 
+from limedeck.api.control_pb2 import LeaderRecord
 from limedeck_lab.processes import wait_until
 from tests.system import platform_site
 
@@ -67,3 +68,25 @@
         for node in site.nodes:
             for path in ("/keyed/x", "/plain/x"):
                 assert site.send(client, node, path, 5).status_code == 200
+
+
+# Guards against nodes that end because the leader's record names no address to connect to.
+@pytest.mark.parametrize("address", ["", "nowhere", "127.0.0.1:70000", "127.0.0.1:port"])
+def test_leader_record_with_an_invalid_address_ends_no_node(
+    site: platform_site.Site, address: str
+) -> None:
+    key = ("limedeck_leader", "", "leader")
+    ended = []
+    for number in range(len(site.nodes)):
+        record = base64.b64decode(site.store.rows[key][0])
+        spoilt = LeaderRecord.FromString(record)
+        spoilt.peer_address = address
+        site.store.put("limedeck_leader", "leader", spoilt.SerializeToString())
+        ended += replace_node(site, number)
+        if base64.b64decode(site.store.rows[key][0]) == spoilt.SerializeToString():
+            site.store.put("limedeck_leader", "leader", record)
+    site.restart_nodes()
+    wait_until(lambda: all(node.is_ready() for node in site.nodes), "nodes are ready")
+    wait_until(site.all_keys_are_owned, "all keys have owners")
+    assert ended == []
+    assert site.ownership_conflicts == []
--- a/tests/unit/test_addresses.py
+++ b/tests/unit/test_addresses.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 
 from limedeck import addresses, clock, errors, http_client
+from limedeck.node import connections
 from limedeck.platform import messages
 from limedeck.routing.outcomes import AttemptFailed, FailurePhase
 
@@ -106,6 +107,8 @@
         assert caught.value.phase is FailurePhase.NOT_CONNECTED
         with pytest.raises(AttemptFailed):
             await client.try_connect(text, clock.steady_clock() + 1.0)
+        with pytest.raises(connections.CONNECTION_ERRORS):
+            await connections.connect_to_node(text, "127.0.0.1")
         await anyio.sleep(SETTLING_SECONDS)
         with pytest.raises(BlockingIOError):
             listener.accept()
--- a/tests/unit/test_crash_updates.py
+++ b/tests/unit/test_crash_updates.py
@@ -142,6 +142,26 @@
         assert state.quarantine.refused_for(BAD, later) is not None
 
 
+# Guards against a node that ends because another one names a peer without a valid address.
+async def test_peers_without_a_valid_address_do_not_end_the_exchange_of_crashes() -> None:
+    addresses = [f"127.0.0.1:{port}" for port in processes.free_ports(1)]
+    states = [node_state.NodeState("z1", f"n{number}", ALLOWANCE) for number in range(2)]
+    states[0].peers = ("", "nowhere", "127.0.0.1:port", "127.0.0.1:70000", *addresses)
+    host, _ = test_statuses.leader()
+    host._state = states[1]
+    listener = followers.FollowerConnections(
+        addresses[0], "z1", host, table_exchange.TableExchange(()), test_statuses.TIMING
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve)
+        gossip = crash_gossip.CrashGossip(states[0], lambda: False, "127.0.0.1")
+        tasks.start_soon(gossip.run)
+        record_crashes(states[0].quarantine, clock.steady_clock())
+        await polling.until(lambda: states[1].quarantine.suspects_any)
+        await anyio.sleep(2 * crash_gossip.ROUND_INTERVAL)
+        tasks.cancel_scope.cancel()
+
+
 async def test_crash_updates_do_not_make_the_sender_a_follower() -> None:
     (port,) = processes.free_ports(1)
     host, state = test_statuses.leader()
