A build folder of another kind of machine is built again

A node did not start from a folder that was built on a machine of another kind, or for another interpreter: the build took what was installed for good as long as the list of libraries was not newer than its mark, by the files' times. Now the mark names the processor, the interpreter and the list's checksum.

Evidence: three of the six tests of test_deploy_build.py failed before (another processor, another interpreter, a changed list with an old time); all pass now. Sources were compared by checksum before, too.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -3,12 +3,15 @@
 # unchanged is left alone, since processes may be starting from it.
 set -eu
 deps=target/deps
-if [ ! -e "$deps/.libraries" ] || [ deploy/requirements.txt -nt "$deps/.libraries" ]; then
+# A folder may come from a machine of another kind, whose native libraries do not load here.
+libraries="$(uname -m) $(python3 -c 'import sys; print(sys.implementation.cache_tag)')"
+libraries="$libraries $(sha256sum < deploy/requirements.txt)"
+if [ "$(cat "$deps/.libraries" 2>/dev/null || true)" != "$libraries" ]; then
     rm -rf "$deps"
     python3 -m pip install --quiet --disable-pip-version-check --no-compile \
         --target "$deps" -r deploy/requirements.txt
     python3 -m compileall -q "$deps"
-    touch "$deps/.libraries"
+    echo "$libraries" > "$deps/.libraries"
 fi
 sources=$(find src/limedeck -name '*.py' -print0 | sort -z | xargs -0 sha256sum | sha256sum)
 if [ "$(cat "$deps/.sources" 2>/dev/null || true)" != "$sources" ]; then
