A connection that carried a link trial carries its request no second time

A request that was tried on a link in doubt, and then again within its time, could be answered by a second response to the trial: all attempts at a request have one id, and the trial's connection forgot it at the end of the trial, before that of the request. Only repeatable requests make such trials, so nothing runs twice; a rejection that arrives twice would count as that of an attempt which runs.

The request to the HTTP client says until when attempts at it may follow, and the connection keeps the id for as long. All other attempts end with their request, so that nothing changes for them.

Evidence: on the code before, a connection carries an id again once the deadline of its attempt is over, which test_a_connection_carries_a_request_again_after_the_deadline_of_its_attempt asserts (it still does), and a trial's deadline is earlier than its request's (test_gateway.py, new). No run with real nodes shows that it struck.

--- a/src/limedeck/http_client.py
+++ b/src/limedeck/http_client.py
@@ -22,7 +22,7 @@
 from limedeck import addresses, http_codec, response_memory
 from limedeck.clock import steady_clock
 from limedeck.forwarding.protocol import Headers
-from limedeck.identity import Seconds
+from limedeck.identity import NEVER, Seconds
 from limedeck.routing.outcomes import AttemptFailed, FailurePhase
 
 SocketOption = tuple[int, int, int]
@@ -131,7 +131,9 @@
         The id that responses to this request name; empty if they name none. All attempts at a
         request have the same id, so a response shows which of them it belongs to only if its
         connection has carried the id once. No connection carries an id again before the deadline of
-        the attempt that it carried.
+        the attempt that it carried, or `attempts_until`.
+    attempts_until
+        Until when further attempts at the request may be made, if later than this one's deadline.
     watched
         Before the request is sent on a new connection, wait `EARLY_RESET_WINDOW` for a reset: after
         a reset that follows sending, it is unknown whether the request has run.
@@ -151,6 +153,7 @@
     headers: Headers
     body: bytes = b""
     request_id: bytes = b""
+    attempts_until: Seconds = NEVER
     watched: bool = False
     is_answered_by: Callable[[HttpResponse], bool] = any_response
     keeps_connection: Callable[[HttpResponse], bool] = any_response
@@ -180,7 +183,7 @@
         return request_id in self._carried
 
     def record_carried(self, request_id: bytes, until: Seconds) -> None:
-        """Record that an attempt is sent; there may be another one until this one's deadline."""
+        """Record that an attempt is sent; there may be others at its request until then."""
         now = steady_clock()
         for former, expires_at in list(self._carried.items()):
             if expires_at >= now:
@@ -338,7 +341,7 @@
             There is no complete response by `until` (on this node's clock).
         """
         connection = await self._acquire(request, until)
-        connection.record_carried(request.request_id, until)
+        connection.record_carried(request.request_id, max(until, request.attempts_until))
         reusable = False
         has_response = False
         try:
--- a/src/limedeck/node/backend_paths.py
+++ b/src/limedeck/node/backend_paths.py
@@ -16,7 +16,7 @@
     HttpRequest,
     HttpResponse,
 )
-from limedeck.identity import Seconds
+from limedeck.identity import NEVER, Seconds
 from limedeck.model import Backend
 from limedeck.node.intermediary_client import (
     NO_INTERMEDIARY,
@@ -136,7 +136,7 @@
         if end is None:
             return None
         try:
-            return await self._exchange_directly(request, end)
+            return await self._exchange_directly(request, end, until)
         except AttemptFailed as error:
             request.ledger.begin_attempt(request.backend.backend_id).phase = error.phase
             return None
@@ -185,11 +185,14 @@
             return AttemptFailed(error.phase, error.problem)
         return error
 
-    async def _exchange_directly(self, request: BackendRequest, until: Seconds) -> HttpResponse:
+    async def _exchange_directly(
+        self, request: BackendRequest, until: Seconds, attempts_until: Seconds = NEVER
+    ) -> HttpResponse:
         backend_id = request.backend.backend_id
         with self._monitor.direct.waiting(backend_id, request.repeatable):
             try:
-                response = await self._client.exchange(self._encode(request, until), until)
+                encoded = self._encode(request, until, attempts_until)
+                response = await self._client.exchange(encoded, until)
             except AttemptFailed as error:
                 if error.problem == FOREIGN_RESPONSE:
                     self._telemetry.unmatched_responses.inc()
@@ -229,7 +232,9 @@
         self._monitor.record_served_by_other()
         return response
 
-    def _encode(self, request: BackendRequest, until: Seconds) -> HttpRequest:
+    def _encode(
+        self, request: BackendRequest, until: Seconds, attempts_until: Seconds
+    ) -> HttpRequest:
         backend = request.backend
         added = self._protocol.attempt_headers(backend.name, until - steady_clock())
         return HttpRequest(
@@ -239,6 +244,7 @@
             request.headers + added,
             request.body,
             request.request_id,
+            attempts_until,
             request.watched,
             is_answered_by=lambda response: self._protocol.names_request(
                 request.request_id, response.headers
--- a/src/limedeck/node/intermediary_server.py
+++ b/src/limedeck/node/intermediary_server.py
@@ -229,7 +229,7 @@
             headers,
             body,
             request_id,
-            attempt.watched,
+            watched=attempt.watched,
             is_answered_by=lambda response: self._protocol.names_request(
                 request_id, response.headers
             ),
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -367,6 +367,31 @@
         raise AttemptFailed(phase, "lost", by_other_end=True)
 
 
+class RecordingBehindBrokenLink(LostBehindBrokenLink):
+    """Records when the attempts of each request end."""
+
+    def __init__(self) -> None:
+        super().__init__({})
+        self.ends: list[tuple[Seconds, Seconds]] = []
+
+    async def exchange(
+        self, request: http_client.HttpRequest, until: Seconds
+    ) -> http_client.HttpResponse:
+        self.ends.append((until, request.attempts_until))
+        return await super().exchange(request, until)
+
+
+# Guards against a second response to a link trial that passes for that to a later attempt.
+async def test_connection_of_a_link_trial_is_not_used_for_later_attempts_at_its_request() -> None:
+    node = make_node_with_attempts({"a:1": 200}, repeatable=True, attempts=1)
+    node.directory.reachability.exchanges.belief = LinkBelief.SUSPECTED
+    node.directory.intermediaries.set_known([Intermediary("other:1", "z1")])
+    client = RecordingBehindBrokenLink()
+    await send_request(node, client)
+    (trial_until, attempts_until), (later_until, _) = client.ends
+    assert trial_until < later_until == attempts_until
+
+
 async def test_request_that_a_link_trial_may_have_run_is_not_refused_as_not_run() -> None:
     node = make_node_with_attempts({"a:1": 200}, repeatable=True, attempts=1)
     node.directory.reachability.exchanges.belief = LinkBelief.SUSPECTED
--- a/tests/unit/test_http_client.py
+++ b/tests/unit/test_http_client.py
@@ -486,6 +486,24 @@
     assert [carrier.number for carrier in carriers if carrier] == [1, 1, 1]
 
 
+# Guards against a second response to a link trial that passes for that to a later attempt.
+async def test_a_connection_carries_no_request_again_while_it_may_be_attempted() -> None:
+    async with backend(Script([OK, OK, OK])) as request:
+        client = HttpClient()
+        named = replace(request, request_id=b"r1", attempts_until=steady_clock() + 5.0)
+        carriers = []
+        for sent, deadline in (
+            (named, 0.05),
+            (replace(request, request_id=b"r2"), 1.0),
+            (named, 1.0),
+        ):
+            response = await client.exchange(sent, steady_clock() + deadline)
+            carriers.append(response.carrier)
+            await anyio.sleep(0.1)
+        await client.aclose()
+    assert [carrier.number for carrier in carriers if carrier] == [1, 1, 2]
+
+
 async def test_surplus_response_fails_the_attempt_and_its_connection_is_not_used_again() -> None:
     rejection = b"HTTP/1.1 503 Full\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
     script = Script([rejection, OK])
