A leader whose record is lost is elected again, from what nodes and the confirmation know

Keyed requests were refused 20 s after another program had overwritten the leader's row with what is no record, although the leader and all nodes ran, and for good: dropping the row did not help, and no one can write such a record by hand.

Cause: nobody leads without a record that can be read, and a node that knew a version of the row stood for election on that version only, also when the row was gone. What nodes know was not used: the leader knows that it was elected, its followers know its term, and the row of confirmations has the term of the last leader that the store confirmed.

A leader that finds its record lost stands again at once, as after a return of the store from a copy, while its grants go on. If it is lost too, others stand when its confirmation is stale. The next term is above each known one and above the confirmed one, with room for leaders that were elected and not confirmed. A candidate that does not know the confirmed leader lists it as a former one without an address: it can't be asked, so keys of owners that don't respond wait until it can renew nothing. Where no row and no node tells a term, nobody stands, since fences could be used twice.

Ruled out as too little: terms from memory alone (a node that was cut off for long knows an old one).

--- a/src/limedeck/node/election_calls.py
+++ b/src/limedeck/node/election_calls.py
@@ -83,7 +83,7 @@
 
     async def _read_leader(self, command: ReadLeader) -> None:
         found = await self._store.read(LEADER_ROW.table, LEADER_ROW.part)
-        result = _leader_read_result(found.rows, found.absent, found.store_time)
+        result = leader_read_result(found.rows, found.absent, found.store_time)
         self._record_store_time(found.store_time)
         self._log.info(
             "leader_read",
@@ -105,7 +105,7 @@
         try:
             written = await self._store.transact([condition], [write])
         except ConditionFailed as error:
-            result = _leader_read_result(error.rows, error.absent, 0.0)
+            result = leader_read_result(error.rows, error.absent)
             self._election.handle_leader_read(result, steady_clock())
             return
         self._log.info("elected", term=command.record.term, why=command.why.value)
@@ -123,7 +123,7 @@
         try:
             written = await self._store.transact([condition], [write])
         except ConditionFailed as error:
-            result = _leader_read_result(error.rows, error.absent, 0.0)
+            result = leader_read_result(error.rows, error.absent)
             self._election.handle_leader_read(result, steady_clock())
             return
         self._record_store_time(written.store_time)
@@ -133,24 +133,50 @@
         self.store_offset = store_time - steady_clock()
 
 
-def _leader_read_result(
-    rows: tuple[StoredRow, ...], absent: versions.StoreVersion, store_time: Seconds
+def leader_read_result(
+    rows: tuple[StoredRow, ...],
+    absent: versions.StoreVersion,
+    store_time: Seconds | None = None,
 ) -> LeaderReadResult:
-    record = None
-    version = absent
+    """Read the leader's rows.
+
+    Parameters
+    ----------
+    absent
+        Version of an absent row.
+    store_time
+        The store's clock; None if the rows are those that a failed write returned.
+    """
+    by_key = {row.key: row for row in rows}
+    row = by_key.get(LEADER_ROW.key)
+    record = _decode_if_readable(row, LeaderRecord)
+    confirmation = _decode_if_readable(by_key.get(CONFIRMATION_ROW.key), LeaderConfirmation)
+    version = row.version if row is not None else absent
     age = None
-    for row in rows:
-        if row.key == LEADER_ROW.key:
-            record = decode_record(row, LeaderRecord)
-            version = row.version
-    for row in rows:
-        if row.key == CONFIRMATION_ROW.key and record is not None:
-            confirmation = decode_record(row, LeaderConfirmation)
-            is_current = terms.era_of(record.term) >= versions.era_of(version)
-            # The store's clock may have been set back with its rows.
-            if is_current and confirmation.term == record.term:
-                age = store_time - confirmation.confirmed_at
-    return LeaderReadResult(record, version, age)
+    if confirmation is not None and store_time is not None:
+        # The store's clock may have been set back with its rows.
+        is_current = record is None or terms.era_of(record.term) >= versions.era_of(version)
+        if is_current and (record is None or confirmation.term == record.term):
+            age = store_time - confirmation.confirmed_at
+    return LeaderReadResult(
+        record,
+        version,
+        age,
+        confirmed_term=confirmation.term if confirmation is not None else None,
+        is_unreadable=row is not None and record is None,
+        is_conflict=store_time is None,
+    )
+
+
+def _decode_if_readable(row: StoredRow | None, kind: type[Record]) -> Record | None:
+    """Decode a row's record; None if there is no row, or if it holds none."""
+    if row is None:
+        return None
+    try:
+        return decode_record(row, kind)
+    except StoreProtocolError as error:
+        get_logger("control").error("record_not_read", problem=str(error))
+        return None
 
 
 def decode_record(row: StoredRow, kind: type[Record]) -> Record:
--- a/src/limedeck/node/former_leader_inquiry.py
+++ b/src/limedeck/node/former_leader_inquiry.py
@@ -28,7 +28,8 @@
     async def run(self) -> None:
         """Query each former leader until it responds, while this node leads; until cancelled."""
         while True:
-            for former in self._control.election.former_leaders():
+            known = [item for item in self._control.election.former_leaders() if item.node_id]
+            for former in known:
                 try:
                     await self._inquire(former)
                 except CONNECTION_ERRORS as error:
--- a/src/limedeck/ownership/election.py
+++ b/src/limedeck/ownership/election.py
@@ -32,6 +32,9 @@
 """Interval at which a leader that has resigned reads who succeeds it; longer than an election."""
 MAX_READ_AGE: Seconds = 0.5
 """Largest age of the rows on which a campaign is based."""
+UNCONFIRMED_TERMS = 8
+"""Terms that are left out if the record of the last election is lost: leaders that the store has
+not confirmed may have had them."""
 
 
 class ElectionCore:
@@ -87,6 +90,9 @@
         self._ineligible_until: Seconds = NEVER
         self._ended_leaders: set[tuple[int, int]] = set()
         self._highest_peer_term = 0
+        self._is_record_lost = False
+        self._is_term_unknown = False
+        self._confirmed_term = 0
 
     @property
     def term(self) -> int:
@@ -203,6 +209,7 @@
             return
         self.record = record
         self.row_version = max(row_version, self.row_version)
+        self._is_record_lost = False
         self._record_new_term(now)
         self._update_role(now)
 
@@ -211,7 +218,8 @@
         self._is_call_pending = False
         self._failures = 0
         known = self.term
-        if seen.row_version >= self.row_version:
+        self._record_loss(seen)
+        if seen.row_version >= self.row_version or self._is_row_absent(seen):
             self.row_version = seen.row_version
             # A copy of the store may name a leader before the one that this node knows.
             if seen.record is not None and seen.record.term >= known:
@@ -219,10 +227,27 @@
         if self.term > known:
             self._record_new_term(now)
         self._confirmation_age = seen.confirmation_age
-        self._rows_read_at = now
+        # A failed write returns the leader's row alone, which without a record shows no term.
+        self._rows_read_at = NEVER if self._lacks_confirmation(seen) else now
         self._next_call = now
         self._update_role(now)
 
+    def _record_loss(self, seen: LeaderReadResult) -> None:
+        """Record whether the record of the last election is in the store."""
+        self._confirmed_term = max(self._confirmed_term, seen.confirmed_term or 0)
+        was_elected = self.record is not None or self._confirmed_term > 0
+        self._is_record_lost = seen.record is None and (was_elected or seen.is_unreadable)
+        self._is_term_unknown = self._is_record_lost and not was_elected
+        if self._is_record_lost and self.term < self._confirmed_term:
+            self.handle_superseded(self._confirmed_term)
+
+    def _is_row_absent(self, seen: LeaderReadResult) -> bool:
+        is_same_era = versions.era_of(seen.row_version) == versions.era_of(self.row_version)
+        return is_same_era and self._is_record_lost and not seen.is_unreadable
+
+    def _lacks_confirmation(self, seen: LeaderReadResult) -> bool:
+        return self._is_record_lost and seen.is_conflict
+
     def handle_era(self, era: int, now: Seconds) -> None:
         """Handle the era of the store: what was read in an earlier one is not valid any more."""
         if era <= self.era:
@@ -235,8 +260,16 @@
 
     @property
     def is_election_lost(self) -> bool:
-        """Whether this node was elected in an earlier era, so that it has to be elected again."""
-        return self.role is Role.LEADER and terms.era_of(self.term) < self.era
+        """Whether the store does not know that this node was elected; it has to be elected again.
+
+        It was elected in an earlier era, or its record is lost.
+        """
+        is_lost = self._is_of_earlier_era or self._is_record_lost
+        return self.role is Role.LEADER and is_lost
+
+    @property
+    def _is_of_earlier_era(self) -> bool:
+        return terms.era_of(self.term) < self.era
 
     def _record_new_term(self, now: Seconds) -> None:
         """Drop what was known of the former leader: there is a later one."""
@@ -251,6 +284,7 @@
         self._failures = 0
         self.record = record
         self.row_version = row_version
+        self._is_record_lost = False
         self._term_known_at = now
         self._confirmed_at = now
         self._denied = False
@@ -274,7 +308,10 @@
         self._next_call = now + min(pause, MAX_RETRY_INTERVAL)
 
     def former_leaders(self) -> list[FormerLeader]:
-        """Return leaders of earlier terms that may still renew grants, while this node leads."""
+        """Return leaders of earlier terms that may still renew grants, while this node leads.
+
+        One whose record was lost is unknown but for its term; it has no address.
+        """
         if self.role is not Role.LEADER or self.record is None:
             return []
         return [
@@ -322,20 +359,30 @@
         return command
 
     def _leader_tick(self, now: Seconds) -> ElectionCommand | None:
+        self._end_unknown_leaders(now)
         if self.is_election_lost:
             return self._restore_leadership(now)
         self._next_call = now + self._timing.confirm_interval
         return Confirm(self.term, self.row_version)
 
+    def _end_unknown_leaders(self, now: Seconds) -> None:
+        """Let former leaders that cannot be asked count as ended once they renew no grants."""
+        if self.record is None or now - self._leads_since <= self._timing.max_unconfirmed_time:
+            return
+        for former in self.record.former:
+            if not former.node_id:
+                self.handle_former_leader_ended(former)
+
     def _restore_leadership(self, now: Seconds) -> ElectionCommand:
-        """Stand for election in the present era, while grants go on under the lost term."""
+        """Stand for election again, while grants go on under the lost term."""
         self._next_call = now + RETRY_INTERVAL
+        is_returned = self._is_of_earlier_era
+        why = Suspicion.STORE_RETURNED if is_returned else Suspicion.RECORD_LOST
         is_current = versions.era_of(self.row_version) == self.era
         if not is_current or now - self._rows_read_at > MAX_READ_AGE:
-            return ReadLeader(Suspicion.STORE_RETURNED)
+            return ReadLeader(why)
         self._rows_read_at = NEVER
-        record = self._candidate_record(Suspicion.STORE_RETURNED)
-        return Campaign(record, self.row_version, Suspicion.STORE_RETURNED)
+        return Campaign(self._candidate_record(why), self.row_version, why)
 
     def _follower_tick(self, now: Seconds) -> ElectionCommand | None:
         why = self._suspicion(now)
@@ -396,7 +443,9 @@
         return now >= self._denied_since + wait
 
     def _may_replace_leader(self, why: Suspicion, now: Seconds) -> bool:
-        if why in (Suspicion.NO_RECORD, Suspicion.DENIED):
+        if self._is_term_unknown:
+            return False
+        if why in (Suspicion.NO_RECORD, Suspicion.DENIED) and not self._is_record_lost:
             return True
         if self._confirmation_age is None:
             return True
@@ -406,9 +455,14 @@
         record = LeaderRecord()
         record.CopyFrom(self._identity)
         record.why = why.value
-        record.term = terms.next_term(max(self.term, self._highest_peer_term), self.era)
+        highest = max(self.term, self._highest_peer_term)
+        if self._is_record_lost:
+            highest = max(highest, self._confirmed_term) + UNCONFIRMED_TERMS
+        record.term = terms.next_term(highest, self.era)
         if self.record is not None:
             record.former.extend(_former_leaders(self.record, self._identity.node_id))
+        if self._is_record_lost and self.term < self._confirmed_term:
+            record.former.append(FormerLeader(term=self._confirmed_term))
         return record
 
     def _update_role(self, now: Seconds) -> None:
--- a/src/limedeck/ownership/election_events.py
+++ b/src/limedeck/ownership/election_events.py
@@ -30,6 +30,8 @@
         The leader does not reach the store.
     STORE_RETURNED
         The store has returned from a copy, so that the leader's election may be lost.
+    RECORD_LOST
+        The leader's record is gone or cannot be read; another program has changed its row.
     """
 
     NO_RECORD = "no-record"
@@ -37,6 +39,7 @@
     DENIED = "denied"
     STORE_UNREACHABLE = "misses-store"
     STORE_RETURNED = "store-returned"
+    RECORD_LOST = "record-lost"
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,16 +76,25 @@
     Parameters
     ----------
     record
-        Record of the leader; None if there is none.
+        Record of the leader; None if there is none, or if it cannot be read.
     row_version
-        Version of the record's row; that of an absent row if there is no record.
+        Version of the record's row; that of an absent row if there is none.
     confirmation_age
-        Age of the leader's last confirmation; None if there is none in this term.
+        Age of the last confirmation, if there is one in this term, or if there is no record.
+    confirmed_term
+        Term of the last confirmation; None if there is none, or if it was not read.
+    is_unreadable
+        Whether there is a row that holds no record.
+    is_conflict
+        Whether a failed write returned the row of the record; other rows were not read.
     """
 
     record: LeaderRecord | None
     row_version: StoreVersion
     confirmation_age: Seconds | None
+    confirmed_term: int | None = None
+    is_unreadable: bool = False
+    is_conflict: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/limedeck_lab/ownership/faults.py
+++ b/src/limedeck_lab/ownership/faults.py
@@ -8,6 +8,7 @@
 import simpy
 
 from limedeck.identity import Seconds
+from limedeck.node import election_calls
 from limedeck_lab.ownership.backends import SimulatedBackend
 from limedeck_lab.ownership.node import SimulatedNode
 from limedeck_lab.ownership.store import StoreFaults
@@ -57,6 +58,13 @@
     "partitioned_successor_killed",
 )
 """Faults in which nodes reach no back end, while the store and other nodes reach them."""
+LOST_RECORD_FAULTS = (
+    "record_lost",
+    "record_lost_leader_killed",
+    "record_lost_leader_cut",
+    "record_lost_all_killed",
+)
+"""Faults in which the leader's record is dropped, or overwritten by what is none."""
 
 
 class WorldFaults:
@@ -324,6 +332,47 @@
         yield from self._change_owners()
         yield from self._store_away()
 
+    # ------------------------------------------------------------------ lost records
+
+    def _lose_record(self) -> None:
+        """Let another program drop the leader's record, or overwrite it."""
+        is_dropped = self._world.random.random() < 0.5
+        self._world.store.overwrite(election_calls.LEADER_ROW, None if is_dropped else b"\xff")
+
+    def record_lost(self) -> Generator[simpy.Event, object, None]:
+        yield from self._change_owners()
+        self._lose_record()
+
+    def record_lost_leader_killed(self) -> Generator[simpy.Event, object, None]:
+        """The leader is killed before or after the record is lost, within a second."""
+        leader = self._leader()
+        yield from self._change_owners()
+        if self._world.random.random() < 0.5:
+            self._lose_record()
+            yield self._pause(0.0, 1.0)
+            self._world.kill_node(leader.node_id)
+        else:
+            self._world.kill_node(leader.node_id)
+            yield self._pause(0.0, 1.0)
+            self._lose_record()
+        yield self._pause(3.0, 6.0)
+        self._restart(leader)
+
+    def record_lost_leader_cut(self) -> Generator[simpy.Event, object, None]:
+        """The leader reaches only back ends when its record, or its successor's, is lost."""
+        leader = self._leader()
+        leader.reaches_store = leader.reaches_nodes = False
+        yield self._pause(0.0, 3.0)
+        self._lose_record()
+        yield from self.backend_leaves()
+        leader.reaches_store = leader.reaches_nodes = True
+
+    def record_lost_all_killed(self) -> Generator[simpy.Event, object, None]:
+        """No node is left that knows the lost record's term."""
+        yield from self._change_owners()
+        self._lose_record()
+        yield from self.all_killed()
+
     # ------------------------------------------------------------------ partitions
 
     def _partition(
--- a/src/limedeck_lab/ownership/node.py
+++ b/src/limedeck_lab/ownership/node.py
@@ -12,14 +12,13 @@
 from limedeck.forwarding.owners import OwnerMap
 from limedeck.identity import NEVER, Seconds
 from limedeck.model import Backend
-from limedeck.ownership import terms
+from limedeck.node import election_calls
 from limedeck.ownership.commands import SendGrant, SendRelease, WriteRecord
 from limedeck.ownership.election import ElectionCore
 from limedeck.ownership.election_events import (
     Campaign,
     Confirm,
     ElectionCommand,
-    LeaderReadResult,
     ReadLeader,
     Role,
 )
@@ -42,8 +41,8 @@
 if TYPE_CHECKING:
     from limedeck_lab.ownership.world import World
 
-LEADER = RowKey("leader", "", "leader")
-CONFIRMATION = RowKey("leader", "", "confirmation")
+LEADER = election_calls.LEADER_ROW
+CONFIRMATION = election_calls.CONFIRMATION_ROW
 RECORD = RowKey("assignment", "", "service")
 TICK_INTERVAL: Seconds = 0.05
 ORDER_TRANSIT_TIME: Seconds = 0.002
@@ -242,7 +241,7 @@
             if isinstance(command, ReadLeader):
                 found = yield from store.read(LEADER.table, self.reaches_store)
                 assert isinstance(found, TableRead)
-                seen = _leader_read_result(found.rows, found.absent, found.store_time)
+                seen = election_calls.leader_read_result(found.rows, found.absent, found.store_time)
                 self._record_era(versions.era_of(found.version))
                 self.election.handle_leader_read(seen, self.world.environment.now)
                 return
@@ -257,7 +256,8 @@
             assert isinstance(written, WriteResult)
         except ConditionFailed as error:
             self.election.handle_leader_read(
-                _leader_read_result(error.rows, error.absent, 0.0), self.world.environment.now
+                election_calls.leader_read_result(error.rows, error.absent),
+                self.world.environment.now,
             )
             return
         except StoreError as error:
@@ -394,24 +394,5 @@
         return accepted
 
 
-def _leader_read_result(
-    rows: tuple[StoredRow, ...], absent: versions.StoreVersion, store_time: Seconds
-) -> LeaderReadResult:
-    record = None
-    version = absent
-    age = None
-    for row in rows:
-        if row.key == LEADER.key:
-            record = LeaderRecord.FromString(row.value)
-            version = row.version
-    for row in rows:
-        if row.key == CONFIRMATION.key and record is not None:
-            confirmation = LeaderConfirmation.FromString(row.value)
-            is_current = terms.era_of(record.term) >= versions.era_of(version)
-            if is_current and confirmation.term == record.term:
-                age = store_time - confirmation.confirmed_at
-    return LeaderReadResult(record, version, age)
-
-
 def _decode_record(row: StoredRow | None) -> AssignmentRecord | None:
     return AssignmentRecord.FromString(row.value) if row is not None else None
--- a/src/limedeck_lab/ownership/store.py
+++ b/src/limedeck_lab/ownership/store.py
@@ -101,6 +101,10 @@
         self.copies.clear()
         self._keep_copy()
 
+    def overwrite(self, key: RowKey, value: bytes | None) -> None:
+        """Write a row, or drop it, on no condition, as another program may."""
+        self._write([], [RowWrite(key, value)])
+
     def _keep_copy(self) -> None:
         now = self.environment.now
         self.copies.append(StoreCopy(now, dict(self.rows), self.version))
--- a/tests/system/test_unreadable_rows.py
+++ b/tests/system/test_unreadable_rows.py
@@ -90,3 +90,29 @@
     wait_until(site.all_keys_are_owned, "all keys have owners")
     assert ended == []
     assert site.ownership_conflicts == []
+
+
+# Guards against a service without a leader until an operator repairs the leader's row.
+@pytest.mark.parametrize("value", [GARBAGE, None], ids=["unreadable", "dropped"])
+def test_leader_whose_record_is_lost_is_elected_again(
+    site: platform_site.Site, value: bytes | None
+) -> None:
+    key = ("limedeck_leader", "", "leader")
+    term = LeaderRecord.FromString(base64.b64decode(site.store.rows[key][0])).term
+    if value is None:
+        site.store.drop(*key)
+    else:
+        site.store.put(key[0], key[2], value)
+
+    def is_elected_again() -> bool:
+        row = site.store.rows.get(key)
+        if row is None or base64.b64decode(row[0]) == value:
+            return False
+        return LeaderRecord.FromString(base64.b64decode(row[0])).term > term
+
+    wait_until(is_elected_again, "a leader is elected")
+    wait_until(site.all_keys_are_owned, "all keys have owners")
+    with httpx.Client(timeout=4.0, trust_env=False) as client:
+        for node in site.nodes:
+            assert site.send(client, node, "/keyed/x", 5).status_code == 200
+    assert site.ownership_conflicts == []
--- a/tests/unit/test_election.py
+++ b/tests/unit/test_election.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from limedeck import staggering, versions
-from limedeck.api.control_pb2 import LeaderRecord
+from limedeck.api.control_pb2 import FormerLeader, LeaderRecord
 from limedeck.ownership import candidate_priority, terms
-from limedeck.ownership.election import ElectionCore
+from limedeck.ownership.election import UNCONFIRMED_TERMS, ElectionCore
 from limedeck.ownership.election_events import (
     Campaign,
     Confirm,
@@ -452,3 +454,107 @@
     core.handle_leader_read(LeaderReadResult(earlier, versions.store_version(2, 5), None), 101.0)
     assert core.record == OTHER
     assert core.row_version == versions.store_version(2, 5)
+
+
+# ---------------------------------------------------------------------- lost records
+
+UNREADABLE = LeaderReadResult(None, 45, 0.2, confirmed_term=4, is_unreadable=True)
+ABSENT = LeaderReadResult(None, 0, 0.2, confirmed_term=4)
+
+
+def stale(seen: LeaderReadResult) -> LeaderReadResult:
+    """Return the same rows with a confirmation that is too old to prove that the leader lives."""
+    return replace(seen, confirmation_age=TIMING.stale_confirmation + 0.1)
+
+
+def leader_in_term_five(now: float = 100.0) -> ElectionCore:
+    core = follower_of_other(now)
+    core.handle_denial(4, OTHER.incarnation, True)
+    campaign, now = campaign_of(core, LeaderReadResult(OTHER, 40, 0.1), now)
+    core.handle_elected(campaign.record, 41, now)
+    return core
+
+
+# Guards against a service without a leader because another program changed the leader's row.
+@pytest.mark.parametrize("seen", [UNREADABLE, ABSENT], ids=["unreadable", "absent"])
+def test_leader_whose_record_is_lost_is_elected_again_without_a_break(
+    seen: LeaderReadResult,
+) -> None:
+    core = leader_in_term_five()
+    since = core.leads_since
+    assert next_command(core, 101.0, 102.0)[0] == Confirm(5, 41)
+    # A failed write returns no confirmation, without which the term is not known.
+    conflict = replace(seen, confirmation_age=None, confirmed_term=None, is_conflict=True)
+    core.handle_leader_read(conflict, 101.0)
+    command, now = next_command(core, 101.0, 102.0)
+    assert command == ReadLeader(Suspicion.RECORD_LOST)
+    core.handle_leader_read(replace(seen, confirmed_term=5), now)
+    assert core.is_election_lost
+    campaign, now = next_command(core, now, now + 1.0)
+    assert isinstance(campaign, Campaign)
+    assert campaign.row_version == seen.row_version
+    assert campaign.record.term > 5 + UNCONFIRMED_TERMS
+    core.handle_elected(campaign.record, 46, now)
+    assert core.role is Role.LEADER
+    assert not core.is_election_lost
+    assert core.leads_since == since
+
+
+@pytest.mark.parametrize("seen", [UNREADABLE, ABSENT], ids=["unreadable", "absent"])
+def test_follower_replaces_a_silent_leader_whose_record_is_lost(seen: LeaderReadResult) -> None:
+    core = follower_of_other()
+    campaign, _ = campaign_of(core, stale(seen), 100.0)
+    assert campaign.row_version == seen.row_version
+    assert campaign.record.term > 4 + UNCONFIRMED_TERMS
+    assert [item.node_id for item in campaign.record.former] == ["node-b"]
+
+
+def test_silent_leader_whose_record_is_lost_is_not_replaced_while_it_is_confirmed() -> None:
+    core = follower_of_other()
+    command, now = next_command(core, 100.0, 103.0)
+    assert isinstance(command, ReadLeader)
+    core.handle_leader_read(UNREADABLE, now)
+    command, _ = next_command(core, now, now + 1.0)
+    assert isinstance(command, ReadLeader)
+
+
+def test_leader_that_was_replaced_by_one_whose_record_is_lost_stops() -> None:
+    core = leader_in_term_five()
+    core.handle_leader_read(replace(UNREADABLE, confirmed_term=9), 101.0)
+    assert core.role is Role.FOLLOWER
+    assert not core.may_renew(101.0)
+    campaign, _ = campaign_of(core, stale(replace(UNREADABLE, confirmed_term=9)), 101.0)
+    assert campaign.record.term > 9 + UNCONFIRMED_TERMS
+    assert FormerLeader(term=9) in campaign.record.former
+
+
+def test_node_that_knows_no_term_takes_it_from_the_confirmation() -> None:
+    core = ElectionCore(ME, TIMING, 100.0)
+    campaign, now = campaign_of(core, stale(UNREADABLE), 100.0)
+    assert campaign.record.term > 4 + UNCONFIRMED_TERMS
+    core.handle_elected(campaign.record, 46, now)
+    assert core.former_leaders() == [FormerLeader(term=4)]
+    core.handle_tick(now + TIMING.max_unconfirmed_time + 0.1)
+    assert core.former_leaders() == []
+
+
+# Guards against fences that were in use before: a first term after a lost one.
+def test_nobody_stands_while_no_row_shows_a_term_and_no_node_knows_one() -> None:
+    core = ElectionCore(ME, TIMING, 100.0)
+    seen = LeaderReadResult(None, 45, None, is_unreadable=True)
+    now = 100.0
+    while now < 110.0:
+        command, now = next_command(core, now, now + 3.0)
+        assert isinstance(command, ReadLeader)
+        core.handle_leader_read(seen, now)
+        now += 0.05
+
+
+def test_record_from_a_peer_ends_the_loss() -> None:
+    core = leader_in_term_five()
+    core.handle_leader_read(replace(UNREADABLE, confirmed_term=5), 101.0)
+    later = LeaderRecord(term=30, node_id="node-c", incarnation=33)
+    core.handle_peer_record(later, 50, 101.1)
+    assert core.role is Role.FOLLOWER
+    assert not core.is_election_lost
+    assert core.record == later
--- a/tests/unit/test_ownership_world.py
+++ b/tests/unit/test_ownership_world.py
@@ -7,6 +7,7 @@
 from limedeck_lab.ownership.faults import (
     FAULTS,
     FAULTS_RUN_ALONE,
+    LOST_RECORD_FAULTS,
     PARTITION_FAULTS,
     STORE_RETURN_FAULTS,
 )
@@ -108,6 +109,13 @@
     assert run(seed, fault).violations == ()
 
 
+# Guards against a service without a leader because another program changed the leader's row.
+@pytest.mark.parametrize("fault", LOST_RECORD_FAULTS)
+@pytest.mark.parametrize("seed", STORE_RETURN_SEEDS)
+def test_no_key_has_two_owners_after_the_leaders_record_was_lost(seed: int, fault: str) -> None:
+    assert run(seed, fault).violations == ()
+
+
 @pytest.mark.parametrize("fault", PARTITION_FAULTS)
 @pytest.mark.parametrize("seed", PARTITION_SEEDS)
 def test_lead_moves_to_a_node_that_reaches_the_owners(seed: int, fault: str) -> None:
--- a/tests/unit/test_unreadable_rows.py
+++ b/tests/unit/test_unreadable_rows.py
@@ -142,6 +142,24 @@
         return
 
 
+@given(st.binary(max_size=200) | st.sampled_from(HOSTILE), st.booleans())
+@settings(max_examples=300, derandomize=True, deadline=None)
+def test_leaders_rows_of_any_bytes_are_read(value: bytes, is_leader_row: bool) -> None:
+    key = election_calls.LEADER_ROW if is_leader_row else election_calls.CONFIRMATION_ROW
+    row = rows.StoredRow(key.table, key.part, key.key, value, 7)
+    seen = election_calls.leader_read_result((row,), 0, 10.0)
+    assert seen.row_version == (7 if is_leader_row else 0)
+    assert seen.is_unreadable == (is_leader_row and seen.record is None)
+
+
+def test_conflict_shows_no_confirmation() -> None:
+    record = LeaderRecord(node_id="n", incarnation=1, peer_address="a", term=3)
+    key = election_calls.LEADER_ROW
+    row = rows.StoredRow(key.table, key.part, key.key, record.SerializeToString(), 7)
+    seen = election_calls.leader_read_result((row,), 0)
+    assert (seen.record, seen.confirmation_age, seen.is_conflict) == (record, None, True)
+
+
 @given(st.binary(max_size=200) | st.sampled_from(HOSTILE))
 @settings(max_examples=300, derandomize=True, deadline=None)
 def test_update_of_another_node_that_cannot_be_read_is_one_error(value: bytes) -> None:
