Soak: entries whose addresses no server has, and a leader's record that is lost

Two kinds of steps, after the others, so that recorded seeds draw what they drew. Addresses lead to a listener of the soak if they are not refused; a connection there is a broken promise.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -4,14 +4,17 @@
 
 import base64
 import contextlib
+import json
 import random
 import signal
+import socket
 import threading
 import time
 from typing import TYPE_CHECKING
 
 import httpx
 
+from limedeck.node import election_calls
 from limedeck_lab.standins import row_store
 from tests.soak import judging, proxy
 from tests.soak.series import Kind, Series
@@ -69,6 +72,10 @@
 )
 """Rows of other writers that no decoder takes, each with its table and key."""
 UNREADABLE_SECONDS = (0.5, 2.0)
+INVALID_ADDRESSES = ("127.0.0.1:{beyond}", "0.0.0.0:{port}", "0177.0.0.1:{port}")
+"""Addresses that no single server has; some layers take them for the port of a listener here."""
+PORTS = 65_536
+GARBAGE = b"\xff" + b"[" * 2000
 
 
 class Nodes:
@@ -150,6 +157,8 @@
         self._portal = portal
         self._version = 0
         self._lock = threading.Lock()
+        self._unlisted = socket.create_server(("127.0.0.1", 0))
+        self._unlisted.setblocking(False)
 
     def run(self, drawn: Series, ended: threading.Event) -> int:
         """Carry out a series until it or the soak ends; return the number of completed steps."""
@@ -181,6 +190,8 @@
             Kind.REPEAT_RESPONSES: self._repeat_responses,
             Kind.CUT_HEADS: self._cut_heads,
             Kind.UNREADABLE_ROWS: self._write_unreadable_rows,
+            Kind.INVALID_ADDRESSES: self._write_invalid_address,
+            Kind.LOSE_RECORD: self._lose_record,
         }[drawn.kind]
         for number in range(drawn.steps):
             if ended.wait(drawn.gap):
@@ -198,6 +209,9 @@
 
     def heal(self) -> None:
         """End all lasting faults."""
+        with contextlib.suppress(BlockingIOError), self._unlisted:
+            self._unlisted.accept()
+            self._judge.record_unlisted_connection()
         self._nodes.restart_nodes_ended_at_start()
         self._site.store.faults.clear()
         for key in [
@@ -320,6 +334,28 @@
         time.sleep(source.uniform(*UNREADABLE_SECONDS))
         self._site.store.drop(table, "", key)
 
+    def _write_invalid_address(self, source: random.Random) -> None:
+        """Write an entry that names no address of a single server, for a while."""
+        port = self._unlisted.getsockname()[1]
+        address = source.choice(INVALID_ADDRESSES).format(port=port, beyond=port + PORTS)
+        service = source.choice(["keyed", "plain"])
+        info = {"backend": service, "version": "v1", "zone": "z1", "slots": platform_site.SLOTS}
+        status = {"state": "ready", "sequence": 1, "warmup_s_time": 0}
+        body = {"address": address, "info": info, "status": status}
+        key = f"{FOREIGN_ENTRY_PREFIX}address-{source.getrandbits(16)}"
+        self._site.store.put("servers", key, json.dumps(body).encode())
+        time.sleep(source.uniform(*UNREADABLE_SECONDS))
+        self._site.store.drop("servers", "", key)
+
+    def _lose_record(self, source: random.Random) -> None:
+        """Drop the leader's record, or overwrite it with what is none."""
+        self._judge.record_unplanned_fault()
+        row = election_calls.LEADER_ROW
+        if source.random() < 0.5:
+            self._site.store.drop(row.table, row.part, row.key)
+        else:
+            self._site.store.put(row.table, row.key, GARBAGE)
+
     def _kill(self, source: random.Random) -> None:
         self._judge.record_unplanned_fault()
         count = source.choice([1, 1, 1, MAX_KILLED_AT_ONCE])
--- a/tests/soak/judging.py
+++ b/tests/soak/judging.py
@@ -123,6 +123,11 @@
         with self._lock:
             return began > self._unplanned_until
 
+    def record_unlisted_connection(self) -> None:
+        """Record that a node connected to an address that no entry names."""
+        with self._lock:
+            self._result.violations.append("a node connected to an address that no entry names")
+
     def record_version(self, number: int) -> None:
         """Record that a configuration was written."""
         with self._lock:
--- a/tests/soak/series.py
+++ b/tests/soak/series.py
@@ -41,11 +41,18 @@
     REPEAT_RESPONSES = "repeat-responses"
     CUT_HEADS = "cut-heads"
     UNREADABLE_ROWS = "unreadable"
+    INVALID_ADDRESSES = "addresses"
+    LOSE_RECORD = "lost-record"
 
 
+KINDS_V9 = tuple(kind for kind in Kind if kind not in (Kind.INVALID_ADDRESSES, Kind.LOSE_RECORD))
+"""Kinds for seeds recorded before `INVALID_ADDRESSES` and `LOSE_RECORD` were added.
+
+These are 720001 and later.
+"""
 KINDS_V8 = tuple(
     kind
-    for kind in Kind
+    for kind in KINDS_V9
     if kind not in (Kind.REPEAT_RESPONSES, Kind.CUT_HEADS, Kind.UNREADABLE_ROWS)
 )
 """Kinds for seeds recorded before `REPEAT_RESPONSES`, `CUT_HEADS` and `UNREADABLE_ROWS` were added.
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -39,6 +39,13 @@
     series.Kind.PAUSE,
     series.Kind.PARTITION,
 )
+OTHER_WRITERS = (
+    series.Kind.INVALID_ADDRESSES,
+    series.Kind.LOSE_RECORD,
+    series.Kind.UNREADABLE_ROWS,
+    series.Kind.KILL,
+    series.Kind.DRAIN,
+)
 SPOILT_RESPONSES_AND_ROWS = (
     series.Kind.REPEAT_RESPONSES,
     series.Kind.CUT_HEADS,
@@ -73,6 +80,7 @@
         (610001, 20.0, PARTITIONS),
         (660001, 20.0, UNPROVEN_REFUSALS),
         (720004, 20.0, SPOILT_RESPONSES_AND_ROWS),
+        (760001, 20.0, OTHER_WRITERS),
     ],
     ids=[
         "planned",
@@ -86,6 +94,7 @@
         "partitions",
         "unproven-refusals",
         "spoilt-responses-and-rows",
+        "other-writers",
     ],
 )
 def test_no_promise_is_broken(
