A node's first line names the sources that it was built from

`started` has `build` now, and `deploy/sources_id.sh` prints the same for a tree; the build compares by it, as it compared the checksum before.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -13,11 +13,12 @@
     python3 -m compileall -q "$deps"
     echo "$libraries" > "$deps/.libraries"
 fi
-sources=$(find src/limedeck -name '*.py' -print0 | sort -z | xargs -0 sha256sum | sha256sum)
+sources=$(sh deploy/sources_id.sh)
 if [ "$(cat "$deps/.sources" 2>/dev/null || true)" != "$sources" ]; then
     rm -rf "$deps/.next"
     cp -r src/limedeck "$deps/.next"
     find "$deps/.next" -name __pycache__ -prune -exec rm -rf {} +
+    echo "$sources" > "$deps/.next/BUILD"
     python3 -m compileall -q "$deps/.next" -s "$deps/.next" -p "$deps/limedeck"
     rm -rf "$deps/limedeck"
     mv "$deps/.next" "$deps/limedeck"
--- a/src/limedeck/node/server.py
+++ b/src/limedeck/node/server.py
@@ -12,6 +12,7 @@
 import anyio
 from anyio.abc import TaskGroup, TaskStatus
 
+from limedeck import build_id
 from limedeck.api.control_pb2 import LeaderRecord
 from limedeck.clock import steady_clock
 from limedeck.errors import PlatformProtocolError
@@ -113,7 +114,8 @@
     async def run(self) -> None:
         """Run until a graceful shutdown has completed."""
         settings = self._settings
-        self._log.info("started", node=settings.node.id, zone=settings.node.zone)
+        build = build_id.read_build_id()
+        self._log.info("started", node=settings.node.id, zone=settings.node.zone, build=build)
         platform_store = PlatformStore(settings.store.address, settings.store.timeout)
         store = InstrumentedStore(platform_store, self._telemetry)
         memory = ResponseMemory(keeper=self._memory_keeper)
--- a/tests/contract/test_deploy_build.py
+++ b/tests/contract/test_deploy_build.py
@@ -10,7 +10,9 @@
 
 import pytest
 
-BUILD = Path(__file__).parents[2] / "deploy" / "build.sh"
+from limedeck import build_id
+
+DEPLOY = Path(__file__).parents[2] / "deploy"
 PYTHON = """#!/bin/sh
 case "$*" in
     *sys.implementation*) echo "$FAKE_PYTHON" ;;
@@ -36,6 +38,12 @@
         command = ["sh", "deploy/build.sh"]
         subprocess.run(command, cwd=self.folder, env={"PATH": path, **kind}, check=True)
 
+    def sources_id(self) -> str:
+        """Return what identifies the sources of the tree."""
+        command = ["sh", "deploy/sources_id.sh"]
+        result = subprocess.run(command, cwd=self.folder, check=True, capture_output=True)
+        return result.stdout.decode().strip()
+
     @property
     def installs(self) -> int:
         """How often libraries were installed."""
@@ -62,7 +70,8 @@
     for name, text in (("python3", PYTHON), ("uname", UNAME)):
         (tmp_path / "bin" / name).write_text(text)
         (tmp_path / "bin" / name).chmod(0o755)
-    shutil.copy(BUILD, tmp_path / "deploy")
+    for script in ("build.sh", "sources_id.sh"):
+        shutil.copy(DEPLOY / script, tmp_path / "deploy")
     tree.requirements.write_text("anyio==1\n")
     tree.source.write_text("one = 1\n")
     tree.build()
@@ -107,3 +116,22 @@
     added.unlink()
     checkout.build()
     assert not checkout.built.with_name("added.py").exists()
+
+
+# Guards against a stale build whose log does not show that it is one.
+def test_built_folder_names_the_sources_of_its_tree(checkout: Checkout) -> None:
+    file = checkout.built.with_name("BUILD")
+    first = build_id.read_build_id(file)
+    assert first == checkout.sources_id()
+    checkout.source.write_text("one = 2\n")
+    assert checkout.sources_id() != first
+    checkout.build()
+    assert build_id.read_build_id(file) == checkout.sources_id()
+
+
+@pytest.mark.parametrize("content", [None, b"\xff"], ids=["none", "unreadable"])
+def test_tree_that_was_not_built_has_no_id(tmp_path: Path, content: bytes | None) -> None:
+    file = tmp_path / "BUILD"
+    if content is not None:
+        file.write_bytes(content)
+    assert build_id.read_build_id(file) == build_id.UNBUILT
