A leader's row whose term no election gives, or without an address, counts as lost

Each node that stood for election ended (InvariantViolation: no term follows) while the leader's row, or the confirmation, held a record that decodes and names a term above those of the store's era; a record of term zero or without a valid address left nodes that started without a leader. It is the failure of a row that cannot be read, for a reader that decodes only.

Reading the rows checks what a record says: a term that an election can have given in that era, with terms left after it, and an address that a server can have. What is not so is logged (`record_not_read`) and handled as a lost record.

--- a/src/limedeck/node/election_calls.py
+++ b/src/limedeck/node/election_calls.py
@@ -7,7 +7,7 @@
 
 from google.protobuf.message import DecodeError, Message
 
-from limedeck import versions
+from limedeck import addresses, versions
 from limedeck.api.control_pb2 import LeaderConfirmation, LeaderRecord
 from limedeck.clock import steady_clock
 from limedeck.identity import Seconds
@@ -149,8 +149,8 @@
     """
     by_key = {row.key: row for row in rows}
     row = by_key.get(LEADER_ROW.key)
-    record = _decode_if_readable(row, LeaderRecord)
-    confirmation = _decode_if_readable(by_key.get(CONFIRMATION_ROW.key), LeaderConfirmation)
+    record = _if_readable(_read_record, row)
+    confirmation = _if_readable(_read_confirmation, by_key.get(CONFIRMATION_ROW.key))
     version = row.version if row is not None else absent
     age = None
     if confirmation is not None and store_time is not None:
@@ -168,17 +168,39 @@
     )
 
 
-def _decode_if_readable(row: StoredRow | None, kind: type[Record]) -> Record | None:
-    """Decode a row's record; None if there is no row, or if it holds none."""
+def _if_readable(read: Callable[[StoredRow], Record], row: StoredRow | None) -> Record | None:
+    """Read a row's record; None if there is no row, or if it holds none."""
     if row is None:
         return None
     try:
-        return decode_record(row, kind)
+        return read(row)
     except StoreProtocolError as error:
         get_logger("control").error("record_not_read", problem=str(error))
         return None
 
 
+def _read_record(row: StoredRow) -> LeaderRecord:
+    record = decode_record(row, LeaderRecord)
+    _check_term(row, record.term)
+    try:
+        addresses.parse_address(record.peer_address)
+    except addresses.InvalidAddress as error:
+        raise StoreProtocolError(f"row {row.key} of {row.table}: {error}") from error
+    return record
+
+
+def _read_confirmation(row: StoredRow) -> LeaderConfirmation:
+    confirmation = decode_record(row, LeaderConfirmation)
+    _check_term(row, confirmation.term)
+    return confirmation
+
+
+def _check_term(row: StoredRow, term: int) -> None:
+    era = versions.era_of(row.version)
+    if not terms.is_plausible(term, era):
+        raise StoreProtocolError(f"row {row.key} of {row.table}: no term {term} in era {era}")
+
+
 def decode_record(row: StoredRow, kind: type[Record]) -> Record:
     """Decode a record that a node has written to a row.
 
--- a/src/limedeck/ownership/terms.py
+++ b/src/limedeck/ownership/terms.py
@@ -13,6 +13,9 @@
 """Bits for the number of a term: with an election every ten minutes in one era, they last five
 years. Together with the era a term has 29 bits, and a fence 53."""
 
+SPARE_TERMS = 1 << 10
+"""Terms of its era that are left after any plausible one, so that others can follow it."""
+
 
 def era_of(term: int) -> int:
     """Return the era of the store in which the leader of a term was elected."""
@@ -38,3 +41,8 @@
     if era > versions.MAX_ERA or era_of(following) > max(era, era_of(term)):
         raise InvariantViolation("terms-suffice", f"no term follows {term} in era {era}")
     return following
+
+
+def is_plausible(term: int, era: int) -> bool:
+    """Whether an election can have given this term while the store was in an era, or before."""
+    return term > 0 and era_of(term + SPARE_TERMS) <= era
--- a/src/limedeck_lab/ownership/node.py
+++ b/src/limedeck_lab/ownership/node.py
@@ -48,6 +48,8 @@
 ORDER_TRANSIT_TIME: Seconds = 0.002
 ORDER_PROCESSING_TIME: Seconds = 0.0005
 """Processor time for sending an order, and again for reading its response."""
+UNUSED_ADDRESS = "127.0.0.1:1"
+"""Nodes of the simulation do not connect to each other."""
 RECORD_RETRY_DELAY: Seconds = 0.1
 PARTITION_DETECTION_TIME: Seconds = 0.55
 """Time in which a node finds that it reaches no back end: silence, a round of probes, a tick."""
@@ -72,7 +74,9 @@
         self.slowdown = 0.0
         """Multiple of `ORDER_PROCESSING_TIME` that orders take; at 0 they take no time."""
         self._processor = simpy.Resource(world.environment)
-        self.identity = LeaderRecord(node_id=node_id, incarnation=incarnation)
+        self.identity = LeaderRecord(
+            node_id=node_id, incarnation=incarnation, peer_address=UNUSED_ADDRESS
+        )
         now = world.environment.now
         self.election = ElectionCore(self.identity, world.timing, now)
         self.permit_issuer = LeaderPermitIssuer(self.election)
--- a/tests/unit/test_unreadable_rows.py
+++ b/tests/unit/test_unreadable_rows.py
@@ -12,9 +12,12 @@
 
 from limedeck import errors, http_client, retry_after
 from limedeck.api import control_pb2
-from limedeck.api.control_pb2 import LeaderRecord
+from limedeck.api.control_pb2 import LeaderConfirmation, LeaderRecord
 from limedeck.node import election_calls, table_exchange
 from limedeck.node import settings as node_settings
+from limedeck.ownership.election import ElectionCore
+from limedeck.ownership.election_events import Campaign, ReadLeader
+from limedeck.ownership.timing import OwnershipTiming
 from limedeck.platform import headers, messages, store
 from limedeck.store import rows
 
@@ -153,7 +156,7 @@
 
 
 def test_conflict_shows_no_confirmation() -> None:
-    record = LeaderRecord(node_id="n", incarnation=1, peer_address="a", term=3)
+    record = LeaderRecord(node_id="n", incarnation=1, peer_address="127.0.0.1:1", term=3)
     key = election_calls.LEADER_ROW
     row = rows.StoredRow(key.table, key.part, key.key, record.SerializeToString(), 7)
     seen = election_calls.leader_read_result((row,), 0)
@@ -221,3 +224,33 @@
 def test_hostile_row_is_one_error(read: Callable[[bytes], object], value: bytes) -> None:
     with pytest.raises(errors.PlatformProtocolError):
         read(value)
+
+
+# Guards against nodes that end because the leader's row holds a term that no election gives.
+@given(st.integers(0, 2**64 - 1), st.integers(0, 2**64 - 1), st.booleans())
+@example(2**64 - 1, 4, True)
+@example(2**18 - 1, 4, True)
+@example(4, 2**64 - 1, False)
+@settings(max_examples=200, derandomize=True, deadline=None)
+def test_no_term_of_the_leaders_rows_ends_the_election(
+    term: int, confirmed_term: int, has_record: bool
+) -> None:
+    record = LeaderRecord(term=term, node_id="n", incarnation=1, peer_address="127.0.0.1:1")
+    confirmation = LeaderConfirmation(term=confirmed_term, confirmed_at=0.0)
+    found = [stored(election_calls.CONFIRMATION_ROW, confirmation.SerializeToString())]
+    if has_record:
+        found.append(stored(election_calls.LEADER_ROW, record.SerializeToString()))
+    core = ElectionCore(LeaderRecord(node_id="me", incarnation=2), OwnershipTiming(), 0.0)
+    for step in range(40):
+        now = step * 0.1
+        command = core.handle_tick(now)
+        if isinstance(command, ReadLeader):
+            seen = election_calls.leader_read_result(tuple(found), 0, 100.0 + now)
+            core.handle_leader_read(seen, now)
+        elif isinstance(command, Campaign):
+            assert command.record.term < 2**29
+            return
+
+
+def stored(key: rows.RowKey, value: bytes) -> rows.StoredRow:
+    return rows.StoredRow(key.table, key.part, key.key, value, 7)
