--- a/src/limedeck/ownership/election.py
+++ b/src/limedeck/ownership/election.py
@@ -35,6 +35,9 @@
 UNCONFIRMED_TERMS = 8
 """Terms that are left out if the record of the last election is lost: leaders that the store has
 not confirmed may have had them."""
+UNINFORMED_CANDIDATE_DELAY: Seconds = 1.0
+"""How much longer a node waits that does not know the leader whose record is lost: if it leads,
+keys of unresponsive owners wait for what that leader may have renewed."""
 
 
 class ElectionCore:
@@ -238,9 +241,13 @@
         was_elected = self.record is not None or self._confirmed_term > 0
         self._is_record_lost = seen.record is None and (was_elected or seen.is_unreadable)
         self._is_term_unknown = self._is_record_lost and not was_elected
-        if self._is_record_lost and self.term < self._confirmed_term:
+        if self._is_confirmed_leader_unknown:
             self.handle_superseded(self._confirmed_term)
 
+    @property
+    def _is_confirmed_leader_unknown(self) -> bool:
+        return self._is_record_lost and self.term < self._confirmed_term
+
     def _is_row_absent(self, seen: LeaderReadResult) -> bool:
         is_same_era = versions.era_of(seen.row_version) == versions.era_of(self.row_version)
         return is_same_era and self._is_record_lost and not seen.is_unreadable
@@ -449,7 +456,9 @@
             return True
         if self._confirmation_age is None:
             return True
-        return self._confirmation_age + (now - self._rows_read_at) > self._timing.stale_confirmation
+        delay = UNINFORMED_CANDIDATE_DELAY if self._is_confirmed_leader_unknown else 0.0
+        age = self._confirmation_age + (now - self._rows_read_at)
+        return age > self._timing.stale_confirmation + delay
 
     def _candidate_record(self, why: Suspicion) -> LeaderRecord:
         record = LeaderRecord()
@@ -461,7 +470,7 @@
         record.term = terms.next_term(highest, self.era)
         if self.record is not None:
             record.former.extend(_former_leaders(self.record, self._identity.node_id))
-        if self._is_record_lost and self.term < self._confirmed_term:
+        if self._is_confirmed_leader_unknown:
             record.former.append(FormerLeader(term=self._confirmed_term))
         return record
 
