A leader's record that is lost before its first confirmation is replaced

Nobody led for good when another program overwrote the record of a first leader before the store had confirmed it: no row told a term and no node knew one, and nobody stood. But without a confirmation no leader has led for long: its term is among those that are left out, and it is listed as one that may still renew. Only a confirmation that is there and cannot be read hides a term.

The unit test fails before.

--- a/src/limedeck/node/election_calls.py
+++ b/src/limedeck/node/election_calls.py
@@ -150,7 +150,9 @@
     by_key = {row.key: row for row in rows}
     row = by_key.get(LEADER_ROW.key)
     record = _if_readable(_read_record, row)
-    confirmation = _if_readable(_read_confirmation, by_key.get(CONFIRMATION_ROW.key))
+    confirmation_row = by_key.get(CONFIRMATION_ROW.key)
+    confirmation = _if_readable(_read_confirmation, confirmation_row)
+    is_unreadable = row is not None and record is None
     version = row.version if row is not None else absent
     age = None
     if confirmation is not None and store_time is not None:
@@ -163,7 +165,8 @@
         version,
         age,
         confirmed_term=confirmation.term if confirmation is not None else None,
-        is_unreadable=row is not None and record is None,
+        is_unreadable=is_unreadable,
+        is_term_unreadable=is_unreadable and confirmation_row is not None and confirmation is None,
         is_conflict=store_time is None,
     )
 
--- a/src/limedeck/ownership/election.py
+++ b/src/limedeck/ownership/election.py
@@ -240,13 +240,14 @@
         self._confirmed_term = max(self._confirmed_term, seen.confirmed_term or 0)
         was_elected = self.record is not None or self._confirmed_term > 0
         self._is_record_lost = seen.record is None and (was_elected or seen.is_unreadable)
-        self._is_term_unknown = self._is_record_lost and not was_elected
-        if self._is_confirmed_leader_unknown:
+        self._is_term_unknown = seen.is_term_unreadable and not was_elected
+        if self._is_lost_leader_unknown:
             self.handle_superseded(self._confirmed_term)
 
     @property
-    def _is_confirmed_leader_unknown(self) -> bool:
-        return self._is_record_lost and self.term < self._confirmed_term
+    def _is_lost_leader_unknown(self) -> bool:
+        is_known = self.record is not None and self.term >= self._confirmed_term
+        return self._is_record_lost and not is_known
 
     def _is_row_absent(self, seen: LeaderReadResult) -> bool:
         is_same_era = versions.era_of(seen.row_version) == versions.era_of(self.row_version)
@@ -456,7 +457,7 @@
             return True
         if self._confirmation_age is None:
             return True
-        delay = UNINFORMED_CANDIDATE_DELAY if self._is_confirmed_leader_unknown else 0.0
+        delay = UNINFORMED_CANDIDATE_DELAY if self._is_lost_leader_unknown else 0.0
         age = self._confirmation_age + (now - self._rows_read_at)
         return age > self._timing.stale_confirmation + delay
 
@@ -470,7 +471,7 @@
         record.term = terms.next_term(highest, self.era)
         if self.record is not None:
             record.former.extend(_former_leaders(self.record, self._identity.node_id))
-        if self._is_confirmed_leader_unknown:
+        if self._is_lost_leader_unknown:
             record.former.append(FormerLeader(term=self._confirmed_term))
         return record
 
--- a/src/limedeck/ownership/election_events.py
+++ b/src/limedeck/ownership/election_events.py
@@ -85,6 +85,8 @@
         Term of the last confirmation; None if there is none, or if it was not read.
     is_unreadable
         Whether there is a row that holds no record.
+    is_term_unreadable
+        Whether there is a confirmation, and neither it nor the record can be read.
     is_conflict
         Whether a failed write returned the row of the record; other rows were not read.
     """
@@ -94,6 +96,7 @@
     confirmation_age: Seconds | None
     confirmed_term: int | None = None
     is_unreadable: bool = False
+    is_term_unreadable: bool = False
     is_conflict: bool = False
 
 
--- a/tests/unit/test_election.py
+++ b/tests/unit/test_election.py
@@ -563,7 +563,7 @@
 # Guards against fences that were in use before: a first term after a lost one.
 def test_nobody_stands_while_no_row_shows_a_term_and_no_node_knows_one() -> None:
     core = ElectionCore(ME, TIMING, 100.0)
-    seen = LeaderReadResult(None, 45, None, is_unreadable=True)
+    seen = LeaderReadResult(None, 45, None, is_unreadable=True, is_term_unreadable=True)
     now = 100.0
     while now < 110.0:
         command, now = next_command(core, now, now + 3.0)
@@ -572,6 +572,16 @@
         now += 0.05
 
 
+# Guards against a system without a leader because its first record is lost before a confirmation.
+def test_lost_record_of_a_leader_that_was_never_confirmed_is_replaced() -> None:
+    core = ElectionCore(ME, TIMING, 100.0)
+    seen = LeaderReadResult(None, 45, None, is_unreadable=True)
+    campaign, _ = campaign_of(core, seen, 100.0)
+    assert campaign.row_version == 45
+    assert campaign.record.term > UNCONFIRMED_TERMS
+    assert list(campaign.record.former) == [FormerLeader()]
+
+
 def test_record_from_a_peer_ends_the_loss() -> None:
     core = leader_in_term_five()
     core.handle_leader_read(replace(UNREADABLE, confirmed_term=5), 101.0)
