--- a/src/limedeck_lab/explain/meanings.py
+++ b/src/limedeck_lab/explain/meanings.py
@@ -64,6 +64,7 @@
     Suspicion.DENIED: "the one before had ended or given it up",
     Suspicion.STORE_UNREACHABLE: "the one before could not reach the store",
     Suspicion.STORE_RETURNED: "its election was lost when the store returned from a copy",
+    Suspicion.RECORD_LOST: "another program had dropped or overwritten the record of its election",
 }
 
 
