A leader's record of an earlier term than its confirmation counts as lost

Nodes were not ready, or keys had no owner, after an operator had written the former value of the leader's row back, which by then another leader's record had replaced: nodes that started believed the earlier record, found no confirmation of its term and elected a second leader, in a term below the first one's.

Only the leader whose record the row holds confirms, so the confirmation's term is never above the record's. A record for which it is was written by another program: it counts as lost, and so it does for a leader that finds an earlier term in a later version of its row. The first one is elected again.

--- a/src/limedeck/ownership/election.py
+++ b/src/limedeck/ownership/election.py
@@ -239,11 +239,20 @@
         """Record whether the record of the last election is in the store."""
         self._confirmed_term = max(self._confirmed_term, seen.confirmed_term or 0)
         was_elected = self.record is not None or self._confirmed_term > 0
-        self._is_record_lost = seen.record is None and (was_elected or seen.is_unreadable)
+        is_lost = seen.record is None and (was_elected or seen.is_unreadable)
+        self._is_record_lost = is_lost or self._is_own_record_replaced(seen)
         self._is_term_unknown = seen.is_term_unreadable and not was_elected
         if self._is_lost_leader_unknown:
             self.handle_superseded(self._confirmed_term)
 
+    def _is_own_record_replaced(self, seen: LeaderReadResult) -> bool:
+        """Whether the row of this leader's record was written later, with an earlier term."""
+        if self.role is not Role.LEADER or seen.record is None:
+            return False
+        is_same_era = versions.era_of(seen.row_version) == versions.era_of(self.row_version)
+        is_later = is_same_era and seen.row_version > self.row_version
+        return is_later and seen.record.term < self.term
+
     @property
     def _is_lost_leader_unknown(self) -> bool:
         is_known = self.record is not None and self.term >= self._confirmed_term
--- a/tests/unit/test_election.py
+++ b/tests/unit/test_election.py
@@ -582,6 +582,21 @@
     assert list(campaign.record.former) == [FormerLeader()]
 
 
+# Guards against two leaders because the record of an earlier one was written back.
+def test_leader_whose_record_is_replaced_by_an_earlier_one_is_elected_again() -> None:
+    core = leader_in_term_five()
+    conflict = LeaderReadResult(OTHER, 45, None, is_conflict=True)
+    core.handle_leader_read(conflict, 101.0)
+    assert core.role is Role.LEADER
+    assert core.is_election_lost
+    command, now = next_command(core, 101.0, 102.0)
+    assert command == ReadLeader(Suspicion.RECORD_LOST)
+    core.handle_leader_read(replace(UNREADABLE, confirmed_term=5), now)
+    campaign, _ = next_command(core, now, now + 1.0)
+    assert isinstance(campaign, Campaign)
+    assert campaign.row_version == UNREADABLE.row_version
+
+
 def test_record_from_a_peer_ends_the_loss() -> None:
     core = leader_in_term_five()
     core.handle_leader_read(replace(UNREADABLE, confirmed_term=5), 101.0)
--- a/tests/unit/test_unreadable_rows.py
+++ b/tests/unit/test_unreadable_rows.py
@@ -155,6 +155,18 @@
     assert seen.is_unreadable == (is_leader_row and seen.record is None)
 
 
+def test_record_of_an_earlier_term_than_the_confirmation_counts_as_lost() -> None:
+    record = LeaderRecord(node_id="n", incarnation=1, peer_address="127.0.0.1:1", term=3)
+    confirmation = LeaderConfirmation(term=4, confirmed_at=9.0)
+    found = (
+        stored(election_calls.LEADER_ROW, record.SerializeToString()),
+        stored(election_calls.CONFIRMATION_ROW, confirmation.SerializeToString()),
+    )
+    seen = election_calls.leader_read_result(found, 0, 10.0)
+    assert (seen.record, seen.row_version, seen.is_unreadable) == (None, 7, True)
+    assert (seen.confirmed_term, seen.confirmation_age) == (4, 1.0)
+
+
 def test_conflict_shows_no_confirmation() -> None:
     record = LeaderRecord(node_id="n", incarnation=1, peer_address="127.0.0.1:1", term=3)
     key = election_calls.LEADER_ROW
