--- a/src/limedeck/node/election_calls.py
+++ b/src/limedeck/node/election_calls.py
@@ -154,7 +154,10 @@
     confirmation = _if_readable(_read_confirmation, confirmation_row)
     if record is not None and confirmation is not None and record.term < confirmation.term:
         # Only the leader of its own record confirms, so another program wrote an earlier one back.
-        get_logger("control").error("record_outdated", term=record.term, known=confirmation.term)
+        problem = (
+            f"term {record.term} of the leader's row is below the confirmed {confirmation.term}"
+        )
+        get_logger("control").error("record_not_read", problem=problem)
         record = None
     is_unreadable = row is not None and record is None
     version = row.version if row is not None else absent
